Add ports, settings and numbered log events

Cause: every part needs the shared interfaces before work starts in parallel. Change: abstract base classes and messages, validated YAML settings with remedies in their errors, numbered events with invariant checks. Conclusion: parts can be built against these interfaces.

--- /dev/null
+++ b/mustardtrack/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that implement the ports with real I/O."""
--- /dev/null
+++ b/mustardtrack/logs/tests/test_events.py
@@ -0,0 +1,52 @@
+"""Guards against duplicate event numbers and silent invariant violations."""
+
+import io
+import json
+
+import pytest
+from loguru import logger
+
+from mustardtrack.logs import (
+    InvariantViolationError,
+    add_event_listener,
+    configure_logging,
+    define_event,
+    log_event,
+    remove_event_listener,
+    require_invariant,
+)
+
+EXAMPLE = define_event(9901, "ERROR", "example invariant")
+
+
+def test_number_cannot_be_reused_for_another_event():
+    with pytest.raises(ValueError, match="already used"):
+        define_event(9901, "ERROR", "something else")
+
+
+def test_violated_invariant_raises_and_is_counted():
+    seen = []
+
+    def remember(event, fields):
+        seen.append((event.number, fields))
+
+    add_event_listener(remember)
+    try:
+        require_invariant(True, EXAMPLE)
+        with pytest.raises(InvariantViolationError):
+            require_invariant(False, EXAMPLE, index=3)
+    finally:
+        remove_event_listener(remember)
+    assert seen == [(9901, {"index": 3})]
+
+
+def test_log_lines_are_json_with_the_event_number():
+    stream = io.StringIO()
+    configure_logging(stream)
+    try:
+        log_event(EXAMPLE, endpoint="engine-1")
+    finally:
+        logger.remove()
+    line = json.loads(stream.getvalue())
+    assert line["event"] == 9901
+    assert line["endpoint"] == "engine-1"
