--- /dev/null
+++ b/mustardtrack/adapters/tests/test_zeromq.py
@@ -0,0 +1,76 @@
+"""Guards against lost replies, foreign frames and waiting on a dead peer."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+import zmq
+
+from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@asynccontextmanager
+async def two_buses():
+    addresses = [free_address(), free_address()]
+    buses = [Bus(f"bus-{number}", addresses[number]) for number in range(2)]
+    for bus in buses:
+        bus.start()
+    try:
+        yield buses, addresses
+    finally:
+        for bus in buses:
+            await bus.stop()
+
+
+def test_requests_get_their_own_answers_when_they_cross():
+    async def scenario():
+        async with two_buses() as (buses, addresses):
+
+            async def echo(sender, body):
+                await asyncio.sleep(0.05 if body == b"slow" else 0)
+                return sender.encode() + body
+
+            buses[1].handle("echo", echo)
+            return await asyncio.gather(
+                buses[0].request(addresses[1], "echo", b"slow", 5000),
+                buses[0].request(addresses[1], "echo", b"fast", 5000),
+            )
+
+    assert asyncio.run(scenario()) == [b"bus-0slow", b"bus-0fast"]
+
+
+def test_request_to_an_absent_peer_times_out():
+    async def scenario():
+        async with two_buses() as (buses, _):
+            with pytest.raises(BusTimeoutError, match="did not answer"):
+                await buses[0].request(free_address(), "echo", b"", 100)
+
+    asyncio.run(scenario())
+
+
+def test_malformed_frame_and_failing_handler_do_not_stop_the_bus():
+    async def scenario():
+        async with two_buses() as (buses, addresses):
+
+            async def fail_or_echo(sender, body):
+                if body == b"fail":
+                    raise ValueError("test")
+                return body
+
+            buses[1].handle("echo", fail_or_echo)
+            stray = zmq.Context.instance().socket(zmq.DEALER)
+            stray.connect(f"tcp://{addresses[1]}")
+            stray.send(b"\xc1 not an envelope")
+            stray.close(linger=100)
+            with pytest.raises(BusTimeoutError):
+                await buses[0].request(addresses[1], "echo", b"fail", 100)
+            return await buses[0].request(addresses[1], "echo", b"again", 5000)
+
+    assert asyncio.run(scenario()) == b"again"
