--- /dev/null
+++ b/mustardtrack/adapters/http_server.py
@@ -0,0 +1,176 @@
+"""HTTP server with limits on input, for the caller and operator ports."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, cast
+
+from klein import Klein
+from twisted.internet import reactor as twisted_reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.ssl import DefaultOpenSSLContextFactory
+from twisted.web.http import HTTPChannel
+from twisted.web.server import Request, Site
+
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.settings import TlsFiles, split_address
+
+CONNECTION_REFUSED = define_event(
+    8101, "WARNING", "connection refused: too many open connections"
+)
+HANDLER_FAILED = define_event(8102, "ERROR", "request handler failed")
+CERTIFICATE_RELOADED = define_event(8103, "INFO", "TLS certificate reloaded")
+
+reactor = cast(Any, twisted_reactor)
+
+# A body that exceeds the limit by more than this is not read to its end.
+DISCARD_BYTES = 1_048_576
+
+
+class LimitedRequest(Request):
+    """Request that keeps at most ``body_limit_bytes`` of its body.
+
+    Attributes:
+        body_too_large: True if part of the body was discarded.
+    """
+
+    body_limit_bytes = 4_194_304
+
+    def __init__(self, channel: HTTPChannel, *args: Any, **kwargs: Any):
+        super().__init__(channel, *args, **kwargs)
+        self.body_too_large = False
+        self._received_bytes = 0
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802 (Twisted)
+        """Store a part of the body unless the limit is exceeded."""
+        self._received_bytes += len(data)
+        if self._received_bytes > self.body_limit_bytes:
+            self.body_too_large = True
+        if self._received_bytes > self.body_limit_bytes + DISCARD_BYTES:
+            self.channel.forceAbortClient()
+        elif not self.body_too_large:
+            super().handleContentChunk(data)
+
+
+class LimitedSite(Site):
+    """Site with a limit on open connections.
+
+    Args:
+        resource: Root resource.
+        idle_ms: Time after which a connection without traffic is closed.
+        connections: Largest number of open connections.
+        body_bytes: Largest request body.
+    """
+
+    def __init__(self, resource: Any, idle_ms: int, connections: int, body_bytes: int):
+        limits = {"body_limit_bytes": body_bytes}
+        request_class = type("SiteRequest", (LimitedRequest,), limits)
+        super().__init__(resource, requestFactory=request_class, timeout=idle_ms / 1000)
+        self._connections = connections
+        self.open_connections = 0
+        self.noisy = False
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802 (Twisted)
+        """Accept a connection, or refuse it at the limit."""
+        if self.open_connections >= self._connections:
+            log_event(CONNECTION_REFUSED, limit=self._connections)
+            return None
+        self.open_connections += 1
+        protocol = super().buildProtocol(addr)
+        original = protocol.connectionLost
+
+        def connection_lost(reason: Any) -> None:
+            self.open_connections -= 1
+            original(reason)
+
+        protocol.connectionLost = connection_lost
+        return protocol
+
+    def log(self, request: Any) -> None:
+        """Write no access log line; request events are logged by the handlers."""
+
+
+class ReloadingContextFactory(DefaultOpenSSLContextFactory):
+    """TLS context that can be replaced without a restart."""
+
+    def reload(self) -> None:
+        """Read the certificate and key files again.
+
+        Raises:
+            OpenSSL.SSL.Error: If the files do not match; the old pair stays.
+        """
+        previous = self._context
+        self._context = None
+        try:
+            self.cacheContext()
+        except Exception:
+            self._context = previous
+            raise
+        log_event(CERTIFICATE_RELOADED)
+
+
+def listen(
+    site: Site, address: str, tls: TlsFiles | None
+) -> tuple[IListeningPort, ReloadingContextFactory | None]:
+    """Listen on ``IP:PORT``, with TLS if key files are given.
+
+    Raises:
+        twisted.internet.error.CannotListenError: If the address is in use.
+    """
+    host, port = split_address(address)
+    if tls is None:
+        return reactor.listenTCP(port, site, interface=host), None
+    factory = ReloadingContextFactory(tls.key_file, tls.certificate_file)
+    return reactor.listenSSL(port, site, factory, interface=host), factory
+
+
+def run_handler(coroutine: Coroutine[Any, Any, bytes]) -> "Deferred[bytes]":
+    """Run an asyncio coroutine as the result of a klein handler."""
+    return Deferred.fromFuture(asyncio.ensure_future(coroutine))
+
+
+def add_route(
+    app: Klein, path: str, handler: Callable[..., Awaitable[bytes]], **kwargs: Any
+) -> None:
+    """Serve ``path`` by ``await handler(request, **path_arguments)``.
+
+    An exception in the handler is logged and answered with status 500.
+    """
+
+    async def guarded(request: Request, arguments: dict[str, Any]) -> bytes:
+        try:
+            return await handler(request, **arguments)
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            log_event(HANDLER_FAILED, path=path, error=repr(error))
+            if request.startedWriting or request._disconnected:
+                request.loseConnection()
+                return b""
+            return write_json(request, 500, {"error": {"message": "internal error"}})
+
+    def route(request: Request, **arguments: Any) -> "Deferred[bytes]":
+        return run_handler(guarded(request, arguments))
+
+    # Klein uses the function name as the endpoint name, which must be unique.
+    route.__name__ = f"route_{len(app.endpoints)}"
+    app.route(path, **kwargs)(route)
+
+
+def write_json(
+    request: Request, status: int, body: Any, headers: dict[str, str] | None = None
+) -> bytes:
+    """Set status and headers and return ``body`` encoded as JSON."""
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    for name, value in (headers or {}).items():
+        request.setHeader(name, value)
+    return json.dumps(body).encode()
+
+
+def bearer_token(request: Request) -> str | None:
+    """Return the bearer token of the request, if any."""
+    header = request.getHeader("Authorization") or ""
+    scheme, _, token = header.partition(" ")
+    return token.strip() if scheme.lower() == "bearer" and token.strip() else None
--- a/mustardtrack/adapters/zeromq.py
+++ b/mustardtrack/adapters/zeromq.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 import msgspec
 import zmq
@@ -208,7 +209,9 @@
         if self.closed:
             return False
         # With NOBLOCK the returned future is already done.
-        sent = self._socket.send(frame, flags=zmq.NOBLOCK)
+        sent = cast(
+            "asyncio.Future[object]", self._socket.send(frame, flags=zmq.NOBLOCK)
+        )
         return sent.exception() is None
 
     async def exchange(self, request_id: int, frame: bytes) -> bytes:
