--- a/mustardtrack/adapters/http_endpoints.py
+++ b/mustardtrack/adapters/http_endpoints.py
@@ -1,19 +1,22 @@
 """HTTP client for endpoints: engines and plain services."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, cast
 
 import msgspec
 import treq
 from twisted.internet import reactor as twisted_reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import UNKNOWN_LENGTH
+from twisted.web.iweb import UNKNOWN_LENGTH, IAgentEndpointFactory
+from zope.interface import implementer
 
 reactor = cast(Any, twisted_reactor)
 
@@ -88,17 +91,23 @@
             EndpointError: If the connection is lost, the data is malformed, or
                 nothing arrives within ``timeout_ms``.
         """
-        try:
-            item = await asyncio.wait_for(self._queue.get(), timeout_ms / 1000)
-        except TimeoutError as error:
-            self.close()
-            raise EndpointError("idle_timeout", may_have_run=True) from error
+        if not self._queue.empty():
+            item = self._queue.get_nowait()
+        else:
+            item = await self._wait(timeout_ms)
         if self._reader is not None:
             self._reader.resume_below(self._queue.qsize())
         if isinstance(item, EndpointError):
             raise item
         return item
 
+    async def _wait(self, timeout_ms: int) -> "Chunk | EndpointError | None":
+        try:
+            return await asyncio.wait_for(self._queue.get(), timeout_ms / 1000)
+        except TimeoutError as error:
+            self.close()
+            raise EndpointError("idle_timeout", may_have_run=True) from error
+
     def close(self) -> None:
         """Close the connection."""
         if self._reader is not None:
@@ -219,17 +228,33 @@
         timeout_ms: int,
         limit_bytes: int,
         pooled: bool = False,
+        before_send: Callable[[], None] | None = None,
     ) -> EndpointAnswer:
         """Call an endpoint and return its whole answer.
 
         Calls that may not be repeated use a connection of their own, because a
         reused one can be closed by the endpoint after bytes were written.
 
+        Args:
+            address: ``IP:PORT`` of the endpoint.
+            method: HTTP method.
+            path: Path and query.
+            headers: Request headers.
+            body: Request body.
+            timeout_ms: Limit for the whole call.
+            limit_bytes: Largest body of the answer.
+            pooled: Whether a connection may be reused.
+            before_send: Called on the open connection immediately before the first
+                byte is written. If it raises, nothing is written, the connection is
+                closed and its exception is raised here.
+
         Raises:
-            EndpointError: If there is no whole answer; ``may_have_run`` says whether the
-                call can have reached the endpoint.
+            EndpointError: If there is no whole answer; ``may_have_run`` says whether
+                the call can have reached the endpoint.
         """
-        agent = self._pooled if pooled else self._single
+        agent: Any = self._pooled if pooled else self._single
+        if before_send is not None:
+            agent = Agent.usingEndpointFactory(reactor, _GuardedFactory(before_send))
         url = f"http://{address}{path}"
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_ms / 1000
@@ -272,12 +297,56 @@
         except asyncio.CancelledError:
             deferred.cancel()
             raise
+        except _NotSentError as error:
+            raise error.cause from error
         except Exception as error:
             raise EndpointError("no_answer", True, repr(error)) from error
         finally:
             handle.cancel()
 
 
+class _NotSentError(Exception):
+    """``before_send`` raised; no byte was written."""
+
+    def __init__(self, cause: Exception):
+        super().__init__(str(cause))
+        self.cause = cause
+
+
+@implementer(IAgentEndpointFactory)
+class _GuardedFactory:
+    """Makes endpoints that call ``before_send`` once they are connected."""
+
+    def __init__(self, before_send: Callable[[], None]):
+        self._before_send = before_send
+
+    def endpointForURI(self, uri: Any) -> "_GuardedEndpoint":  # noqa: N802 (Twisted)
+        endpoint = TCP4ClientEndpoint(
+            reactor, uri.host, uri.port, timeout=CONNECT_TIMEOUT_MS / 1000
+        )
+        return _GuardedEndpoint(endpoint, self._before_send)
+
+
+@implementer(IStreamClientEndpoint)
+class _GuardedEndpoint:
+    """The agent writes in the callback that follows the check."""
+
+    def __init__(self, inner: TCP4ClientEndpoint, before_send: Callable[[], None]):
+        self._inner = inner
+        self._before_send = before_send
+
+    def connect(self, factory: Any) -> Any:
+        return self._inner.connect(factory).addCallback(self._check)
+
+    def _check(self, protocol: Any) -> Any:
+        try:
+            self._before_send()
+        except Exception as error:
+            protocol.transport.abortConnection()
+            raise _NotSentError(error) from error
+        return protocol
+
+
 async def _read_limited(response: Any, limit_bytes: int, timeout_ms: int) -> bytes:
     """Read a body of at most ``limit_bytes``."""
     if response.length is not UNKNOWN_LENGTH and response.length > limit_bytes:
@@ -310,9 +379,3 @@
     transport = getattr(response.original, "_transport", None)
     if transport is not None:
         transport.abortConnection()
-
-
-async def iterate(stream: EngineStream, timeout_ms: int) -> AsyncIterator[Chunk]:
-    """Yield the chunks of a stream until its end marker."""
-    while (chunk := await stream.next_chunk(timeout_ms)) is not None:
-        yield chunk
--- /dev/null
+++ b/mustardtrack/command/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool of the operators."""
--- /dev/null
+++ b/mustardtrack/command/application.py
@@ -0,0 +1,242 @@
+"""Command-line application ``mustardtrack``."""
+
+import getpass
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from mustardtrack import __version__
+from mustardtrack.process.reactor import install_reactor
+from mustardtrack.settings import SettingsError, load_settings
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+
+TOKEN_VARIABLE = "MUSTARDTRACK_OPERATOR_TOKEN"  # noqa: S105 (a variable's name)
+ADDRESS_VARIABLE = "MUSTARDTRACK_OPERATORS"
+
+CONNECTION_OPTIONS = [
+    option(
+        "operators",
+        description=f"operator addresses IP:PORT, by comma (or {ADDRESS_VARIABLE})",
+        flag=False,
+    ),
+    option(
+        "token-file",
+        description=f"file that holds the operator token (or {TOKEN_VARIABLE})",
+        flag=False,
+    ),
+    option("json", description="print JSON"),
+]
+
+
+class OperatorCommand(Command):
+    """Base of the commands that call the operator API."""
+
+    def connect(self, work: Any) -> Any:
+        """Run ``work(client)`` and return its result.
+
+        Raises:
+            UsageError: If the address or the token is missing.
+        """
+        from mustardtrack.command.client import run_with_client
+
+        addresses = self.option("operators") or os.environ.get(ADDRESS_VARIABLE, "")
+        if not addresses:
+            raise UsageError(f"no address: give --operators or set {ADDRESS_VARIABLE}")
+        return run_with_client(addresses.split(","), self._read_token(), work)
+
+    def _read_token(self) -> str:
+        path = self.option("token-file")
+        if path:
+            try:
+                return Path(path).read_text(encoding="utf-8").strip()
+            except OSError as error:
+                raise UsageError(f"{path}: {error.strerror}") from error
+        token = os.environ.get(TOKEN_VARIABLE, "")
+        if not token:
+            raise UsageError(f"no token: give --token-file or set {TOKEN_VARIABLE}")
+        return token
+
+    def handle(self) -> int:
+        """Run the command and map errors to exit codes."""
+        from mustardtrack.command.client import OperatorError
+
+        try:
+            return self.execute_call()
+        except UsageError as error:
+            self.line_error(f"<error>{error}</error>")
+            return EXIT_USAGE
+        except OperatorError as error:
+            if self.option("json") and error.body:
+                self.line(json.dumps(error.body))
+            self.line_error(f"<error>{error}</error>")
+            return EXIT_REFUSED if error.body else EXIT_UNREACHABLE
+
+    def execute_call(self) -> int:
+        """Perform the call; overridden by each command."""
+        raise NotImplementedError
+
+    def show(self, answer: dict[str, Any]) -> None:
+        """Print an answer as JSON or as text."""
+        if self.option("json"):
+            self.line(json.dumps(answer))
+            return
+        self.write(answer.get("text") or json.dumps(answer, indent=2))
+        self.line("")
+
+
+class UsageError(Exception):
+    """The command line lacks something; the message names the remedy."""
+
+
+class QueryCommand(OperatorCommand):
+    """Runs one query."""
+
+    name = "query"
+    description = "run one query, such as 'show endpoints where zone = sofia-a'"
+    arguments = [argument("text", description="the query")]
+    options = CONNECTION_OPTIONS
+
+    def execute_call(self) -> int:
+        """Run the query and print its rows."""
+        text = self.argument("text")
+        answer = self.connect(lambda client: client.execute(text, getpass.getuser()))
+        self.show(answer)
+        return EXIT_OK
+
+
+class ApplyCommand(OperatorCommand):
+    """Applies commands from a file or from the command line."""
+
+    name = "apply"
+    description = "apply one command, or each line of a file given as @FILE"
+    arguments = [argument("text", description="a command, @FILE, or - for input")]
+    options = CONNECTION_OPTIONS
+
+    def execute_call(self) -> int:
+        """Apply the commands in order and stop at the first refusal."""
+        commands = _read_commands(self.argument("text"))
+        progress = self.progress_bar(len(commands)) if len(commands) > 20 else None
+
+        async def apply_all(client: Any) -> list[dict[str, Any]]:
+            answers = []
+            for command in commands:
+                answers.append(await client.execute(command, getpass.getuser()))
+                if progress is not None:
+                    progress.advance()
+            return answers
+
+        answers = self.connect(apply_all)
+        if progress is not None:
+            progress.finish()
+            self.line("")
+        for answer in answers:
+            self.show(answer)
+        return EXIT_OK
+
+
+class StatusCommand(OperatorCommand):
+    """Shows the state of each process."""
+
+    name = "status"
+    description = "show the state of each process given by --operators"
+    options = CONNECTION_OPTIONS
+
+    def execute_call(self) -> int:
+        """Print one row for each process; exit 1 if one did not answer."""
+        rows = self.connect(lambda client: client.status())
+        if self.option("json"):
+            self.line(json.dumps(rows))
+        else:
+            for row in rows:
+                self.line("  ".join(f"{key}={value}" for key, value in row.items()))
+        return EXIT_REFUSED if any("error" in row for row in rows) else EXIT_OK
+
+
+class FormCommand(OperatorCommand):
+    """Forms the control group once."""
+
+    name = "form"
+    description = "form the control group from empty replicas; once per deployment"
+    options = CONNECTION_OPTIONS
+
+    def execute_call(self) -> int:
+        """Form the group and print its voters."""
+        self.show(self.connect(lambda client: client.post("/operator/form", {})))
+        return EXIT_OK
+
+
+class CheckConfigCommand(Command):
+    """Checks settings files without starting anything."""
+
+    name = "check-config"
+    description = "check settings files"
+    arguments = [argument("files", description="settings files", multiple=True)]
+
+    def handle(self) -> int:
+        """Check each file; exit 1 if one is refused."""
+        code = EXIT_OK
+        for path in self.argument("files"):
+            try:
+                settings = load_settings(path)
+                self.line(f"{path}: valid, {settings.role} {settings.name}")
+            except SettingsError as error:
+                self.line_error(f"<error>{error}</error>")
+                code = EXIT_REFUSED
+        return code
+
+
+class VersionCommand(Command):
+    """Prints the version."""
+
+    name = "version"
+    description = "print the version"
+
+    def handle(self) -> int:
+        """Print the version."""
+        self.line(__version__)
+        return EXIT_OK
+
+
+def _read_commands(text: str) -> list[str]:
+    if text == "-":
+        lines = sys.stdin.read().splitlines()
+    elif text.startswith("@"):
+        try:
+            lines = Path(text[1:]).read_text(encoding="utf-8").splitlines()
+        except OSError as error:
+            raise UsageError(f"{text[1:]}: {error.strerror}") from error
+    else:
+        lines = [text]
+    stripped = (line.strip() for line in lines)
+    return [line for line in stripped if line and not line.startswith("#")]
+
+
+def create_application() -> Application:
+    """Return the application with all commands."""
+    application = Application("mustardtrack", __version__)
+    for command in (
+        QueryCommand(),
+        ApplyCommand(),
+        StatusCommand(),
+        FormCommand(),
+        CheckConfigCommand(),
+        VersionCommand(),
+    ):
+        application.add(command)
+    return application
+
+
+def main() -> int:
+    """Run the command line and return the exit code."""
+    install_reactor()
+    return create_application().run()
--- /dev/null
+++ b/mustardtrack/process/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of the processes."""
--- /dev/null
+++ b/mustardtrack/process/callers.py
@@ -0,0 +1,286 @@
+"""Parsing of caller requests and writing of their responses."""
+
+import asyncio
+import time
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from twisted.internet.interfaces import IPushProducer
+from twisted.web.server import Request
+from zope.interface import implementer
+
+from mustardtrack.requests import Refusal
+
+CHARS_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+
+
+class InvalidRequestError(Exception):
+    """The request cannot be parsed; the message names the field."""
+
+
+class Message(msgspec.Struct):
+    """One message of a chat request."""
+
+    role: str
+    content: str
+
+
+class CompletionBody(msgspec.Struct):
+    """Fields of a completion or chat request that the router uses.
+
+    Other fields of the protocol are accepted and ignored.
+    """
+
+    model: str
+    prompt: str | list[str] = ""
+    messages: list[Message] = []
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+
+
+@dataclass(frozen=True)
+class ParsedCompletion:
+    """Completion request in the router's own terms.
+
+    Attributes:
+        levels: Prompt parts, outermost first; their concatenation is the prompt.
+    """
+
+    model: str
+    levels: tuple[str, ...]
+    max_tokens: int
+    stream: bool
+    chat: bool
+
+    @property
+    def prompt(self) -> str:
+        """The whole prompt."""
+        return "".join(self.levels)
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated prompt length in tokens."""
+        chars = sum(len(level) for level in self.levels)
+        return max(1, chars // CHARS_PER_TOKEN)
+
+
+_DECODER = msgspec.json.Decoder(CompletionBody)
+
+
+def parse_completion(data: bytes, chat: bool, output_limit: int) -> ParsedCompletion:
+    """Parse the body of a completion or chat request.
+
+    A list of prompts is taken as the nested levels of one prompt.
+
+    Args:
+        data: JSON body.
+        chat: Whether the body has messages instead of a prompt.
+        output_limit: Largest number of output tokens.
+
+    Raises:
+        InvalidRequestError: If the body is malformed or a value is out of range.
+
+    Examples:
+        >>> body = b'{"model": "m", "messages": [{"role": "user", "content": "Hi"}]}'
+        >>> parse_completion(body, chat=True, output_limit=10).levels
+        ('user: Hi\\n',)
+    """
+    try:
+        body = _DECODER.decode(data)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise InvalidRequestError(str(error)) from error
+    levels = _levels(body, chat)
+    if not any(levels):
+        raise InvalidRequestError("messages is empty" if chat else "prompt is empty")
+    tokens = body.max_completion_tokens or body.max_tokens
+    if tokens is None:
+        tokens = min(DEFAULT_OUTPUT_TOKENS, output_limit)
+    if not 0 < tokens <= output_limit:
+        raise InvalidRequestError(f"max_tokens must be from 1 to {output_limit}")
+    return ParsedCompletion(body.model, levels, tokens, body.stream, chat)
+
+
+def _levels(body: CompletionBody, chat: bool) -> tuple[str, ...]:
+    if chat:
+        return tuple(f"{one.role}: {one.content}\n" for one in body.messages)
+    if isinstance(body.prompt, str):
+        return (body.prompt,)
+    return tuple(body.prompt)
+
+
+class SlowCallerError(Exception):
+    """The caller did not read its response in time."""
+
+
+class ResponseWriter(ABC):
+    """Response to one completion request."""
+
+    @abstractmethod
+    async def write_piece(self, piece: int, text: str) -> None:
+        """Send one piece; returns once the caller can take more.
+
+        Raises:
+            SlowCallerError: If the caller does not read for too long.
+        """
+
+    @abstractmethod
+    def finish(self, piece_count: int, usage: dict[str, int]) -> bytes:
+        """End a complete response and return the rest of the body."""
+
+    @abstractmethod
+    def refuse(self, refusal: Refusal, detail: str = "") -> bytes:
+        """End the response with a refusal and return the rest of the body."""
+
+
+@implementer(IPushProducer)
+class _CallerFlow:
+    """Tells whether the caller's connection takes more data."""
+
+    def __init__(self) -> None:
+        self.writable = asyncio.Event()
+        self.writable.set()
+
+    def pauseProducing(self) -> None:  # noqa: N802 (Twisted)
+        self.writable.clear()
+
+    def resumeProducing(self) -> None:  # noqa: N802 (Twisted)
+        self.writable.set()
+
+    def stopProducing(self) -> None:  # noqa: N802 (Twisted)
+        self.writable.set()
+
+
+class Formatter:
+    """Bodies in the shape of the completions and chat protocols.
+
+    Args:
+        request_id: Identity of the request.
+        completion: The request.
+    """
+
+    def __init__(self, request_id: str, completion: ParsedCompletion):
+        self._chat = completion.chat
+        kind = "chatcmpl" if completion.chat else "cmpl"
+        self._head = {
+            "id": f"{kind}-{request_id}",
+            "created": int(time.time()),
+            "model": completion.model,
+        }
+
+    def chunk(
+        self, text: str, finish_reason: str | None, fields: dict[str, Any]
+    ) -> bytes:
+        """Return one server-sent event."""
+        if self._chat:
+            delta = {"role": "assistant", "content": text} if text else {}
+            choice: dict[str, Any] = {"index": 0, "delta": delta}
+            name = "chat.completion.chunk"
+        else:
+            choice = {"index": 0, "text": text}
+            name = "text_completion"
+        choice["finish_reason"] = finish_reason
+        body = {**self._head, "object": name, "choices": [choice], **fields}
+        return b"data: " + msgspec.json.encode(body) + b"\n\n"
+
+    def whole(self, text: str, usage: dict[str, int]) -> bytes:
+        """Return the body of a response that is not streamed."""
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+            name = "chat.completion"
+        else:
+            choice["text"] = text
+            name = "text_completion"
+        body = {**self._head, "object": name, "choices": [choice], "usage": usage}
+        return msgspec.json.encode(body)
+
+
+class StreamWriter(ResponseWriter):
+    """Streams pieces as server-sent events.
+
+    Args:
+        request: HTTP request.
+        formatter: Formatter of the bodies.
+        stall_ms: Longest time for which the caller may not read.
+    """
+
+    def __init__(self, request: Request, formatter: Formatter, stall_ms: int):
+        self._request = request
+        self._formatter = formatter
+        self._stall_ms = stall_ms
+        self._flow = _CallerFlow()
+        self._started = False
+
+    async def write_piece(self, piece: int, text: str) -> None:
+        """Send one piece as an event that carries its number."""
+        if not self._started:
+            self._start()
+        self._request.write(self._formatter.chunk(text, None, {"piece": piece}))
+        if self._flow.writable.is_set():
+            return
+        try:
+            await asyncio.wait_for(self._flow.writable.wait(), self._stall_ms / 1000)
+        except TimeoutError as error:
+            raise SlowCallerError from error
+
+    def finish(self, piece_count: int, usage: dict[str, int]) -> bytes:
+        """Send the final marker with the number of pieces."""
+        if not self._started:
+            self._start()
+        fields = {"piece_count": piece_count, "usage": usage}
+        self._request.write(self._formatter.chunk("", "stop", fields))
+        return self._end(b"data: [DONE]\n\n")
+
+    def refuse(self, refusal: Refusal, detail: str = "") -> bytes:
+        """Send the refusal as status, or as an error event after the first piece."""
+        body = msgspec.json.encode(refusal.to_body(detail))
+        if not self._started:
+            return write_refusal(self._request, refusal, detail)
+        return self._end(b"data: " + body + b"\n\n")
+
+    def _start(self) -> None:
+        self._started = True
+        self._request.setHeader("Content-Type", "text/event-stream")
+        self._request.setHeader("Cache-Control", "no-store")
+        self._request.registerProducer(self._flow, True)
+
+    def _end(self, data: bytes) -> bytes:
+        self._request.write(data)
+        self._request.unregisterProducer()
+        return b""
+
+
+class WholeWriter(ResponseWriter):
+    """Collects the pieces and sends the whole response at the end."""
+
+    def __init__(self, request: Request, formatter: Formatter):
+        self._request = request
+        self._formatter = formatter
+        self._texts: list[str] = []
+
+    async def write_piece(self, piece: int, text: str) -> None:
+        """Keep one piece."""
+        self._texts.append(text)
+
+    def finish(self, piece_count: int, usage: dict[str, int]) -> bytes:
+        """Return the whole body."""
+        self._request.setHeader("Content-Type", "application/json")
+        return self._formatter.whole("".join(self._texts), usage)
+
+    def refuse(self, refusal: Refusal, detail: str = "") -> bytes:
+        """Return the refusal."""
+        return write_refusal(self._request, refusal, detail)
+
+
+def write_refusal(request: Request, refusal: Refusal, detail: str = "") -> bytes:
+    """Set status and headers of a refusal and return its body."""
+    request.setResponseCode(refusal.http_status)
+    request.setHeader("Content-Type", "application/json")
+    if refusal.retry_after_ms is not None:
+        seconds = -(-refusal.retry_after_ms // 1000)
+        request.setHeader("Retry-After", str(seconds))
+    return msgspec.json.encode(refusal.to_body(detail))
--- /dev/null
+++ b/mustardtrack/process/control.py
@@ -0,0 +1,220 @@
+"""Control process: one replica, the operator API and the delivery of changes."""
+
+import asyncio
+import random
+from pathlib import Path
+
+import msgspec
+
+from mustardtrack.adapters.clock import SystemClock
+from mustardtrack.adapters.disk import DiskLog
+from mustardtrack.adapters.http_endpoints import HttpEndpointClient
+from mustardtrack.adapters.zeromq import Bus
+from mustardtrack.agreement import Replica, ReplicaId, Timing
+from mustardtrack.configuration import Configuration, encode_changes
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.ports import (
+    CommandReply,
+    CommandRequest,
+    FollowReply,
+    FollowRequest,
+    FormReply,
+    FormRequest,
+    RouterHeartbeat,
+)
+from mustardtrack.process.control_client import ControlClient
+from mustardtrack.process.daemon import DaemonProcess
+from mustardtrack.process.formation import form_group
+from mustardtrack.process.metrics import create_metrics
+from mustardtrack.process.operators import OperatorApi, RowSource
+from mustardtrack.process.replica_task import ReplicaTask
+from mustardtrack.process.weight_loads import WeightLoadTask
+from mustardtrack.settings import Settings
+
+REPLICA_FAILED = define_event(8311, "ERROR", "replica task failed, process ends")
+MAX_FOLLOW_WAIT_MS = 10_000
+
+
+class ControlProcess(DaemonProcess):
+    """One control replica with its adapters."""
+
+    def __init__(self, settings: Settings):
+        self._settings = settings
+        self._peer = settings.own_control()
+        self._clock = SystemClock()
+        self._metrics = create_metrics(settings)
+        self._addresses = {peer.name: peer.bus for peer in settings.control}
+        self._bus = Bus(settings.name, self._peer.bus)
+        self._routers: dict[str, tuple[RouterHeartbeat, int]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Load the stored state, bind the ports and start the replica."""
+        self._open_replica()
+        self._bus.handle("agreement", self._receive_agreement)
+        self._bus.handle("command", self._receive_command)
+        self._bus.handle("follow", self._receive_follow)
+        self._bus.handle("form", self._receive_form)
+        self._bus.handle("heartbeat", self._receive_heartbeat)
+        self._bus.start()
+        self._http = HttpEndpointClient()
+        self._client = ControlClient(self._bus, self._settings.control)
+        self._api = OperatorApi(
+            self._settings, self._client, self._rows(), self._form, self._status
+        )
+        self._api.listen(self._peer.operators)
+        loads = WeightLoadTask(self._task, self._client, self._http)
+        for coroutine in (self._task.run(), loads.run()):
+            task = asyncio.ensure_future(coroutine)
+            task.add_done_callback(self._task_ended)
+            self._tasks.append(task)
+
+    def _open_replica(self) -> None:
+        assert self._settings.data_folder is not None
+        self._storage = DiskLog(Path(self._settings.data_folder))
+        stored = self._storage.load()
+        me = ReplicaId(self._settings.name, stored.disk)
+        timing = Timing(
+            heartbeat_ms=self._settings.timing.heartbeat_ms,
+            election_timeout_ms=self._settings.timing.election_timeout_ms,
+        )
+        self._me = me
+        peers = [peer.name for peer in self._settings.control]
+        replica = Replica(me, stored, timing, random.Random(), self._clock.now_ms())
+        replica.set_peers([name for name in peers if name != me.name])
+        configuration = Configuration(self._settings.parallel_weight_loads)
+        applied = 0
+        if stored.snapshot is not None:
+            configuration = self._restore(stored.snapshot.state)
+            applied = stored.snapshot.index
+        self._task = ReplicaTask(
+            me,
+            replica,
+            self._storage,
+            configuration,
+            applied,
+            self._post,
+            self._clock,
+            self._metrics,
+            self._settings.timing.tick_ms,
+            self._restore,
+        )
+
+    def _restore(self, state: bytes) -> Configuration:
+        return Configuration.restore(state) if state else Configuration()
+
+    def _post(self, name: str, data: bytes) -> None:
+        address = self._addresses.get(name)
+        if address is not None:
+            self._bus.post(address, "agreement", data)
+
+    def _task_ended(self, task: "asyncio.Task[None]") -> None:
+        if task.cancelled() or self._stopping:
+            return
+        log_event(REPLICA_FAILED, error=repr(task.exception()))
+        # Without its replica or its disk the process must not answer anything.
+        raise SystemExit(1)
+
+    async def _receive_agreement(self, sender: str, body: bytes) -> None:
+        self._task.deliver(body)
+
+    async def _receive_command(self, sender: str, body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=CommandRequest)
+        if self._stopping:
+            return msgspec.msgpack.encode(CommandReply("not_leader"))
+        return msgspec.msgpack.encode(await self._task.submit(request.payload))
+
+    async def _receive_follow(self, sender: str, body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=FollowRequest)
+        wait_ms = min(request.wait_ms, MAX_FOLLOW_WAIT_MS)
+        await self._task.wait_for_revision(request.have_revision, wait_ms)
+        configuration = self._task.configuration
+        changes = configuration.changes_since(request.have_revision)
+        reply = FollowReply(
+            revision=configuration.revision,
+            changes=b"" if changes is None else encode_changes(changes),
+            snapshot=configuration.copy_snapshot() if changes is None else b"",
+            stale_ms=self._task.status().stale_ms,
+        )
+        return msgspec.msgpack.encode(reply)
+
+    async def _receive_form(self, sender: str, body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=FormRequest)
+        if request.voters and not self._task.status().voters:
+            await self._task.form(tuple(ReplicaId(*pair) for pair in request.voters))
+        voters = [(voter.name, voter.disk) for voter in self._task.status().voters]
+        reply = FormReply(self._me.name, self._me.disk, bool(voters), voters)
+        return msgspec.msgpack.encode(reply)
+
+    async def _receive_heartbeat(self, sender: str, body: bytes) -> None:
+        heartbeat = msgspec.msgpack.decode(body, type=RouterHeartbeat)
+        known = self._routers.get(heartbeat.name)
+        if known is None or heartbeat.sequence >= known[0].sequence:
+            self._routers[heartbeat.name] = (heartbeat, self._clock.now_ms())
+
+    async def _form(self) -> list[tuple[str, str]]:
+        return await form_group(self._bus, self._settings.control)
+
+    def _status(self) -> dict[str, object]:
+        status = self._task.status()
+        return {
+            "role": "control",
+            "name": self._settings.name,
+            "replica": status.role,
+            "term": status.term,
+            "leader": status.leader.name if status.leader else None,
+            "revision": self._task.configuration.revision,
+            "commit_index": status.commit_index,
+            "voters": [voter.name for voter in status.voters],
+            "learners": [learner.name for learner in status.learners],
+            "stale_ms": status.stale_ms,
+        }
+
+    def _rows(self) -> RowSource:
+        return RowSource(
+            objects=lambda kind: self._task.configuration.objects(kind),
+            hosts=self._host_rows,
+            endpoints=lambda: {},
+            requests=list,
+            counters=lambda: self._metrics.counters,
+            revision=lambda: self._task.configuration.revision,
+            stale_ms=lambda: self._task.status().stale_ms,
+            quarantined=lambda: self._task.configuration.quarantined(),
+        )
+
+    def _host_rows(self) -> list[dict[str, object]]:
+        now_ms = self._clock.now_ms()
+        lease_ms = self._settings.timing.lease_ms
+        return [
+            {
+                "name": heartbeat.name,
+                "address": heartbeat.address,
+                "zone": heartbeat.zone,
+                "state": heartbeat.state if now_ms - seen_ms < lease_ms else "gone",
+                "revision": heartbeat.revision,
+                "in_force": heartbeat.revision >= self._task.configuration.revision,
+            }
+            for heartbeat, seen_ms in self._routers.values()
+        ]
+
+    async def stop(self) -> list[str]:
+        """Finish open proposals and close the ports."""
+        self._stopping = True
+        await self._api.stop()
+        await asyncio.sleep(self._settings.timing.tick_ms * 2 / 1000)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._storage.close()
+        await self._http.close()
+        await self._bus.stop()
+        return []
+
+    def open_requests(self) -> list[str]:
+        """Return nothing: proposals without an answer are resent by their senders."""
+        return []
+
+    def reload_certificates(self) -> None:
+        """Read the TLS files again."""
+        self._api.reload_certificates()
--- /dev/null
+++ b/mustardtrack/process/observer.py
@@ -0,0 +1,288 @@
+"""Tasks that observe endpoints and exchange heartbeats with other routers."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from mustardtrack.adapters.http_endpoints import EndpointError, HttpEndpointClient
+from mustardtrack.adapters.zeromq import Bus
+from mustardtrack.configuration import ConfigurationCopy, Endpoint
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.membership import (
+    EndpointTable,
+    HostHeartbeat,
+    HostTable,
+    Load,
+    ProbeAnswer,
+    ProbeTable,
+    decode_observations,
+    encode_observations,
+    observed_endpoints,
+)
+from mustardtrack.ports import Clock, Metrics, RouterHeartbeat
+from mustardtrack.settings import RouterPeer
+
+PLATFORM_UNREADABLE = define_event(8501, "WARNING", "platform host list unreadable")
+HEALTH_LIMIT_BYTES = 65_536
+PLATFORM_PERIOD_MS = 1000
+PLATFORM_LIMIT_BYTES = 4_194_304
+
+
+class _HealthLoad(msgspec.Struct):
+    running: int = 0
+    queued: int = 0
+    queued_tokens: int = 0
+
+
+class HealthBody(msgspec.Struct):
+    """Body of an endpoint's ``GET /health``."""
+
+    incarnation: str
+    state: str = "up"
+    models: dict[str, str] = {}
+    load: _HealthLoad = msgspec.field(default_factory=_HealthLoad)
+    age_ms: int = 0
+    deterministic: bool = False
+
+
+class PlatformHost(msgspec.Struct):
+    """One row of the platform's list."""
+
+    address: str
+    state: str
+
+
+class PlatformBody(msgspec.Struct):
+    """The platform's lagging list of live and leaving hosts."""
+
+    hosts: list[PlatformHost]
+
+
+async def probe_endpoint(
+    http: HttpEndpointClient, address: str, timeout_ms: int
+) -> HealthBody | None:
+    """Return the health of an endpoint, None if it does not answer properly."""
+    try:
+        answer = await http.call(
+            address, "GET", "/health", {}, b"", timeout_ms, HEALTH_LIMIT_BYTES
+        )
+        if answer.status != 200:
+            return None
+        return msgspec.json.decode(answer.body, type=HealthBody)
+    except (EndpointError, msgspec.DecodeError):
+        return None
+
+
+class ObserverTask:
+    """Probes the endpoints that this router observes.
+
+    Args:
+        name: Name of this router.
+        copy: Configuration in force.
+        hosts: Live routers, which decide who observes what.
+        probes: Receives the results.
+        http: HTTP client.
+        clock: Clock.
+        period_ms: Time between two probes of an endpoint, also their time limit.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        copy: ConfigurationCopy,
+        hosts: HostTable,
+        probes: ProbeTable,
+        http: HttpEndpointClient,
+        clock: Clock,
+        period_ms: int,
+    ):
+        self._name = name
+        self._copy = copy
+        self._hosts = hosts
+        self._probes = probes
+        self._http = http
+        self._clock = clock
+        self._period_ms = period_ms
+        self._assigned: list[str] = []
+        self._key: Any = None
+        self.models: dict[str, dict[str, str]] = {}
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            started = self._clock.now_ms()
+            endpoints = self._copy.objects("endpoint")
+            self._assign(endpoints, started)
+            await asyncio.gather(
+                *(self._probe(endpoints[name]) for name in self._assigned)
+            )
+            spent = self._clock.now_ms() - started
+            await asyncio.sleep(max(10, self._period_ms - spent) / 1000)
+
+    def _assign(self, endpoints: Mapping[str, Any], now_ms: int) -> None:
+        routers = self._hosts.live_routers(now_ms)
+        key = (tuple(endpoints), tuple(routers))
+        if key == self._key:
+            return
+        self._key = key
+        assigned = observed_endpoints(self._name, list(endpoints), routers)
+        for name in set(self._assigned) - set(assigned):
+            self._probes.forget(name)
+        self._assigned = assigned
+
+    async def _probe(self, endpoint: Endpoint) -> None:
+        health = await probe_endpoint(self._http, endpoint.address, self._period_ms)
+        answer = None
+        if health is not None:
+            state = "leaving" if health.state == "leaving" else "up"
+            load = Load(
+                health.load.running,
+                health.load.queued,
+                health.load.queued_tokens,
+                health.age_ms,
+            )
+            answer = ProbeAnswer(health.incarnation, state, load)  # type: ignore[arg-type]
+            self.models[endpoint.name] = health.models
+        self._probes.record(endpoint.name, answer, self._clock.now_ms())
+
+
+class HeartbeatTask:
+    """Sends heartbeats with observations, and takes in those of other routers.
+
+    Args:
+        peer: Entry of this router in the settings.
+        targets: Bus addresses of the other routers and of the control replicas.
+        bus: Message bus.
+        hosts: Table of routers.
+        endpoints: Table of endpoints.
+        probes: Results of this router's probes.
+        clock: Clock.
+        metrics: Metrics.
+        period_ms: Time between two heartbeats.
+        revision: Returns the revision in force.
+        announce: Returns the account use since the last call.
+        receive_use: Takes in the account use of another router.
+    """
+
+    def __init__(
+        self,
+        peer: RouterPeer,
+        targets: list[str],
+        bus: Bus,
+        hosts: HostTable,
+        endpoints: EndpointTable,
+        probes: ProbeTable,
+        clock: Clock,
+        metrics: Metrics,
+        period_ms: int,
+        revision: Callable[[], int],
+        announce: Callable[[int], dict[str, tuple[int, int]]],
+        receive_use: Callable[[str, dict[str, tuple[int, int]], int], None],
+    ):
+        self._peer = peer
+        self._targets = targets
+        self._bus = bus
+        self._hosts = hosts
+        self._endpoints = endpoints
+        self._probes = probes
+        self._clock = clock
+        self._metrics = metrics
+        self._period_ms = period_ms
+        self._revision = revision
+        self._announce = announce
+        self._receive_use = receive_use
+        self._sequence = 0
+        self.withdrawn = False
+        self.revisions: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            self.send()
+            await asyncio.sleep(self._period_ms / 1000)
+
+    def send(self) -> None:
+        """Send one heartbeat to all other routers and to control."""
+        now_ms = self._clock.now_ms()
+        observations = self._probes.report(now_ms)
+        heartbeat = RouterHeartbeat(
+            name=self._peer.name,
+            address=self._peer.callers,
+            zone=self._peer.zone,
+            state="draining" if self.withdrawn else "up",
+            revision=self._revision(),
+            sequence=self._sequence,
+            observations=encode_observations(observations),
+            account_use=self._announce(now_ms),
+        )
+        self._sequence += 1
+        self._take_in(heartbeat, now_ms)
+        body = msgspec.msgpack.encode(heartbeat)
+        for address in self._targets:
+            self._bus.post(address, "heartbeat", body)
+
+    async def receive(self, sender: str, body: bytes) -> None:
+        """Take in a heartbeat of another router."""
+        now_ms = self._clock.now_ms()
+        heartbeat = msgspec.msgpack.decode(body, type=RouterHeartbeat)
+        if self._take_in(heartbeat, now_ms):
+            self._receive_use(heartbeat.name, heartbeat.account_use, now_ms)
+
+    def _take_in(self, heartbeat: RouterHeartbeat, now_ms: int) -> bool:
+        state = "draining" if heartbeat.state == "draining" else "up"
+        beat = HostHeartbeat(
+            heartbeat.name,
+            heartbeat.address,
+            heartbeat.zone,
+            state,  # type: ignore[arg-type]
+            heartbeat.sequence,
+        )
+        if not self._hosts.heartbeat(beat, now_ms):
+            return False
+        self.revisions[heartbeat.name] = heartbeat.revision
+        for observation in decode_observations(heartbeat.observations):
+            self._endpoints.observe(observation, now_ms)
+        return True
+
+
+class PlatformTask:
+    """Reads the platform's list of live and leaving hosts.
+
+    Args:
+        url: ``http://IP:PORT/path`` of the list.
+        apply: Called with the addresses that are leaving.
+        http: HTTP client.
+    """
+
+    def __init__(
+        self, url: str, apply: Callable[[set[str]], None], http: HttpEndpointClient
+    ):
+        self._address, _, path = url.removeprefix("http://").partition("/")
+        self._path = f"/{path}"
+        self._apply = apply
+        self._http = http
+
+    async def run(self) -> None:
+        """Read the list once a second until cancelled."""
+        while True:
+            await self._read()
+            await asyncio.sleep(PLATFORM_PERIOD_MS / 1000)
+
+    async def _read(self) -> None:
+        try:
+            answer = await self._http.call(
+                self._address,
+                "GET",
+                self._path,
+                {},
+                b"",
+                PLATFORM_PERIOD_MS,
+                PLATFORM_LIMIT_BYTES,
+            )
+            body = msgspec.json.decode(answer.body, type=PlatformBody)
+        except (EndpointError, msgspec.DecodeError) as error:
+            log_event(PLATFORM_UNREADABLE, error=str(error))
+            return
+        self._apply({host.address for host in body.hosts if host.state == "leaving"})
--- /dev/null
+++ b/mustardtrack/process/traffic.py
@@ -0,0 +1,71 @@
+"""State that all requests of one router share."""
+
+import asyncio
+import uuid
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from mustardtrack.adapters.metrics import CounterTable
+from mustardtrack.admission import AccountLimits, RetryBudget, Suspects
+from mustardtrack.configuration import ConfigurationCopy
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.membership import EndpointTable, HostTable
+from mustardtrack.ports import Clock
+from mustardtrack.requests import AttemptTracker, PlannedStop, Refusal
+from mustardtrack.routing import Selector
+from mustardtrack.settings import Settings
+
+REQUEST_REFUSED = define_event(8601, "DEBUG", "request refused")
+BACKGROUND_FAILED = define_event(8602, "ERROR", "background work failed")
+
+
+@dataclass
+class Traffic:
+    """Shared state of the requests of one router, used on its event loop only."""
+
+    settings: Settings
+    copy: ConfigurationCopy
+    clock: Clock
+    metrics: CounterTable
+    stop: PlannedStop
+    limits: AccountLimits
+    suspects: Suspects
+    tracker: AttemptTracker
+    selector: Selector
+    budget: RetryBudget
+    endpoints: EndpointTable
+    hosts: HostTable
+    reasons: dict[str, int] = field(default_factory=dict)
+    _background: set["asyncio.Task[None]"] = field(default_factory=set)
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of this router."""
+        return self.settings.own_router().zone
+
+    def new_request_id(self) -> str:
+        """Return an id that is unique among all routers and restarts."""
+        return f"{self.settings.name}-{uuid.uuid4().hex}"
+
+    def count_refusal(self, refusal: Refusal) -> None:
+        """Count a refusal by its reason."""
+        self.metrics.count(refusal.counter)
+        log_event(REQUEST_REFUSED, reason=refusal.reason, ran=refusal.ran)
+
+    def background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run work that no caller waits for; a planned stop waits for it."""
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background_done)
+
+    async def finish_background(self, timeout_ms: int) -> int:
+        """Wait for background work; return how much is left."""
+        if self._background:
+            await asyncio.wait(set(self._background), timeout=timeout_ms / 1000)
+        return len(self._background)
+
+    def _background_done(self, task: "asyncio.Task[None]") -> None:
+        self._background.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event(BACKGROUND_FAILED, error=repr(task.exception()))
