Add the replicated log and its disk storage

Cause: configuration, claims and quarantine records need one replicated state that survives the loss of a minority of control hosts. Change: mustardtrack.agreement with pre-vote, check-quorum, lease, replication,

mustardtrack.adapters.disk with checksummed frames; an in-memory disk and a simulated group of replicas for tests.

--- /dev/null
+++ b/mustardtrack/adapters/disk.py
@@ -0,0 +1,309 @@
+"""Durable storage of one control replica in a folder.
+
+Files: ``identity`` marks a formatted folder and stores the disk identity,
+``log`` holds one frame for each call of ``persist``, ``snapshot`` the latest
+snapshot. ``identity`` is also locked while the folder is in use.
+"""
+
+import fcntl
+import os
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from mustardtrack.adapters.frames import encode_frame, has_frame_after, read_frames
+from mustardtrack.agreement import (
+    AppendEntries,
+    PersistOp,
+    SaveSnapshot,
+    SaveVote,
+    Snapshot,
+    StoredState,
+)
+from mustardtrack.agreement.entries import entries_after
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.ports import ReplicaStorage, StorageDamagedError
+
+TORN_WRITE_TRUNCATED = define_event(
+    8100, "WARNING", "an incomplete write at the end of the log was truncated"
+)
+REMEDY = (
+    "stop the replica, remove the folder and start it again; "
+    "it rejoins as a learner with a new disk identity"
+)
+
+
+class _Record(msgspec.Struct, frozen=True, array_like=True):
+    """Operations of one frame.
+
+    ``base_index`` is the index of the snapshot that precedes the log file.
+    """
+
+    base_index: int
+    operations: list[PersistOp]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_RECORD = msgspec.msgpack.Decoder(_Record)
+_SNAPSHOT = msgspec.msgpack.Decoder(Snapshot)
+
+
+class DiskLog(ReplicaStorage):
+    """Append-only log and snapshot of one replica.
+
+    A new or empty folder is formatted with a new disk identity by ``load``.
+
+    Args:
+        folder: Data folder of this replica; created if missing.
+
+    Examples:
+        >>> import tempfile
+        >>> with tempfile.TemporaryDirectory() as folder:
+        ...     disk = DiskLog(folder)
+        ...     state = disk.load()
+        ...     disk.persist([SaveVote(3, None)])
+        ...     disk.close()
+        ...     DiskLog(folder).load().term
+        3
+    """
+
+    def __init__(self, folder: str | Path):
+        self._folder = Path(folder)
+        self._state = StoredState(disk="")
+        self._identity_fd = -1
+        self._log_fd = -1
+        self._sequence = 1
+        self._waiting: list[PersistOp] = []
+        self._failed = False
+
+    def load(self) -> StoredState:
+        """Read the stored state, or format an empty folder.
+
+        Returns:
+            A copy that the caller may keep; its ``entries`` list is not shared.
+
+        Raises:
+            StorageDamagedError: If a file is missing or a record before the last
+                one is damaged, or if another process uses the folder.
+            OSError: If the folder cannot be read or written.
+        """
+        self.close()
+        self._failed = False
+        self._folder.mkdir(parents=True, exist_ok=True)
+        if not self._path("identity").exists():
+            self._format()
+        self._lock()
+        disk = self._read_whole("identity").decode()
+        self._state = StoredState(disk=disk)
+        if self._path("snapshot").exists():
+            self._state.snapshot = self._read_snapshot()
+        self._read_log()
+        return StoredState(
+            disk=disk,
+            term=self._state.term,
+            voted_for=self._state.voted_for,
+            snapshot=self._state.snapshot,
+            entries=list(self._state.entries),
+        )
+
+    def persist(self, operations: Sequence[PersistOp], sync: bool = True) -> None:
+        """Carry out operations in order.
+
+        Without ``sync`` they are kept in memory until the next synced call, so
+        that each frame in the file is durable before the next one is written.
+
+        Raises:
+            OSError: If a write or sync fails. The state of the file is unknown
+                then, and every later call fails too until ``load``.
+        """
+        if self._failed or self._log_fd < 0:
+            raise OSError("the log is not open after a failure, restart the replica")
+        self._waiting.extend(operations)
+        if not sync or not self._waiting:
+            return
+        waiting, self._waiting = self._waiting, []
+        try:
+            self._write(waiting)
+        except BaseException:
+            self._failed = True
+            raise
+
+    def close(self) -> None:
+        """Release the files; operations that were not synced are discarded."""
+        self._waiting = []
+        for descriptor in (self._log_fd, self._identity_fd):
+            if descriptor >= 0:
+                os.close(descriptor)
+        self._log_fd = self._identity_fd = -1
+
+    def _write(self, operations: list[PersistOp]) -> None:
+        """Write one frame for each run of operations between snapshots."""
+        run: list[PersistOp] = []
+        for operation in operations:
+            if isinstance(operation, SaveSnapshot):
+                self._append_frame(run)
+                run = []
+                self._state.apply(operation)
+                self._replace_snapshot(operation.snapshot)
+            else:
+                self._state.apply(operation)
+                run.append(operation)
+        self._append_frame(run)
+
+    def _append_frame(self, operations: list[PersistOp]) -> None:
+        if not operations:
+            return
+        payload = _ENCODER.encode(_Record(self._state.base_index, operations))
+        _write_all(self._log_fd, encode_frame(self._sequence, payload))
+        os.fsync(self._log_fd)
+        self._sequence += 1
+
+    def _replace_snapshot(self, snapshot: Snapshot) -> None:
+        # A crash between the two renames leaves the old log beside the new
+        # snapshot; load drops the entries that the snapshot covers.
+        self._write_file("snapshot", encode_frame(0, _ENCODER.encode(snapshot)))
+        self._rewrite_log()
+
+    def _rewrite_log(self) -> None:
+        state = self._state
+        operations: list[PersistOp] = [SaveVote(state.term, state.voted_for)]
+        if state.entries:
+            operations.append(AppendEntries(tuple(state.entries)))
+        record = _Record(state.base_index, operations)
+        self._write_file("log", encode_frame(1, _ENCODER.encode(record)))
+        self._sequence = 2
+        self._open_log()
+
+    def _open_log(self) -> None:
+        if self._log_fd >= 0:
+            os.close(self._log_fd)
+        self._log_fd = os.open(self._path("log"), os.O_RDWR | os.O_APPEND)
+
+    def _format(self) -> None:
+        found = sorted(path.name for path in self._folder.iterdir())
+        # A crash during formatting leaves at most the empty log and the
+        # unfinished identity file.
+        unfinished = {"log", "log.new", "identity.new"}
+        if not set(found) <= unfinished or self._log_size() > 0:
+            raise self._damaged("identity", "is missing, but the folder has data")
+        self._write_file("log", b"")
+        identity = uuid.uuid4().hex.encode()
+        self._write_file("identity", encode_frame(0, identity))
+        _sync_folder(self._folder.parent)
+
+    def _log_size(self) -> int:
+        path = self._path("log")
+        return path.stat().st_size if path.exists() else 0
+
+    def _lock(self) -> None:
+        self._identity_fd = os.open(self._path("identity"), os.O_RDONLY)
+        try:
+            fcntl.flock(self._identity_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            self.close()
+            raise StorageDamagedError(
+                f"{self._folder} is in use by another process, stop that process"
+            ) from error
+
+    def _read_log(self) -> None:
+        if not self._path("log").exists():
+            raise self._damaged("log", "is missing")
+        self._open_log()
+        data = self._path("log").read_bytes()
+        end = 0
+        self._sequence = 1
+        base_index = 0
+        replayed = StoredState(disk="")
+        for sequence, payload, end_offset in read_frames(data, 1):
+            base_index = self._replay(replayed, payload)
+            self._sequence, end = sequence + 1, end_offset
+        if end < len(data):
+            self._truncate(data, end)
+        self._adopt(replayed, base_index)
+
+    def _replay(self, replayed: StoredState, payload: bytes) -> int:
+        try:
+            record = _RECORD.decode(payload)
+            if replayed.snapshot is None and record.base_index > 0:
+                # Only the index matters, as the start of the entries.
+                replayed.snapshot = Snapshot(record.base_index, 0, (), b"")
+            for operation in record.operations:
+                replayed.apply(operation)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise self._damaged("log", f"has a bad record: {error}") from error
+        return record.base_index
+
+    def _adopt(self, replayed: StoredState, base_index: int) -> None:
+        state = self._state
+        if base_index > state.base_index:
+            raise self._damaged("snapshot", f"is older than index {base_index}")
+        state.term, state.voted_for = replayed.term, replayed.voted_for
+        state.entries = replayed.entries
+        if state.snapshot:
+            state.entries = entries_after(state.snapshot, replayed.entries)
+        if state.base_index > base_index:
+            # A crash came between writing the snapshot and the log.
+            self._rewrite_log()
+
+    def _truncate(self, data: bytes, end: int) -> None:
+        # A log beside a snapshot was written as a whole, so that its first frame
+        # cannot be a torn write.
+        whole = end == 0 and self._state.snapshot is not None
+        if whole or has_frame_after(data, end):
+            raise self._damaged("log", f"is damaged at byte {end} before its end")
+        os.ftruncate(self._log_fd, end)
+        os.fsync(self._log_fd)
+        log_event(
+            TORN_WRITE_TRUNCATED,
+            file=str(self._path("log")),
+            offset_bytes=end,
+            removed_bytes=len(data) - end,
+        )
+
+    def _read_snapshot(self) -> Snapshot:
+        try:
+            return _SNAPSHOT.decode(self._read_whole("snapshot"))
+        except msgspec.DecodeError as error:
+            raise self._damaged("snapshot", f"has {error}") from error
+
+    def _read_whole(self, name: str) -> bytes:
+        data = self._path(name).read_bytes()
+        for _, payload, end in read_frames(data, 0):
+            if end == len(data):
+                return payload
+        raise self._damaged(name, "fails its checksum")
+
+    def _write_file(self, name: str, data: bytes) -> None:
+        """Replace a file so that a crash leaves the old or the new content."""
+        temporary = self._path(name + ".new")
+        descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            _write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        os.replace(temporary, self._path(name))
+        _sync_folder(self._folder)
+
+    def _path(self, name: str) -> Path:
+        return self._folder / name
+
+    def _damaged(self, name: str, fault: str) -> StorageDamagedError:
+        self.close()
+        return StorageDamagedError(f"{self._path(name)} {fault}; {REMEDY}")
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/mustardtrack/adapters/tests/test_disk.py
@@ -0,0 +1,155 @@
+"""Guards against lost or invented state after crashes and damage on disk."""
+
+import os
+
+import pytest
+
+from mustardtrack.adapters.disk import TORN_WRITE_TRUNCATED, DiskLog
+from mustardtrack.agreement import (
+    AppendEntries,
+    Entry,
+    ReplicaId,
+    SaveSnapshot,
+    SaveVote,
+    Snapshot,
+    TruncateFrom,
+)
+from mustardtrack.logs import add_event_listener, remove_event_listener
+from mustardtrack.ports import StorageDamagedError
+from mustardtrack.testing.disks import MemoryDisk
+
+A = ReplicaId("a", "1")
+
+
+def make_entries(first, last, term=1):
+    return tuple(
+        Entry(term, index, "command", b"%d" % index) for index in range(first, last + 1)
+    )
+
+
+def write_log(folder, frames=3):
+    disk = DiskLog(folder)
+    disk.load()
+    for index in range(1, frames + 1):
+        disk.persist([AppendEntries(make_entries(index, index))])
+    disk.close()
+    return folder / "log"
+
+
+@pytest.mark.parametrize("kind", ["disk", "memory"])
+def test_contract_operations_are_read_back_in_order(kind, tmp_path):
+    disk = DiskLog(tmp_path / "data") if kind == "disk" else MemoryDisk("d")
+    identity = disk.load().disk
+    disk.persist([SaveVote(2, A), AppendEntries(make_entries(1, 5))])
+    disk.persist([TruncateFrom(5), AppendEntries(make_entries(5, 6, term=2))])
+    disk.persist([SaveSnapshot(Snapshot(3, 1, (A,), b"state")), SaveVote(3, None)])
+    disk.persist([AppendEntries(make_entries(7, 7, term=3))])
+    disk.close()
+    state = disk.load()
+    assert (state.disk, state.term, state.voted_for) == (identity, 3, None)
+    assert state.snapshot == Snapshot(3, 1, (A,), b"state")
+    assert [(e.index, e.term) for e in state.entries] == [
+        (4, 1),
+        (5, 2),
+        (6, 2),
+        (7, 3),
+    ]
+
+
+@pytest.mark.parametrize("kind", ["disk", "memory"])
+def test_contract_snapshot_that_disagrees_removes_the_log(kind, tmp_path):
+    disk = DiskLog(tmp_path) if kind == "disk" else MemoryDisk("d")
+    disk.load()
+    disk.persist([AppendEntries(make_entries(1, 5))])
+    disk.persist([SaveSnapshot(Snapshot(4, 2, (A,), b""))])
+    disk.close()
+    assert disk.load().entries == []
+
+
+@pytest.mark.parametrize("removed_bytes", [1, 10, 30])
+def test_torn_tail_is_truncated_and_logged(tmp_path, removed_bytes):
+    path = write_log(tmp_path)
+    os.truncate(path, path.stat().st_size - removed_bytes)
+    seen = []
+
+    def remember(event, fields):
+        seen.append(event)
+
+    add_event_listener(remember)
+    try:
+        disk = DiskLog(tmp_path)
+        assert [entry.index for entry in disk.load().entries] == [1, 2]
+    finally:
+        remove_event_listener(remember)
+    assert seen == [TORN_WRITE_TRUNCATED]
+    disk.persist([AppendEntries(make_entries(3, 3, term=2))])
+    disk.close()
+    assert [entry.term for entry in DiskLog(tmp_path).load().entries] == [1, 1, 2]
+
+
+@pytest.mark.parametrize("offset", [0, 5, 9, 30])
+def test_damage_before_the_last_record_is_refused_with_remedy(tmp_path, offset):
+    # Offset 5 damages the length, which makes the frame seem to pass the end.
+    path = write_log(tmp_path)
+    data = bytearray(path.read_bytes())
+    second = len(data) // 3
+    data[second + offset] ^= 0xFF
+    path.write_bytes(data)
+    with pytest.raises(StorageDamagedError, match="remove the folder.*learner"):
+        DiskLog(tmp_path).load()
+    assert path.read_bytes() == data
+
+
+@pytest.mark.parametrize("name", ["identity", "log", "snapshot"])
+def test_missing_or_damaged_file_is_refused(tmp_path, name):
+    disk = DiskLog(tmp_path)
+    disk.load()
+    disk.persist([AppendEntries(make_entries(1, 5))])
+    disk.persist([SaveSnapshot(Snapshot(5, 1, (A,), b"state"))])
+    disk.close()
+    path = tmp_path / name
+    data = path.read_bytes()
+    path.write_bytes(data[:-1])
+    with pytest.raises(StorageDamagedError):
+        DiskLog(tmp_path).load()
+    path.unlink()
+    with pytest.raises(StorageDamagedError):
+        DiskLog(tmp_path).load()
+
+
+def test_crash_between_snapshot_and_log_keeps_later_entries(tmp_path):
+    path = write_log(tmp_path, frames=5)
+    old_log = path.read_bytes()
+    disk = DiskLog(tmp_path)
+    disk.load()
+    disk.persist([SaveSnapshot(Snapshot(3, 1, (A,), b"state"))])
+    disk.close()
+    path.write_bytes(old_log)
+    for _ in range(2):
+        disk = DiskLog(tmp_path)
+        assert [entry.index for entry in disk.load().entries] == [4, 5]
+        disk.close()
+
+
+def test_failed_sync_stops_all_later_writes(tmp_path, monkeypatch):
+    disk = DiskLog(tmp_path)
+    disk.load()
+
+    def fail(descriptor):
+        raise OSError("no space left")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "fsync", fail)
+        with pytest.raises(OSError, match="no space"):
+            disk.persist([SaveVote(1, None)])
+    with pytest.raises(OSError, match="restart the replica"):
+        disk.persist([SaveVote(1, None)])
+
+
+def test_second_process_cannot_open_the_folder(tmp_path):
+    first = DiskLog(tmp_path)
+    first.load()
+    with pytest.raises(StorageDamagedError, match="in use"):
+        DiskLog(tmp_path).load()
+    first.close()
+    DiskLog(tmp_path).load()
--- /dev/null
+++ b/mustardtrack/agreement/log.py
@@ -0,0 +1,134 @@
+"""In-memory view of the log and of the voter sets in it."""
+
+from collections.abc import Iterable
+
+from mustardtrack.agreement.entries import (
+    Entry,
+    ReplicaId,
+    Snapshot,
+    StoredState,
+    decode_voters,
+)
+from mustardtrack.agreement.events import LOG_GAP
+from mustardtrack.logs import require_invariant
+
+
+class ReplicatedLog:
+    """Entries after ``base_index`` and the latest snapshot.
+
+    ``base_index`` can be below the snapshot's index: some compacted entries
+    are kept in memory so that a slow follower does not need a snapshot.
+    """
+
+    def __init__(self, stored: StoredState):
+        self.snapshot = stored.snapshot
+        self.base_index = stored.base_index
+        self.base_term = stored.snapshot.term if stored.snapshot else 0
+        self.entries: list[Entry] = []
+        initial = stored.snapshot.voters if stored.snapshot else ()
+        self._voter_sets: list[tuple[int, tuple[ReplicaId, ...]]] = []
+        self._voter_sets.append((self.base_index, initial))
+        self.append(stored.entries)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, 0 in an empty log."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry, 0 in an empty log."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def voters(self) -> tuple[ReplicaId, ...]:
+        """Voter set in force: that of the last ``voters`` entry, committed or not."""
+        return self._voter_sets[-1][1]
+
+    @property
+    def voters_index(self) -> int:
+        """Index of the entry that brought the voter set into force."""
+        return self._voter_sets[-1][0]
+
+    def voters_at(self, index: int) -> tuple[ReplicaId, ...]:
+        """Return the voter set in force after the entry at ``index``."""
+        matching = [voters for since, voters in self._voter_sets if since <= index]
+        return matching[-1] if matching else ()
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it is not in memory."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def first_index_of_term(self, index: int) -> int:
+        """Return the first index in memory with the same term as ``index``."""
+        term = self.term_at(index)
+        while index > self.base_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def between(self, first: int, last: int) -> list[Entry]:
+        """Return the entries with ``first <= index <= last``."""
+        offset = self.base_index + 1
+        return self.entries[first - offset : last - offset + 1]
+
+    def batch_from(self, first: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Return entries from ``first``, at least one if any, up to a size."""
+        batch: list[Entry] = []
+        size = 0
+        position = first - self.base_index - 1
+        while position < len(self.entries):
+            entry = self.entries[position]
+            size += len(entry.payload)
+            if batch and size > max_bytes:
+                break
+            batch.append(entry)
+            position += 1
+        return tuple(batch)
+
+    def append(self, entries: Iterable[Entry]) -> None:
+        """Add entries that continue the log."""
+        for entry in entries:
+            expected = self.last_index + 1
+            require_invariant(
+                entry.index == expected, LOG_GAP, index=entry.index, expected=expected
+            )
+            self.entries.append(entry)
+            if entry.kind == "voters":
+                self._voter_sets.append((entry.index, decode_voters(entry.payload)))
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entry at ``index`` and all later ones."""
+        del self.entries[index - self.base_index - 1 :]
+        while len(self._voter_sets) > 1 and self.voters_index >= index:
+            self._voter_sets.pop()
+
+    def compact(self, snapshot: Snapshot, keep_entries: int) -> None:
+        """Adopt a snapshot of this log and drop entries that precede it.
+
+        ``keep_entries`` entries before the snapshot stay in memory.
+        """
+        self.snapshot = snapshot
+        base = snapshot.index - keep_entries
+        if base > self.base_index:
+            base_term = self.term_at(base) or 0
+            del self.entries[: base - self.base_index]
+            self.base_index, self.base_term = base, base_term
+        self._forget_voter_sets(snapshot.index)
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replace everything up to the snapshot, and all entries that disagree."""
+        if self.term_at(snapshot.index) == snapshot.term:
+            self.compact(snapshot, keep_entries=0)
+            return
+        self.snapshot = snapshot
+        self.entries = []
+        self.base_index, self.base_term = snapshot.index, snapshot.term
+        self._voter_sets = [(snapshot.index, snapshot.voters)]
+
+    def _forget_voter_sets(self, index: int) -> None:
+        while len(self._voter_sets) > 1 and self._voter_sets[1][0] <= index:
+            self._voter_sets.pop(0)
--- /dev/null
+++ b/mustardtrack/agreement/messages.py
@@ -0,0 +1,165 @@
+"""Messages between replicas and their encoding."""
+
+import msgspec
+
+from mustardtrack.agreement.entries import Entry, ReplicaId
+
+
+class PreVoteRequest(msgspec.Struct, frozen=True, tag="pre_vote"):
+    """Asks whether a vote in ``term`` would be granted; changes no state."""
+
+    term: int
+    last_index: int
+    last_term: int
+
+
+class PreVoteReply(msgspec.Struct, frozen=True, tag="pre_vote_reply"):
+    """Answer to a pre-vote.
+
+    ``term`` is the requested term if granted, else the term of the replying
+    replica.
+    """
+
+    term: int
+    granted: bool
+
+
+class VoteRequest(msgspec.Struct, frozen=True, tag="vote"):
+    """Asks for the vote in ``term``."""
+
+    term: int
+    last_index: int
+    last_term: int
+
+
+class VoteReply(msgspec.Struct, frozen=True, tag="vote_reply"):
+    """Answer to a vote request."""
+
+    term: int
+    granted: bool
+
+
+class AppendRequest(msgspec.Struct, frozen=True, tag="append"):
+    """Entries after ``prev_index``, or a heartbeat without entries.
+
+    ``sequence`` numbers the messages from one leader to one replica within a
+    term. ``sent_ms`` is the leader's monotonic clock; replies repeat both.
+    """
+
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit_index: int
+    sequence: int
+    sent_ms: int
+
+
+class AppendReply(msgspec.Struct, frozen=True, tag="append_reply"):
+    """Answer to an append request or to the last piece of a snapshot.
+
+    ``match_index`` is durable at the sender if ``success``. Otherwise
+    ``hint_index`` is the highest index that may agree with the leader.
+    ``last_index`` is the end of the sender's log.
+    """
+
+    term: int
+    success: bool
+    match_index: int
+    hint_index: int
+    last_index: int
+    sequence: int
+    sent_ms: int
+
+
+class SnapshotPiece(msgspec.Struct, frozen=True, tag="snapshot_piece"):
+    """One part of a snapshot's state, at byte ``offset``."""
+
+    term: int
+    index: int
+    snapshot_term: int
+    voters: tuple[ReplicaId, ...]
+    offset: int
+    data: bytes
+    last: bool
+    sequence: int
+    sent_ms: int
+
+
+class SnapshotReply(msgspec.Struct, frozen=True, tag="snapshot_reply"):
+    """Next byte offset that the sender needs of the snapshot at ``index``."""
+
+    term: int
+    index: int
+    offset: int
+    sequence: int
+    sent_ms: int
+
+
+class JoinRequest(msgspec.Struct, frozen=True, tag="join"):
+    """Asks the leader to replicate to a replica that is not a voter."""
+
+    last_index: int
+
+
+class DiskRefused(msgspec.Struct, frozen=True, tag="disk_refused"):
+    """Tells a replica that its disk lost entries that it had acknowledged."""
+
+    term: int
+    acknowledged_index: int
+    last_index: int
+
+
+Message = (
+    PreVoteRequest
+    | PreVoteReply
+    | VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotPiece
+    | SnapshotReply
+    | JoinRequest
+    | DiskRefused
+)
+
+
+class _Frame(msgspec.Struct, frozen=True, array_like=True):
+    sender: tuple[str, str]
+    receiver: tuple[str, str]
+    message: Message
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Frame)
+
+
+def encode_message(sender: ReplicaId, receiver: ReplicaId, message: Message) -> bytes:
+    """Encode a message with the identities of both ends."""
+    frame = _Frame((sender.name, sender.disk), (receiver.name, receiver.disk), message)
+    return _ENCODER.encode(frame)
+
+
+def decode_message(data: bytes, me: ReplicaId) -> tuple[ReplicaId, Message] | None:
+    """Decode a message for this replica.
+
+    Returns:
+        The sender and the message, or None if the message is addressed to
+        another replica or to an earlier disk of this one.
+
+    Raises:
+        msgspec.DecodeError: If the data is not an encoded message.
+
+    Examples:
+        >>> a, b = ReplicaId("a", "1"), ReplicaId("b", "2")
+        >>> data = encode_message(a, b, VoteReply(3, True))
+        >>> decode_message(data, b)
+        (ReplicaId(name='a', disk='1'), VoteReply(term=3, granted=True))
+        >>> decode_message(data, ReplicaId("b", "new")) is None
+        True
+    """
+    frame = _DECODER.decode(data)
+    name, disk = frame.receiver
+    if name != me.name or disk not in ("", me.disk):
+        return None
+    return ReplicaId(*frame.sender), frame.message
--- /dev/null
+++ b/mustardtrack/agreement/tests/test_replica.py
@@ -0,0 +1,139 @@
+"""Guards against loss of entries, wrong leaders and disturbed elections."""
+
+import random
+
+import pytest
+
+from mustardtrack.agreement import (
+    AppendEntries,
+    Entry,
+    FormationRefusedError,
+    NotLeader,
+    Replica,
+    ReplicaId,
+    SaveVote,
+    StoredState,
+    Timing,
+    merge_effects,
+    plan_formation,
+)
+from mustardtrack.agreement.messages import AppendRequest, VoteReply, VoteRequest
+from mustardtrack.ports import FormReply
+from mustardtrack.testing.replicas import ReplicaGroup
+
+A, B, C = (ReplicaId(name, f"{name}.1") for name in "abc")
+
+
+def make_group(size=3, seed=1):
+    group = ReplicaGroup(size, seed)
+    group.form()
+    group.run_until_leader()
+    return group
+
+
+def make_replica(me=A, voters=(A, B, C), now_ms=0):
+    replica = Replica(me, StoredState(me.disk), Timing(), random.Random(1), now_ms)
+    replica.form(voters, now_ms)
+    return replica
+
+
+@pytest.mark.parametrize("size", [1, 3, 5])
+def test_proposals_reach_every_replica(size):
+    group = make_group(size)
+    leader = group.leader()
+    accepted = group.propose(leader.name, [b"x", b"y"])
+    group.run(300)
+    assert [group.values[item.index].payload for item in accepted] == [b"x", b"y"]
+    assert set(group.acknowledged) == {item.index for item in accepted}
+    assert {node.applied_index for node in group.up()} == {accepted[-1].index}
+
+
+def test_follower_names_the_leader():
+    group = make_group()
+    leader = group.leader()
+    follower = next(node for node in group.up() if node is not leader)
+    result, _ = follower.replica.propose(b"x", group.clock_ms(follower))
+    assert result == NotLeader(leader.identity)
+
+
+def test_entry_is_not_committed_without_a_majority():
+    group = make_group()
+    leader = group.leader()
+    others = [name for name in group.nodes if name != leader.name]
+    for name in others:
+        group.crash(name)
+    accepted = group.propose(leader.name, [b"x"])
+    group.run(3000)
+    assert accepted and not group.acknowledged
+    assert group.leader() is None
+
+
+def test_batch_of_proposals_is_one_write_and_one_message_per_peer():
+    group = make_group()
+    leader = group.leader()
+    group.run(100)
+    now_ms = group.clock_ms(leader)
+    merged = merge_effects(
+        [leader.replica.propose(b"%d" % n, now_ms)[1] for n in range(16)]
+    )
+    assert len(merged.persist) == 1
+    assert len(merged.persist[0].entries) == 16
+    assert merged.synced
+    receivers = [receiver for receiver, _ in merged.send]
+    assert len(receivers) == len(set(receivers)) == 2
+    assert all(len(message.entries) == 16 for _, message in merged.send)
+
+
+def test_vote_is_given_once_per_term_and_survives_restart():
+    replica = make_replica(C)
+    later_ms = Timing().election_timeout_ms
+    request = VoteRequest(term=5, last_index=9, last_term=4)
+    effects = replica.receive(A, request, later_ms)
+    assert SaveVote(5, A) in effects.persist and effects.synced
+    effects = replica.receive(B, request, later_ms)
+    assert effects.send == [(B, VoteReply(5, False))]
+    stored = StoredState(C.disk, term=5, voted_for=A)
+    replica = Replica(C, stored, Timing(), random.Random(1), 0)
+    effects = replica.receive(B, request, later_ms)
+    assert effects.send == [(B, VoteReply(5, False))]
+
+
+def test_candidate_with_shorter_log_gets_no_vote():
+    replica = make_replica(C)
+    request = VoteRequest(term=5, last_index=0, last_term=0)
+    effects = replica.receive(A, request, 1000)
+    assert effects.send == [(A, VoteReply(5, False))]
+
+
+def test_entries_that_disagree_are_replaced():
+    replica = make_replica(C)
+    old = Entry(1, 2, "command", b"old")
+    new = Entry(3, 2, "command", b"new")
+    replica.receive(A, AppendRequest(2, 1, 1, (old,), 0, 1, 0), 10)
+    effects = replica.receive(B, AppendRequest(3, 1, 1, (new,), 2, 1, 0), 20)
+    assert effects.persist[-1] == AppendEntries((new,))
+    assert effects.committed[-1] == new
+
+
+@pytest.mark.parametrize(
+    ("replies", "reason"),
+    [
+        ([("a", "1", False, [])], "did not reply"),
+        ([("a", "1", False, []), ("b", "2", True, [("b", "2")])], "another formation"),
+        ([("a", "1", False, []), ("z", "2", False, [])], "did not reply"),
+    ],
+)
+def test_formation_is_refused_unless_all_disks_fit(replies, reason):
+    with pytest.raises(FormationRefusedError, match=reason):
+        plan_formation(["a", "b"], [FormReply(*reply) for reply in replies])
+
+
+def test_interrupted_formation_can_be_repeated():
+    pairs = [("a", "1"), ("b", "2")]
+    replies = [FormReply("a", "1", True, pairs), FormReply("b", "2", False)]
+    voters = plan_formation(["b", "a"], replies)
+    replica = Replica(voters[0], StoredState("1"), Timing(), random.Random(1), 0)
+    assert replica.form(voters, 0).persist
+    assert not replica.form(voters, 0).persist
+    with pytest.raises(FormationRefusedError, match="another formation"):
+        replica.form((voters[0],), 0)
--- /dev/null
+++ b/mustardtrack/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and fakes for tests and benchmarks."""
