Add configuration, claims and operator language

Cause: routers, control replicas and the command-line tool need the replicated state machine, its copies and the text form of commands. Conclusion: first version of the interfaces; other packages can build on them.

--- /dev/null
+++ b/mustardtrack/configuration/history.py
@@ -0,0 +1,101 @@
+"""Who set which version of an object, and what remains of removed objects."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from mustardtrack.configuration.changes import ObjectChange
+from mustardtrack.configuration.objects import (
+    OPERATOR_KINDS,
+    Account,
+    ConfigObject,
+    FieldError,
+)
+from mustardtrack.configuration.outcomes import Conflict
+
+KEPT_REMOVALS = 10_000
+
+
+class ObjectHistory:
+    """Operators and versions behind the current objects."""
+
+    def __init__(self) -> None:
+        self._set_by: dict[tuple[str, str], str] = {}
+        self._removed_by: dict[tuple[str, str], str] = {}
+        # Highest version of any removed object of a kind. A new object starts
+        # above it, so that a condition on the old version cannot match.
+        self._version_floors: dict[str, int] = {}
+        self._key_owners: dict[str, str] = {}
+
+    def version_floor(self, kind: str) -> int:
+        """Return the version that a new object of a kind must exceed."""
+        return self._version_floors.get(kind, 0)
+
+    def find_conflict(
+        self, kind: str, name: str, current: ConfigObject | None, if_version: int | None
+    ) -> Conflict | None:
+        """Return a conflict if the object changed since the operator read it."""
+        place = (kind, name)
+        version = current.version if current else 0
+        if if_version is None or if_version == version:
+            return None
+        if current is None and place not in self._removed_by:
+            return None
+        names = self._set_by if current else self._removed_by
+        return Conflict(version, names.get(place, ""))
+
+    def check_keys(self, account: Account) -> None:
+        """Check that no other account owns a key of the account.
+
+        Raises:
+            FieldError: If one does; a caller could be taken for either account.
+        """
+        for key_hash in account.key_hashes:
+            if self._key_owners.get(key_hash, account.name) != account.name:
+                raise FieldError(
+                    "key_hashes", "used by another account", "create a new key"
+                )
+
+    def record(
+        self, change: ObjectChange, current: ConfigObject | None, operator: str
+    ) -> None:
+        """Note who changed an object, before the change is made."""
+        if change.kind not in OPERATOR_KINDS:
+            return
+        place = (change.kind, change.name)
+        for key_hash in getattr(current, "key_hashes", ()):
+            self._key_owners.pop(key_hash, None)
+        self._own_keys([change.value])
+        if change.value is not None:
+            self._set_by[place] = operator
+            self._removed_by.pop(place, None)
+            return
+        removed_version = current.version if current else 0
+        floor = max(self.version_floor(change.kind), removed_version)
+        self._version_floors[change.kind] = floor
+        self._set_by.pop(place, None)
+        self._removed_by[place] = operator
+        if len(self._removed_by) > KEPT_REMOVALS:
+            self._removed_by.pop(next(iter(self._removed_by)))
+
+    def _own_keys(self, values: Iterable[ConfigObject | None]) -> None:
+        for value in values:
+            for key_hash in getattr(value, "key_hashes", ()):
+                self._key_owners[key_hash] = value.name if value else ""
+
+    def dump(self) -> list[Any]:
+        """Return the history as values that msgspec can encode."""
+        return [
+            [(*place, operator) for place, operator in self._set_by.items()],
+            [(*place, operator) for place, operator in self._removed_by.items()],
+            self._version_floors,
+        ]
+
+    @classmethod
+    def load(cls, data: list[Any], accounts: Iterable[ConfigObject]) -> "ObjectHistory":
+        """Rebuild the history from decoded values of :meth:`dump`."""
+        history = cls()
+        set_by, removed_by, history._version_floors = data
+        history._set_by = {(kind, name): by for kind, name, by in set_by}
+        history._removed_by = {(kind, name): by for kind, name, by in removed_by}
+        history._own_keys(accounts)
+        return history
--- /dev/null
+++ b/mustardtrack/configuration/results.py
@@ -0,0 +1,73 @@
+"""Stored results of operator commands."""
+
+from hashlib import blake2b
+from typing import Any
+
+import msgspec
+
+from mustardtrack.configuration.commands import OperatorCommand, encode_command
+from mustardtrack.configuration.outcomes import Outcome, decode_outcome, encode_outcome
+
+KEPT_RESULTS = 10_000
+
+
+class ResultStore:
+    """Results of the last 10,000 operator commands by command id.
+
+    A digest of the command is kept, so that an id used for two different commands
+    is detected.
+    """
+
+    def __init__(self) -> None:
+        self._results: dict[str, tuple[bytes, bytes]] = {}
+
+    def __len__(self) -> int:
+        return len(self._results)
+
+    def find(self, command: OperatorCommand) -> Outcome | None:
+        """Return the stored result of a resent command.
+
+        Raises:
+            CommandIdReusedError: If the id belongs to another command.
+        """
+        stored = self._results.get(command.command_id)
+        if stored is None:
+            return None
+        digest, outcome = stored
+        if digest != _digest(command):
+            raise CommandIdReusedError(
+                f"command id {command.command_id!r} belongs to another command"
+            )
+        return decode_outcome(outcome)
+
+    def store(self, command: OperatorCommand, outcome: Outcome) -> None:
+        """Store a result and drop the oldest one above the limit."""
+        entry = (_digest(command), encode_outcome(outcome))
+        self._results[command.command_id] = entry
+        if len(self._results) > KEPT_RESULTS:
+            self._results.pop(next(iter(self._results)))
+
+    def dump(self) -> list[Any]:
+        """Return the results as values that msgspec can encode."""
+        return [(key, *entry) for key, entry in self._results.items()]
+
+    @classmethod
+    def load(cls, data: list[Any]) -> "ResultStore":
+        """Rebuild a store from decoded values of :meth:`dump`."""
+        store = cls()
+        store._results = {key: (digest, outcome) for key, digest, outcome in data}
+        return store
+
+
+class CommandIdReusedError(ValueError):
+    """A command id was used for two different commands; use a new id."""
+
+
+def _digest(command: OperatorCommand) -> bytes:
+    fields = msgspec.structs.asdict(command)
+    if "fields" in fields:
+        # A resent command may list the same fields in another order.
+        command = msgspec.structs.replace(
+            command, fields=dict(sorted(fields["fields"].items()))
+        )
+    return blake2b(encode_command(command), digest_size=8).digest()
--- /dev/null
+++ b/mustardtrack/idempotency/__init__.py
@@ -0,0 +1,77 @@
+"""Claims that keep a non-idempotent call from running twice."""
+
+from mustardtrack.idempotency.answers import (
+    STORED_ANSWER_BYTES,
+    Answer,
+    store_answer,
+)
+from mustardtrack.idempotency.claims import (
+    MAX_KEY_AGE_MS,
+    MAX_KEY_FUTURE_MS,
+    RETENTION_MS,
+    ClaimTable,
+)
+from mustardtrack.idempotency.commands import (
+    Claim,
+    ClaimCommand,
+    CompleteClaim,
+    ExpireClaims,
+    ReleaseClaim,
+)
+from mustardtrack.idempotency.guard import DispatchGuard
+from mustardtrack.idempotency.keys import (
+    KEY_REMEDY,
+    IdempotencyKey,
+    KeyFormatError,
+    parse_key,
+)
+from mustardtrack.idempotency.outcomes import (
+    AttemptEnded,
+    BodyMismatch,
+    ClaimOutcome,
+    ClosingOutcome,
+    Completed,
+    Expired,
+    Granted,
+    InProgress,
+    KeyExpired,
+    KeyInvalid,
+    NotHeld,
+    OutcomeUnknown,
+    Released,
+    Stored,
+)
+
+__all__ = [
+    "KEY_REMEDY",
+    "MAX_KEY_AGE_MS",
+    "MAX_KEY_FUTURE_MS",
+    "RETENTION_MS",
+    "STORED_ANSWER_BYTES",
+    "Answer",
+    "AttemptEnded",
+    "BodyMismatch",
+    "Claim",
+    "ClaimCommand",
+    "ClaimOutcome",
+    "ClaimTable",
+    "ClosingOutcome",
+    "CompleteClaim",
+    "Completed",
+    "DispatchGuard",
+    "ExpireClaims",
+    "Expired",
+    "Granted",
+    "IdempotencyKey",
+    "InProgress",
+    "KeyExpired",
+    "KeyFormatError",
+    "KeyInvalid",
+    "NotHeld",
+    "OutcomeUnknown",
+    "ReleaseClaim",
+    "Released",
+    "Stored",
+    "parse_key",
+    "store_answer",
+]
--- /dev/null
+++ b/mustardtrack/idempotency/answers.py
@@ -0,0 +1,51 @@
+"""Stored answers of completed calls."""
+
+from hashlib import blake2b
+
+import msgspec
+
+STORED_ANSWER_BYTES = 65_536
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Answer of a completed call.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Value of the Content-Type header.
+        body: The whole body, or empty if ``kept`` is false.
+        digest: BLAKE2b digest of the whole body, in hexadecimal.
+        length: Length of the whole body in bytes.
+        kept: Whether ``body`` is stored. If not, the reply to a resent request
+            must say that the call ran and its body was too large to store.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    digest: str
+    length: int
+    kept: bool = True
+
+
+def store_answer(
+    status: int, content_type: str, body: bytes, limit_bytes: int = STORED_ANSWER_BYTES
+) -> Answer:
+    """Build the stored form of a response.
+
+    A body above ``limit_bytes`` is replaced by its digest and length.
+
+    Examples:
+        >>> store_answer(200, "text/plain", b"x" * 70_000).kept
+        False
+    """
+    digest = blake2b(body, digest_size=32).hexdigest()
+    kept = len(body) <= min(limit_bytes, STORED_ANSWER_BYTES)
+    return Answer(status, content_type, body if kept else b"", digest, len(body), kept)
+
+
+def limit_answer(answer: Answer) -> Answer:
+    """Drop the body of an answer that is larger than the state may store."""
+    if len(answer.body) <= STORED_ANSWER_BYTES:
+        return answer
+    return msgspec.structs.replace(answer, body=b"", kept=False)
--- /dev/null
+++ b/mustardtrack/idempotency/commands.py
@@ -0,0 +1,56 @@
+"""Claim commands of the replicated state machine."""
+
+import msgspec
+
+from mustardtrack.idempotency.answers import Answer
+
+DEFAULT_UNKNOWN_AFTER_MS = 37_000
+
+
+class Claim(msgspec.Struct, frozen=True, tag="claim"):
+    """Asks for the right to run one non-idempotent call.
+
+    Attributes:
+        account: Client account that sent the call.
+        key: The caller's idempotency key.
+        body_digest: Digest of method, path and body.
+        attempt: Attempt id, unique for every dispatch; the same when resent.
+        router: Router that will dispatch the call.
+        endpoint: Endpoint the router intends to use, named to the caller if the
+            outcome stays unknown.
+        unknown_after_ms: Time from the grant after which an open claim counts as
+            unknown: dispatch window plus service timeout plus margin. It travels
+            with the command so that replicas with different settings agree.
+    """
+
+    account: str
+    key: str
+    body_digest: str
+    attempt: str
+    router: str
+    endpoint: str = ""
+    unknown_after_ms: int = DEFAULT_UNKNOWN_AFTER_MS
+
+
+class CompleteClaim(msgspec.Struct, frozen=True, tag="complete"):
+    """Stores the answer of the attempt that holds the claim."""
+
+    account: str
+    key: str
+    attempt: str
+    answer: Answer
+
+
+class ReleaseClaim(msgspec.Struct, frozen=True, tag="release"):
+    """Gives the claim back; sent only if no byte of the call was sent."""
+
+    account: str
+    key: str
+    attempt: str
+
+
+class ExpireClaims(msgspec.Struct, frozen=True, tag="expire"):
+    """Drops the claims whose retention has ended."""
+
+
+ClaimCommand = Claim | CompleteClaim | ReleaseClaim | ExpireClaims
--- /dev/null
+++ b/mustardtrack/language/queries.py
@@ -0,0 +1,65 @@
+"""Parsed queries."""
+
+import dataclasses
+from dataclasses import dataclass
+
+Value = str | int | float | bool
+
+
+@dataclass(frozen=True)
+class Comparison:
+    """Compares a field with a constant; ``~`` tests whether the field contains it.
+
+    ``column`` is the position of the field in the text.
+    """
+
+    field: str
+    operator: str
+    operand: Value
+    column: int = dataclasses.field(default=1, compare=False)
+
+
+@dataclass(frozen=True)
+class Negation:
+    """True if the condition is false."""
+
+    condition: "Condition"
+
+
+@dataclass(frozen=True)
+class Group:
+    """Conditions joined by ``and`` or ``or``."""
+
+    joiner: str
+    conditions: tuple["Condition", ...]
+
+
+Condition = Comparison | Negation | Group
+
+
+@dataclass(frozen=True)
+class SortKey:
+    """Field to sort by."""
+
+    field: str
+    descending: bool = False
+    column: int = dataclasses.field(default=1, compare=False)
+
+
+@dataclass(frozen=True)
+class Query:
+    """A query over the rows of one source, such as ``endpoints``."""
+
+    source: str
+    where: Condition | None = None
+    order: tuple[SortKey, ...] = ()
+    limit: int | None = None
+
+
+SOURCE_KINDS = {
+    "accounts": "account",
+    "classes": "class",
+    "models": "model",
+    "endpoints": "endpoint",
+    "hosts": "host",
+}
