Add routing and admission packages

Change: prefix chains, bounded cache index, rendezvous placement, endpoint selection by estimated time to first token; fair queue, shared account limits, retry budgets and the router-side quarantine.

--- /dev/null
+++ b/mustardtrack/admission/__init__.py
@@ -0,0 +1,22 @@
+"""Admission: fair queueing, limits, retry budgets and quarantine."""
+
+from mustardtrack.admission.fairness import ClassShare, FairQueue, QueueItem, Taken
+from mustardtrack.admission.limits import AccountLimits, Limit
+from mustardtrack.admission.outcomes import ADMITTED, Admitted, Refused
+from mustardtrack.admission.quarantine import Suspects, fingerprint
+from mustardtrack.admission.retries import RetryBudget
+
+__all__ = [
+    "ADMITTED",
+    "AccountLimits",
+    "Admitted",
+    "ClassShare",
+    "FairQueue",
+    "Limit",
+    "QueueItem",
+    "Refused",
+    "RetryBudget",
+    "Suspects",
+    "Taken",
+    "fingerprint",
+]
--- /dev/null
+++ b/mustardtrack/admission/fairness.py
@@ -0,0 +1,304 @@
+"""Fair queueing between classes and client accounts."""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from mustardtrack.admission.outcomes import ADMITTED, Admitted, Refused
+from mustardtrack.logs.events import define_event, require_invariant
+from mustardtrack.ports.metrics import Metrics
+
+RATE_WINDOW_MS = 5000
+SHORTEST_RETRY_MS = 200
+LONGEST_RETRY_MS = 30_000
+DEFAULT_QUEUED_PER_ACCOUNT = 1000
+TAKEN_REMEMBERED = 10_000
+
+REFUSED_AFTER_DISPATCH = define_event(
+    6002, "ERROR", "request may not be refused as not run after its dispatch"
+)
+
+
+@dataclass(frozen=True)
+class ClassShare:
+    """Work class: lower ``rank`` first, ``floor_share`` of service guaranteed."""
+
+    name: str
+    rank: int
+    floor_share: float = 0.0
+
+
+@dataclass(frozen=True)
+class QueueItem:
+    """Request waiting for dispatch.
+
+    Attributes:
+        cost_tokens: Expected uncached prompt tokens plus output tokens.
+        deadline_ms: Monotonic time by which the first token is needed; 0: none.
+    """
+
+    request_id: str
+    account: str
+    class_name: str
+    cost_tokens: int
+    arrived_ms: int
+    deadline_ms: int = 0
+
+
+@dataclass(frozen=True)
+class Taken:
+    """Request to dispatch now.
+
+    ``promoted`` marks work taken under its minimum share while more urgent work
+    was waiting. Engines must run it with the priority of the most urgent class,
+    or it would wait again behind that class in the engine.
+    """
+
+    item: QueueItem
+    promoted: bool
+
+
+@dataclass
+class _AccountQueue:
+    name: str
+    weight: float
+    items: deque[QueueItem] = field(default_factory=deque)
+    tokens: int = 0
+    finish: float = 0.0
+
+
+@dataclass
+class _ClassQueue:
+    share: ClassShare
+    accounts: dict[str, _AccountQueue] = field(default_factory=dict)
+    heads: list[tuple[float, int, str]] = field(default_factory=list)
+    virtual: float = 0.0
+    credit: float = 0.0
+    tokens: int = 0
+    sequence: int = 0
+
+
+class FairQueue:
+    """Queue of one router.
+
+    The most urgent class goes first. Every class with a minimum share earns
+    credit from all service while it has work queued, and is served first when
+    its credit covers its next request. Within a class, start-time fair queueing
+    over tokens by account weight: over any period in which an account has work
+    queued, it receives its weighted share of the class up to one request per
+    account.
+
+    Examples:
+        >>> shares = [ClassShare("urgent", 0), ClassShare("patient", 1, 0.2)]
+        >>> queue = FairQueue(shares, {})
+        >>> queue.offer(QueueItem("r1", "hotel", "patient", 100, 0))
+        Admitted()
+        >>> queue.offer(QueueItem("r2", "hotel", "urgent", 100, 0))
+        Admitted()
+        >>> [taken.item.request_id for taken in queue.take(1, 500)]
+        ['r2', 'r1']
+    """
+
+    def __init__(
+        self,
+        shares: Sequence[ClassShare],
+        weights: Mapping[str, float],
+        rng: random.Random | None = None,
+        queued_per_account: int = DEFAULT_QUEUED_PER_ACCOUNT,
+        metrics: Metrics | None = None,
+    ):
+        self._weights = dict(weights)
+        self._rng = rng or random.Random(0)
+        self._queued_per_account = queued_per_account
+        self._metrics = metrics
+        ordered = sorted(shares, key=lambda share: share.rank)
+        self._classes = {share.name: _ClassQueue(share) for share in ordered}
+        self._rate_per_ms = 0.0
+        self._rate_since_ms = 0
+        self._queued: dict[str, QueueItem] = {}
+        self._expired: list[tuple[QueueItem, Refused]] = []
+        self._taken: dict[str, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._queued)
+
+    def set_weight(self, account: str, weight: float) -> None:
+        """Change the weight of an account for its later requests."""
+        self._weights[account] = weight
+        for queue in self._classes.values():
+            if account in queue.accounts:
+                queue.accounts[account].weight = weight
+
+    def offer(self, item: QueueItem) -> Admitted | Refused:
+        """Queue a request, or refuse it before any dispatch.
+
+        A retry is dispatched without the queue, because a refusal of a request
+        that was taken before could not say that it was not run.
+
+        Returns:
+            ``Refused`` with reason ``deadline`` if the expected wait exceeds the
+            deadline, ``queue_full``, or ``unknown_class``.
+
+        Raises:
+            InvariantViolationError: If the request is queued or was taken.
+        """
+        require_invariant(
+            item.request_id not in self._queued and item.request_id not in self._taken,
+            REFUSED_AFTER_DISPATCH,
+            request_id=item.request_id,
+        )
+        queue = self._classes.get(item.class_name)
+        if queue is None:
+            return self._refuse(item, "unknown_class", 0.0)
+        wait_ms = self._expected_wait_ms(queue, item)
+        if item.deadline_ms and item.arrived_ms + wait_ms > item.deadline_ms:
+            return self._refuse(item, "deadline", wait_ms)
+        account = self._account(queue, item.account)
+        if len(account.items) >= self._queued_per_account:
+            return self._refuse(item, "queue_full", wait_ms)
+        account.items.append(item)
+        account.tokens += item.cost_tokens
+        queue.tokens += item.cost_tokens
+        self._queued[item.request_id] = item
+        if len(account.items) == 1:
+            self._push(queue, account)
+        return ADMITTED
+
+    def take(self, now_ms: int, capacity_tokens: int) -> list[Taken]:
+        """Remove the next requests until their cost reaches the capacity.
+
+        The last request may exceed the capacity. Requests whose deadline has
+        passed are moved to :meth:`expired` instead.
+        """
+        taken: list[Taken] = []
+        left = capacity_tokens
+        while left > 0 and self._queued:
+            queue, promoted = self._next_class()
+            item = self._pop(queue)
+            if self._queued.get(item.request_id) is not item:
+                continue
+            del self._queued[item.request_id]
+            if item.deadline_ms and now_ms > item.deadline_ms:
+                self._expired.append((item, self._refuse(item, "deadline", 0.0)))
+                continue
+            self._serve(queue, item)
+            self._remember(item.request_id)
+            taken.append(Taken(item, promoted))
+            left -= item.cost_tokens
+        self._update_rate(now_ms, capacity_tokens - left)
+        return taken
+
+    def expired(self) -> list[tuple[QueueItem, Refused]]:
+        """Return requests refused while queued since the last call."""
+        expired, self._expired = self._expired, []
+        return expired
+
+    def cancel(self, request_id: str) -> bool:
+        """Remove a queued request; False if it is not queued any more."""
+        return self._queued.pop(request_id, None) is not None
+
+    def queued_tokens(self, class_name: str) -> int:
+        """Return the cost of the requests queued in a class."""
+        return self._classes[class_name].tokens
+
+    def _remember(self, request_id: str) -> None:
+        self._taken[request_id] = None
+        if len(self._taken) > TAKEN_REMEMBERED:
+            del self._taken[next(iter(self._taken))]
+
+    def _account(self, queue: _ClassQueue, name: str) -> _AccountQueue:
+        account = queue.accounts.get(name)
+        if account is None:
+            account = _AccountQueue(name, self._weights.get(name, 1.0))
+            queue.accounts[name] = account
+        return account
+
+    def _push(self, queue: _ClassQueue, account: _AccountQueue) -> None:
+        start = max(queue.virtual, account.finish)
+        queue.sequence += 1
+        heapq.heappush(queue.heads, (start, queue.sequence, account.name))
+
+    def _pop(self, queue: _ClassQueue) -> QueueItem:
+        start, _, name = heapq.heappop(queue.heads)
+        account = queue.accounts[name]
+        item = account.items.popleft()
+        account.tokens -= item.cost_tokens
+        queue.tokens -= item.cost_tokens
+        if self._queued.get(item.request_id) is item:
+            queue.virtual = max(queue.virtual, start)
+            account.finish = start + item.cost_tokens / account.weight
+        if account.items:
+            self._push(queue, account)
+        elif account.finish <= queue.virtual:
+            del queue.accounts[name]
+        return item
+
+    def _next_class(self) -> tuple[_ClassQueue, bool]:
+        waiting = [queue for queue in self._classes.values() if queue.heads]
+        for queue in reversed(waiting[1:]):
+            if queue.share.floor_share and queue.credit >= self._head_cost(queue):
+                return queue, True
+        return waiting[0], False
+
+    def _head_cost(self, queue: _ClassQueue) -> int:
+        return queue.accounts[queue.heads[0][2]].items[0].cost_tokens
+
+    def _serve(self, queue: _ClassQueue, item: QueueItem) -> None:
+        cost = item.cost_tokens
+        for other in self._classes.values():
+            if other.heads or other is queue:
+                other.credit += cost * other.share.floor_share
+            else:
+                # Idle classes must not save up credit for a later burst.
+                other.credit = 0.0
+        # Spare capacity taken while nothing else waited is not held against
+        # the class, or it would starve at the start of an overload.
+        queue.credit = max(0.0, queue.credit - cost)
+
+    def _update_rate(self, now_ms: int, served_tokens: int) -> None:
+        passed_ms = max(1, now_ms - self._rate_since_ms)
+        if not self._rate_since_ms:
+            passed_ms = RATE_WINDOW_MS
+        self._rate_since_ms = now_ms
+        part = min(1.0, passed_ms / RATE_WINDOW_MS)
+        self._rate_per_ms += part * (served_tokens / passed_ms - self._rate_per_ms)
+
+    def _expected_wait_ms(self, queue: _ClassQueue, item: QueueItem) -> float:
+        """Return the expected wait given the recent rate of service.
+
+        The wait of an account is bounded by its own backlog at its weighted
+        share and by the backlog of its class.
+        """
+        if not self._queued or self._rate_per_ms <= 0.0:
+            return 0.0
+        weight = self._weights.get(item.account, 1.0)
+        own = queue.accounts.get(item.account)
+        active = [each for each in queue.accounts.values() if each.items]
+        others = sum(each.weight for each in active if each is not own)
+        own_tokens = own.tokens if own is not None else 0
+        by_share = (own_tokens + item.cost_tokens) * (others + weight) / weight
+        ahead = min(by_share, queue.tokens)
+        return ahead / (self._rate_per_ms * self._class_part(queue))
+
+    def _class_part(self, queue: _ClassQueue) -> float:
+        waiting = [each for each in self._classes.values() if each.heads]
+        others = [each for each in waiting if each is not queue]
+        if not others:
+            return 1.0
+        if queue.share.rank <= min(each.share.rank for each in others):
+            return 1.0 - sum(each.share.floor_share for each in others)
+        return max(queue.share.floor_share, 0.01)
+
+    def _refuse(self, item: QueueItem, reason: str, wait_ms: float) -> Refused:
+        require_invariant(
+            item.request_id not in self._taken,
+            REFUSED_AFTER_DISPATCH,
+            request_id=item.request_id,
+        )
+        if self._metrics is not None:
+            self._metrics.count(f"refusal.{reason}")
+        jitter = self._rng.uniform(0.75, 1.25)
+        retry_ms = min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, wait_ms)) * jitter
+        return Refused(reason, int(retry_ms))
--- /dev/null
+++ b/mustardtrack/routing/__init__.py
@@ -0,0 +1,29 @@
+"""Routing: prefix identity, cache index, placement and endpoint selection."""
+
+from mustardtrack.routing.index import CacheIndex, Match
+from mustardtrack.routing.placement import Placement, rank_endpoints
+from mustardtrack.routing.prefixes import Salt, level_ends, prefix_chain
+from mustardtrack.routing.selection import (
+    Candidate,
+    Choice,
+    Refusal,
+    RouteRequest,
+    SelectionSettings,
+    Selector,
+)
+
+__all__ = [
+    "CacheIndex",
+    "Candidate",
+    "Choice",
+    "Match",
+    "Placement",
+    "Refusal",
+    "RouteRequest",
+    "Salt",
+    "SelectionSettings",
+    "Selector",
+    "level_ends",
+    "prefix_chain",
+    "rank_endpoints",
+]
--- /dev/null
+++ b/mustardtrack/routing/choices.py
@@ -0,0 +1,97 @@
+"""Requests to place, settings of selection and its outcomes."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class SelectionSettings:
+    """Costs used by the estimate.
+
+    Attributes:
+        routers: Number of routers that share the endpoints.
+        prefill_tokens_per_s: Prefill rate of an engine until it is measured.
+        import_tokens_per_s: Rate of KV cache import; 0 disables import.
+        import_fixed_ms: Fixed cost of one import.
+        slots: Requests that an engine runs at once.
+        zone_ms: One-way delay to another availability zone.
+        recompute_weight: Extra cost of each ms of prefill, because it delays
+            the later requests of the endpoint and displaces cached blocks.
+        home_prior: Probability that the preferred endpoint of a prefix holds
+            it, assumed by a router that has just started.
+        prior_half_life_ms: Half-life of that assumption after the start.
+        home_choices: Endpoints considered from the placement of each level.
+        random_choices: Other endpoints considered.
+    """
+
+    routers: int = 8
+    prefill_tokens_per_s: float = 8000.0
+    import_tokens_per_s: float = 0.0
+    import_fixed_ms: float = 30.0
+    slots: int = 16
+    zone_ms: float = 1.5
+    recompute_weight: float = 0.5
+    home_prior: float = 0.8
+    prior_half_life_ms: float = 10_000.0
+    home_choices: int = 2
+    random_choices: int = 2
+    count_peers: bool = True
+    learn_speed: bool = True
+
+
+@dataclass(frozen=True)
+class RouteRequest:
+    """Request to place.
+
+    Attributes:
+        rank: Rank of its class, 0 most urgent.
+        chain: Digests from :func:`prefix_chain`, empty for plain services.
+        level_ends: Pieces up to the end of each level, from :func:`level_ends`.
+        deadline_ms: Monotonic time by which the first token is needed; 0: none.
+        attempt: Number of the attempt, from 1.
+        excluded: Endpoints that already failed this request.
+        suspect: The request must run alone.
+    """
+
+    request_id: str
+    account: str
+    class_name: str
+    rank: int
+    chain: tuple[int, ...]
+    prompt_tokens: int
+    max_tokens: int
+    deadline_ms: int = 0
+    zone: str = ""
+    level_ends: tuple[int, ...] = ()
+    attempt: int = 1
+    excluded: frozenset[str] = frozenset()
+    suspect: bool = False
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Selected endpoint.
+
+    Attributes:
+        attempt: ``"{request_id}.{n}"``.
+        expected_ms: Estimated time to first token.
+        cached_tokens: Expected tokens found in the cache of the endpoint.
+        import_from: Endpoint to import the prefix from, or ``""``.
+        import_pieces: Leading pieces that the import provides.
+    """
+
+    attempt: str
+    endpoint: str
+    incarnation: str
+    request: RouteRequest
+    expected_ms: float
+    cached_tokens: int
+    import_from: str = ""
+    import_pieces: int = 0
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """No endpoint was chosen; nothing was dispatched."""
+
+    reason: str
+    retry_after_ms: int
--- /dev/null
+++ b/mustardtrack/routing/index.py
@@ -0,0 +1,194 @@
+"""Approximate index of the prefixes cached by each endpoint."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+CONFIDENCE_STEPS = 255
+DEFAULT_HALF_LIFE_MS = 60_000
+GAP_FACTOR = 0.5
+MINIMUM_CONFIDENCE = 0.05
+_SLOT_BITS = 32
+_TIME_BITS = 48
+
+
+@dataclass(frozen=True)
+class Match:
+    """Leading pieces expected in a cache, with the mean probability of each."""
+
+    pieces: int
+    confidence: float
+
+
+NO_MATCH = Match(0, 0.0)
+
+
+@dataclass
+class _Slot:
+    """Incarnation of one endpoint; entries refer to it by number."""
+
+    number: int
+    endpoint: str
+    incarnation: str
+    gap_ms: int = -1
+
+
+class CacheIndex:
+    """Bounded index from digest to the endpoint incarnations that hold it.
+
+    An entry is one digest at one endpoint, packed into one integer of slot
+    number, time in ms and confidence. Two generations approximate
+    least-recently-recorded order in constant time: the older one is emptied
+    entry by entry, so no call has to drop a large dictionary at once.
+
+    Examples:
+        >>> index = CacheIndex(1000)
+        >>> index.record("engine-1", "a", 77, 1.0, now_ms=0)
+        >>> index.match("engine-1", "a", (77, 78), now_ms=0).pieces
+        1
+        >>> index.match("engine-1", "b", (77, 78), now_ms=0).pieces
+        0
+    """
+
+    def __init__(self, capacity: int, half_life_ms: int = DEFAULT_HALF_LIFE_MS):
+        self.capacity = capacity
+        self.half_life_ms = half_life_ms
+        self._young: dict[int, int | dict[int, int]] = {}
+        self._old: dict[int, int | dict[int, int]] = {}
+        self._slots: dict[str, _Slot] = {}
+        self._by_number: dict[int, _Slot] = {}
+        self._next_slot = 1
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def record(
+        self,
+        endpoint: str,
+        incarnation: str,
+        digest: int,
+        confidence: float,
+        now_ms: int,
+    ) -> None:
+        """Record that an endpoint probably holds the piece with this digest."""
+        slot = self._slot(endpoint, incarnation)
+        steps = int(min(max(confidence, 0.0), 1.0) * CONFIDENCE_STEPS)
+        packed = (slot.number << _TIME_BITS | now_ms) << 8 | steps
+        held = self._lookup(digest)
+        if isinstance(held, dict):
+            self._size += slot.number not in held
+            held[slot.number] = packed
+        elif held is None or _slot_number(held) == slot.number:
+            self._size += held is None
+            held = packed
+        else:
+            self._size += 1
+            held = {_slot_number(held): held, slot.number: packed}
+        self._old.pop(digest, None)
+        self._young[digest] = held
+        self._shrink()
+
+    def evict(self, endpoint: str, digest: int) -> None:
+        """Remove one piece after an eviction event or a measured miss."""
+        slot = self._slots.get(endpoint)
+        held = self._lookup(digest)
+        if slot is None or held is None:
+            return
+        if isinstance(held, dict):
+            self._size -= held.pop(slot.number, None) is not None
+            if held:
+                return
+        elif _slot_number(held) != slot.number:
+            return
+        else:
+            self._size -= 1
+        self._young.pop(digest, None)
+        self._old.pop(digest, None)
+
+    def clear(self, endpoint: str, incarnation: str) -> None:
+        """Invalidate all entries of an endpoint and bind it to an incarnation.
+
+        The invalid entries are unreachable at once and leave memory as the
+        generations turn over.
+        """
+        previous = self._slots.pop(endpoint, None)
+        if previous is not None:
+            del self._by_number[previous.number]
+        slot = _Slot(self._next_slot, endpoint, incarnation)
+        self._next_slot = (self._next_slot + 1) % (1 << _SLOT_BITS)
+        self._slots[endpoint] = slot
+        self._by_number[slot.number] = slot
+
+    def mark_gap(self, endpoint: str, now_ms: int | None = None) -> None:
+        """Lower the confidence in entries recorded before a gap in the events.
+
+        Args:
+            endpoint: Endpoint whose event stream has a gap.
+            now_ms: Time of the gap; None means all present entries.
+        """
+        slot = self._slots.get(endpoint)
+        if slot is not None:
+            slot.gap_ms = (1 << _TIME_BITS) if now_ms is None else now_ms
+
+    def match(
+        self, endpoint: str, incarnation: str, chain: Sequence[int], now_ms: int
+    ) -> Match:
+        """Return the leading pieces of a chain that an endpoint holds."""
+        slot = self._slots.get(endpoint)
+        if slot is None or slot.incarnation != incarnation:
+            return NO_MATCH
+        pieces = 0
+        total = 0.0
+        for digest in chain:
+            confidence = self._confidence(slot, digest, now_ms)
+            if confidence < MINIMUM_CONFIDENCE:
+                break
+            pieces += 1
+            total += confidence
+        return Match(pieces, total / pieces) if pieces else NO_MATCH
+
+    def holders(self, digest: int, limit: int = 8) -> Iterator[str]:
+        """Yield up to ``limit`` endpoints that hold a piece, newest last."""
+        held = self._lookup(digest)
+        if held is None:
+            return
+        numbers = list(held) if isinstance(held, dict) else [_slot_number(held)]
+        for number in numbers[-limit:]:
+            slot = self._by_number.get(number)
+            if slot is not None:
+                yield slot.endpoint
+
+    def _slot(self, endpoint: str, incarnation: str) -> _Slot:
+        slot = self._slots.get(endpoint)
+        if slot is None or slot.incarnation != incarnation:
+            self.clear(endpoint, incarnation)
+            slot = self._slots[endpoint]
+        return slot
+
+    def _lookup(self, digest: int) -> int | dict[int, int] | None:
+        held = self._young.get(digest)
+        return self._old.get(digest) if held is None else held
+
+    def _confidence(self, slot: _Slot, digest: int, now_ms: int) -> float:
+        held = self._lookup(digest)
+        if isinstance(held, dict):
+            held = held.get(slot.number)
+        if held is None or _slot_number(held) != slot.number:
+            return 0.0
+        recorded_ms = held >> 8 & ((1 << _TIME_BITS) - 1)
+        confidence = (held & 0xFF) / CONFIDENCE_STEPS
+        if recorded_ms <= slot.gap_ms:
+            confidence *= GAP_FACTOR
+        age_ms = max(0, now_ms - recorded_ms)
+        return float(confidence * 0.5 ** (age_ms / self.half_life_ms))
+
+    def _shrink(self) -> None:
+        while self._size > self.capacity:
+            if not self._old:
+                self._old, self._young = self._young, {}
+            _, held = self._old.popitem()
+            self._size -= len(held) if isinstance(held, dict) else 1
+
+
+def _slot_number(packed: int) -> int:
+    return packed >> (_TIME_BITS + 8)
