Add the requests package

Change: attempts, stream assembly and the slow-caller buffer, the table of refusals, the state machine of a non-idempotent call, and planned stops.

--- /dev/null
+++ b/mustardtrack/requests/__init__.py
@@ -0,0 +1,70 @@
+"""Attempts, streams, refusals, non-idempotent calls and planned stops."""
+
+from mustardtrack.requests.attempts import Attempt, AttemptTracker
+from mustardtrack.requests.calls import (
+    Action,
+    Call,
+    CallRecord,
+    Dispatch,
+    Refuse,
+    ReleaseClaim,
+    Reply,
+    RequestClaim,
+    StoreAnswer,
+)
+from mustardtrack.requests.refusals import (
+    REASONS,
+    Ran,
+    Reason,
+    Refusal,
+    UnknownReasonError,
+    refuse,
+)
+from mustardtrack.requests.stops import ForcedStop, Interrupted, PlannedStop
+from mustardtrack.requests.streams import (
+    CannotContinue,
+    Complete,
+    Continue,
+    Deliver,
+    Duplicate,
+    Foreign,
+    Gap,
+    SlowCallerBuffer,
+    StreamAssembler,
+    StreamPiece,
+    Truncated,
+)
+
+__all__ = [
+    "REASONS",
+    "Action",
+    "Attempt",
+    "AttemptTracker",
+    "Call",
+    "CallRecord",
+    "CannotContinue",
+    "Complete",
+    "Continue",
+    "Deliver",
+    "Dispatch",
+    "Duplicate",
+    "ForcedStop",
+    "Foreign",
+    "Gap",
+    "Interrupted",
+    "PlannedStop",
+    "Ran",
+    "Reason",
+    "Refusal",
+    "Refuse",
+    "ReleaseClaim",
+    "Reply",
+    "RequestClaim",
+    "SlowCallerBuffer",
+    "StoreAnswer",
+    "StreamAssembler",
+    "StreamPiece",
+    "Truncated",
+    "UnknownReasonError",
+    "refuse",
+]
