--- a/mustardtrack/requests/__init__.py
+++ b/mustardtrack/requests/__init__.py
@@ -1,9 +1,7 @@
 """Attempts, streams, refusals, non-idempotent calls and planned stops."""
 
-from mustardtrack.requests.attempts import Attempt, AttemptTracker
-from mustardtrack.requests.calls import (
+from mustardtrack.requests.actions import (
     Action,
-    Call,
     CallRecord,
     Dispatch,
     Refuse,
@@ -12,14 +10,10 @@
     RequestClaim,
     StoreAnswer,
 )
-from mustardtrack.requests.refusals import (
-    REASONS,
-    Ran,
-    Reason,
-    Refusal,
-    UnknownReasonError,
-    refuse,
-)
+from mustardtrack.requests.attempts import Attempt, AttemptTracker
+from mustardtrack.requests.calls import Call
+from mustardtrack.requests.reasons import REASONS, Ran, Reason
+from mustardtrack.requests.refusals import Refusal, UnknownReasonError, refuse
 from mustardtrack.requests.stops import ForcedStop, Interrupted, PlannedStop
 from mustardtrack.requests.streams import (
     CannotContinue,
