--- /dev/null
+++ b/mustardtrack/testing/__init__.py
@@ -0,0 +1,14 @@
+"""Stand-ins for outside systems, and helpers that start processes for tests."""
+
+from mustardtrack.testing.client import call, open_request, read_stream
+from mustardtrack.testing.fleet import Fleet, Member
+from mustardtrack.testing.text import expected_text
+
+__all__ = [
+    "Fleet",
+    "Member",
+    "call",
+    "expected_text",
+    "open_request",
+    "read_stream",
+]
--- /dev/null
+++ b/mustardtrack/testing/fleet.py
@@ -0,0 +1,298 @@
+"""Starts and ends real processes for tests and scripts.
+
+Only test support starts processes; the system itself never does.
+"""
+
+import atexit
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from mustardtrack.testing.client import Headers, call
+
+# Below the usual range of outgoing connections (32768 and up), so that a free
+# port is not taken by an unrelated connection before the process binds it.
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+
+READY_LIMIT_S = 20.0
+STOP_LIMIT_S = 10.0
+
+
+class FleetError(Exception):
+    """A process did not start or did not stop; the message holds its log."""
+
+
+class Member:
+    """One started process.
+
+    Attributes:
+        name: Name in the fleet.
+        address: Address it listens on, empty if unknown.
+        pid: Process id of the current start.
+    """
+
+    def __init__(self, name: str, address: str, command: list[str], folder: Path):
+        self.name = name
+        self.address = address
+        self.command = command
+        self.out_path = folder / f"{name}.out"
+        self.err_path = folder / f"{name}.err"
+        self._process: subprocess.Popen[bytes] | None = None
+        self._out_start = 0
+
+    def start(self, ready_limit_s: float = READY_LIMIT_S) -> "Member":
+        """Start the process and wait until it prints ``ready``.
+
+        Raises:
+            FleetError: If it ends or stays silent for the limit.
+        """
+        self.spawn()
+        self.wait_ready(ready_limit_s)
+        return self
+
+    def spawn(self) -> None:
+        """Start the process without waiting for it."""
+        self._out_start = self.out_path.stat().st_size if self.out_path.exists() else 0
+        with self.out_path.open("ab") as out, self.err_path.open("ab") as err:
+            self._process = subprocess.Popen(
+                self.command, stdin=subprocess.DEVNULL, stdout=out, stderr=err
+            )
+
+    def wait_ready(self, limit_s: float = READY_LIMIT_S) -> None:
+        """Wait for the line ``ready`` of the current start."""
+        deadline = time.monotonic() + limit_s
+        while "ready" not in self.output().splitlines():
+            if not self.is_alive():
+                raise FleetError(f"{self.name} ended at start:\n{self.log()}")
+            if time.monotonic() > deadline:
+                raise FleetError(f"{self.name} is not ready:\n{self.log()}")
+            time.sleep(0.02)
+
+    @property
+    def pid(self) -> int:
+        """Process id of the current start."""
+        return self._running().pid
+
+    def is_alive(self) -> bool:
+        """Return whether the process runs (or is paused)."""
+        return self._process is not None and self._process.poll() is None
+
+    def kill(self) -> None:
+        """End the process with SIGKILL."""
+        self._signal(signal.SIGKILL)
+        self._running().wait(STOP_LIMIT_S)
+
+    def pause(self) -> None:
+        """Pause the process with SIGSTOP."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Resume a paused process with SIGCONT."""
+        self._signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Send SIGTERM without waiting."""
+        self._signal(signal.SIGTERM)
+
+    def stop(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """End the process with SIGTERM and return its exit status."""
+        self.resume()
+        self.terminate()
+        return self.wait(limit_s)
+
+    def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Wait for the end of the process and return its exit status.
+
+        Raises:
+            FleetError: If it still runs after the limit.
+        """
+        try:
+            return self._running().wait(limit_s)
+        except subprocess.TimeoutExpired as error:
+            raise FleetError(f"{self.name} still runs:\n{self.log()}") from error
+
+    def output(self) -> str:
+        """Return the standard output of the current start."""
+        if not self.out_path.exists():
+            return ""
+        return self.out_path.read_bytes()[self._out_start :].decode(errors="replace")
+
+    def log(self) -> str:
+        """Return the standard error of all starts."""
+        if not self.err_path.exists():
+            return ""
+        return self.err_path.read_text(errors="replace")
+
+    def get(self, path: str, headers: Headers = None) -> Any:
+        """Return the decoded body of a GET request."""
+        return call(self.address, "GET", path, None, headers)[1]
+
+    def post(self, path: str, body: Any, headers: Headers = None) -> tuple[int, Any]:
+        """Send a POST request and return its status and decoded body."""
+        return call(self.address, "POST", path, body, headers)[:2]
+
+    def _signal(self, number: int) -> None:
+        if self.is_alive():
+            os.kill(self.pid, number)
+
+    def _running(self) -> subprocess.Popen[bytes]:
+        if self._process is None:
+            raise FleetError(f"{self.name} was not started, call start()")
+        return self._process
+
+
+class Fleet:
+    """Processes of one test; all of them end with the ``with`` block.
+
+    Args:
+        folder: Folder for the output of the processes.
+
+    Examples:
+        >>> import tempfile
+        >>> with tempfile.TemporaryDirectory() as folder, Fleet(folder) as fleet:
+        ...     fleet.start_engine("engine-1").get("/health")["state"]
+        'up'
+    """
+
+    def __init__(self, folder: str | Path):
+        self.folder = Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.members: dict[str, Member] = {}
+        self._ports: set[int] = set()
+        self._rng = random.Random(os.getpid() ^ time.monotonic_ns())
+
+    def __enter__(self) -> "Fleet":
+        """Make sure that the processes also end with the interpreter."""
+        atexit.register(self.close)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        self.close()
+
+    def close(self) -> None:
+        """End all processes: SIGTERM first, SIGKILL after the limit."""
+        atexit.unregister(self.close)
+        for member in self.members.values():
+            member.resume()
+            member.terminate()
+        deadline = time.monotonic() + STOP_LIMIT_S
+        for member in self.members.values():
+            while member.is_alive() and time.monotonic() < deadline:
+                time.sleep(0.01)
+            if member.is_alive():
+                member.kill()
+
+    def free_address(self) -> str:
+        """Return a loopback address whose port is free and not yet handed out."""
+        while True:
+            port = self._rng.randint(FIRST_PORT, LAST_PORT)
+            if port in self._ports or not _is_free(port):
+                continue
+            self._ports.add(port)
+            return f"127.0.0.1:{port}"
+
+    def start_engine(
+        self, name: str, *options: str, address: str = "", **faults: Any
+    ) -> Member:
+        """Start a stand-in engine with command-line options and fault switches."""
+        return self._start_standin("engine", name, options, address, faults)
+
+    def start_service(
+        self, name: str, *options: str, address: str = "", **faults: Any
+    ) -> Member:
+        """Start a stand-in service with command-line options and fault switches."""
+        return self._start_standin("service", name, options, address, faults)
+
+    def start_forwarder(self, name: str, target: str, address: str = "") -> Member:
+        """Start a forwarder to ``target``; control it with :func:`set_mode`."""
+        control = self.free_address()
+        options = ("--target", target, "--control", control)
+        return self._start_standin("forwarder", name, options, address, {})
+
+    def start_platform(self, name: str, *options: str, address: str = "") -> Member:
+        """Start the stand-in for the platform's list of hosts."""
+        return self._start_standin("platform", name, options, address, {})
+
+    def start_daemon(
+        self, name: str, config: str | Path, address: str = "", wait: bool = True
+    ) -> Member:
+        """Start ``mustardtrackd``.
+
+        Args:
+            name: Name in the fleet.
+            config: Settings file.
+            address: Address that ``get`` and ``post`` of the member use.
+            wait: Whether to wait for ``ready``.
+        """
+        module = "mustardtrack.process.daemon"
+        return self.start_module(
+            name, module, ["--config", str(config)], address, wait=wait
+        )
+
+    def start_module(
+        self,
+        name: str,
+        module: str,
+        arguments: list[str],
+        address: str = "",
+        wait: bool = True,
+    ) -> Member:
+        """Start ``python -m module``; an ended member of the name is replaced."""
+        known = self.members.get(name)
+        if known is not None and known.is_alive():
+            raise FleetError(f"{name} already runs, choose another name")
+        command = [sys.executable, "-m", module, *arguments]
+        member = Member(name, address, command, self.folder)
+        self.members[name] = member
+        member.spawn()
+        if wait:
+            member.wait_ready()
+        return member
+
+    def _start_standin(
+        self,
+        kind: str,
+        name: str,
+        options: tuple[str, ...],
+        address: str,
+        faults: dict[str, Any],
+    ) -> Member:
+        address = address or self.free_address()
+        arguments = ["--name", name, "--address", address, *options]
+        if faults:
+            arguments += ["--faults", json.dumps(faults)]
+        module = f"mustardtrack.testing.{kind}"
+        return self.start_module(name, module, arguments, address)
+
+
+def set_mode(forwarder: Member, mode: str, existing_only: bool = False) -> None:
+    """Set the mode of a forwarder: ``pass``, ``drop`` or ``close``."""
+    control = forwarder.command[forwarder.command.index("--control") + 1]
+    body = {"mode": mode, "existing_only": existing_only}
+    status, answer, _ = call(control, "POST", "/mode", body)
+    if status != 200:
+        raise FleetError(f"{forwarder.name} refused mode {mode}: {answer}")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
