--- /dev/null
+++ b/mustardtrack/testing/tests/test_deployments.py
@@ -0,0 +1,51 @@
+"""Guards against example files that no longer load or are out of date."""
+
+from pathlib import Path
+
+import pytest
+
+from mustardtrack.settings import load_settings
+from mustardtrack.testing.deployments import DEPLOYMENTS, make_files
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+each_deployment = pytest.mark.parametrize(
+    "deployment", DEPLOYMENTS, ids=lambda deployment: deployment.name
+)
+
+
+@each_deployment
+def test_committed_files_are_those_of_the_generator(deployment):
+    folder = EXAMPLES / deployment.name
+    committed = {path.name: path.read_text() for path in folder.iterdir()}
+    assert committed == make_files(deployment), "run bin/generate-examples"
+
+
+@each_deployment
+def test_settings_load_and_no_address_is_used_twice(deployment):
+    folder = EXAMPLES / deployment.name
+    loaded = [load_settings(path) for path in sorted(folder.glob("*.yaml"))]
+    assert [one.role for one in loaded] == ["control"] * 3 + ["router"] * 8
+    peers = [*loaded[0].control, *loaded[0].routers]
+    addresses = [
+        value
+        for peer in peers
+        for value in peer.model_dump().values()
+        if str(value).startswith("127.0.0.1:")
+    ]
+    addresses += [
+        word.removeprefix("address=")
+        for word in (folder / "objects.mt").read_text().split()
+        if word.startswith("address=")
+    ]
+    expected = 3 * 2 + 8 * 3 + deployment.engines + deployment.services
+    assert len(set(addresses)) == len(addresses) == expected
+
+
+@each_deployment
+def test_objects_match_the_size_of_the_deployment(deployment):
+    lines = (EXAMPLES / deployment.name / "objects.mt").read_text().splitlines()
+    kinds = [line.split()[1] for line in lines]
+    endpoints = deployment.engines + deployment.services
+    assert (
+        kinds == ["class"] * 2 + ["model"] + ["account"] * 8 + ["endpoint"] * endpoints
+    )
