--- a/mustardtrack/adapters/http_server.py
+++ b/mustardtrack/adapters/http_server.py
@@ -169,6 +169,11 @@
     return json.dumps(body).encode()
 
 
+def read_content(request: Request) -> bytes:
+    """Return the body of a request."""
+    return b"" if request.content is None else bytes(request.content.read())
+
+
 def bearer_token(request: Request) -> str | None:
     """Return the bearer token of the request, if any."""
     header = request.getHeader("Authorization") or ""
--- a/mustardtrack/process/callers.py
+++ b/mustardtrack/process/callers.py
@@ -72,7 +72,7 @@
 
 
 def parse_completion(data: bytes, chat: bool, output_limit: int) -> ParsedCompletion:
-    """Parse the body of a completion or chat request.
+    r"""Parse the body of a completion or chat request.
 
     A list of prompts is taken as the nested levels of one prompt.
 
@@ -87,7 +87,7 @@
     Examples:
         >>> body = b'{"model": "m", "messages": [{"role": "user", "content": "Hi"}]}'
         >>> parse_completion(body, chat=True, output_limit=10).levels
-        ('user: Hi\\n',)
+        ('user: Hi\n',)
     """
     try:
         body = _DECODER.decode(data)
--- a/mustardtrack/process/control.py
+++ b/mustardtrack/process/control.py
@@ -82,7 +82,7 @@
         self._me = me
         peers = [peer.name for peer in self._settings.control]
         replica = Replica(me, stored, timing, random.Random(), self._clock.now_ms())
-        replica.set_peers([name for name in peers if name != me.name])
+        replica.join(peers)
         configuration = Configuration(self._settings.parallel_weight_loads)
         applied = 0
         if stored.snapshot is not None:
@@ -102,7 +102,7 @@
         )
 
     def _restore(self, state: bytes) -> Configuration:
-        return Configuration.restore(state) if state else Configuration()
+        return Configuration.restore(state, self._settings.parallel_weight_loads)
 
     def _post(self, name: str, data: bytes) -> None:
         address = self._addresses.get(name)
@@ -114,7 +114,7 @@
             return
         log_event(REPLICA_FAILED, error=repr(task.exception()))
         # Without its replica or its disk the process must not answer anything.
-        raise SystemExit(1)
+        self.fail()
 
     async def _receive_agreement(self, sender: str, body: bytes) -> None:
         self._task.deliver(body)
@@ -141,10 +141,11 @@
 
     async def _receive_form(self, sender: str, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=FormRequest)
-        if request.voters and not self._task.status().voters:
+        if request.voters:
             await self._task.form(tuple(ReplicaId(*pair) for pair in request.voters))
-        voters = [(voter.name, voter.disk) for voter in self._task.status().voters]
-        reply = FormReply(self._me.name, self._me.disk, bool(voters), voters)
+        status = self._task.status()
+        voters = [(voter.name, voter.disk) for voter in status.voters]
+        reply = FormReply(self._me.name, self._me.disk, status.formed, voters)
         return msgspec.msgpack.encode(reply)
 
     async def _receive_heartbeat(self, sender: str, body: bytes) -> None:
--- a/mustardtrack/process/daemon.py
+++ b/mustardtrack/process/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Any, cast
 
 from cleo.application import Application
@@ -26,10 +27,22 @@
 EXIT_INTERRUPTED = 1
 EXIT_SETTINGS = 2
 EXIT_START = 3
+EXIT_FAILED = 4
 
 
 class DaemonProcess(ABC):
-    """One role of the daemon."""
+    """One role of the daemon.
+
+    Attributes:
+        on_failure: Called when a task of the process failed for good.
+    """
+
+    on_failure: Callable[[], None] | None = None
+
+    def fail(self) -> None:
+        """End the process, because one of its tasks failed."""
+        if self.on_failure is not None:
+            self.on_failure()
 
     @abstractmethod
     async def start(self) -> None:
@@ -58,6 +71,7 @@
 
     def __init__(self, process: DaemonProcess, name: str):
         self._process = process
+        process.on_failure = lambda: self._finish(EXIT_FAILED)
         self._name = name
         self._stopping = False
         self.exit_code = EXIT_OK
@@ -158,3 +172,7 @@
     application = Application("mustardtrackd", __version__)
     application.add(RunCommand())
     return application.run(ArgvInput([sys.argv[0], "run", *sys.argv[1:]]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/mustardtrack/process/observer.py
+++ b/mustardtrack/process/observer.py
@@ -24,7 +24,7 @@
 from mustardtrack.ports import Clock, Metrics, RouterHeartbeat
 from mustardtrack.settings import RouterPeer
 
-PLATFORM_UNREADABLE = define_event(8501, "WARNING", "platform host list unreadable")
+PLATFORM_UNREADABLE = define_event(8450, "WARNING", "platform host list unreadable")
 HEALTH_LIMIT_BYTES = 65_536
 PLATFORM_PERIOD_MS = 1000
 PLATFORM_LIMIT_BYTES = 4_194_304
@@ -113,7 +113,7 @@
         """Probe until cancelled."""
         while True:
             started = self._clock.now_ms()
-            endpoints = self._copy.objects("endpoint")
+            endpoints: Any = self._copy.objects("endpoint")
             self._assign(endpoints, started)
             await asyncio.gather(
                 *(self._probe(endpoints[name]) for name in self._assigned)
--- /dev/null
+++ b/mustardtrack/process/operators.py
@@ -0,0 +1,289 @@
+"""Operator API: queries and commands over HTTP, on a port of its own."""
+
+import hmac
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from klein import Klein
+from twisted.web.server import Request
+
+from mustardtrack.adapters.http_server import (
+    LimitedSite,
+    ReloadingContextFactory,
+    add_route,
+    bearer_token,
+    listen,
+    read_content,
+    write_json,
+)
+from mustardtrack.agreement import FormationRefusedError
+from mustardtrack.configuration import (
+    Accepted,
+    ConfigObject,
+    Conflict,
+    Exists,
+    Invalid,
+    Outcome,
+    UnknownObject,
+    hash_key,
+    make_row,
+)
+from mustardtrack.language import (
+    SOURCE_KINDS,
+    LanguageError,
+    Query,
+    evaluate,
+    parse,
+    render_table,
+)
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.process.control_client import ControlClient, ControlUnavailableError
+from mustardtrack.settings import Settings
+
+COMMAND_APPLIED = define_event(8701, "INFO", "operator command accepted")
+COMMAND_REFUSED = define_event(8702, "INFO", "operator command refused")
+
+COMMAND_TIMEOUT_MS = 6000
+CONNECTIONS = 64
+BODY_BYTES = 262_144
+IDLE_MS = 30_000
+HIDDEN_FIELDS = ("key_hashes",)
+
+
+@dataclass(frozen=True)
+class RowSource:
+    """What a process can tell about the system.
+
+    Attributes:
+        objects: Returns the configured objects of a kind.
+        hosts: Returns one row for each known router.
+        endpoints: Returns what is observed of each endpoint, by name.
+        requests: Returns one row for each open request.
+        counters: Returns the counters of this process.
+        revision: Returns the revision in force here.
+        stale_ms: Returns the age of the configuration.
+        quarantined: Returns the quarantined fingerprints.
+    """
+
+    objects: Callable[[str], Mapping[str, ConfigObject]]
+    hosts: Callable[[], list[dict[str, Any]]]
+    endpoints: Callable[[], dict[str, dict[str, Any]]]
+    requests: Callable[[], list[dict[str, Any]]]
+    counters: Callable[[], Mapping[str, int]]
+    revision: Callable[[], int]
+    stale_ms: Callable[[], int]
+    quarantined: Callable[[], frozenset[str]]
+
+    def rows(self, source: str) -> list[dict[str, Any]]:
+        """Return the rows of a source of the language."""
+        if source == "requests":
+            return self.requests() + [
+                {"request": "", "state": "quarantined", "fingerprint": one}
+                for one in sorted(self.quarantined())
+            ]
+        if source == "reasons":
+            return [
+                {"reason": name, "count": count}
+                for name, count in sorted(self.counters().items())
+                if name.startswith(("refusal.", "retry.", "event.", "answers."))
+            ]
+        objects = self.objects(SOURCE_KINDS[source])
+        rows = [_visible(make_row(item)) for item in objects.values()]
+        if source == "hosts":
+            return _join(rows, self.hosts())
+        if source == "endpoints":
+            observed = self.endpoints()
+            return [row | observed.get(row["name"], {}) for row in rows]
+        return rows
+
+
+class CommandBody(msgspec.Struct):
+    """Body of ``POST /operator/command``."""
+
+    text: str
+    command_id: str = ""
+    operator: str = "operator"
+
+
+class OperatorApi:
+    """Serves operators.
+
+    Args:
+        settings: Settings of the process.
+        control: Client of the control group.
+        rows: What this process can tell.
+        form: Forms the control group.
+        status: Returns the state of this process.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        control: ControlClient,
+        rows: RowSource,
+        form: Callable[[], Awaitable[list[tuple[str, str]]]] | None,
+        status: Callable[[], dict[str, Any]],
+    ):
+        self._settings = settings
+        self._control = control
+        self._rows = rows
+        self._form = form
+        self._status = status
+        self._port: Any = None
+        self._tls: ReloadingContextFactory | None = None
+
+    def listen(self, address: str) -> None:
+        """Open the operator port."""
+        app = Klein()
+        add_route(app, "/operator/command", self._execute, methods=["POST"])
+        add_route(app, "/operator/status", self._show_status, methods=["GET"])
+        add_route(app, "/operator/form", self._form_group, methods=["POST"])
+        site = LimitedSite(app.resource(), IDLE_MS, CONNECTIONS, BODY_BYTES)
+        self._port, self._tls = listen(site, address, self._settings.tls)
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._port is not None:
+            self._port.stopListening()
+
+    def reload_certificates(self) -> None:
+        """Read the TLS files again."""
+        if self._tls is not None:
+            self._tls.reload()
+
+    def _is_operator(self, request: Request) -> bool:
+        token = bearer_token(request)
+        if token is None:
+            return False
+        digest = hash_key(token)
+        return any(
+            hmac.compare_digest(digest, known)
+            for known in self._settings.operator_token_hashes
+        )
+
+    async def _execute(self, request: Request) -> bytes:
+        if not self._is_operator(request):
+            return _unauthenticated(request)
+        if getattr(request, "body_too_large", False):
+            return _error(request, 413, "body_too_large", "send one command at a time")
+        try:
+            body = msgspec.json.decode(read_content(request), type=CommandBody)
+            parsed = parse(body.text, body.command_id, body.operator)
+            if isinstance(parsed, Query):
+                return self._answer_query(request, parsed)
+        except LanguageError as error:
+            return _language_error(request, error)
+        except msgspec.DecodeError as error:
+            return _error(request, 400, str(error), "send JSON with the field text")
+        if not body.command_id:
+            return _error(request, 400, "command_id is missing", "send a unique id")
+        try:
+            outcome = await self._control.submit(parsed, COMMAND_TIMEOUT_MS)
+        except ControlUnavailableError as error:
+            remedy = "send it again with the same command_id"
+            return _error(request, 503, str(error), remedy)
+        return self._answer_command(request, body, outcome)
+
+    def _answer_query(self, request: Request, query: Query) -> bytes:
+        table = evaluate(query, self._rows.rows(query.source))
+        rows = [dict(zip(table.columns, row, strict=True)) for row in table.rows]
+        answer = {
+            "rows": rows,
+            "text": render_table(table),
+            "source": self._settings.name,
+            "revision": self._rows.revision(),
+            "stale_ms": self._rows.stale_ms(),
+        }
+        return write_json(request, 200, answer)
+
+    def _answer_command(
+        self, request: Request, body: CommandBody, outcome: Outcome
+    ) -> bytes:
+        fields = msgspec.to_builtins(outcome)
+        if isinstance(outcome, Accepted):
+            log_event(
+                COMMAND_APPLIED,
+                operator=body.operator,
+                command_id=body.command_id,
+                revision=outcome.revision,
+            )
+            text = f"accepted: revision {outcome.revision}, version {outcome.version}"
+            return write_json(request, 200, fields | {"text": text})
+        log_event(COMMAND_REFUSED, operator=body.operator, outcome=fields["type"])
+        message, remedy = _explain(outcome)
+        error = {"message": message, "remedy": remedy, "outcome": fields}
+        return write_json(request, 409, {"error": error})
+
+    async def _show_status(self, request: Request) -> bytes:
+        if not self._is_operator(request):
+            return _unauthenticated(request)
+        return write_json(request, 200, self._status())
+
+    async def _form_group(self, request: Request) -> bytes:
+        if not self._is_operator(request):
+            return _unauthenticated(request)
+        if self._form is None:
+            return _error(request, 404, "this is a router", "ask a control process")
+        try:
+            voters = await self._form()
+        except FormationRefusedError as error:
+            return _error(request, 409, str(error), "")
+        names = ", ".join(name for name, _ in voters)
+        return write_json(request, 200, {"voters": voters, "text": f"formed: {names}"})
+
+
+def _visible(row: dict[str, Any]) -> dict[str, Any]:
+    return {name: value for name, value in row.items() if name not in HIDDEN_FIELDS}
+
+
+def _join(
+    rows: list[dict[str, Any]], seen: list[dict[str, Any]]
+) -> list[dict[str, Any]]:
+    """Join configured hosts with the routers that send heartbeats."""
+    joined = {row["name"]: row for row in rows}
+    for row in seen:
+        joined[row["name"]] = joined.get(row["name"], {}) | row
+    return list(joined.values())
+
+
+def _explain(outcome: Outcome) -> tuple[str, str]:
+    match outcome:
+        case Conflict(current_version, set_by):
+            who = set_by or "nobody"
+            return (
+                f"the object has version {current_version}, set by {who}",
+                "read it again and decide anew",
+            )
+        case UnknownObject(kind, name):
+            return f"there is no {kind} {name!r}", "create it or correct the name"
+        case Exists(kind, name, version):
+            return (
+                f"{kind} {name!r} exists with version {version}",
+                "use set to change it",
+            )
+        case Invalid(path, reason, remedy):
+            return f"{path}: {reason}", remedy
+    return f"unexpected outcome {outcome!r}", "report this to the developers"
+
+
+def _unauthenticated(request: Request) -> bytes:
+    remedy = "send the operator token as bearer token"
+    return _error(request, 401, "the operator token is missing or unknown", remedy)
+
+
+def _language_error(request: Request, error: LanguageError) -> bytes:
+    body = {
+        "message": str(error),
+        "column": error.column,
+        "found": error.found,
+        "expected": list(error.expected),
+    }
+    return write_json(request, 400, {"error": body})
+
+
+def _error(request: Request, status: int, message: str, remedy: str) -> bytes:
+    return write_json(
+        request, status, {"error": {"message": message, "remedy": remedy}}
+    )
--- a/mustardtrack/process/replica_task.py
+++ b/mustardtrack/process/replica_task.py
@@ -5,13 +5,16 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 
 from mustardtrack.agreement import (
     Effects,
     Entry,
+    FormationRefusedError,
     NotLeader,
     Replica,
     ReplicaId,
@@ -62,6 +65,7 @@
     """Runs one replica.
 
     Args:
+        me: Identity of the replica.
         replica: Rules of the replicated log.
         storage: Durable storage of this replica.
         configuration: State machine, as restored from the stored snapshot.
@@ -70,7 +74,7 @@
         clock: Clock.
         metrics: Metrics.
         tick_ms: Period of the replica's timer.
-        parallel_weight_loads: Passed on when a snapshot is installed.
+        restore: Builds a configuration from the state of a snapshot.
     """
 
     def __init__(
@@ -80,11 +84,11 @@
         storage: ReplicaStorage,
         configuration: Configuration,
         applied_index: int,
-        send,
+        send: Callable[[str, bytes], None],
         clock: Clock,
         metrics: Metrics,
         tick_ms: int,
-        restore,
+        restore: Callable[[bytes], Configuration],
     ):
         self._me = me
         self._replica = replica
@@ -106,6 +110,10 @@
         """Index of the last entry applied to the configuration."""
         return self._applied
 
+    def leads(self) -> bool:
+        """Return whether this replica leads with a valid lease."""
+        return self._replica.lease_valid(self._clock.now_ms())
+
     def status(self) -> ReplicaStatus:
         """Return the state of the replica."""
         return self._replica.status(self._clock.now_ms())
@@ -200,7 +208,7 @@
     def _form(self, item: _Formation, now_ms: int) -> list[Effects]:
         try:
             effects = self._replica.form(item.voters, now_ms)
-        except ValueError as error:
+        except FormationRefusedError as error:
             item.reply.set_exception(error)
             return []
         _resolve(item.reply, None)
@@ -286,6 +294,6 @@
         self._compacted = self._applied
 
 
-def _resolve(future: "asyncio.Future", value: object) -> None:
+def _resolve(future: "asyncio.Future[Any]", value: object) -> None:
     if not future.done():
         future.set_result(value)
--- /dev/null
+++ b/mustardtrack/process/weight_loads.py
@@ -0,0 +1,91 @@
+"""Delivery of weight loads to engines, by the leading control replica."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from mustardtrack.adapters.http_endpoints import EndpointError, HttpEndpointClient
+from mustardtrack.configuration import FinishLoad, WeightLoad
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.process.control_client import ControlClient, ControlUnavailableError
+from mustardtrack.process.replica_task import ReplicaTask
+
+LOAD_SENT = define_event(8711, "INFO", "weight load sent")
+LOAD_RESULT = define_event(8712, "INFO", "weight load ended")
+
+LOAD_TIMEOUT_MS = 60_000
+FINISH_TIMEOUT_MS = 10_000
+PERIOD_MS = 100
+ANSWER_LIMIT_BYTES = 65_536
+
+
+class WeightLoadTask:
+    """Sends pending weight loads while this replica leads.
+
+    A deposed leader may still send a load that a new leader sends, too. Both carry
+    the same fencing token, so an engine that checks tokens treats the second as a
+    repetition, and one that does not check loads the same weights twice.
+
+    Args:
+        replica: The replica task of this process.
+        control: Client of the control group.
+        http: Client for endpoints.
+    """
+
+    def __init__(
+        self, replica: ReplicaTask, control: ControlClient, http: HttpEndpointClient
+    ):
+        self._replica = replica
+        self._control = control
+        self._http = http
+        self._running: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Send loads until cancelled."""
+        while True:
+            if self._replica.leads():
+                for load in self._replica.configuration.deliverable_loads():
+                    self._start(load)
+            await asyncio.sleep(PERIOD_MS / 1000)
+
+    def _start(self, load: WeightLoad) -> None:
+        if load.name in self._running:
+            return
+        task = asyncio.ensure_future(self._deliver(load))
+        self._running[load.name] = task
+        task.add_done_callback(lambda _: self._running.pop(load.name, None))
+
+    async def _deliver(self, load: WeightLoad) -> None:
+        endpoints: Any = self._replica.configuration.objects("endpoint")
+        endpoint = endpoints.get(load.endpoint)
+        if endpoint is None:
+            return
+        log_event(LOAD_SENT, endpoint=load.endpoint, fence=load.fence)
+        body = msgspec.json.encode(
+            {
+                "model": load.model,
+                "weights_version": load.weights_version,
+                "fence": load.fence,
+            }
+        )
+        try:
+            answer = await self._http.call(
+                endpoint.address,
+                "POST",
+                "/orders/load",
+                {"Content-Type": "application/json"},
+                body,
+                LOAD_TIMEOUT_MS,
+                ANSWER_LIMIT_BYTES,
+            )
+            ok = answer.status == 200
+        except EndpointError:
+            ok = False
+        log_event(LOAD_RESULT, endpoint=load.endpoint, fence=load.fence, ok=ok)
+        try:
+            command = FinishLoad(load.endpoint, load.fence, ok)
+            await self._control.submit(command, FINISH_TIMEOUT_MS)
+        except ControlUnavailableError:
+            # The load stays pending and the leader sends it again.
+            return
--- a/mustardtrack/requests/reasons.py
+++ b/mustardtrack/requests/reasons.py
@@ -174,6 +174,13 @@
         "Endpoints crashed while running this request.",
         "Change the request, or ask an operator to release its fingerprint.",
     ),
+    Reason(
+        "quarantined_after_run",
+        422,
+        "unknown",
+        "Endpoints crashed while running this request.",
+        "Change the request, or ask an operator to release its fingerprint.",
+    ),
     # No endpoint or no control before dispatch.
     Reason(
         "no_endpoint",
--- /dev/null
+++ b/mustardtrack/testing/quickstart.py
@@ -0,0 +1,109 @@
+"""Runs an example deployment on loopback and checks two real answers."""
+
+import argparse
+import sys
+import tempfile
+import time
+from typing import Any
+
+from mustardtrack.testing.deployment import OPERATOR_TOKEN, Deployment, new_key
+from mustardtrack.testing.fleet import Fleet
+from mustardtrack.testing.text import expected_text
+
+STREAM_TOKENS = 24
+QUERIES = ("show hosts", "show endpoints", "show accounts", "show reasons")
+
+
+def main() -> int:
+    """Run the quickstart; the exit status is 0 only if both answers were whole."""
+    parser = argparse.ArgumentParser(description="Run an example deployment.")
+    parser.add_argument(
+        "--deployment", choices=("stenaprav", "zwolle"), default="stenaprav"
+    )
+    parser.add_argument("--keep", action="store_true", help="leave it running")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder, Fleet(folder) as fleet:
+        deployment = Deployment(fleet, options.deployment)
+        print(f"starting {options.deployment}: control, routers, stand-in endpoints")
+        started = time.monotonic()
+        deployment.start()
+        print(f"ready after {time.monotonic() - started:.1f} s")
+        whole = _check_stream(deployment) and _check_booking(deployment)
+        _show(deployment)
+        if options.keep:
+            _wait(deployment)
+        return _stop(deployment, whole)
+
+
+def _check_stream(deployment: Deployment) -> bool:
+    """Send a streamed completion and compare it with what the engine produces."""
+    prompt = "Site: harbour office. Drawings: " + "partition wall; " * 600
+    events = deployment.stream(prompt + "Quote the fit-out.", STREAM_TOKENS)
+    texts = [event["choices"][0]["text"] for event in events if "piece" in event]
+    expected = expected_text(
+        deployment.model, prompt + "Quote the fit-out.", STREAM_TOKENS
+    )
+    whole = "".join(texts) == expected and events[-1] == {"done": True}
+    print(f"stream: {len(texts)} pieces, whole: {whole}")
+    return whole
+
+
+def _check_booking(deployment: Deployment) -> bool:
+    """Send a booking twice under one key and count its runs at the services."""
+    key = new_key()
+    body = {"customer": "example", "panels": 12}
+    first = deployment.book(body, key)
+    second = deployment.book(body, key, router=2)
+    runs = sum(
+        member.get("/runs")["runs"].get(key, 0)
+        for name, member in deployment.members.items()
+        if name.startswith(deployment.service)
+    )
+    whole = first[0] < 300 and second[:2] == first[:2] and runs == 1
+    print(f"booking: status {first[0]}, resent {second[0]}, runs {runs}: {whole}")
+    return whole
+
+
+def _show(deployment: Deployment) -> None:
+    for text in QUERIES:
+        print(f"\n> mustardtrack query '{text}'")
+        print(
+            deployment.tool(
+                "query", text, "--operators", deployment.operators("router-1")
+            )
+        )
+
+
+def _wait(deployment: Deployment) -> None:
+    operators = deployment.operators("router-1")
+    print(f"callers: http://{deployment.callers()} key {_key(deployment)}")
+    print(f"operators: {operators} token {OPERATOR_TOKEN}")
+    print("running until interrupted with Ctrl-C")
+    try:
+        while True:
+            time.sleep(1)
+    except KeyboardInterrupt:
+        print("stopping")
+
+
+def _key(deployment: Deployment) -> str:
+    return deployment.headers()["Authorization"].removeprefix("Bearer ")
+
+
+def _stop(deployment: Deployment, whole: bool) -> int:
+    """Stop routers, then control; each must exit 0 without cutting a request."""
+    members = deployment.members
+    daemons = [name for name in members if name.startswith(("router", "control"))]
+    routers = [members[name] for name in daemons if name.startswith("router")]
+    controls = [members[name] for name in daemons if name.startswith("control")]
+    codes: list[Any] = []
+    for group in (routers, controls):
+        for member in group:
+            member.terminate()
+        codes += [member.wait(20) for member in group]
+    print(f"stopped, exit codes {codes}")
+    return 0 if whole and not any(codes) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
