--- a/mustardtrack/testing/engineface.py
+++ b/mustardtrack/testing/engineface.py
@@ -8,7 +8,7 @@
 from klein import Klein
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
 from mustardtrack.logs import log_event
 from mustardtrack.testing.batching import CompletionRequest, Stream
@@ -26,9 +26,11 @@
     answer_error,
     answer_json,
     crash,
+    cut_connection,
     new_incarnation,
     now_ms,
     reset_connection,
+    run_periodically,
 )
 from mustardtrack.testing.switches import EngineFaults, merge_faults, take_faults
 
@@ -79,7 +81,7 @@
             return True
         self._send_due()
         if self._is_cut():
-            reset_connection(self.request)
+            cut_connection(self.request)
             return True
         if self.stream.state == "cancelled":
             error = {"code": "cancelled", "message": "the attempt was cancelled"}
@@ -181,7 +183,7 @@
 
     def start(self) -> Any:
         """Start the periodic work and return the web resource."""
-        LoopingCall(self._tick).start(TICK_MS / 1000)
+        run_periodically(self._tick, TICK_MS)
         return self.app.resource()
 
     @app.route("/v1/completions", methods=["POST"])
--- /dev/null
+++ b/mustardtrack/testing/forwarder.py
@@ -0,0 +1,28 @@
+"""TCP forwarder process whose connections can go silent.
+
+``python -m mustardtrack.testing.forwarder --name f --address 127.0.0.1:9201
+--target 127.0.0.1:9001 --control 127.0.0.1:9202``
+"""
+
+from typing import Any
+
+from mustardtrack.testing.server import make_parser, run_server
+
+
+def main() -> None:
+    """Run the forwarder."""
+    parser = make_parser("TCP forwarder that can silently drop bytes.")
+    parser.add_argument("--target", required=True, help="IP:PORT to forward to")
+    parser.add_argument("--control", required=True, help="IP:PORT of POST /mode")
+    args = parser.parse_args()
+
+    def build() -> Any:
+        from mustardtrack.testing.forwarderface import Forwarder
+
+        return Forwarder(args.target).listen(args.address)
+
+    run_server(args.control, build, args.name)
+
+
+if __name__ == "__main__":
+    main()
--- a/mustardtrack/testing/server.py
+++ b/mustardtrack/testing/server.py
@@ -121,5 +121,26 @@
 
 
 def reset_connection(request: Any) -> None:
-    """Close the connection of a request at once, without an answer."""
-    request.transport.forceAbortClient()
+    """Reset the connection of a request; bytes that wait to be sent are lost."""
+    request.transport.abortConnection()
+
+
+def cut_connection(request: Any) -> None:
+    """Close the connection of a request after the bytes written so far."""
+    request.transport.loseConnection()
+
+
+def run_periodically(work: Callable[[], None], period_ms: int) -> None:
+    """Call ``work`` again and again; an error in it ends the process.
+
+    A stand-in whose work has stopped would look like a stalled endpoint.
+    """
+    from twisted.internet.task import LoopingCall
+
+    loop = LoopingCall(work)
+    loop.start(period_ms / 1000).addErrback(_end_after_error)
+
+
+def _end_after_error(failure: Any) -> None:
+    log_event(UNHANDLED, trace=failure.getTraceback())
+    crash("periodic work failed")
--- a/mustardtrack/testing/serviceface.py
+++ b/mustardtrack/testing/serviceface.py
@@ -6,7 +6,7 @@
 from klein import Klein
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
 from mustardtrack.logs import log_event
 from mustardtrack.testing.server import (
@@ -18,6 +18,7 @@
     new_incarnation,
     now_ms,
     reset_connection,
+    run_periodically,
 )
 from mustardtrack.testing.servicemodel import (
     Call,
@@ -52,7 +53,7 @@
 
     def start(self) -> Any:
         """Start the periodic work and return the web resource."""
-        LoopingCall(self._tick).start(TICK_MS / 1000)
+        run_periodically(self._tick, TICK_MS)
         return self.app.resource()
 
     @app.route("/health", methods=["GET"])
@@ -104,6 +105,7 @@
             await Deferred()
         if faults.close_after:
             reset_connection(request)
+            await Deferred()
         return answer_json(request, call.record, 200 if call.method == "GET" else 201)
 
     @app.handle_errors(StaleFenceError)
--- /dev/null
+++ b/mustardtrack/testing/tests/test_engine.py
@@ -0,0 +1,216 @@
+"""Contract of the stand-in engine process, with each fault of its switches."""
+
+import json
+import time
+
+import pytest
+
+from mustardtrack.testing import Fleet, call, expected_text, open_request, read_stream
+from mustardtrack.testing.server import CRASH_STATUS
+
+MODEL = "example-model"
+PROMPT = "x" * 8192
+NO_FAULTS = {"crash_text": None, "late_ms": 0, "crossed": False, "stall": False}
+NO_FAULTS |= {"close_after_pieces": None, "swap_piece": None, "times": None}
+NO_FAULTS |= {"duplicate_piece": None, "drop_piece": None, "stall_health": False}
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with Fleet(tmp_path_factory.mktemp("fleet")) as fleet:
+        yield fleet
+
+
+@pytest.fixture(scope="module")
+def shared(fleet):
+    return fleet.start_engine("shared", "--load-ms", "200", "--event-delay-ms", "0")
+
+
+@pytest.fixture
+def engine(shared):
+    yield shared
+    shared.post("/faults", NO_FAULTS)
+
+
+def make_body(request_id, attempt=1, **fields):
+    body = {"model": MODEL, "prompt": PROMPT, "max_tokens": 8, "stream": True}
+    ids = {"request_id": request_id, "attempt_id": f"{request_id}.{attempt}"}
+    return body | ids | fields
+
+
+def stream(engine, body, **options):
+    return list(read_stream(engine.address, "/v1/completions", body, **options))
+
+
+def pieces_of(chunks):
+    return [chunk["piece"] for chunk in chunks if "piece" in chunk]
+
+
+def text_of(chunks):
+    return "".join(chunk["choices"][0]["text"] for chunk in chunks if "piece" in chunk)
+
+
+def read_until_cut(engine, body):
+    chunks = []
+    with pytest.raises((ConnectionError, TimeoutError)):
+        chunks.extend(read_stream(engine.address, "/v1/completions", body))
+        raise ConnectionError("ended without a final marker")
+    return chunks
+
+
+def test_stream_is_complete_and_ends_with_the_counts(engine):
+    chunks = stream(engine, make_body("full"))
+    assert text_of(chunks) == expected_text(MODEL, PROMPT, 8)
+    assert pieces_of(chunks) == list(range(8))
+    assert {chunk["attempt_id"] for chunk in chunks[:-1]} == {"full.1"}
+    last = chunks[-2]
+    assert (last["piece_count"], last["cached_tokens"]) == (8, 0)
+    assert last["incarnation"] == engine.get("/health")["incarnation"]
+    assert chunks[-1] == {"done": True}
+
+
+def test_answer_without_stream_holds_the_whole_text_and_the_cached_part(engine):
+    stream(engine, make_body("warm", cache_salt="w"))
+    body = make_body("whole", stream=False, cache_salt="w")
+    status, answer = engine.post("/v1/completions", body)
+    assert status == 200
+    assert answer["choices"][0]["text"] == expected_text(MODEL, PROMPT, 8)
+    assert answer["cached_tokens"] == 2048
+    assert answer["attempt_id"] == "whole.1"
+
+
+@pytest.mark.parametrize(
+    ("faults", "pieces"),
+    [
+        ({"swap_piece": 2}, [0, 1, 3, 2, 4, 5, 6, 7]),
+        ({"swap_piece": 7}, [0, 1, 2, 3, 4, 5, 6, 7]),
+        ({"duplicate_piece": 2}, [0, 1, 2, 2, 3, 4, 5, 6, 7]),
+        ({"drop_piece": 2}, [0, 1, 3, 4, 5, 6, 7]),
+    ],
+)
+def test_piece_faults_change_the_order_of_pieces(engine, faults, pieces):
+    engine.post("/faults", faults | {"times": 1})
+    assert pieces_of(stream(engine, make_body("order"))) == pieces
+    assert pieces_of(stream(engine, make_body("order"))) == list(range(8))
+
+
+def test_crossed_answer_carries_the_id_of_another_attempt(engine):
+    stream(engine, make_body("first"))
+    engine.post("/faults", {"crossed": True})
+    chunks = stream(engine, make_body("second"))
+    assert {chunk["attempt_id"] for chunk in chunks[:-1]} == {"first.1"}
+
+
+def test_late_answer_arrives_after_the_delay(engine):
+    engine.post("/faults", {"late_ms": 300})
+    begin = time.monotonic()
+    assert stream(engine, make_body("late"))[-1] == {"done": True}
+    assert time.monotonic() - begin >= 0.3
+
+
+def test_closed_stream_resumes_without_a_second_run(engine):
+    engine.post("/faults", {"close_after_pieces": 3, "times": 1})
+    chunks = read_until_cut(engine, make_body("cut"))
+    assert pieces_of(chunks) == [0, 1, 2]
+    chunks += stream(engine, make_body("cut", 2, resume_from=3))
+    assert text_of(chunks) == expected_text(MODEL, PROMPT, 8)
+    assert engine.get("/runs")["runs"]["cut"] == 1
+
+
+def test_stalled_engine_sends_no_pieces_but_reports_health(engine):
+    engine.post("/faults", {"stall": True})
+    with pytest.raises(TimeoutError):
+        stream(engine, make_body("stalled"), timeout_s=0.3)
+    assert engine.get("/health")["state"] == "up"
+    engine.post("/faults", {"stall": False, "stall_health": True})
+    with pytest.raises(TimeoutError):
+        call(engine.address, "GET", "/health", timeout_s=0.3)
+
+
+def test_cancel_ends_the_stream_without_a_final_marker(engine):
+    chunks = read_stream(
+        engine.address, "/v1/completions", make_body("c", max_tokens=900)
+    )
+    next(chunks)
+    assert engine.post("/cancel", {"attempt_id": "c.1"}) == (200, {"cancelled": True})
+    last = list(chunks)[-1]
+    assert (last["error"]["code"], last["attempt_id"]) == ("cancelled", "c.1")
+    assert engine.post("/cancel", {"attempt_id": "c.1"}) == (200, {"cancelled": False})
+
+
+@pytest.mark.parametrize(
+    ("fields", "status", "code"),
+    [
+        ({"weights_version": "0"}, 409, "wrong_weights"),
+        ({"resume_from": 2}, 409, "resume_unknown"),
+        ({"model": "other"}, 404, "unknown_model"),
+        ({"max_tokens": 0}, 400, "invalid"),
+        ({"prompt": 5}, 400, "invalid"),
+    ],
+)
+def test_refused_completion_did_not_run(engine, fields, status, code):
+    answer = engine.post("/v1/completions", make_body("refused") | fields)
+    assert answer[0] == status
+    assert (answer[1]["error"]["code"], answer[1]["error"]["ran"]) == (code, "not_run")
+    assert "refused" not in engine.get("/runs")["runs"]
+
+
+def test_unknown_fault_switch_is_refused(engine):
+    status, answer = engine.post("/faults", {"stal": True})
+    assert status == 400 and "stal" in answer["error"]["message"]
+
+
+def test_exported_piece_is_a_hit_on_the_engine_that_imports_it(fleet, engine):
+    stream(engine, make_body("export", cache_salt="kv"))
+    other = fleet.start_engine("importer", "--event-delay-ms", "0")
+    for event in engine.get("/events?after=0")["events"]:
+        piece = call(engine.address, "GET", f"/kv/{event['digest']}")[1]
+        status, *_ = call(other.address, "PUT", f"/kv/{event['digest']}", piece)
+        assert status == 200
+        assert call(other.address, "PUT", "/kv/other", piece)[0] == 400
+    body = make_body("imported", stream=False, cache_salt="kv")
+    assert other.post("/v1/completions", body)[1]["cached_tokens"] == 2048
+    assert call(other.address, "GET", "/kv/unknown")[0] == 404
+    assert len(other.get("/events?after=0")["events"]) >= 2
+
+
+def test_crash_ends_the_process_and_the_next_start_has_an_empty_cache(fleet, tmp_path):
+    journal = tmp_path / "runs"
+    options = ("--journal", str(journal))
+    engine = fleet.start_engine("crashing", *options, crash_text="POISON")
+    stream(engine, make_body("good"))
+    incarnation = engine.get("/health")["incarnation"]
+    with pytest.raises((ConnectionError, RuntimeError)):
+        stream(engine, make_body("bad", prompt="a POISON b"))
+    assert engine.wait() == CRASH_STATUS
+    engine.start()
+    assert engine.get("/health")["incarnation"] != incarnation
+    assert stream(engine, make_body("good", 2))[-2]["cached_tokens"] == 0
+    lines = [json.loads(line) for line in journal.read_text().splitlines()]
+    assert [line["request_id"] for line in lines] == ["good", "bad", "good"]
+
+
+def test_load_order_answers_when_the_weights_are_loaded(fleet):
+    options = ("--load-ms", "300", "--fencing", "ignored")
+    engine = fleet.start_engine("loading", *options)
+    order = {"model": MODEL, "weights_version": "2", "fence": 7}
+    begin = time.monotonic()
+    assert engine.post("/orders/load", order)[0] == 200
+    assert time.monotonic() - begin >= 0.3
+    assert engine.get("/health")["models"] == {MODEL: "2"}
+    assert engine.post("/orders/load", order | {"fence": 6})[0] == 200
+    assert [one["accepted"] for one in engine.get("/orders")["orders"]] == [True] * 2
+
+
+def test_lost_connection_cancels_the_run_after_the_resume_window(fleet):
+    options = ("--resume-window-ms", "200", "--load-lag-ms", "0")
+    engine = fleet.start_engine("abandoned", *options)
+    body = make_body("gone", max_tokens=5000)
+    connection, answer = open_request(engine.address, "POST", "/v1/completions", body)
+    answer.readline()
+    answer.close()
+    connection.close()
+    deadline = time.monotonic() + 3
+    while engine.get("/health")["load"]["running"]:
+        assert time.monotonic() < deadline, "the abandoned stream still runs"
+        time.sleep(0.02)
--- /dev/null
+++ b/mustardtrack/testing/tests/test_service.py
@@ -0,0 +1,105 @@
+"""Contract of the stand-in service process, with each fault of its switches."""
+
+import json
+import time
+
+import pytest
+
+from mustardtrack.testing import Fleet, call
+from mustardtrack.testing.server import CRASH_STATUS
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with Fleet(tmp_path_factory.mktemp("fleet")) as fleet:
+        yield fleet
+
+
+@pytest.fixture(scope="module")
+def service(fleet):
+    return fleet.start_service("hire-1", "--serves", "hire")
+
+
+def book(service, key, attempt="r.1", fence=None, **options):
+    headers = {"Idempotency-Key": key, "Mustardtrack-Attempt": attempt}
+    if fence is not None:
+        headers["Mustardtrack-Fence"] = str(fence)
+    body = {"item": "POISON" if key == "poison" else "ladder"}
+    return call(service.address, "POST", "/bookings", body, headers, **options)
+
+
+def count_runs(service, key):
+    return service.get("/runs")["runs"].get(key, 0)
+
+
+def test_each_arrival_runs_and_is_counted(service):
+    assert book(service, "twice")[0] == 201
+    status, answer, headers = book(service, "twice", "r.2")
+    assert (status, answer["run"], answer["service"]) == (201, 2, "hire-1")
+    assert headers["Mustardtrack-Attempt"] == "r.2"
+    assert count_runs(service, "twice") == 2
+    assert call(service.address, "GET", "/availability?day=1")[0] == 200
+    assert list(service.get("/health")["models"]) == ["hire"]
+
+
+def test_stale_fence_is_refused_for_its_key_only(service):
+    assert book(service, "fenced", fence=5)[0] == 201
+    status, answer, _ = book(service, "fenced", fence=4)
+    assert (status, answer["error"]["ran"]) == (409, "not_run")
+    assert book(service, "other", fence=4)[0] == 201
+    assert count_runs(service, "fenced") == 1
+
+
+def test_fence_is_ignored_where_configured(fleet):
+    service = fleet.start_service("ignoring", "--fencing", "ignored")
+    assert [book(service, "k", fence=fence)[0] for fence in (5, 4)] == [201, 201]
+
+
+@pytest.mark.parametrize(
+    ("switch", "runs"), [("stall", 0), ("stall_after", 1), ("close_after", 1)]
+)
+def test_unanswered_call_ran_or_not(service, switch, runs):
+    service.post("/faults", {switch: True, "times": 1})
+    with pytest.raises((TimeoutError, ConnectionError)):
+        book(service, switch, timeout_s=0.4)
+    assert count_runs(service, switch) == runs
+    service.post("/faults", {switch: False, "times": None})
+
+
+def test_late_and_crossed_answers(service):
+    service.post("/faults", {"late_ms": 300, "crossed": True, "times": 1})
+    begin = time.monotonic()
+    headers = book(service, "late", "r.9")[2]
+    assert time.monotonic() - begin >= 0.3
+    assert headers["Mustardtrack-Attempt"] != "r.9"
+    assert book(service, "late", "r.10")[2]["Mustardtrack-Attempt"] == "r.10"
+    service.post("/faults", {"late_ms": 0, "crossed": False, "times": None})
+
+
+@pytest.mark.parametrize(
+    ("faults", "runs"),
+    [
+        ({"crash_before": True}, 0),
+        ({"crash_after": True}, 1),
+        ({"crash_text": "POISON"}, 0),
+    ],
+)
+def test_crash_before_or_after_the_run(fleet, tmp_path, faults, runs):
+    journal = tmp_path / "runs"
+    name = "crash-" + "-".join(faults).replace("_", "-")
+    service = fleet.start_service(name, "--journal", str(journal), **faults)
+    with pytest.raises(ConnectionError):
+        book(service, "poison")
+    assert service.wait() == CRASH_STATUS
+    lines = [json.loads(line) for line in journal.read_text().splitlines()]
+    assert [line["key"] for line in lines] == ["poison"] * runs
+
+
+def test_calls_beyond_the_limit_wait(fleet):
+    options = ("--work-ms", "400", "--max-running", "1", "--load-lag-ms", "0")
+    service = fleet.start_service("slow", *options)
+    for key in ("a", "b"):
+        with pytest.raises(TimeoutError):
+            book(service, key, timeout_s=0.05)
+    load = service.get("/health")["load"]
+    assert (load["running"], load["queued"]) == (1, 1)
