--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and long test runs."""
--- a/conftest.py
+++ b/conftest.py
@@ -3,6 +3,10 @@
 import os
 
 from hypothesis import HealthCheck, settings
+from loguru import logger
+
+# State machines log thousands of events, which hide the output of a failure.
+logger.remove()
 
 settings.register_profile(
     "ci",
--- a/mustardtrack/membership/endpoints.py
+++ b/mustardtrack/membership/endpoints.py
@@ -40,6 +40,9 @@
         load: The newest reported load of this incarnation.
         age_ms: Age of ``load``, including its age at the observer.
         observers: Names of the observers with valid observations.
+        was_leaving: Whether this incarnation was last reported as leaving. An
+            ``unverified`` endpoint with this mark gets no work either, because
+            losing its observers does not end its departure.
     """
 
     name: str
@@ -48,6 +51,14 @@
     load: Load | None
     age_ms: int
     observers: tuple[str, ...]
+    was_leaving: bool = False
+
+    @property
+    def may_get_work(self) -> bool:
+        """Whether the endpoint may get work, at least as the last resort."""
+        if self.state == "unverified":
+            return not self.was_leaving
+        return self.state == "up"
 
 
 @dataclass(frozen=True)
@@ -61,8 +72,9 @@
     incarnation: str = ""
     reports: dict[str, _Report] = field(default_factory=dict)
     retired_ms: dict[str, int] = field(default_factory=dict)
-    last_seen: dict[str, str] = field(default_factory=dict)
+    last_seen: dict[str, tuple[int, str]] = field(default_factory=dict)
     failed_ms: int | None = None
+    was_leaving: bool = False
 
 
 class EndpointTable:
@@ -108,6 +120,8 @@
         endpoint.reports[observation.observer] = _Report(observation, now_ms)
         if observation.state == "up":
             endpoint.failed_ms = None
+        if observation.state != "down":
+            endpoint.was_leaving = observation.state == "leaving"
         return True
 
     def report_local(
@@ -151,6 +165,7 @@
             load,
             age_ms,
             tuple(sorted(one.observation.observer for one in reports)),
+            endpoint.was_leaving,
         )
 
     def candidates(self, names: Iterable[str], now_ms: int) -> list[EndpointView]:
@@ -160,13 +175,13 @@
             The ``up`` endpoints or, if there is none, the ``unverified`` ones.
         """
         views = [self.view(name, now_ms) for name in names]
-        up = [view for view in views if view.state == "up"]
-        return up or [view for view in views if view.state == "unverified"]
+        usable = [view for view in views if view.may_get_work]
+        return [view for view in usable if view.state == "up"] or usable
 
     def is_usable(self, name: str, incarnation: str, now_ms: int) -> bool:
         """Return whether a selected endpoint may still get the work."""
         view = self.view(name, now_ms)
-        return view.state in ("up", "unverified") and view.incarnation == incarnation
+        return view.may_get_work and view.incarnation == incarnation
 
     def require_usable(self, name: str, incarnation: str, now_ms: int) -> None:
         """Assert, as the last step before work is sent, that it may be sent.
@@ -179,7 +194,7 @@
         """
         view = self.view(name, now_ms)
         require_invariant(
-            view.state in ("up", "unverified"),
+            view.may_get_work,
             LEAVING_USED,
             endpoint=name,
             state=view.state,
@@ -210,10 +225,7 @@
         if observation.state == "down":
             # The observer reports the last incarnation that it reached.
             return incarnation == endpoint.incarnation or not endpoint.incarnation
-        previous = endpoint.last_seen.get(observation.observer, incarnation)
-        endpoint.last_seen[observation.observer] = incarnation
-        if previous != incarnation:
-            endpoint.retired_ms[previous] = now_ms
+        _retire_previous(endpoint, observation, now_ms)
         if incarnation != endpoint.incarnation:
             _start_incarnation(endpoint, observation)
         return True
@@ -270,6 +282,21 @@
         )
 
 
+def _retire_previous(
+    endpoint: _Endpoint, observation: Observation, now_ms: int
+) -> None:
+    """Retire the incarnation that the same observer saw before.
+
+    Only a report that was sent later proves the order. A smaller ``sent_ms`` is a
+    late message or an observer whose clock restarted.
+    """
+    seen = (observation.sent_ms, observation.incarnation)
+    sent_ms, previous = endpoint.last_seen.get(observation.observer, seen)
+    endpoint.last_seen[observation.observer] = seen
+    if previous != observation.incarnation and sent_ms < observation.sent_ms:
+        endpoint.retired_ms[previous] = now_ms
+
+
 def _start_incarnation(endpoint: _Endpoint, observation: Observation) -> None:
     log_event(
         INCARNATION_CHANGED,
@@ -281,6 +308,7 @@
     endpoint.incarnation = observation.incarnation
     endpoint.reports.clear()
     endpoint.failed_ms = None
+    endpoint.was_leaving = False
 
 
 def _newest_load(reports: list[_Report], now_ms: int) -> tuple[Load | None, int]:
--- /dev/null
+++ b/mustardtrack/requests/tests/test_call_machine.py
@@ -0,0 +1,200 @@
+"""Interleavings of sends of a non-idempotent call through several routers.
+
+Guards against a second run of a call, a false ``not_run`` and an answer of another
+request. The claim table and the service are the simplest possible fakes; messages
+between them and the calls are delivered late, twice, crossed or never.
+"""
+
+from collections import Counter
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from mustardtrack.requests import (
+    Call,
+    Dispatch,
+    Refuse,
+    ReleaseClaim,
+    Reply,
+    RequestClaim,
+    StoreAnswer,
+)
+
+WINDOW_MS = 2000
+UNKNOWN_MS = 5000  # dispatch window + service timeout + margin
+KEYS = ("k1", "k2")
+PICK = st.integers(0, 1000)
+
+
+class _FakeClaims:
+    """One claim for each key, as section 3.3 describes them."""
+
+    def __init__(self):
+        self.held = {}
+
+    def claim(self, request, now_ms):
+        held = self.held.get(request.key)
+        if held is None:
+            held = [request.attempt, request.body_digest, now_ms, None]
+            self.held[request.key] = held
+        attempt, digest, since_ms, answer = held
+        if digest != request.body_digest:
+            return ("body_mismatch",)
+        if answer is not None:
+            return ("stored", answer)
+        if now_ms - since_ms >= UNKNOWN_MS:
+            return ("outcome_unknown", "s1", since_ms, "GET /bookings")
+        if attempt == request.attempt:
+            return ("granted", attempt, 1)
+        return ("in_progress", since_ms)
+
+    def complete(self, action):
+        held = self.held.get(action.key)
+        if held and held[0] == action.attempt:
+            held[3] = action.answer
+
+    def release(self, action):
+        held = self.held.get(action.key)
+        if held and held[0] == action.attempt and held[3] is None:
+            del self.held[action.key]
+
+
+class Send:
+    """One send by a caller and what its router did."""
+
+    def __init__(self, number, key, body, now_ms):
+        self.call = Call("acme", key, body, f"r{number}.1")
+        self.key, self.body, self.began_ms = key, body, now_ms
+        self.attempt = self.call.record.attempt
+        self.may_write = False
+        self.refusal = None
+        self.replies = 0
+
+
+class _CallMachine(RuleBasedStateMachine):
+    """Callers resend while routers, control, network and service fail."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 0
+        self.claims = _FakeClaims()
+        self.sends = []
+        self.to_control = []
+        self.to_calls = []
+        self.to_service = []
+        self.responses = []
+        self.runs = Counter()
+        self.runs_of_attempt = Counter()
+
+    def feed(self, send, name, *arguments):
+        for action in getattr(send.call, name)(*arguments):
+            if isinstance(action, RequestClaim | StoreAnswer | ReleaseClaim):
+                self.to_control.append((send, action))
+            elif isinstance(action, Dispatch):
+                send.may_write = True
+            elif isinstance(action, Reply):
+                assert action.answer == f"{send.key} {send.body}".encode()
+                send.replies += 1
+            elif isinstance(action, Refuse):
+                send.refusal = action.refusal
+                send.replies += 1
+
+    def pick(self, items, number):
+        return items[number % len(items)]
+
+    @rule(key=st.sampled_from(KEYS), body=st.sampled_from(("b1", "b1", "b1", "b2")))
+    def send(self, key, body):
+        send = Send(len(self.sends), key, body, self.now_ms)
+        self.sends.append(send)
+        self.feed(send, "begin")
+
+    @precondition(lambda self: self.to_control)
+    @rule(number=PICK, again=st.booleans())
+    def control_applies(self, number, again):
+        send, action = self.pick(self.to_control, number)
+        if not again:
+            self.to_control.remove((send, action))
+        if isinstance(action, RequestClaim):
+            self.to_calls.append((send, self.claims.claim(action, self.now_ms)))
+        elif isinstance(action, StoreAnswer):
+            self.claims.complete(action)
+        else:
+            self.claims.release(action)
+
+    @precondition(lambda self: self.to_control)
+    @rule(number=PICK)
+    def control_message_lost(self, number):
+        self.to_control.remove(self.pick(self.to_control, number))
+
+    @precondition(lambda self: self.to_calls)
+    @rule(number=PICK, again=st.booleans())
+    def claim_result_arrives(self, number, again):
+        send, result = self.pick(self.to_calls, number)
+        if not again:
+            self.to_calls.remove((send, result))
+        self.feed(send, *result)
+
+    @precondition(lambda self: any(one.may_write for one in self.sends))
+    @rule(number=PICK)
+    def router_writes(self, number):
+        send = self.pick([one for one in self.sends if one.may_write], number)
+        send.may_write = False
+        if self.now_ms - send.began_ms >= WINDOW_MS:
+            self.feed(send, "guard_expired")
+        elif not send.call.record.replied:
+            self.feed(send, "bytes_sent")
+            self.to_service.append(send)
+
+    @precondition(lambda self: self.to_service)
+    @rule(number=PICK)
+    def service_runs(self, number):
+        send = self.pick(self.to_service, number)
+        self.to_service.remove(send)
+        self.runs[send.key] += 1
+        self.runs_of_attempt[send.attempt] += 1
+        self.responses.append((send.attempt, f"{send.key} {send.body}".encode()))
+
+    @precondition(lambda self: self.responses)
+    @rule(response=PICK, number=PICK, crossed=st.booleans())
+    def response_arrives(self, response, number, crossed):
+        attempt, answer = self.pick(self.responses, response)
+        owner = next(one for one in self.sends if one.attempt == attempt)
+        receiver = self.pick(self.sends, number) if crossed else owner
+        self.feed(receiver, "answered", attempt, answer)
+
+    @precondition(lambda self: self.sends)
+    @rule(
+        number=PICK,
+        fault=st.sampled_from(
+            ("control_unavailable", "connection_lost", "timed_out", "cancelled")
+        ),
+    )
+    def fault_at_router(self, number, fault):
+        self.feed(self.pick(self.sends, number), fault)
+
+    @precondition(lambda self: self.sends)
+    @rule(number=PICK)
+    def router_killed(self, number):
+        # Its messages that are already in transit still arrive.
+        killed = self.pick(self.sends, number)
+        killed.may_write = False
+        self.to_calls = [one for one in self.to_calls if one[0] is not killed]
+
+    @rule(elapsed_ms=st.sampled_from((1, WINDOW_MS, UNKNOWN_MS)))
+    def time_passes(self, elapsed_ms):
+        self.now_ms += elapsed_ms
+
+    @invariant()
+    def each_key_runs_at_most_once(self):
+        assert all(count <= 1 for count in self.runs.values()), self.runs
+
+    @invariant()
+    def refusals_and_replies_are_true(self):
+        for send in self.sends:
+            assert send.replies <= 1
+            if send.refusal and send.refusal.ran == "not_run":
+                assert self.runs_of_attempt[send.attempt] == 0
+                assert send not in self.to_service
+
+
+TestCallMachine = _CallMachine.TestCase
