--- /dev/null
+++ b/mustardtrack/configuration/tests/test_machine.py
@@ -0,0 +1,204 @@
+"""Guards against lost updates, doubled commands and copies that move backwards."""
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    multiple,
+    rule,
+)
+
+from mustardtrack.configuration import (
+    KINDS,
+    Accepted,
+    ChangeObject,
+    Configuration,
+    ConfigurationCopy,
+    Conflict,
+    Drain,
+    Exists,
+    FinishLoad,
+    Invalid,
+    LoadModel,
+    ReportCrash,
+    UnknownObject,
+    decode_changes,
+    decode_command,
+    decode_outcome,
+    encode_changes,
+    encode_command,
+    encode_outcome,
+)
+
+NAMES = st.sampled_from(["e", "f"])
+OPERATORS = st.sampled_from(["ana", "bo"])
+ENGINE = {"kind": "engine", "address": "127.0.0.1:9", "zone": "a"}
+CREATE_MODEL = ChangeObject(
+    "m", "ana", "create", "model", "m", {"weights_version": "1"}
+)
+
+
+def read_objects(state):
+    return {kind: dict(state.objects(kind)) for kind in KINDS}
+
+
+class _FollowedConfiguration(RuleBasedStateMachine):
+    """Racing operators, resent commands, restarts and copies behind bad links."""
+
+    sent = Bundle("sent")
+    replies = Bundle("replies")
+
+    def __init__(self):
+        super().__init__()
+        self.state = Configuration()
+        self.index = 0
+        self.versions = {}
+        self.fences = []
+        self.removals = {}
+        self.seen = {"ana": {}, "bo": {}}
+        self.copies = [ConfigurationCopy() for _ in range(3)]
+        self.revisions = [0, 0, 0]
+        self.history = {0: read_objects(self.state)}
+        self.apply(CREATE_MODEL)
+
+    def apply(self, command):
+        self.index += 1
+        command = decode_command(encode_command(command))
+        outcome = self.state.apply(self.index, command, wall_ms=0)
+        self.history[self.state.revision] = read_objects(self.state)
+        return decode_outcome(encode_outcome(outcome))
+
+    @rule(operator=OPERATORS, name=NAMES)
+    def read(self, operator, name):
+        self.seen[operator][name] = self.versions.get(name, (0, ""))[0]
+
+    @rule(
+        target=sent,
+        operator=OPERATORS,
+        name=NAMES,
+        action=st.sampled_from(["create", "set", "remove", "drain", "load"]),
+        conditional=st.booleans(),
+    )
+    def send(self, operator, name, action, conditional):
+        if_version = self.seen[operator].get(name) if conditional else None
+        command_id = f"c{self.index}"
+        if action == "drain":
+            command = Drain(command_id, operator, "endpoint", name, True, if_version)
+        elif action == "load":
+            command = LoadModel(command_id, operator, "m", "2", name, if_version)
+        else:
+            fields = ENGINE if action == "create" else {}
+            command = ChangeObject(
+                command_id, operator, action, "endpoint", name, fields, if_version
+            )
+        outcome = self.apply(command)
+        self.check(command, action, outcome, if_version)
+        return command, outcome
+
+    def check(self, command, action, outcome, if_version):
+        """Compare the outcome with the model of versions and operators."""
+        name = command.endpoint if action == "load" else command.name
+        version, operator = self.versions.get(name, (0, ""))
+        exists = version > 0
+        removed_by = self.removals.get(name)
+        known = exists or removed_by is not None
+        if if_version not in (None, version) and known:
+            assert outcome == Conflict(version, operator if exists else removed_by)
+        elif action == "create" and exists:
+            assert outcome == Exists("endpoint", name, version)
+        elif action != "create" and not exists:
+            assert outcome == UnknownObject("endpoint", name)
+        else:
+            assert isinstance(outcome, Accepted)
+            assert outcome.revision == self.index == self.state.revision
+            assert outcome.version > version or action == "remove"
+            self.versions[name] = (outcome.version, command.operator)
+            if action == "remove":
+                del self.versions[name]
+                self.removals[name] = command.operator
+            if outcome.fence:
+                assert outcome.fence > max(self.fences, default=0)
+                self.fences.append(outcome.fence)
+
+    @rule(earlier=sent, operator=st.sampled_from(["same", "other"]))
+    def resend(self, earlier, operator):
+        command, outcome = earlier
+        before = self.state.copy_snapshot()
+        if operator == "same":
+            assert self.apply(command) == outcome
+        else:
+            changed = msgspec.structs.replace(command, operator="eve")
+            assert isinstance(self.apply(changed), Invalid)
+        assert self.state.copy_snapshot() == before
+
+    @rule()
+    def restart(self):
+        data = self.state.snapshot()
+        self.state = Configuration.restore(data)
+        assert self.state.snapshot() == data
+
+    @rule(incarnation=st.integers(0, 3), name=NAMES)
+    def crash(self, incarnation, name):
+        self.apply(ReportCrash("fp", name, str(incarnation)))
+
+    @rule(choice=st.integers(0, 9), ok=st.booleans())
+    def finish_load(self, choice, ok):
+        before = self.state.deliverable_loads()
+        if choice < len(before):
+            self.apply(FinishLoad(before[choice].endpoint, before[choice].fence, ok))
+            after = self.state.deliverable_loads()
+            del before[choice]
+            assert [load for load in after if load in before] == before
+
+    @invariant()
+    def loads_are_limited(self):
+        loads = self.state.deliverable_loads()
+        assert len(loads) <= 2
+        assert len({load.endpoint for load in loads}) == len(loads)
+
+    @rule(target=replies, source=st.integers(-1, 2), have=st.integers(0, 2))
+    def reply(self, source, have):
+        sender = self.state if source < 0 else self.copies[source]
+        changes = sender.changes_since(self.copies[have].revision)
+        if changes is None:
+            return multiple((sender.revision, b"", sender.copy_snapshot()))
+        return multiple((sender.revision, encode_changes(changes), b""))
+
+    @rule(reply=replies, copy=st.integers(0, 2))
+    def deliver(self, reply, copy):
+        revision, changes, snapshot = reply
+        follower = self.copies[copy]
+        before = follower.snapshot()
+        older = revision < follower.revision
+        applied = follower.apply(
+            revision, decode_changes(changes) if changes else [], snapshot
+        )
+        assert not (applied and older)
+        if not applied:
+            assert follower.snapshot() == before
+
+    @rule(reply=replies, data=st.data(), copy=st.integers(0, 2))
+    def deliver_with_a_gap(self, reply, data, copy):
+        """A reply that lost some of its changes is ignored or consistent."""
+        revision, changes, _ = reply
+        if changes:
+            kept = [c for c in decode_changes(changes) if data.draw(st.booleans())]
+            revisions = {c.revision for c in kept}
+            whole = [c for c in decode_changes(changes) if c.revision in revisions]
+            self.copies[copy].apply(revision, whole)
+
+    @invariant()
+    def copies_equal_the_state_at_their_revision(self):
+        for number, follower in enumerate(self.copies):
+            assert follower.revision >= self.revisions[number]
+            self.revisions[number] = follower.revision
+            assert read_objects(follower) == self.history[follower.revision]
+
+
+_FollowedConfiguration.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40
+)
+test_followed_configuration = _FollowedConfiguration.TestCase
--- a/mustardtrack/language/parser.py
+++ b/mustardtrack/language/parser.py
@@ -36,6 +36,8 @@
 MAX_TEXT_CHARS = 65_536
 MAX_DEPTH = 32
 
+_FIELDS_BEGUN = re.compile(r"\s*(create|set)\s+\S+\s+\S+\s")
+
 _DESCRIPTIONS = {
     "$END": "end of input",
     "SOURCE": "accounts|classes|models|endpoints|hosts|requests|reasons",
@@ -112,7 +114,7 @@
 def _describe_text(text: str, position: int) -> str:
     """Quote the word at a position, but no part of a field value."""
     word = re.match(r"[\w-]{1,40}", text[position:])
-    if word and "=" in text[:position]:
+    if word and _FIELDS_BEGUN.match(text[:position]):
         return "another word"
     return repr(word[0] if word else text[position])
 
