--- /dev/null
+++ b/mustardtrack/agreement/tests/test_faults.py
@@ -0,0 +1,312 @@
+"""Directed faults: repairs, partitions, pauses, clock drift and long logs."""
+
+import random
+
+import pytest
+
+from mustardtrack.adapters.disk import DiskLog
+from mustardtrack.agreement import (
+    AppendEntries,
+    Entry,
+    Replica,
+    ReplicaId,
+    SaveVote,
+    Timing,
+)
+from mustardtrack.agreement.entries import encode_voters
+from mustardtrack.agreement.events import ACKNOWLEDGED_TOO_FAR
+from mustardtrack.agreement.messages import (
+    AppendReply,
+    JoinRequest,
+    PreVoteReply,
+    PreVoteRequest,
+    SnapshotPiece,
+    VoteReply,
+    VoteRequest,
+)
+from mustardtrack.logs import add_event_listener, remove_event_listener
+from mustardtrack.testing.replicas import FAST, STEP_MS, ReplicaGroup
+
+
+def make_group(size, seed=1, **options):
+    group = ReplicaGroup(size, seed, **options)
+    group.form()
+    leader = group.run_until_leader()
+    group.propose(leader.name, [b"x"] * 40)
+    group.run(500)
+    return group
+
+
+def lose_and_restart(group, name):
+    group.lose_disk(name)
+    group.start(name)
+
+
+def run_until(group, condition, limit_ms=20_000):
+    for _ in range(limit_ms // STEP_MS):
+        if condition():
+            return
+        group.run(STEP_MS)
+    raise AssertionError(f"condition not reached after {limit_ms} ms")
+
+
+def repaired(group, name):
+    """Return whether the leader has committed the removal of the old disk."""
+    leader = group.leader()
+    if leader is None:
+        return False
+    names = [voter.name for voter in group.voters(leader)]
+    is_member = group.nodes[name].identity in group.voters(leader)
+    changing = leader.replica._core.log.voters_index > leader.applied_index
+    return is_member and names.count(name) == 1 and not changing
+
+
+@pytest.mark.parametrize("size", [3, 5])
+@pytest.mark.parametrize("second_is_leader", [False, True])
+def test_second_disk_lost_right_after_a_repair(size, second_is_leader):
+    group = make_group(size)
+    leader = group.leader()
+    first, *rest = [name for name in group.nodes if name != leader.name]
+    lose_and_restart(group, first)
+    run_until(group, lambda: repaired(group, first))
+    before = dict(group.acknowledged)
+    lose_and_restart(group, leader.name if second_is_leader else rest[0])
+    group.settle()
+    assert before.items() <= group.acknowledged.items()
+
+
+@pytest.mark.parametrize("size", [3, 5])
+def test_second_disk_lost_when_the_new_voter_is_mistaken_for_a_finished_repair(size):
+    group = make_group(size)
+    leader = group.leader()
+    first, second, *_ = [name for name in group.nodes if name != leader.name]
+    lose_and_restart(group, first)
+    new = group.nodes[first].identity
+    run_until(group, lambda: new in group.voters(leader))
+    lose_and_restart(group, second)
+    before = dict(group.acknowledged)
+    if size == 5:
+        group.settle()
+    else:
+        # Two of the four voters are gone for good: nothing may commit.
+        group.run(10_000)
+        assert group.leader() is None
+    assert group.acknowledged.items() >= before.items()
+    assert leader.applied_index >= max(before)
+
+
+def test_early_report_of_stored_entries_does_not_make_a_voter():
+    group = make_group(3)
+    leader = group.leader()
+    first = next(name for name in group.nodes if name != leader.name)
+    group.lose_disk(first)
+    group.run(FAST.election_timeout_ms * 2)
+    learner = ReplicaId(first, "new")
+    now_ms = group.clock_ms(leader)
+    leader.replica.receive(learner, JoinRequest(0), now_ms)
+    last = leader.replica.status(now_ms).last_index
+    reply = AppendReply(
+        term=leader.replica.status(now_ms).term,
+        success=True,
+        match_index=last,
+        hint_index=last,
+        last_index=last,
+        sequence=1,
+        sent_ms=now_ms,
+    )
+    seen = []
+
+    def remember(event, fields):
+        seen.append(event)
+
+    add_event_listener(remember)
+    try:
+        leader.replica.receive(learner, reply, now_ms)
+    finally:
+        remove_event_listener(remember)
+    group.run(STEP_MS)
+    assert ACKNOWLEDGED_TOO_FAR in seen
+    assert learner not in group.voters(leader)
+
+
+def test_learner_becomes_voter_only_with_all_committed_entries():
+    group = make_group(3)
+    leader = group.leader()
+    first = next(name for name in group.nodes if name != leader.name)
+    lose_and_restart(group, first)
+    group.network.blocked = {(leader.name, first)}
+    group.run(2000)
+    new = group.nodes[first].identity
+    assert new in leader.replica.status(0).learners
+    assert new not in group.voters(leader)
+    group.network.blocked = set()
+    run_until(group, lambda: new in group.voters(leader))
+    stored = group.nodes[first].disk.load()
+    assert stored.base_index + len(stored.entries) >= max(group.acknowledged)
+
+
+def test_live_voter_is_not_replaced_by_another_process_with_its_name():
+    group = make_group(3)
+    leader = group.leader()
+    other = next(name for name in group.nodes if name != leader.name)
+    intruder = ReplicaId(other, "copy")
+    before = group.voters(leader)
+    leader.replica.receive(intruder, JoinRequest(0), group.clock_ms(leader))
+    run_until(group, lambda: group.now_ms > 5000)
+    assert group.voters(leader) == before
+
+
+def test_rolled_back_disk_is_refused_and_replaced():
+    group = make_group(3)
+    leader = group.leader()
+    victim = next(node for node in group.up() if node is not leader)
+    old = victim.identity
+    group.crash(victim.name)
+    victim.disk.roll_back(2)
+    group.start(victim.name)
+    run_until(group, lambda: repaired(group, victim.name) and victim.identity != old)
+    group.settle()
+
+
+@pytest.mark.parametrize("isolation_ms", [1000, 30_000])
+def test_returning_replica_does_not_raise_the_term_of_the_leader(isolation_ms):
+    group = make_group(3)
+    leader = group.leader()
+    term = leader.replica.status(0).term
+    away = next(name for name in group.nodes if name != leader.name)
+    others = set(group.nodes) - {away}
+    group.network.blocked = {(away, other) for other in others}
+    group.network.blocked |= {(other, away) for other in others}
+    group.run(isolation_ms)
+    group.network.blocked = set()
+    group.run(2000)
+    assert group.leader() is leader
+    assert {node.replica.status(0).term for node in group.up()} == {term}
+
+
+def test_replica_that_hears_the_leader_refuses_votes_for_later_terms():
+    # Guards against a removed or partly connected replica ousting the leader.
+    group = make_group(3)
+    leader = group.leader()
+    follower, other = [node for node in group.up() if node is not leader]
+    term = leader.replica.status(0).term
+    now_ms = group.clock_ms(follower)
+    for node in (follower, leader):
+        replica = node.replica
+        vote = replica.receive(other.identity, VoteRequest(term + 9, 999, 99), now_ms)
+        assert vote.send == []
+        request = PreVoteRequest(term + 1, 999, 99)
+        effects = replica.receive(other.identity, request, now_ms)
+        assert effects.send == [(other.identity, PreVoteReply(term, False))]
+        assert replica.status(now_ms).term == term
+
+
+def test_restarted_replica_keeps_its_promise_to_the_leader():
+    group = make_group(3)
+    leader = group.leader()
+    node, other = [node for node in group.up() if node is not leader]
+    group.crash(node.name)
+    group.start(node.name)
+    request = VoteRequest(50, 999, 49)
+    started_ms = group.clock_ms(node)
+    early_ms = started_ms + FAST.election_timeout_ms - 1
+    assert node.replica.receive(other.identity, request, early_ms).send == []
+    effects = node.replica.receive(other.identity, request, early_ms + 1)
+    assert effects.send == [(other.identity, VoteReply(50, True))]
+
+
+def test_resumed_leader_has_no_lease_and_cannot_commit():
+    group = make_group(3)
+    old = group.leader()
+    old.paused = True
+    new = None
+    while new in (None, old):
+        group.run(STEP_MS)
+        new = group.leader()
+    assert not old.replica.lease_valid(group.clock_ms(old))
+    old.paused = False
+    assert group.propose(old.name, [b"late"])
+    group.run(1000)
+    assert b"late" not in {entry.payload for entry in group.acknowledged.values()}
+    assert group.leader() is new
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_lease_ends_before_the_next_election_with_drifting_clocks(seed):
+    group = make_group(3, seed)
+    old = group.leader()
+    for node in group.up():
+        skew = group.clock_ms(node)
+        node.clock_rate = 0.955 if node is old else 1.045
+        # The new rate must not move the clock itself.
+        node.clock_start_ms = skew - int(group.now_ms * node.clock_rate)
+    group.run(1000)
+    old = group.run_until_leader()
+    others = set(group.nodes) - {old.name}
+    group.network.blocked = {(old.name, other) for other in others}
+    group.run(5000)
+    assert group.leader() not in (None, old)
+
+
+def test_leader_that_no_reply_reaches_steps_down():
+    group = make_group(3)
+    old = group.leader()
+    others = set(group.nodes) - {old.name}
+    group.network.blocked = {(other, old.name) for other in others}
+    group.run(FAST.lease_ms + 2 * STEP_MS)
+    assert old.replica.status(0).role != "leader"
+
+
+def test_snapshot_reaches_a_lagging_replica_in_pieces_over_a_lossy_network():
+    group = make_group(3)
+    leader = group.leader()
+    lagging = next(name for name in group.nodes if name != leader.name)
+    group.crash(lagging)
+    for _ in range(10):
+        group.propose(leader.name, [b"y"] * 10)
+        group.run(100)
+    group.sent.clear()
+    group.start(lagging)
+    group.network.drop_rate = group.network.duplicate_rate = 0.3
+    target = leader.applied_index
+    run_until(group, lambda: group.nodes[lagging].applied_index >= target)
+    pieces = [
+        message.offset
+        for _, receiver, message in group.sent
+        if isinstance(message, SnapshotPiece) and receiver == lagging
+    ]
+    assert len(set(pieces)) > 2
+    group.settle()
+
+
+def test_restart_after_ten_thousand_entries_keeps_every_entry():
+    timing = Timing(heartbeat_ms=50, election_timeout_ms=300)
+    group = ReplicaGroup(3, 1, timing, compact_after=100_000)
+    group.form()
+    leader = group.run_until_leader()
+    for _ in range(100):
+        group.propose(leader.name, [b"z" * 100] * 100)
+        group.run(STEP_MS)
+    group.run(500)
+    assert len(group.acknowledged) == 10_000
+    for name in group.nodes:
+        group.crash(name)
+    group.settle()
+    assert len(group.acknowledged) >= 10_000
+
+
+def test_disk_log_of_ten_thousand_entries_is_read_by_a_new_process(tmp_path):
+    disk = DiskLog(tmp_path)
+    me = ReplicaId("a", disk.load().disk)
+    disk.persist([AppendEntries((Entry(1, 1, "voters", encode_voters((me,))),))])
+    for first in range(2, 10_002, 100):
+        entries = tuple(
+            Entry(1, index, "command", b"z" * 100)
+            for index in range(first, first + 100)
+        )
+        disk.persist([SaveVote(1, me), AppendEntries(entries)])
+    disk.close()
+    replica = Replica(me, disk.load(), Timing(), random.Random(1), 0)
+    effects = replica.tick(2 * Timing().election_timeout_ms)
+    assert [entry.index for entry in effects.committed] == list(range(1, 10_003))
+    assert replica.lease_valid(2 * Timing().election_timeout_ms)
--- a/mustardtrack/testing/disks.py
+++ b/mustardtrack/testing/disks.py
@@ -15,7 +15,10 @@
     """Replica storage that can lose unsynced writes, tear a write and roll back.
 
     Args:
-        disk: Disk identity; a lost disk gets the next one, such as ``d1.2``.
+        disk: Prefix of the identities; a lost disk is replaced by the next one.
+
+    Attributes:
+        tear_next_write: Whether the process dies in the middle of the next write.
 
     Examples:
         >>> from mustardtrack.agreement import SaveVote
@@ -31,7 +34,7 @@
         self._generation = 1
         self._synced: list[PersistOp] = []
         self._unsynced: list[PersistOp] = []
-        self._tear_next = False
+        self.tear_next_write = False
 
     @property
     def identity(self) -> str:
@@ -54,11 +57,11 @@
         """Carry out operations in order.
 
         Raises:
-            DiskCrashError: If :meth:`tear_next_write` was called before.
+            DiskCrashError: If ``tear_next_write`` is set; call :meth:`crash` then.
         """
         self._unsynced.extend(operations)
-        if self._tear_next:
-            self._tear_next = False
+        if self.tear_next_write:
+            self.tear_next_write = False
             raise DiskCrashError("the process died during a write")
         if sync:
             self._synced.extend(self._unsynced)
@@ -67,23 +70,19 @@
     def close(self) -> None:
         """Keep everything, as a stop of the process does not lose writes."""
 
-    def tear_next_write(self) -> None:
-        """Let the next write fail halfway; call :meth:`crash` after it."""
-        self._tear_next = True
-
     def crash(self, rng: random.Random, keep_unsynced: bool = True) -> None:
         """Lose power: a random part of the unsynced operations remains."""
         kept = rng.randint(0, len(self._unsynced)) if keep_unsynced else 0
         self._synced.extend(self._unsynced[:kept])
         self._unsynced = []
-        self._tear_next = False
+        self.tear_next_write = False
 
     def lose(self) -> None:
         """Replace the disk by an empty one with a new identity."""
         self._generation += 1
         self._synced = []
         self._unsynced = []
-        self._tear_next = False
+        self.tear_next_write = False
 
     def roll_back(self, synced_operations: int) -> None:
         """Restore an earlier durable state under the same identity."""
--- a/mustardtrack/testing/replicas.py
+++ b/mustardtrack/testing/replicas.py
@@ -59,6 +59,7 @@
     name: str
     disk: MemoryDisk
     clock_rate: float = 1.0
+    clock_start_ms: int = 0
     replica: Replica | None = None
     paused: bool = False
     inbox: list[tuple[ReplicaId, Message]] = field(default_factory=list)
@@ -110,7 +111,7 @@
 
     def clock_ms(self, node: Node) -> int:
         """Return the monotonic clock of one node."""
-        return int(self.now_ms * node.clock_rate)
+        return node.clock_start_ms + int(self.now_ms * node.clock_rate)
 
     def up(self) -> list[Node]:
         """Return the nodes whose process runs, paused or not."""
@@ -193,6 +194,7 @@
         self.network = Network()
         for node in self.nodes.values():
             node.paused = False
+            node.disk.tear_next_write = False
             if node.replica is None:
                 self.start(node.name)
 
@@ -296,7 +298,8 @@
         node.applied_index = entry.index
         content = node.digest + entry.kind.encode() + entry.payload
         node.digest = hashlib.blake2b(content, digest_size=16).digest()
-        self.digests[entry.index] = node.digest
+        digest = self.digests.setdefault(entry.index, node.digest)
+        assert digest == node.digest, f"{node.name} differs at {entry.index}"
         if (entry.index, entry.term) in node.proposals:
             self.acknowledged[entry.index] = entry
 
