--- a/mustardtrack/adapters/http_endpoints.py
+++ b/mustardtrack/adapters/http_endpoints.py
@@ -169,7 +169,7 @@
     def abort(self) -> None:
         transport = cast(Any, self.transport)
         if transport is not None:
-            transport.abortConnection()
+            transport.loseConnection()
 
 
 class HttpEndpointClient:
@@ -376,6 +376,6 @@
 
 
 def _abort(response: Any) -> None:
-    transport = getattr(response.original, "_transport", None)
-    if transport is not None:
-        transport.abortConnection()
+    closer = Protocol()
+    response.original.deliverBody(closer)
+    cast(Any, closer.transport).loseConnection()
--- /dev/null
+++ b/mustardtrack/adapters/tests/test_http_endpoints.py
@@ -0,0 +1,114 @@
+"""Guards against failed calls that are reported as something else."""
+
+import socket
+import threading
+
+import pytest
+
+from mustardtrack.testing import Fleet
+
+STREAM = """
+    async def main():
+        client = HttpEndpointClient()
+        body = {"model": "example-model", "prompt": "p", "max_tokens": 200,
+                "stream": True, "request_id": "r", "attempt_id": "r.1"}
+        stream = await client.open_stream(sys.argv[1], body, 5000, 16)
+        first = await stream.next_chunk(5000)
+        stream.close()
+        try:
+            while await stream.next_chunk(5000) is not None:
+                pass
+        except EndpointError as error:
+            return [first.piece, error.reason]
+    run(main)
+"""
+
+GUARDED = """
+    class Refuse(Exception): pass
+    def refuse(): raise Refuse()
+    async def main():
+        client = HttpEndpointClient()
+        try:
+            await client.call(sys.argv[1], "POST", "/bookings", {}, b"{}", 5000, 9999,
+                              before_send=refuse)
+        except Refuse:
+            return "refused"
+    run(main)
+"""
+
+CALL = """
+    async def main():
+        client = HttpEndpointClient()
+        try:
+            answer = await client.call(
+                sys.argv[1], "GET", "/x", {}, b"", int(sys.argv[2]), 100)
+        except EndpointError as error:
+            return [error.reason, error.may_have_run]
+        return answer.status
+    run(main)
+"""
+
+
+def test_stream_closed_midway_ends_with_an_error(run_on_reactor, tmp_path):
+    with Fleet(tmp_path) as fleet:
+        engine = fleet.start_engine("engine-1")
+        assert run_on_reactor(STREAM, engine.address) == [0, "connection_lost"]
+
+
+def test_refused_guard_sends_no_byte(run_on_reactor, tmp_path):
+    with Fleet(tmp_path) as fleet:
+        service = fleet.start_service("service-1")
+        assert run_on_reactor(GUARDED, service.address) == "refused"
+        assert service.get("/runs")["runs"] == {}
+
+
+class Server:
+    """TCP server that answers each connection with fixed bytes."""
+
+    def __init__(self, answer: bytes, close: bool):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._answer = answer
+        self._close = close
+        self._kept: list[socket.socket] = []
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            connection, _ = self._listener.accept()
+            connection.recv(4096)
+            connection.sendall(self._answer)
+            if self._close:
+                connection.close()
+            else:
+                self._kept.append(connection)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n"
+FAULTS = [
+    ("closed before the status", b"", True, ["no_answer", True]),
+    ("closed in the body", HEAD + b"half", True, ["connection_lost", True]),
+    ("silent before the status", b"", False, ["no_answer", True]),
+    ("silent in the body", HEAD + b"half", False, ["connection_lost", True]),
+    (
+        "larger than the limit",
+        HEAD.replace(b"50", b"500") + b"x" * 500,
+        False,
+        ["answer_too_large", True],
+    ),
+    ("not HTTP", b"garbage\r\n\r\n", True, ["no_answer", True]),
+]
+
+
+@pytest.mark.parametrize(("name", "answer", "close", "expected"), FAULTS)
+def test_fault_is_reported_as_possibly_run(
+    run_on_reactor, name, answer, close, expected
+):
+    server = Server(answer, close)
+    assert run_on_reactor(CALL, server.address, "1000") == expected
+
+
+def test_refused_connection_is_reported_as_not_run(run_on_reactor):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+    assert run_on_reactor(CALL, address, "1000") == ["connect_failed", False]
--- a/mustardtrack/process/caller_api.py
+++ b/mustardtrack/process/caller_api.py
@@ -120,7 +120,7 @@
             stall_ms = self._traffic.settings.timing.caller_idle_ms
             writer = StreamWriter(request, formatter, stall_ms)
         # A completion response may take longer than the idle limit between requests.
-        request.channel.setTimeout(None)
+        _set_idle_limit(request, None)
         work = asyncio.ensure_future(self._completions.run(job, writer))
         _cancel_on_disconnect(request, work)
         try:
@@ -129,9 +129,7 @@
             self._traffic.metrics.count("callers.gone")
             return b""
         finally:
-            request.channel.setTimeout(
-                self._traffic.settings.timing.caller_idle_ms / 1000
-            )
+            _set_idle_limit(request, self._traffic.settings.timing.caller_idle_ms)
 
     async def _call(self, request: Request, service: str, path: str) -> bytes:
         try:
@@ -146,11 +144,13 @@
                 body=self._read_body(request),
                 key=request.getHeader("Idempotency-Key"),
             )
-            request.channel.setTimeout(None)
+            _set_idle_limit(request, None)
             answer = await self._services.run(call)
         except RefusedError as error:
             self._traffic.count_refusal(error.refusal)
             return write_refusal(request, error.refusal, error.detail)
+        finally:
+            _set_idle_limit(request, self._traffic.settings.timing.caller_idle_ms)
         request.setResponseCode(answer.status)
         request.setHeader("Content-Type", answer.content_type)
         if answer.stored:
@@ -234,6 +234,12 @@
     return int(value)
 
 
+def _set_idle_limit(request: Request, idle_ms: int | None) -> None:
+    """Set the idle limit of the connection, unless the caller has left."""
+    if request.channel is not None:
+        request.channel.setTimeout(None if idle_ms is None else idle_ms / 1000)
+
+
 def _read_headers(request: Request) -> dict[str, str]:
     return {
         name.decode("latin-1"): values[0].decode("latin-1")
--- a/mustardtrack/process/router.py
+++ b/mustardtrack/process/router.py
@@ -97,7 +97,10 @@
             suspects=Suspects(),
             tracker=AttemptTracker(),
             selector=Selector(index, selection, self._rng),
-            budget=RetryBudget(metrics=self._metrics),
+            # An endpoint that dies loses at most what it runs at once.
+            budget=RetryBudget(
+                reserve=settings.limits.endpoint_concurrency, metrics=self._metrics
+            ),
             endpoints=EndpointTable(timing.lease_ms),
             hosts=HostTable(timing.lease_ms, timing.discovery_ttl_ms, self._rng),
         )
--- a/mustardtrack/testing/deployment.py
+++ b/mustardtrack/testing/deployment.py
@@ -73,7 +73,10 @@
         fields = dict(word.split("=", 1) for word in words[3:])
         address = self._move(fields["address"])
         if fields["kind"] == "service":
-            return self.fleet.start_service(words[2], address=address)
+            journal = str(self.fleet.folder / f"{words[2]}.journal")
+            return self.fleet.start_service(
+                words[2], "--journal", journal, address=address
+            )
         model = ("--model", f"{fields['serves']}={self.weights_version}")
         return self.fleet.start_engine(words[2], *model, *options, address=address)
 
