--- a/mustardtrack/testing/engineface.py
+++ b/mustardtrack/testing/engineface.py
@@ -62,6 +62,7 @@
         self.completion = completion
         self.stream = stream
         self.done: Deferred[bytes] = Deferred()
+        self.ended = False
         self._faults = faults
         self._shown_id = shown_id
         self._incarnation = incarnation
@@ -70,27 +71,23 @@
         self._sent = 0
         self._texts: list[str] = []
 
-    def advance(self) -> bool:
-        """Send the pieces that are due; return True once the answer has ended."""
+    def advance(self) -> None:
+        """Send the pieces that are due and end the answer when the stream ends."""
+        if self.ended:
+            return
         if self.stream.attempt_id != self.completion.attempt_id:
+            self.ended = True
             reset_connection(self.request)  # another attempt has resumed the stream
-            return True
-        if self.stream.state == "refused":
-            message = "the weights changed while the request was queued"
-            self._end(answer_error(self.request, 409, "wrong_weights", message))
-            return True
+            return
         self._send_due()
         if self._is_cut():
+            self.ended = True
             cut_connection(self.request)
-            return True
-        if self.stream.state == "cancelled":
-            error = {"code": "cancelled", "message": "the attempt was cancelled"}
-            self._end(self._final({"error": error}))
-            return True
-        if self.stream.state == "done":
-            self._end(b"data: [DONE]\n\n" if self.completion.stream else self._whole())
-            return True
-        return False
+            return
+        make_end = self._ENDS.get(self.stream.state)
+        if make_end is not None:
+            self.ended = True
+            self.done.callback(make_end(self))
 
     def _is_cut(self) -> bool:
         limit = self._faults.close_after_pieces
@@ -146,22 +143,31 @@
             },
         }
 
-    def _whole(self) -> bytes:
+    def _end_done(self) -> bytes:
+        if self.completion.stream:
+            return b"data: [DONE]\n\n"
         return answer_json(self.request, self._chunk("".join(self._texts), True))
 
-    def _final(self, body: dict[str, Any]) -> bytes:
-        body = body | {"attempt_id": self._shown_id}
+    def _end_cancelled(self) -> bytes:
+        error = {"code": "cancelled", "message": "the attempt was cancelled"}
+        body = {"error": error, "attempt_id": self._shown_id}
         if self.completion.stream and self._sent:
             return self._event(body)
         return answer_json(self.request, body, 499)
 
+    def _end_refused(self) -> bytes:
+        message = "the weights changed while the request was queued"
+        return answer_error(self.request, 409, "wrong_weights", message)
+
+    _ENDS = {
+        "done": _end_done,
+        "cancelled": _end_cancelled,
+        "refused": _end_refused,
+    }
+
     def _event(self, body: dict[str, Any]) -> bytes:
         return b"data: " + msgspec.json.encode(body) + b"\n\n"
 
-    def _end(self, body: bytes) -> None:
-        if not self.done.called:
-            self.done.callback(body)
-
 
 class EngineFace:
     """Routes of the stand-in engine.
@@ -207,6 +213,7 @@
         try:
             return await answer.done
         finally:
+            answer.ended = True
             self._release(answer)
 
     @app.route("/cancel", methods=["POST"])
@@ -293,7 +300,10 @@
         if self.faults.stall:
             return
         self.model.tick(now_ms())
-        self._answers = [answer for answer in self._answers if not answer.advance()]
+        # The end of an answer may start the next request of its connection, which
+        # changes the list.
+        for answer in list(self._answers):
+            answer.advance()
 
     def _note_run(self, stream: Stream) -> None:
         request = stream.request
--- a/mustardtrack/testing/fleet.py
+++ b/mustardtrack/testing/fleet.py
@@ -12,12 +12,16 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from types import TracebackType
 from typing import Any
 
+from mustardtrack.testing import reaper
 from mustardtrack.testing.client import Headers, call
 
+ROOT = Path(__file__).parents[2]
+
 # Below the usual range of outgoing connections (32768 and up), so that a free
 # port is not taken by an unrelated connection before the process binds it.
 FIRST_PORT = 20_000
@@ -40,12 +44,20 @@
         pid: Process id of the current start.
     """
 
-    def __init__(self, name: str, address: str, command: list[str], folder: Path):
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        command: list[str],
+        folder: Path,
+        on_spawn: Callable[[int], None] = lambda pid: None,
+    ):
         self.name = name
         self.address = address
         self.command = command
         self.out_path = folder / f"{name}.out"
         self.err_path = folder / f"{name}.err"
+        self._on_spawn = on_spawn
         self._process: subprocess.Popen[bytes] | None = None
         self._out_start = 0
 
@@ -64,8 +76,13 @@
         self._out_start = self.out_path.stat().st_size if self.out_path.exists() else 0
         with self.out_path.open("ab") as out, self.err_path.open("ab") as err:
             self._process = subprocess.Popen(
-                self.command, stdin=subprocess.DEVNULL, stdout=out, stderr=err
+                self.command,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+                env=_make_environment(),
             )
+        self._on_spawn(self._process.pid)
 
     def wait_ready(self, limit_s: float = READY_LIMIT_S) -> None:
         """Wait for the line ``ready`` of the current start."""
@@ -169,6 +186,7 @@
         self.members: dict[str, Member] = {}
         self._ports: set[int] = set()
         self._rng = random.Random(os.getpid() ^ time.monotonic_ns())
+        self._reaper: subprocess.Popen[bytes] | None = None
 
     def __enter__(self) -> "Fleet":
         """Make sure that the processes also end with the interpreter."""
@@ -196,6 +214,7 @@
                 time.sleep(0.01)
             if member.is_alive():
                 member.kill()
+        self._stop_reaper()
 
     def free_address(self) -> str:
         """Return a loopback address whose port is free and not yet handed out."""
@@ -207,16 +226,26 @@
             return f"127.0.0.1:{port}"
 
     def start_engine(
-        self, name: str, *options: str, address: str = "", **faults: Any
+        self,
+        name: str,
+        *options: str,
+        address: str = "",
+        wait: bool = True,
+        **faults: Any,
     ) -> Member:
         """Start a stand-in engine with command-line options and fault switches."""
-        return self._start_standin("engine", name, options, address, faults)
+        return self._start_standin("engine", name, options, address, faults, wait)
 
     def start_service(
-        self, name: str, *options: str, address: str = "", **faults: Any
+        self,
+        name: str,
+        *options: str,
+        address: str = "",
+        wait: bool = True,
+        **faults: Any,
     ) -> Member:
         """Start a stand-in service with command-line options and fault switches."""
-        return self._start_standin("service", name, options, address, faults)
+        return self._start_standin("service", name, options, address, faults, wait)
 
     def start_forwarder(self, name: str, target: str, address: str = "") -> Member:
         """Start a forwarder to ``target``; control it with :func:`set_mode`."""
@@ -240,9 +269,12 @@
             wait: Whether to wait for ``ready``.
         """
         module = "mustardtrack.process.daemon"
-        return self.start_module(
-            name, module, ["--config", str(config)], address, wait=wait
-        )
+        return self.start_module(name, module, ["--config", str(config)], address, wait)
+
+    def wait_ready(self, limit_s: float = READY_LIMIT_S) -> None:
+        """Wait until all processes that were started with ``wait=False`` are ready."""
+        for member in self.members.values():
+            member.wait_ready(limit_s)
 
     def start_module(
         self,
@@ -257,13 +289,28 @@
         if known is not None and known.is_alive():
             raise FleetError(f"{name} already runs, choose another name")
         command = [sys.executable, "-m", module, *arguments]
-        member = Member(name, address, command, self.folder)
+        member = Member(name, address, command, self.folder, self._tell_reaper)
         self.members[name] = member
         member.spawn()
         if wait:
             member.wait_ready()
         return member
 
+    def _tell_reaper(self, pid: int) -> None:
+        if self._reaper is None:
+            command = [sys.executable, "-I", reaper.__file__]
+            self._reaper = subprocess.Popen(command, stdin=subprocess.PIPE)
+        assert self._reaper.stdin is not None
+        line = f"{pid} {reaper.read_start_time(pid)}\n"
+        self._reaper.stdin.write(line.encode())
+        self._reaper.stdin.flush()
+
+    def _stop_reaper(self) -> None:
+        if self._reaper is not None and self._reaper.stdin is not None:
+            self._reaper.stdin.close()
+            self._reaper.wait(STOP_LIMIT_S)
+            self._reaper = None
+
     def _start_standin(
         self,
         kind: str,
@@ -271,13 +318,14 @@
         options: tuple[str, ...],
         address: str,
         faults: dict[str, Any],
+        wait: bool = True,
     ) -> Member:
         address = address or self.free_address()
         arguments = ["--name", name, "--address", address, *options]
         if faults:
             arguments += ["--faults", json.dumps(faults)]
         module = f"mustardtrack.testing.{kind}"
-        return self.start_module(name, module, arguments, address)
+        return self.start_module(name, module, arguments, address, wait)
 
 
 def set_mode(forwarder: Member, mode: str, existing_only: bool = False) -> None:
@@ -289,6 +337,11 @@
         raise FleetError(f"{forwarder.name} refused mode {mode}: {answer}")
 
 
+def _make_environment() -> dict[str, str]:
+    paths = [str(ROOT), os.environ.get("PYTHONPATH", "")]
+    return os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, paths))}
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
--- a/mustardtrack/testing/tests/test_engine.py
+++ b/mustardtrack/testing/tests/test_engine.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -69,6 +70,14 @@
     assert chunks[-1] == {"done": True}
 
 
+def test_streams_that_end_together_are_all_answered(engine):
+    # The end of one answer must not make the engine forget the next one.
+    bodies = [make_body(f"many{number}", max_tokens=20) for number in range(30)]
+    with ThreadPoolExecutor(30) as threads:
+        answers = list(threads.map(lambda body: stream(engine, body), bodies))
+    assert {text_of(chunks) for chunks in answers} == {expected_text(MODEL, PROMPT, 20)}
+
+
 def test_answer_without_stream_holds_the_whole_text_and_the_cached_part(engine):
     stream(engine, make_body("warm", cache_salt="w"))
     body = make_body("whole", stream=False, cache_salt="w")
--- a/mustardtrack/testing/tests/test_fleet.py
+++ b/mustardtrack/testing/tests/test_fleet.py
@@ -1,12 +1,15 @@
 """Contracts of the fleet helper, the forwarder and the platform."""
 
 import os
+import subprocess
+import sys
 import time
 
 import pytest
 
 from mustardtrack.testing import Fleet, call, open_request
 from mustardtrack.testing.fleet import FleetError, set_mode
+from mustardtrack.testing.reaper import read_start_time
 
 
 @pytest.fixture
@@ -60,7 +63,10 @@
 
 def test_close_ends_paused_and_killed_processes(tmp_path):
     with Fleet(tmp_path) as fleet:
-        members = [fleet.start_service(f"service-{number}") for number in range(3)]
+        members = [
+            fleet.start_service(f"service-{number}", wait=False) for number in range(3)
+        ]
+        fleet.wait_ready()
         pids = [member.pid for member in members]
         members[0].pause()
         members[1].kill()
@@ -69,6 +75,25 @@
             os.kill(pid, 0)
 
 
+def test_processes_end_when_the_process_of_the_fleet_is_killed(tmp_path):
+    script = (
+        "import os, signal\n"
+        "from mustardtrack.testing import Fleet\n"
+        f"fleet = Fleet({str(tmp_path / 'inner')!r}).__enter__()\n"
+        "member = fleet.start_service('service')\n"
+        "member.pause()\n"
+        "print(member.pid, flush=True)\n"
+        "os.kill(os.getpid(), signal.SIGKILL)\n"
+    )
+    command = [sys.executable, "-c", script]
+    done = subprocess.run(command, stdout=subprocess.PIPE, check=False, timeout=30)
+    pid = int(done.stdout)
+    deadline = time.monotonic() + 5
+    while read_start_time(pid):
+        assert time.monotonic() < deadline, f"process {pid} outlived its fleet"
+        time.sleep(0.02)
+
+
 def test_failed_start_shows_the_log(fleet):
     with pytest.raises(FleetError, match="unrecognized arguments: --bogus"):
         fleet.start_engine("engine", "--bogus")
