--- a/mustardtrack/membership/endpoints.py
+++ b/mustardtrack/membership/endpoints.py
@@ -107,7 +107,7 @@
             False if it is older than a valid one of the same observer or describes
             an incarnation that has ended.
         """
-        endpoint = self._endpoints.setdefault(observation.endpoint, _Endpoint())
+        endpoint = self._get_or_add(observation.endpoint)
         held = endpoint.reports.get(observation.observer)
         if (
             held is not None
@@ -132,7 +132,7 @@
         A failure removes the endpoint until an observer reports it as up, at most
         for one lease. Results of another incarnation have no effect.
         """
-        known = self._endpoints.setdefault(endpoint, _Endpoint())
+        known = self._get_or_add(endpoint)
         if known.incarnation == incarnation:
             known.failed_ms = None if ok else now_ms
 
@@ -207,6 +207,12 @@
             current=view.incarnation,
         )
 
+    def _get_or_add(self, name: str) -> _Endpoint:
+        endpoint = self._endpoints.get(name)
+        if endpoint is None:
+            endpoint = self._endpoints[name] = _Endpoint()
+        return endpoint
+
     def _is_valid(self, report: _Report, now_ms: int) -> bool:
         return now_ms - report.received_ms < self.lease_ms
 
--- a/mustardtrack/membership/observations.py
+++ b/mustardtrack/membership/observations.py
@@ -1,6 +1,6 @@
 """Reports of observers about endpoints."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Literal
 
@@ -53,15 +53,41 @@
     sent_ms: int
 
 
-def encode_observations(observations: Sequence[Observation]) -> bytes:
+class _Row(msgspec.Struct, array_like=True, frozen=True):
+    endpoint: str
+    incarnation: str
+    state: ObservedState
+    load: tuple[int, int, int, int] | None
+
+
+class _Batch(msgspec.Struct, array_like=True, frozen=True):
+    observer: str
+    sent_ms: int
+    rows: list[_Row]
+
+
+def encode_observations(observations: Iterable[Observation]) -> bytes:
     """Encode observations for ``RouterHeartbeat.observations``.
 
+    Observations of the same observer and time share these fields, because the
+    observations are most of the bytes of a heartbeat.
+
     Examples:
         >>> one = Observation("engine-1", "a", "up", Load(), "r1", 5)
         >>> decode_observations(encode_observations([one])) == [one]
         True
     """
-    return msgspec.msgpack.encode(list(observations))
+    batches: dict[tuple[str, int], list[_Row]] = {}
+    for one in observations:
+        load = one.load
+        numbers = (
+            (load.running, load.queued, load.queued_tokens, load.age_ms)
+            if load
+            else None
+        )
+        row = _Row(one.endpoint, one.incarnation, one.state, numbers)
+        batches.setdefault((one.observer, one.sent_ms), []).append(row)
+    return msgspec.msgpack.encode([_Batch(*key, rows) for key, rows in batches.items()])
 
 
 def decode_observations(data: bytes) -> list[Observation]:
@@ -73,8 +99,20 @@
     if not data:
         return []
     try:
-        return msgspec.msgpack.decode(data, type=list[Observation])
+        batches = msgspec.msgpack.decode(data, type=list[_Batch])
     except msgspec.DecodeError as error:
         raise InvalidObservationsError(
             f"observations are malformed ({error}), run the same version everywhere"
         ) from error
+    return [
+        Observation(
+            row.endpoint,
+            row.incarnation,
+            row.state,
+            Load(*row.load) if row.load else None,
+            batch.observer,
+            batch.sent_ms,
+        )
+        for batch in batches
+        for row in batch.rows
+    ]
