--- /dev/null
+++ b/mustardtrack/process/tests/conftest.py
@@ -0,0 +1,15 @@
+"""A small deployment of real processes, shared by the tests of this folder."""
+
+import pytest
+
+from mustardtrack.testing.deployment import Deployment
+from mustardtrack.testing.fleet import Fleet
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory):
+    """Return a running deployment of 3 control replicas and 2 routers."""
+    with Fleet(tmp_path_factory.mktemp("deployment")) as fleet:
+        deployment = Deployment(fleet, "zwolle", routers=2)
+        deployment.start()
+        yield deployment
--- /dev/null
+++ b/mustardtrack/process/tests/test_operators.py
@@ -0,0 +1,126 @@
+"""Guards against operator commands that are lost, doubled or misunderstood."""
+
+import threading
+import uuid
+
+from mustardtrack.testing import call
+from mustardtrack.testing.deployment import OPERATOR_TOKEN, wait_until
+
+
+def test_missing_and_wrong_tokens_are_refused(deployment):
+    address = deployment.operators("router-1")
+    body = {"text": "show hosts"}
+    for headers in ({}, {"Authorization": "Bearer wrong"}, deployment.headers()):
+        status, answer, _ = call(address, "POST", "/operator/command", body, headers)
+        assert status == 401
+        assert "token" in answer["error"]["message"]
+
+
+def test_syntax_error_names_column_and_expectation(deployment):
+    status, body = deployment.command("show endpoint")
+    assert status == 400
+    assert body["error"]["column"] == 6
+    assert any("endpoints" in one for one in body["error"]["expected"])
+    assert deployment.command("show endpoints")[0] == 200
+
+
+def test_unknown_field_in_a_query_is_named(deployment):
+    status, body = deployment.command("show endpoints where colour = red")
+    assert (status, body["error"]["column"]) == (400, 22)
+
+
+def test_of_two_commands_racing_under_one_version_one_wins(deployment):
+    row = deployment.query("show accounts order by name limit 1")[0]
+    results = []
+
+    def change(weight):
+        text = f"set account {row['name']} weight={weight} if version {row['version']}"
+        address = deployment.operators(f"router-{weight}")
+        results.append(deployment.command(text, address))
+
+    threads = [threading.Thread(target=change, args=(n,)) for n in (1, 2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sorted(status for status, _ in results) == [200, 409]
+    refused = next(body for status, body in results if status == 409)
+    assert refused["error"]["outcome"]["current_version"] == row["version"] + 1
+    assert refused["error"]["outcome"]["set_by"] == "test"
+
+
+def test_resent_command_takes_effect_once(deployment):
+    command_id = str(uuid.uuid4())
+    text = "create account resent weight=2"
+    first = deployment.command(text, deployment.operators("router-1"), command_id)
+    second = deployment.command(text, deployment.operators("control-2"), command_id)
+    assert first[0] == 200
+    assert second == first
+    assert deployment.command(text)[0] == 409
+
+
+def test_accepted_change_reaches_every_router(deployment):
+    status, body = deployment.command("set account resent weight=3")
+    assert status == 200
+    for name in ("router-1", "router-2"):
+        wait_for_revision(deployment, name, body["revision"])
+        rows = deployment.query(
+            "show accounts where name = resent", deployment.operators(name)
+        )
+        assert rows[0]["weight"] == 3
+
+
+def wait_for_revision(deployment, name, revision):
+    wait_until(lambda: deployment.status(name)["revision"] >= revision)
+
+
+def wait_for_leaving(deployment, name):
+    wait_until(lambda: state_at(deployment, name) == "leaving")
+
+
+def state_at(deployment, router):
+    text = "show endpoints where name = engine-1"
+    return deployment.query(text, deployment.operators(router))[0]["state"]
+
+
+def test_drained_endpoint_gets_no_new_work_after_three_seconds(deployment):
+    assert deployment.command("drain endpoint engine-1")[0] == 200
+    for name in ("router-1", "router-2"):
+        wait_for_leaving(deployment, name)
+    engine = deployment.members["engine-1"]
+    before = engine.get("/runs")["runs"]
+    for number in range(20):
+        deployment.stream(f"after the drain {number}", 2, router=1 + number % 2)
+    assert engine.get("/runs")["runs"] == before
+    assert deployment.command("undrain endpoint engine-1")[0] == 200
+
+
+def test_weight_load_reaches_the_engine_with_its_fencing_token(deployment):
+    text = f"load model {deployment.model} version v9 on engine-9"
+    status, body = deployment.command(text)
+    assert status == 200
+    engine = deployment.members["engine-9"]
+    wait_until(lambda: engine.get("/health")["models"][deployment.model] == "v9")
+    assert engine.get("/health")["models"] == {deployment.model: "v9"}
+    orders = engine.get("/orders")["orders"]
+    assert [order["fence"] for order in orders] == [body["fence"]]
+
+
+def test_group_cannot_be_formed_twice_with_other_disks(deployment):
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    address = deployment.operators("control-1")
+    status, body, _ = call(address, "POST", "/operator/form", {}, headers)
+    assert status == 200
+    assert len(body["voters"]) == 3
+
+
+def test_tool_prints_tables_json_and_errors(deployment):
+    assert "engine-1" in deployment.tool("query", "show endpoints")
+    assert '"rows"' in deployment.tool("query", "show endpoints", "--json")
+    assert "replica=" in deployment.tool("status")
+    try:
+        deployment.tool("query", "show nothing")
+    except RuntimeError as error:
+        assert "column 6" in str(error)
+    else:
+        raise AssertionError("a syntax error must fail")
--- a/mustardtrack/testing/deployment.py
+++ b/mustardtrack/testing/deployment.py
@@ -6,6 +6,7 @@
 import time
 import urllib.parse
 import uuid
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -22,6 +23,20 @@
 ROOT = Path(__file__).parents[2]
 
 
+def wait_until(condition: Callable[[], Any], limit_s: float = 60.0) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        TimeoutError: If it does not hold within the limit, which is far above any
+            time that a working system needs on a busy machine.
+    """
+    deadline = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError("condition does not hold")
+        time.sleep(0.05)
+
+
 def new_key() -> str:
     """Return a new idempotency key, a UUID of version 7."""
     value = int(time.time() * 1000) << 80 | uuid.uuid4().int & ((1 << 80) - 1)
@@ -185,6 +200,12 @@
         peers = self._base["control"] + self._base["routers"]
         return str(next(peer["bus"] for peer in peers if peer["name"] == name))
 
+    def move_bus(self, name: str, address: str) -> None:
+        """Let daemons that start from now on reach a daemon at another address."""
+        for peer in self._base["control"] + self._base["routers"]:
+            if peer["name"] == name:
+                peer["bus"] = address
+
     def callers(self, number: int = 1) -> str:
         """Return the caller address of a router, numbered from 1."""
         return str(self._base["routers"][number - 1]["callers"])
