Start the run of a late answer without delay

Cause: the switch late_ms delayed the run as well, so a cancel that came before the late answer did not find the attempt, which then ran. Change: the request is queued at once and only its answer is delayed; the tests start independent processes in parallel.

--- a/mustardtrack/testing/engineface.py
+++ b/mustardtrack/testing/engineface.py
@@ -197,7 +197,6 @@
         """Answer a completion."""
         completion = msgspec.json.decode(request.content.read(), type=CompletionRequest)
         faults = take_faults(self.faults)
-        await self._wait(faults.late_ms)
         stream = self.model.complete(completion, now_ms())
         request.setHeader("Mustardtrack-Attempt", completion.attempt_id)
         answer = Answer(
@@ -208,9 +207,10 @@
             self._shown_id(completion.attempt_id, faults),
             self.model.incarnation,
         )
-        self._answers.append(answer)
-        answer.advance()
         try:
+            await self._wait(faults.late_ms)
+            self._answers.append(answer)
+            answer.advance()
             return await answer.done
         finally:
             answer.ended = True
--- a/mustardtrack/testing/enginemodel.py
+++ b/mustardtrack/testing/enginemodel.py
@@ -187,9 +187,8 @@
         accepted = not self.options.checks_fencing or not (stale or reused)
         self.orders.append(msgspec.to_builtins(order) | {"accepted": accepted})
         if not accepted:
-            raise RequestError(
-                409, "stale_fence", f"fence {order.fence} is below {self._fence}"
-            )
+            message = f"fence {order.fence} is stale, {self._fence} was accepted"
+            raise RequestError(409, "stale_fence", message)
         if order != self._fenced:
             self._loading.append((now_ms + self.options.load_ms, order))
         self._fence = max(self._fence, order.fence)
--- a/mustardtrack/testing/switches.py
+++ b/mustardtrack/testing/switches.py
@@ -13,7 +13,7 @@
         stall: No further pieces are generated; ``/health`` still answers.
         stall_health: ``/health`` does not answer.
         close_after_pieces: The connection is reset after this many pieces.
-        late_ms: Delay before each answer.
+        late_ms: Delay before each answer; the run starts without delay.
         crossed: Answers carry the id of another attempt.
         swap_piece: This piece is sent after its successor.
         duplicate_piece: This piece is sent twice.
--- a/mustardtrack/testing/tests/test_engine.py
+++ b/mustardtrack/testing/tests/test_engine.py
@@ -115,6 +115,10 @@
     begin = time.monotonic()
     assert stream(engine, make_body("late"))[-1] == {"done": True}
     assert time.monotonic() - begin >= 0.3
+    with pytest.raises(TimeoutError):
+        stream(engine, make_body("given-up"), timeout_s=0.1)
+    assert engine.get("/runs")["runs"]["given-up"] == 1
+    assert engine.post("/cancel", {"attempt_id": "given-up.1"})[0] == 200
 
 
 def test_closed_stream_resumes_without_a_second_run(engine):
--- a/mustardtrack/testing/tests/test_fleet.py
+++ b/mustardtrack/testing/tests/test_fleet.py
@@ -20,8 +20,10 @@
 
 @pytest.fixture
 def forwarder(fleet):
-    service = fleet.start_service("service")
-    return fleet.start_forwarder("forwarder", service.address)
+    service = fleet.start_service("service", wait=False)
+    forwarder = fleet.start_forwarder("forwarder", service.address)
+    fleet.wait_ready()
+    return forwarder
 
 
 def ask(connection):
@@ -38,13 +40,14 @@
 
 
 def test_every_stand_in_prints_ready_and_exits_with_0(fleet):
-    engine = fleet.start_engine("engine")
+    engine = fleet.start_engine("engine", wait=False)
     members = [
         engine,
-        fleet.start_service("service"),
+        fleet.start_service("service", wait=False),
         fleet.start_forwarder("forwarder", engine.address),
         fleet.start_platform("platform"),
     ]
+    fleet.wait_ready()
     assert [member.stop() for member in members] == [0] * 4
     assert [member.output() for member in members] == ["ready\n"] * 4
 
