Test the leaving state of the stand-ins

Cause: the switch "leaving" had no test, and it must hold after the count of faulty answers is used up. Change: one test of state and answers.

--- a/mustardtrack/testing/tests/test_service.py
+++ b/mustardtrack/testing/tests/test_service.py
@@ -76,6 +76,16 @@
     service.post("/faults", {"late_ms": 0, "crossed": False, "times": None})
 
 
+def test_leaving_is_reported_while_calls_are_still_answered(service):
+    # Switches of the state do not use up the count of faulty answers.
+    service.post("/faults", {"leaving": True, "times": 0})
+    assert service.get("/health")["state"] == "leaving"
+    assert book(service, "leaving")[0] == 201
+    assert service.get("/health")["state"] == "leaving"
+    service.post("/faults", {"leaving": False, "times": None})
+    assert service.get("/health")["state"] == "up"
+
+
 @pytest.mark.parametrize(
     ("faults", "runs"),
     [
