--- a/mustardtrack/testing/tests/test_service.py
+++ b/mustardtrack/testing/tests/test_service.py
@@ -82,7 +82,10 @@
     assert service.get("/health")["state"] == "leaving"
     assert book(service, "leaving")[0] == 201
     assert service.get("/health")["state"] == "leaving"
-    service.post("/faults", {"leaving": False, "times": None})
+    service.post("/faults", {"leaving": False, "stall_health": True, "times": None})
+    with pytest.raises(TimeoutError):
+        call(service.address, "GET", "/health", timeout_s=0.3)
+    service.post("/faults", {"stall_health": False})
     assert service.get("/health")["state"] == "up"
 
 
