--- a/mustardtrack/requests/tests/test_call_machine.py
+++ b/mustardtrack/requests/tests/test_call_machine.py
@@ -22,7 +22,7 @@
 
 WINDOW_MS = 2000
 UNKNOWN_MS = 5000  # dispatch window + service timeout + margin
-KEYS = ("k1", "k2")
+KEYS = ("k1", "k1", "k2")
 PICK = st.integers(0, 1000)
 
 
@@ -121,6 +121,24 @@
         else:
             self.claims.release(action)
 
+    @precondition(lambda self: self.sends)
+    @rule(number=PICK, steps=st.integers(1, 4))
+    def run_ahead(self, number, steps):
+        # Single steps rarely complete a call, so double runs would not be reached.
+        send = self.pick(self.sends, number)
+        for _ in range(steps):
+            requests = [one for one in self.to_control if one[0] is send]
+            results = [one for one in self.to_calls if one[0] is send]
+            if requests:
+                self.control_applies(self.to_control.index(requests[0]), False)
+            elif results:
+                self.claim_result_arrives(self.to_calls.index(results[0]), False)
+            elif send.may_write:
+                writing = [one for one in self.sends if one.may_write]
+                self.router_writes(writing.index(send))
+            elif send in self.to_service:
+                self.service_runs(self.to_service.index(send))
+
     @precondition(lambda self: self.to_control)
     @rule(number=PICK)
     def control_message_lost(self, number):
