Assert that no request is dispatched after a forced stop

Cause: a forced stop reports a queued request as not run; a dispatch after that report would make it false, and raised only a KeyError. Change: PlannedStop.mark_dispatched checks this as event 7044.

--- a/mustardtrack/requests/stops.py
+++ b/mustardtrack/requests/stops.py
@@ -14,6 +14,9 @@
 WITHDRAWN_TOO_SHORT = define_event(
     7043, "ERROR", "new work refused before the issued discovery responses expired"
 )
+DISPATCH_AFTER_STOP = define_event(
+    7044, "ERROR", "request dispatched after a stop reported it as interrupted"
+)
 
 Phase = Literal["serving", "withdrawn", "refusing", "finished"]
 Cause = Literal["second_signal", "time_limit"]
@@ -115,7 +118,15 @@
         return True
 
     def mark_dispatched(self, request_id: str) -> None:
-        """Record that a byte of the request is about to be sent to an endpoint."""
+        """Record that a byte of the request is about to be sent to an endpoint.
+
+        Raises:
+            InvariantViolationError: If the request is not open, for example because
+                a forced stop reported it as not run. Do not send the byte.
+        """
+        require_invariant(
+            request_id in self._open, DISPATCH_AFTER_STOP, request=request_id
+        )
         self._open[request_id].dispatched = True
 
     def close(self, request_id: str) -> None:
--- a/mustardtrack/requests/tests/test_requests.py
+++ b/mustardtrack/requests/tests/test_requests.py
@@ -251,3 +251,5 @@
     assert (forced.cause, forced.exit_status) == (cause, 1)
     assert stop.phase == "finished"
     assert stop.force("second_signal") is forced
+    with pytest.raises(InvariantViolationError):
+        stop.mark_dispatched("r1")  # would make its not_run false
