--- a/mustardtrack/configuration/crashes.py
+++ b/mustardtrack/configuration/crashes.py
@@ -1,5 +1,6 @@
 """Crash counts of request fingerprints."""
 
+from collections import OrderedDict
 from typing import Any
 
 KEPT_SUSPECTS = 10_000
@@ -14,7 +15,7 @@
     """
 
     def __init__(self) -> None:
-        self._suspects: dict[str, list[str]] = {}
+        self._suspects: OrderedDict[str, list[str]] = OrderedDict()
         self._quarantined: dict[str, list[str]] = {}
 
     def is_quarantined(self, fingerprint: str) -> bool:
@@ -34,7 +35,7 @@
         if fingerprint in self._suspects and len(deaths) >= DEATHS_TO_QUARANTINE:
             self._quarantined[fingerprint] = self._suspects.pop(fingerprint)
         if len(self._suspects) > KEPT_SUSPECTS:
-            self._suspects.pop(next(iter(self._suspects)))
+            self._suspects.popitem(last=False)
         return len(deaths)
 
     def clear(self, fingerprint: str) -> bool:
@@ -53,6 +54,6 @@
     def load(cls, data: list[Any]) -> "CrashCounts":
         """Rebuild counts from decoded values of :meth:`dump`."""
         counts = cls()
-        counts._suspects = dict(data[0])
+        counts._suspects = OrderedDict(data[0])
         counts._quarantined = dict(data[1])
         return counts
--- a/mustardtrack/configuration/history.py
+++ b/mustardtrack/configuration/history.py
@@ -1,5 +1,6 @@
 """Who set which version of an object, and what remains of removed objects."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from typing import Any
 
@@ -20,7 +21,7 @@
 
     def __init__(self) -> None:
         self._set_by: dict[tuple[str, str], str] = {}
-        self._removed_by: dict[tuple[str, str], str] = {}
+        self._removed_by: OrderedDict[tuple[str, str], str] = OrderedDict()
         # Highest version of any removed object of a kind. A new object starts
         # above it, so that a condition on the old version cannot match.
         self._version_floors: dict[str, int] = {}
@@ -75,7 +76,7 @@
         self._set_by.pop(place, None)
         self._removed_by[place] = operator
         if len(self._removed_by) > KEPT_REMOVALS:
-            self._removed_by.pop(next(iter(self._removed_by)))
+            self._removed_by.popitem(last=False)
 
     def _own_keys(self, values: Iterable[ConfigObject | None]) -> None:
         for value in values:
@@ -96,6 +97,7 @@
         history = cls()
         set_by, removed_by, history._version_floors = data
         history._set_by = {(kind, name): by for kind, name, by in set_by}
-        history._removed_by = {(kind, name): by for kind, name, by in removed_by}
+        for kind, name, by in removed_by:
+            history._removed_by[kind, name] = by
         history._own_keys(accounts)
         return history
--- a/mustardtrack/configuration/results.py
+++ b/mustardtrack/configuration/results.py
@@ -1,5 +1,6 @@
 """Stored results of operator commands."""
 
+from collections import OrderedDict
 from hashlib import blake2b
 from typing import Any
 
@@ -19,7 +20,7 @@
     """
 
     def __init__(self) -> None:
-        self._results: dict[str, tuple[bytes, bytes]] = {}
+        self._results: OrderedDict[str, tuple[bytes, bytes]] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._results)
@@ -45,7 +46,7 @@
         entry = (_digest(command), encode_outcome(outcome))
         self._results[command.command_id] = entry
         if len(self._results) > KEPT_RESULTS:
-            self._results.pop(next(iter(self._results)))
+            self._results.popitem(last=False)
 
     def dump(self) -> list[Any]:
         """Return the results as values that msgspec can encode."""
@@ -55,7 +56,8 @@
     def load(cls, data: list[Any]) -> "ResultStore":
         """Rebuild a store from decoded values of :meth:`dump`."""
         store = cls()
-        store._results = {key: (digest, outcome) for key, digest, outcome in data}
+        for key, digest, outcome in data:
+            store._results[key] = (digest, outcome)
         return store
 
 
--- a/mustardtrack/configuration/tests/test_machine.py
+++ b/mustardtrack/configuration/tests/test_machine.py
@@ -4,10 +4,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
-    Bundle,
     RuleBasedStateMachine,
     invariant,
-    multiple,
     rule,
 )
 
@@ -34,6 +32,7 @@
 )
 
 NAMES = st.sampled_from(["e", "f"])
+ACTIONS = st.sampled_from(["create", "set", "remove", "drain", "load"])
 OPERATORS = st.sampled_from(["ana", "bo"])
 ENGINE = {"kind": "engine", "address": "127.0.0.1:9", "zone": "a"}
 CREATE_MODEL = ChangeObject(
@@ -48,9 +47,6 @@
 class _FollowedConfiguration(RuleBasedStateMachine):
     """Racing operators, resent commands, restarts and copies behind bad links."""
 
-    sent = Bundle("sent")
-    replies = Bundle("replies")
-
     def __init__(self):
         super().__init__()
         self.state = Configuration()
@@ -58,7 +54,8 @@
         self.versions = {}
         self.fences = []
         self.removals = {}
-        self.seen = {"ana": {}, "bo": {}}
+        self.sent = []
+        self.replies = []
         self.copies = [ConfigurationCopy() for _ in range(3)]
         self.revisions = [0, 0, 0]
         self.history = {0: read_objects(self.state)}
@@ -71,19 +68,18 @@
         self.history[self.state.revision] = read_objects(self.state)
         return decode_outcome(encode_outcome(outcome))
 
-    @rule(operator=OPERATORS, name=NAMES)
-    def read(self, operator, name):
-        self.seen[operator][name] = self.versions.get(name, (0, ""))[0]
-
     @rule(
-        target=sent,
-        operator=OPERATORS,
         name=NAMES,
-        action=st.sampled_from(["create", "set", "remove", "drain", "load"]),
+        steps=st.lists(st.tuples(OPERATORS, ACTIONS), min_size=1, max_size=4),
         conditional=st.booleans(),
     )
-    def send(self, operator, name, action, conditional):
-        if_version = self.seen[operator].get(name) if conditional else None
+    def race(self, name, steps, conditional):
+        """Several operators send commands on the version that all of them read."""
+        version = self.versions.get(name, (0, ""))[0]
+        for operator, action in steps:
+            self.send(operator, name, action, version if conditional else None)
+
+    def send(self, operator, name, action, if_version):
         command_id = f"c{self.index}"
         if action == "drain":
             command = Drain(command_id, operator, "endpoint", name, True, if_version)
@@ -96,7 +92,7 @@
             )
         outcome = self.apply(command)
         self.check(command, action, outcome, if_version)
-        return command, outcome
+        self.sent.append((command, outcome))
 
     def check(self, command, action, outcome, if_version):
         """Compare the outcome with the model of versions and operators."""
@@ -123,9 +119,11 @@
                 assert outcome.fence > max(self.fences, default=0)
                 self.fences.append(outcome.fence)
 
-    @rule(earlier=sent, operator=st.sampled_from(["same", "other"]))
-    def resend(self, earlier, operator):
-        command, outcome = earlier
+    @rule(choice=st.integers(0, 99), operator=st.sampled_from(["same", "other"]))
+    def resend(self, choice, operator):
+        if not self.sent:
+            return
+        command, outcome = self.sent[choice % len(self.sent)]
         before = self.state.copy_snapshot()
         if operator == "same":
             assert self.apply(command) == outcome
@@ -159,36 +157,47 @@
         assert len(loads) <= 2
         assert len({load.endpoint for load in loads}) == len(loads)
 
-    @rule(target=replies, source=st.integers(-1, 2), have=st.integers(0, 2))
-    def reply(self, source, have):
+    @rule(
+        source=st.integers(-1, 2),
+        asker=st.integers(0, 2),
+        whole=st.booleans(),
+        deliveries=st.lists(
+            st.tuples(st.integers(0, 99), st.integers(0, 2)), max_size=5
+        ),
+    )
+    def exchange(self, source, asker, whole, deliveries):
+        """One reply is made; earlier ones arrive late, again and at other copies."""
         sender = self.state if source < 0 else self.copies[source]
-        changes = sender.changes_since(self.copies[have].revision)
-        if changes is None:
-            return multiple((sender.revision, b"", sender.copy_snapshot()))
-        return multiple((sender.revision, encode_changes(changes), b""))
-
-    @rule(reply=replies, copy=st.integers(0, 2))
-    def deliver(self, reply, copy):
-        revision, changes, snapshot = reply
-        follower = self.copies[copy]
+        base = self.copies[asker].revision
+        changes = sender.changes_since(base)
+        if whole or changes is None:
+            reply = (0, sender.revision, b"", sender.copy_snapshot())
+        else:
+            reply = (base, sender.revision, encode_changes(changes), b"")
+        self.replies.append(reply)
+        for age, copy in deliveries:
+            self.deliver(self.replies[-1 - age % len(self.replies)], self.copies[copy])
+
+    def deliver(self, reply, follower):
+        base, revision, changes, snapshot = reply
         before = follower.snapshot()
         older = revision < follower.revision
         applied = follower.apply(
             revision, decode_changes(changes) if changes else [], snapshot
         )
         assert not (applied and older)
+        assert applied or older or base > follower.revision
         if not applied:
             assert follower.snapshot() == before
 
-    @rule(reply=replies, data=st.data(), copy=st.integers(0, 2))
-    def deliver_with_a_gap(self, reply, data, copy):
+    @rule(data=st.data(), copy=st.integers(0, 2))
+    def deliver_with_a_gap(self, data, copy):
         """A reply that lost some of its changes is ignored or consistent."""
-        revision, changes, _ = reply
-        if changes:
-            kept = [c for c in decode_changes(changes) if data.draw(st.booleans())]
-            revisions = {c.revision for c in kept}
-            whole = [c for c in decode_changes(changes) if c.revision in revisions]
-            self.copies[copy].apply(revision, whole)
+        changes = self.state.changes_since(self.copies[copy].revision) or []
+        revisions = sorted({change.revision for change in changes})
+        kept = [number for number in revisions if data.draw(st.booleans())]
+        part = [change for change in changes if change.revision in kept]
+        self.copies[copy].apply(self.state.revision, part)
 
     @invariant()
     def copies_equal_the_state_at_their_revision(self):
--- a/mustardtrack/configuration/tests/test_state.py
+++ b/mustardtrack/configuration/tests/test_state.py
@@ -13,11 +13,13 @@
     FinishLoad,
     Invalid,
     LoadModel,
+    ObjectChange,
     ReportCrash,
     SnapshotFormatError,
     UnknownObject,
     hash_key,
 )
+from mustardtrack.configuration.changes import ChangeLog
 from mustardtrack.language import parse
 from mustardtrack.logs import InvariantViolationError
 
@@ -143,6 +145,15 @@
     assert [load.fence for load in state.deliverable_loads()] == fences[2:]
 
 
+def test_followers_of_dropped_changes_need_a_snapshot():
+    changes = [ObjectChange(n, n - 1, "model", "m", None) for n in (4, 5, 6)]
+    log = ChangeLog(base=3, limit=2)
+    log.extend(changes)
+    assert log.since(3) is None
+    assert log.since(4) == changes[1:]
+    assert log.since(6) == log.since(9) == []
+
+
 def test_damaged_or_foreign_snapshot_is_refused(operators):
     data = operators.state.snapshot()
     fields = msgspec.msgpack.decode(data)
--- a/mustardtrack/idempotency/claims.py
+++ b/mustardtrack/idempotency/claims.py
@@ -1,5 +1,6 @@
 """Claims of non-idempotent calls, part of the replicated state machine."""
 
+from collections import OrderedDict
 from typing import Any
 
 import msgspec
@@ -69,8 +70,9 @@
     def __init__(self) -> None:
         self.wall_ms = 0
         self._dropped_wall_ms = -RETENTION_MS
-        # In order of the grant, so that expiry reads only the oldest records.
-        self._records: dict[tuple[str, bytes], ClaimRecord] = {}
+        # In order of the grant, so that expiry reads only the oldest records. A
+        # plain dict takes linear time to find its first item after removals.
+        self._records: OrderedDict[tuple[str, bytes], ClaimRecord] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -204,12 +206,12 @@
             return BodyMismatch()
         if record.answer is not None:
             return Stored(record.answer)
+        if record.attempt and self._is_unknown(record):
+            return _describe_unknown(record)
         if attempt in record.released:
             return AttemptEnded(attempt)
         if not record.attempt:
             return None
-        if self._is_unknown(record):
-            return _describe_unknown(record)
         if record.attempt == attempt:
             return Granted(attempt, record.fence)
         return InProgress(record.granted_wall_ms)
@@ -237,15 +239,15 @@
         self._drop_old(now_ms)
 
     def _drop_old(self, now_ms: int) -> int:
-        old = []
-        for place, record in self._records.items():
-            if record.granted_wall_ms + RETENTION_MS > now_ms:
+        count = 0
+        while self._records:
+            granted_ms = next(iter(self._records.values())).granted_wall_ms
+            if granted_ms + RETENTION_MS > now_ms:
                 break
-            old.append(place)
-        for place in old:
-            granted_ms = self._records.pop(place).granted_wall_ms
+            self._records.popitem(last=False)
             self._dropped_wall_ms = max(self._dropped_wall_ms, granted_ms)
-        return len(old)
+            count += 1
+        return count
 
 
 def _check_age(key: IdempotencyKey, now_ms: int) -> KeyExpired | None:
--- a/mustardtrack/idempotency/tests/test_claims.py
+++ b/mustardtrack/idempotency/tests/test_claims.py
@@ -66,6 +66,9 @@
     assert claim(table, "a.2", fence=9) == Granted("a.2", 9)
     assert table.release("acme", KEY, "a.1") == Released()
     assert claim(table, "a.3") == InProgress(NOW_MS)
+    unknown = claim(table, "a.3", NOW_MS + 37_000)
+    assert isinstance(unknown, OutcomeUnknown)
+    assert claim(table, "a.1") == unknown
 
 
 def test_open_claim_becomes_unknown_and_stays_so():
--- a/mustardtrack/language/tests/test_parser.py
+++ b/mustardtrack/language/tests/test_parser.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 import mustardtrack
@@ -31,7 +31,7 @@
 NAMES = st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,126}", fullmatch=True)
 KEYWORDS = st.sampled_from(["if", "version", "on", "model", "create", "drain"])
 TEXTS = st.text(st.characters(codec="utf-8", categories=["L", "N", "P", "S", "Zs"]))
-TEXTS = TEXTS.filter(str.isprintable)
+TEXTS = TEXTS.filter(str.isprintable) | st.text('"\\ a,=')
 VALUES = {
     "hashes": st.lists(st.builds(hash_key, st.text(max_size=9)), max_size=3),
     "number": st.floats(allow_nan=False, allow_infinity=False),
@@ -86,6 +86,7 @@
 
 
 @given(COMMANDS)
+@example(ChangeObject("c", "ana", "set", "host", "h", {"zone": '"\\a" b='}))
 def test_rendered_command_reads_back(command):
     read = parse(render_command(command), "c", "ana")
     assert read == command
@@ -144,6 +145,8 @@
         ("set host h zone=a zone=b", 19, "each field once"),
         ("set host h colour=red", 12, "zone"),
         ("create-x host h", 1, "create"),
+        ('set model m weights_version="\ud800"', 29, "letters, digits"),
+        ('set endpoint e serves=m,"\0"', 23, "separated by commas"),
         ("show hosts where " + "not " * 40 + "a=1", 146, "32 levels"),
         ("set model " + "x" * 200 + " weights_version=1", 11, "127 characters"),
         ("x" * 70_000, 65_536, "65536 characters"),
@@ -165,7 +168,7 @@
 def test_every_example_of_the_language_page_parses():
     page = Path(mustardtrack.__file__).parents[1] / "docs" / "language.md"
     blocks = re.findall(r"```mustardtrack\n(.*?)```", page.read_text(), re.DOTALL)
-    examples = [line for block in blocks for line in block.splitlines()]
-    assert len(examples) > 20
-    for example in examples:
-        parse(example)
+    lines = [line for block in blocks for line in block.splitlines()]
+    assert len(lines) > 20
+    for line in lines:
+        parse(line)
