Add a disk as voter only right after its reply

Cause: while a new voter stands beside the old identity it replaces, three of four voters must commit. Change: the new disk must have replied within two heartbeats, not one election timeout. Conclusion: the window is shorter but inherent to adding before removing.

--- a/mustardtrack/adapters/tests/test_disk.py
+++ b/mustardtrack/adapters/tests/test_disk.py
@@ -146,6 +146,25 @@
         disk.persist([SaveVote(1, None)])
 
 
+def test_file_and_folder_are_synced_before_persist_returns(tmp_path, monkeypatch):
+    disk = DiskLog(tmp_path)
+    disk.load()
+    synced = []
+    real_fsync = os.fsync
+
+    def remember(descriptor):
+        synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+        real_fsync(descriptor)
+
+    monkeypatch.setattr(os, "fsync", remember)
+    disk.persist([AppendEntries(make_entries(1, 2))])
+    assert synced == [str(tmp_path / "log")]
+    synced.clear()
+    disk.persist([SaveSnapshot(Snapshot(2, 1, (A,), b"state"))])
+    folder = str(tmp_path)
+    assert synced == [f"{folder}/snapshot.new", folder, f"{folder}/log.new", folder]
+
+
 def test_second_process_cannot_open_the_folder(tmp_path):
     first = DiskLog(tmp_path)
     first.load()
--- a/mustardtrack/agreement/replacement.py
+++ b/mustardtrack/agreement/replacement.py
@@ -64,6 +64,11 @@
         progress = self._leading.peers[learner]
         if progress.match_index < self._core.commit_index or progress.rolled_back:
             return False
+        # Until the old identity is removed, three of four voters must commit. If
+        # the new disk is lost in that time, a group of three stalls, so that it
+        # must have replied just before.
+        if now_ms - progress.heard_ms > 2 * self._core.timing.heartbeat_ms:
+            return False
         voters = self._core.log.voters
         old = [voter for voter in voters if voter.name == learner.name]
         if any(self._is_heard(voter, now_ms) for voter in old):
--- a/mustardtrack/testing/replicas.py
+++ b/mustardtrack/testing/replicas.py
@@ -220,10 +220,16 @@
         return set(node.replica.status(self.clock_ms(node)).voters)
 
     def may_lose(self, name: str) -> bool:
-        """Return whether every voter set keeps a majority without this disk."""
+        """Return whether every voter set keeps a majority without this disk.
+
+        A disk that is still replacing another one is excluded: the leader may
+        be adding it already, and then a group of three stalls without it.
+        """
+        identity = self.nodes[name].identity
         intact = {node.identity for node in self.nodes.values() if node.name != name}
         return len(self.up()) == len(self.nodes) and all(
-            len(self.voters(node) & intact) > len(self.voters(node)) // 2
+            identity in self.voters(node)
+            and len(self.voters(node) & intact) > len(self.voters(node)) // 2
             for node in self.up()
         )
 
