Test lease length, old-term entries and partition changes directly

Cause: in trials with a changed copy, five faults passed all tests: commit of an old-term entry, a lease of 1.0 or 1.3 timeouts, a lease counted from the reply, and a lease before an entry of the own term is committed.

--- a/mustardtrack/agreement/tests/test_faults.py
+++ b/mustardtrack/agreement/tests/test_faults.py
@@ -218,6 +218,21 @@
     assert effects.send == [(other.identity, VoteReply(50, True))]
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_replica_without_acknowledged_entries_is_not_elected(seed):
+    group = make_group(3, seed)
+    leader = group.leader()
+    lagging, current = [node for node in group.up() if node is not leader]
+    for away in (lagging, leader):
+        others = set(group.nodes) - {away.name}
+        group.network.blocked = {(away.name, other) for other in others}
+        group.network.blocked |= {(other, away.name) for other in others}
+        group.propose(leader.name, [b"acknowledged"])
+        group.run(100)
+    group.run(FAST.lease_ms)
+    assert group.run_until_leader() is current
+
+
 def test_resumed_leader_has_no_lease_and_cannot_commit():
     group = make_group(3)
     old = group.leader()
--- a/mustardtrack/agreement/tests/test_group.py
+++ b/mustardtrack/agreement/tests/test_group.py
@@ -103,11 +103,17 @@
             assert node.identity != identity, "a rolled-back disk was accepted"
         self.group.run(duration_ms)
 
-    @rule(name=NAMES, inward=st.booleans(), outward=st.booleans())
-    def cut_links(self, name, inward, outward):
-        """Partition a node, possibly in one direction only."""
+    @rule(name=NAMES, inward=st.booleans(), outward=st.booleans(), alone=st.booleans())
+    def cut_links(self, name, inward, outward, alone):
+        """Partition a node, possibly one way, with or without earlier cuts.
+
+        If a cut moves from one node to another, the first one returns without
+        the latest entries just when a new leader is needed.
+        """
         name = self.node(name).name
         others = set(self.group.nodes) - {name}
+        if alone:
+            self.group.network.blocked = set()
         if inward:
             self.group.network.blocked |= {(other, name) for other in others}
         if outward:
--- a/mustardtrack/agreement/tests/test_replica.py
+++ b/mustardtrack/agreement/tests/test_replica.py
@@ -17,7 +17,14 @@
     merge_effects,
     plan_formation,
 )
-from mustardtrack.agreement.messages import AppendRequest, VoteReply, VoteRequest
+from mustardtrack.agreement.entries import encode_voters
+from mustardtrack.agreement.messages import (
+    AppendReply,
+    AppendRequest,
+    PreVoteReply,
+    VoteReply,
+    VoteRequest,
+)
 from mustardtrack.ports import FormReply
 from mustardtrack.testing.replicas import ReplicaGroup
 
@@ -37,6 +44,22 @@
     return replica
 
 
+def make_leader(now_ms, stored=None):
+    """Return a leader of A, B and C, elected by B at ``now_ms``, in term 5."""
+    stored = stored or StoredState(A.disk, term=4)
+    replica = Replica(A, stored, Timing(), random.Random(1), now_ms - 2000)
+    replica.form((A, B, C), now_ms - 4000)
+    replica.tick(now_ms)
+    replica.receive(B, PreVoteReply(5, True), now_ms)
+    replica.receive(B, VoteReply(5, True), now_ms)
+    assert replica.status(now_ms).role == "leader"
+    return replica
+
+
+def acknowledge(match_index, sent_ms, sequence=1):
+    return AppendReply(5, True, match_index, 0, match_index, sequence, sent_ms)
+
+
 @pytest.mark.parametrize("size", [1, 3, 5])
 def test_proposals_reach_every_replica(size):
     group = make_group(size)
@@ -105,6 +128,46 @@
     assert effects.send == [(A, VoteReply(5, False))]
 
 
+def test_entry_of_an_earlier_term_commits_only_with_one_of_this_term():
+    # A majority that stores an old entry can still be overruled by a later leader.
+    voters = Entry(1, 1, "voters", encode_voters((A, B, C)))
+    old = Entry(2, 2, "command", b"old")
+    stored = StoredState(A.disk, term=4, entries=[voters, old])
+    leader = make_leader(10_000, stored)
+    assert leader.receive(B, acknowledge(2, 10_000), 10_010).committed == []
+    committed = leader.receive(B, acknowledge(3, 10_000), 10_020).committed
+    assert [entry.index for entry in committed] == [1, 2, 3]
+
+
+def test_lease_counts_from_the_time_the_acknowledged_message_was_sent():
+    leader = make_leader(10_000)
+    lease_ms = Timing().lease_ms
+    leader.receive(B, acknowledge(2, 10_000), 10_000 + lease_ms - 1)
+    assert leader.lease_valid(10_000 + lease_ms - 1)
+    assert not leader.lease_valid(10_000 + lease_ms)
+
+
+def test_lease_ends_before_any_follower_may_vote_with_clocks_ten_percent_apart():
+    leader = make_leader(10_000)
+    leader.receive(B, acknowledge(2, 10_000), 10_000)
+    lease_ms = next(ms for ms in range(9999) if not leader.lease_valid(10_000 + ms))
+    follower = make_replica(C, now_ms=0)
+    follower.receive(A, AppendRequest(5, 1, 1, (), 0, 1, 0), 5000)
+    request = VoteRequest(6, 9, 5)
+    promise_ms = next(
+        ms for ms in range(9999) if follower.receive(B, request, 5000 + ms).send
+    )
+    slow_rate, fast_rate = 0.955, 1.045
+    assert lease_ms / slow_rate < promise_ms / fast_rate
+
+
+def test_lease_needs_a_committed_entry_of_the_own_term():
+    # A new leader may not know yet which earlier entries are committed.
+    leader = make_leader(10_000)
+    leader.receive(B, acknowledge(1, 10_000), 10_000)
+    assert not leader.lease_valid(10_001)
+
+
 def test_entries_that_disagree_are_replaced():
     replica = make_replica(C)
     old = Entry(1, 2, "command", b"old")
