Contain a crashing request before its caller can send it again

The second death was counted, but the other router learned of it only when its control replica heard of the commit, up to one heartbeat later, and the caller was faster. Ruled out: a death that was not counted (the log shows deaths 1, 2 and 3). Also a lost connection was reported as a time-out, a refusal of an engine as not run without its word, and a request that never reached a dead engine as suspect. Change: the router that found the death tells the live routers and waits for their acknowledgement before it answers; reasons are told apart.

--- a/mustardtrack/adapters/http_endpoints.py
+++ b/mustardtrack/adapters/http_endpoints.py
@@ -1,6 +1,7 @@
 """HTTP client for endpoints: engines and plain services."""
 
 import asyncio
+import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, cast
@@ -24,6 +25,7 @@
 POOLED_CONNECTIONS = 32
 POOLED_IDLE_MS = 10_000
 MAX_LINE_BYTES = 1_048_576
+REFUSAL_LIMIT_BYTES = 65_536
 
 
 class EndpointError(Exception):
@@ -202,8 +204,7 @@
 
         Raises:
             EndpointError: If the engine cannot be reached or refuses. Its reason is
-                ``refused_<status>`` for a status other than 200, which by the
-                endpoint protocol means that the request did not run.
+                ``refused_<status>`` for a status other than 200.
         """
         url = f"http://{address}/v1/completions"
         headers = {"Content-Type": "application/json"}
@@ -212,8 +213,10 @@
             self._single, "POST", url, headers, data, timeout_ms
         )
         if response.code != 200:
-            await _read_limited(response, 65_536, 1000)
-            raise EndpointError(f"refused_{response.code}", may_have_run=False)
+            answer = await _read_limited(response, REFUSAL_LIMIT_BYTES, 1000)
+            raise EndpointError(
+                f"refused_{response.code}", may_have_run=not _says_not_run(answer)
+            )
         stream = EngineStream(buffer)
         stream.attach(response.original)
         return stream
@@ -287,9 +290,7 @@
             browser_like_redirects=False,
         )
         # The deferred itself is cancelled on a time-out, which closes the connection.
-        handle = asyncio.get_running_loop().call_later(
-            timeout_ms / 1000, deferred.cancel
-        )
+        limit = _TimeLimit(deferred, timeout_ms)
         try:
             return await deferred.asFuture(asyncio.get_running_loop())
         except (ConnectError, ConnectingCancelledError) as error:
@@ -300,9 +301,29 @@
         except _NotSentError as error:
             raise error.cause from error
         except Exception as error:
-            raise EndpointError("no_answer", True, repr(error)) from error
+            raise EndpointError(limit.reason(), True, repr(error)) from error
         finally:
-            handle.cancel()
+            limit.end()
+
+
+class _TimeLimit:
+    """Cancels a deferred after a time and remembers that it did."""
+
+    def __init__(self, deferred: Any, timeout_ms: int):
+        self._deferred = deferred
+        self._expired = False
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(timeout_ms / 1000, self._expire)
+
+    def _expire(self) -> None:
+        self._expired = True
+        self._deferred.cancel()
+
+    def reason(self) -> str:
+        return "timeout" if self._expired else "connection_lost"
+
+    def end(self) -> None:
+        self._handle.cancel()
 
 
 class _NotSentError(Exception):
@@ -347,6 +368,14 @@
         return protocol
 
 
+def _says_not_run(body: bytes) -> bool:
+    """Return whether the body of a refusal promises that nothing ran."""
+    try:
+        return bool(json.loads(body)["error"]["ran"] == "not_run")
+    except (ValueError, KeyError, TypeError):
+        return False
+
+
 async def _read_limited(response: Any, limit_bytes: int, timeout_ms: int) -> bytes:
     """Read a body of at most ``limit_bytes``."""
     if response.length is not UNKNOWN_LENGTH and response.length > limit_bytes:
@@ -363,15 +392,15 @@
         parts.append(data)
 
     deferred = treq.collect(response, receive)
-    handle = asyncio.get_running_loop().call_later(timeout_ms / 1000, deferred.cancel)
+    limit = _TimeLimit(deferred, timeout_ms)
     try:
         await deferred.asFuture(asyncio.get_running_loop())
     except EndpointError:
         raise
     except Exception as error:
-        raise EndpointError("connection_lost", True, repr(error)) from error
+        raise EndpointError(limit.reason(), True, repr(error)) from error
     finally:
-        handle.cancel()
+        limit.end()
     return b"".join(parts)
 
 
--- a/mustardtrack/ports/__init__.py
+++ b/mustardtrack/ports/__init__.py
@@ -10,6 +10,7 @@
     FormReply,
     FormRequest,
     RouterHeartbeat,
+    SuspectNotice,
 )
 from mustardtrack.ports.metrics import Metrics
 from mustardtrack.ports.storage import ReplicaStorage, StorageDamagedError
@@ -27,4 +28,5 @@
     "ReplicaStorage",
     "RouterHeartbeat",
     "StorageDamagedError",
+    "SuspectNotice",
 ]
--- a/mustardtrack/ports/messages.py
+++ b/mustardtrack/ports/messages.py
@@ -79,6 +79,16 @@
     account_use: dict[str, tuple[int, int]] = {}
 
 
+class SuspectNotice(msgspec.Struct, frozen=True):
+    """Tells other routers of requests that ran on an endpoint when it died.
+
+    ``quarantined`` lists those that must not be run any more.
+    """
+
+    suspects: list[str]
+    quarantined: list[str]
+
+
 class FormRequest(msgspec.Struct, frozen=True):
     """Formation step: a probe if ``voters`` is empty, else the voter set."""
 
--- a/mustardtrack/process/completions.py
+++ b/mustardtrack/process/completions.py
@@ -55,12 +55,14 @@
     Attributes:
         reason: Short name for the counter ``retry.<reason>``.
         code: Reason of the refusal if no other attempt follows.
+        may_have_run: False only if the endpoint cannot have run the attempt.
     """
 
-    def __init__(self, reason: str, code: str):
+    def __init__(self, reason: str, code: str, may_have_run: bool = True):
         super().__init__(reason)
         self.reason = reason
         self.code = code
+        self.may_have_run = may_have_run
 
 
 @dataclass
@@ -315,7 +317,7 @@
             if isinstance(error, AttemptFailedError):
                 raise
             code = _CODES.get(error.reason, "connection_lost")
-            raise AttemptFailedError(error.reason, code) from error
+            raise AttemptFailedError(error.reason, code, error.may_have_run) from error
         except BaseException:
             self._close_attempt(attempt, stream)
             self._cancel(choice, attempt)
@@ -465,6 +467,9 @@
             RefusedError: If the request cannot or must not be tried again.
         """
         traffic = self._traffic
+        if not error.may_have_run:
+            # A request that never reached a dead endpoint is not a suspect.
+            traffic.suspects.stopped(attempt.attempt_id)
         # A death must be counted before the request can reach another endpoint.
         result = await self._crashes.check(choice, error.reason)
         traffic.suspects.stopped(attempt.attempt_id)
@@ -503,7 +508,7 @@
 _RESUME_REASONS = ("connection_lost", "idle_timeout", "piece_gap", "foreign_answer")
 _CODES = {
     "idle_timeout": "endpoint_timeout",
-    "no_answer": "endpoint_timeout",
+    "timeout": "endpoint_timeout",
     "connect_failed": "endpoint_refused",
 }
 
--- a/mustardtrack/process/crashes.py
+++ b/mustardtrack/process/crashes.py
@@ -1,12 +1,17 @@
 """Detection and counting of requests that crash endpoints."""
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from mustardtrack.adapters.http_endpoints import EndpointError, HttpEndpointClient
+from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
 from mustardtrack.configuration import ClearCrashes, CrashCounted, ReportCrash
 from mustardtrack.logs import define_event, log_event
+from mustardtrack.ports import SuspectNotice
 from mustardtrack.process.control_client import ControlClient, ControlUnavailableError
 from mustardtrack.process.observer import probe_endpoint
 from mustardtrack.process.traffic import Traffic
@@ -17,11 +22,12 @@
 
 REPORT_TIMEOUT_MS = 4000
 PROBE_TIMEOUT_MS = 500
+NOTICE_TIMEOUT_MS = 500
 PROBES = 3
 PROBE_PAUSE_MS = 100
 LOCAL_QUARANTINE_MS = 20_000
 
-SUSPICIOUS = ("connection_lost", "connect_failed", "no_answer")
+SUSPICIOUS = ("connection_lost", "connect_failed")
 
 
 @dataclass(frozen=True)
@@ -45,14 +51,23 @@
         traffic: Shared state of the router.
         control: Client of the control group.
         http: Client for endpoints.
+        bus: Message bus.
+        peers: Bus addresses of the other routers, by name.
     """
 
     def __init__(
-        self, traffic: Traffic, control: ControlClient, http: HttpEndpointClient
+        self,
+        traffic: Traffic,
+        control: ControlClient,
+        http: HttpEndpointClient,
+        bus: Bus,
+        peers: Mapping[str, str],
     ):
         self._traffic = traffic
         self._control = control
         self._http = http
+        self._bus = bus
+        self._peers = peers
         self._checks: dict[tuple[str, str], asyncio.Task[CrashResult]] = {}
         self._local: dict[str, int] = {}
 
@@ -63,10 +78,12 @@
         configuration copy has them.
         """
         now_ms = self._traffic.clock.now_ms()
+        followed = self._traffic.copy.quarantined()
         for name, since_ms in list(self._local.items()):
-            if now_ms - since_ms > LOCAL_QUARANTINE_MS:
+            # Once the copy has it, the copy alone decides when it is released.
+            if name in followed or now_ms - since_ms > LOCAL_QUARANTINE_MS:
                 del self._local[name]
-        return self._traffic.copy.quarantined() | self._local.keys()
+        return followed | self._local.keys()
 
     async def check(self, choice: Choice, reason: str) -> CrashResult:
         """Check the endpoint of a failed attempt.
@@ -97,8 +114,39 @@
         counted = await asyncio.gather(
             *(self._report(one, endpoint, incarnation) for one in fingerprints)
         )
+        await self._notify(fingerprints)
         return CrashResult(died=True, counted=all(counted))
 
+    async def _notify(self, fingerprints: list[str]) -> None:
+        """Tell the live routers before this router or its caller goes on.
+
+        The configuration reaches them some time later, and a caller that sends
+        the request again at once through another router must find it contained.
+        """
+        quarantined = self.quarantined()
+        notice = SuspectNotice(
+            fingerprints, [one for one in fingerprints if one in quarantined]
+        )
+        body = msgspec.msgpack.encode(notice)
+        now_ms = self._traffic.clock.now_ms()
+        live = {one.name for one in self._traffic.hosts.live_routers(now_ms)}
+        addresses = [self._peers[name] for name in live & self._peers.keys()]
+        await asyncio.gather(*(self._send_notice(one, body) for one in addresses))
+
+    async def _send_notice(self, address: str, body: bytes) -> None:
+        try:
+            await self._bus.request(address, "suspect", body, NOTICE_TIMEOUT_MS)
+        except BusTimeoutError:
+            self._traffic.metrics.count("crash.notice_lost")
+
+    async def receive_notice(self, sender: str, body: bytes) -> bytes:
+        """Take in a notice of another router and acknowledge it."""
+        notice = msgspec.msgpack.decode(body, type=SuspectNotice)
+        now_ms = self._traffic.clock.now_ms()
+        self._traffic.suspects.add(notice.suspects, now_ms)
+        self._local.update(dict.fromkeys(notice.quarantined, now_ms))
+        return b""
+
     async def _is_dead(self, endpoint: str, incarnation: str) -> bool:
         """Return whether the incarnation is certain to have ended.
 
--- a/mustardtrack/process/router.py
+++ b/mustardtrack/process/router.py
@@ -153,8 +153,18 @@
         self._lanes = Lanes(traffic, self._rng)
 
     def _create_apis(self) -> None:
-        crashes = CrashWatch(self._traffic, self._control, self._http)
-        completions = CompletionService(self._traffic, self._lanes, crashes, self._http)
+        peers = {
+            peer.name: peer.bus
+            for peer in self._settings.routers
+            if peer.name != self._settings.name
+        }
+        self._crashes = CrashWatch(
+            self._traffic, self._control, self._http, self._bus, peers
+        )
+        self._bus.handle("suspect", self._crashes.receive_notice)
+        completions = CompletionService(
+            self._traffic, self._lanes, self._crashes, self._http
+        )
         services = ServiceCalls(self._traffic, self._control, self._http)
         self._callers = CallerApi(self._traffic, completions, services)
         self._operators = OperatorApi(
@@ -240,7 +250,7 @@
             counters=lambda: self._metrics.counters,
             revision=lambda: self._copy.revision,
             stale_ms=lambda: self._follower.stale_ms,
-            quarantined=self._copy.quarantined,
+            quarantined=self._crashes.quarantined,
         )
 
     def _host_rows(self) -> list[dict[str, Any]]:
--- a/mustardtrack/process/services.py
+++ b/mustardtrack/process/services.py
@@ -429,7 +429,7 @@
             log_event(GUARD_REFUSED, attempt=action.attempt)
             return self._call.guard_expired()
         except EndpointError as error:
-            if error.reason in ("no_answer", "idle_timeout"):
+            if error.reason == "timeout":
                 return self._call.timed_out()
             return self._call.connection_lost()
         echoed = answer.headers.get("mustardtrack-attempt", "")
