Bound the memory that the endpoint table keeps for old observers

Cause: each replaced observer and each ended incarnation left a record for ever. Change: records whose leases or retirements have ended are dropped when there are more than 8 of a kind.

--- a/mustardtrack/membership/endpoints.py
+++ b/mustardtrack/membership/endpoints.py
@@ -25,6 +25,7 @@
 EndpointState = Literal["up", "down", "leaving", "unverified"]
 
 MIN_DOWN_REPORTS = 2  # a single isolated observer must not remove a live endpoint
+RECORDS_KEPT = 8  # per endpoint; more are kept only while their leases are valid
 RETIRED_LEASES = 20  # reports delayed by more leases than this do not occur on the bus
 
 
@@ -108,16 +109,19 @@
             an incarnation that has ended.
         """
         endpoint = self._get_or_add(observation.endpoint)
-        held = endpoint.reports.get(observation.observer)
+        previous = endpoint.reports.get(observation.observer)
         if (
-            held is not None
-            and self._is_valid(held, now_ms)
-            and held.observation.sent_ms > observation.sent_ms
+            previous is not None
+            and self._is_valid(previous, now_ms)
+            and previous.observation.sent_ms > observation.sent_ms
         ):
             return False
         if not self._adopt(observation, endpoint, now_ms):
             return False
         endpoint.reports[observation.observer] = _Report(observation, now_ms)
+        held = (endpoint.reports, endpoint.last_seen, endpoint.retired_ms)
+        if max(map(len, held)) > RECORDS_KEPT:
+            self._forget_expired(endpoint, now_ms)
         if observation.state == "up":
             endpoint.failed_ms = None
         if observation.state != "down":
@@ -216,6 +220,23 @@
     def _is_valid(self, report: _Report, now_ms: int) -> bool:
         return now_ms - report.received_ms < self.lease_ms
 
+    def _forget_expired(self, endpoint: _Endpoint, now_ms: int) -> None:
+        endpoint.reports = {
+            observer: one
+            for observer, one in endpoint.reports.items()
+            if self._is_valid(one, now_ms)
+        }
+        endpoint.last_seen = {
+            observer: seen
+            for observer, seen in endpoint.last_seen.items()
+            if observer in endpoint.reports
+        }
+        endpoint.retired_ms = {
+            incarnation: retired_ms
+            for incarnation, retired_ms in endpoint.retired_ms.items()
+            if now_ms - retired_ms < self.lease_ms * RETIRED_LEASES
+        }
+
     def _adopt(
         self, observation: Observation, endpoint: _Endpoint, now_ms: int
     ) -> bool:
--- a/mustardtrack/membership/tests/test_membership.py
+++ b/mustardtrack/membership/tests/test_membership.py
@@ -121,6 +121,16 @@
     assert table.view(E, 64_000).incarnation == "new"
 
 
+def test_memory_does_not_grow_with_replaced_observers_and_restarts():
+    table = EndpointTable()
+    for number in range(200):
+        at_ms = number * 60_000
+        table.observe(seen(f"x{number}", "up", f"i{number}", at_ms), at_ms)
+        table.observe(seen("y", "up", f"i{number}", at_ms), at_ms)
+    held = table._endpoints[E]
+    assert max(map(len, (held.reports, held.last_seen, held.retired_ms))) <= 9
+
+
 def test_load_is_of_the_new_incarnation_and_aged():
     table = EndpointTable()
     table.observe(seen("x"), 0)
