Accept a down report as the first report about an endpoint

Cause: a router that had just started and first heard a down report with an incarnation kept the report but not the incarnation, so every view of the endpoint raised event 4002. Change: the first report sets the incarnation. The endpoint machine restarts the router and runs 300 examples. A test covers a late report that must not retire the live incarnation.

--- a/mustardtrack/membership/endpoints.py
+++ b/mustardtrack/membership/endpoints.py
@@ -252,9 +252,9 @@
             if now_ms - retired_ms < self.lease_ms * RETIRED_LEASES:
                 return False
             del endpoint.retired_ms[incarnation]
-        if observation.state == "down":
+        if observation.state == "down" and endpoint.incarnation:
             # The observer reports the last incarnation that it reached.
-            return incarnation == endpoint.incarnation or not endpoint.incarnation
+            return incarnation == endpoint.incarnation
         _retire_previous(endpoint, observation, now_ms)
         if incarnation != endpoint.incarnation:
             _start_incarnation(endpoint, observation)
--- a/mustardtrack/membership/tests/test_membership.py
+++ b/mustardtrack/membership/tests/test_membership.py
@@ -132,6 +132,14 @@
     assert table.view(E, 6).state == "unverified"
 
 
+def test_late_report_of_an_observer_does_not_retire_the_live_incarnation():
+    table = EndpointTable()
+    table.observe(seen("x", "up", "new", 10_000), 0)
+    table.observe(seen("x", "up", "old", 9_000), 4000)
+    assert table.observe(seen("x", "up", "new", 14_000), 4100)
+    assert table.view(E, 4100).incarnation == "new"
+
+
 def test_memory_does_not_grow_with_replaced_observers_and_restarts():
     table = EndpointTable()
     for number in range(200):
--- a/mustardtrack/membership/tests/test_membership_machine.py
+++ b/mustardtrack/membership/tests/test_membership_machine.py
@@ -6,6 +6,7 @@
 
 import random
 
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -110,6 +111,13 @@
     def restart_observer(self, name, number):
         self.observers[name] = _Observer(name, number)
 
+    @rule()
+    def restart_router(self):
+        self.table = EndpointTable(LEASE_MS)
+        self.received = []
+        self.local_failure_ms = -LEASE_MS
+        self.leaving_seen = False
+
     @rule(state=st.sampled_from(("dead", "leaving", "up", "restarted")))
     def change_endpoint(self, state):
         if self.state == "dead" or state == "restarted":
@@ -235,4 +243,5 @@
 
 
 TestEndpointMachine = _EndpointMachine.TestCase
+TestEndpointMachine.settings = settings(max_examples=300)
 TestHostMachine = _HostMachine.TestCase
