Share strings and encode answers in claim records

Two broken claim rules (grant after completion, expiry by the proposer's clock) were noticed by tables of cases but not by the state machine. Change: account, router and endpoint names are interned and answers are kept encoded; the claims machine takes several steps per rule; a test for event 2011.

--- a/mustardtrack/configuration/tests/test_state.py
+++ b/mustardtrack/configuration/tests/test_state.py
@@ -7,12 +7,14 @@
     Accepted,
     ChangeObject,
     Configuration,
+    ConfigurationCopy,
     Conflict,
     CrashCounted,
     Exists,
     FinishLoad,
     Invalid,
     LoadModel,
+    Model,
     ObjectChange,
     ReportCrash,
     SnapshotFormatError,
@@ -154,6 +156,16 @@
     assert log.since(6) == log.since(9) == []
 
 
+def test_copy_refuses_an_object_older_than_the_one_it_holds():
+    copy = ConfigurationCopy()
+    newer = ObjectChange(4, 0, "model", "m", Model("m", 2, "v2"))
+    older = ObjectChange(5, 4, "model", "m", Model("m", 1, "v1"))
+    assert copy.apply(4, [newer])
+    with pytest.raises(InvariantViolationError, match="event 2011"):
+        copy.apply(5, [older])
+    assert (copy.revision, copy.objects("model")["m"].version) == (4, 2)
+
+
 def test_damaged_or_foreign_snapshot_is_refused(operators):
     data = operators.state.snapshot()
     fields = msgspec.msgpack.decode(data)
--- a/mustardtrack/idempotency/claims.py
+++ b/mustardtrack/idempotency/claims.py
@@ -1,6 +1,7 @@
 """Claims of non-idempotent calls, part of the replicated state machine."""
 
 from collections import OrderedDict
+from sys import intern
 from typing import Any
 
 import msgspec
@@ -45,7 +46,11 @@
 
 
 class ClaimRecord(msgspec.Struct, array_like=True, gc=False):
-    """State of one claim; ``attempt`` is empty while no attempt holds it."""
+    """State of one claim.
+
+    ``attempt`` is empty while no attempt holds the claim, ``answer`` while it is not
+    complete. The answer is kept encoded, which takes less memory.
+    """
 
     body_digest: str
     attempt: str
@@ -55,7 +60,7 @@
     granted_wall_ms: int
     unknown_after_ms: int
     released: tuple[str, ...] = ()
-    answer: Answer | None = None
+    answer: bytes = b""
 
 
 class ClaimTable:
@@ -106,7 +111,7 @@
             parsed = parse_key(key)
         except KeyFormatError:
             return KeyInvalid(KEY_REMEDY)
-        place = (account, parsed.value)
+        place = (intern(account), parsed.value)
         now_ms = max(self.wall_ms, wall_ms)
         record = self._records.get(place)
         refusal = _check_age(parsed, now_ms)
@@ -123,8 +128,8 @@
             ClaimRecord(
                 body_digest,
                 attempt,
-                router,
-                endpoint,
+                intern(router),
+                intern(endpoint),
                 fence,
                 self.wall_ms,
                 unknown_after_ms,
@@ -142,8 +147,8 @@
         if record is None or not attempt or record.attempt != attempt:
             log_event(COMPLETED_WITHOUT_CLAIM, account=account, attempt=attempt)
             return NotHeld("another attempt holds the claim, or it has expired")
-        if record.answer is None:
-            record.answer = limit_answer(answer)
+        if not record.answer:
+            record.answer = msgspec.msgpack.encode(limit_answer(answer))
         return Completed()
 
     def release(self, account: str, key: str, attempt: str) -> Released | NotHeld:
@@ -157,7 +162,7 @@
             return Released()
         if record is None or not attempt or record.attempt != attempt:
             return NotHeld("another attempt holds the claim, or it has expired")
-        if record.answer is not None:
+        if record.answer:
             return NotHeld("the claim is complete")
         if self._is_unknown(record):
             return NotHeld("the outcome already counts as unknown")
@@ -186,7 +191,9 @@
         table.wall_ms, table._dropped_wall_ms, records = data
         for account, key, fields in records:
             record = msgspec.convert(fields, ClaimRecord)
-            table._records[account, key] = record
+            record.router = intern(record.router)
+            record.endpoint = intern(record.endpoint)
+            table._records[intern(account), key] = record
         return table
 
     def _find(self, account: str, key: str) -> ClaimRecord | None:
@@ -204,8 +211,8 @@
         """Return the outcome that the record dictates, None if it is free."""
         if record.body_digest != body_digest:
             return BodyMismatch()
-        if record.answer is not None:
-            return Stored(record.answer)
+        if record.answer:
+            return Stored(msgspec.msgpack.decode(record.answer, type=Answer))
         if record.attempt and self._is_unknown(record):
             return _describe_unknown(record)
         if attempt in record.released:
--- a/mustardtrack/idempotency/tests/test_machine.py
+++ b/mustardtrack/idempotency/tests/test_machine.py
@@ -26,6 +26,7 @@
 SKEWS_MS = st.sampled_from(
     [0, 0, 0, -600_000, -25 * HOUR_MS, 20 * HOUR_MS, 30 * HOUR_MS]
 )
+PLANS = st.sampled_from([(), ("release",), ("dispatch",), ("dispatch", "complete")])
 ANSWER = store_answer(200, "text/plain", b"booked")
 
 
@@ -80,11 +81,14 @@
     def wait(self, step_ms):
         self.now_ms += step_ms
 
-    @rule(target=attempts, key=keys, skew_ms=SKEWS_MS)
-    def claim(self, key, skew_ms):
+    @rule(target=attempts, key=keys, skew_ms=SKEWS_MS, plan=PLANS)
+    def call(self, key, skew_ms, plan):
+        """An attempt claims and goes as far as its plan says."""
         name = f"r{self.index}.1"
         attempt = _Attempt(Claim("acme", key, "digest", name, "router-1"), self.now_ms)
         self.send_claim(attempt.claim, skew_ms)
+        for step in plan:
+            getattr(self, step)(attempt)
         return attempt
 
     @rule(attempt=attempts, skew_ms=SKEWS_MS)
@@ -108,7 +112,6 @@
         first = self.grants.setdefault(claim.key, {})
         assert first.setdefault(claim.attempt, outcome.fence) == outcome.fence
 
-    @rule(attempt=attempts)
     def dispatch(self, attempt):
         granted = self.grants.get(attempt.claim.key, {})
         if attempt.claim.attempt not in granted:
@@ -120,7 +123,6 @@
             runs = self.runs.setdefault(attempt.claim.key, [])
             runs.append(attempt.claim.attempt)
 
-    @rule(attempt=attempts)
     def complete(self, attempt):
         claim = attempt.claim
         if attempt.dispatched:
@@ -128,7 +130,11 @@
             if isinstance(self.apply(command), Completed):
                 self.settled[claim.key] = Stored
 
-    @rule(attempt=attempts)
+    @rule(attempt=attempts, steps=PLANS)
+    def continue_call(self, attempt, steps):
+        for step in steps:
+            getattr(self, step)(attempt)
+
     def release(self, attempt):
         claim = attempt.claim
         if not attempt.dispatched:
