Guard conflicting entries, commit bounds and voter sets with direct tests

Change: one directed test for each. The test of two processes with one name moves to test_replica.py, because its copy never acknowledged anything and so did not reach the rule; it acknowledges all entries now.

--- a/mustardtrack/agreement/tests/test_faults.py
+++ b/mustardtrack/agreement/tests/test_faults.py
@@ -148,17 +148,6 @@
     assert stored.base_index + len(stored.entries) >= max(group.acknowledged)
 
 
-def test_live_voter_is_not_replaced_by_another_process_with_its_name():
-    group = make_group(3)
-    leader = group.leader()
-    other = next(name for name in group.nodes if name != leader.name)
-    intruder = ReplicaId(other, "copy")
-    before = group.voters(leader)
-    leader.replica.receive(intruder, JoinRequest(0), group.clock_ms(leader))
-    run_until(group, lambda: group.now_ms > 5000)
-    assert group.voters(leader) == before
-
-
 def test_rolled_back_disk_is_refused_and_replaced():
     group = make_group(3)
     leader = group.leader()
--- a/mustardtrack/agreement/tests/test_replica.py
+++ b/mustardtrack/agreement/tests/test_replica.py
@@ -18,13 +18,17 @@
     plan_formation,
 )
 from mustardtrack.agreement.entries import encode_voters
+from mustardtrack.agreement.events import SNAPSHOT_NOT_COMMITTED
 from mustardtrack.agreement.messages import (
     AppendReply,
     AppendRequest,
+    JoinRequest,
     PreVoteReply,
+    SnapshotPiece,
     VoteReply,
     VoteRequest,
 )
+from mustardtrack.logs import InvariantViolationError
 from mustardtrack.ports import FormReply
 from mustardtrack.testing.replicas import ReplicaGroup
 
@@ -178,6 +182,62 @@
     assert effects.committed[-1] == new
 
 
+def test_entries_after_one_that_disagrees_are_rejected():
+    follower = make_replica(C)
+    old = tuple(Entry(2, index, "command", b"old") for index in (2, 3))
+    follower.receive(A, AppendRequest(2, 1, 1, old, 0, 1, 0), 10)
+    later = (Entry(3, 4, "command", b"new"),)
+    effects = follower.receive(B, AppendRequest(3, 3, 3, later, 4, 1, 0), 20)
+    assert effects.send[0][1] == AppendReply(3, False, 0, 1, 3, 1, 0)
+    assert effects.committed == []
+
+
+def test_entries_that_the_leader_has_not_confirmed_are_not_committed():
+    follower = make_replica(C)
+    old = tuple(Entry(2, index, "command", b"old") for index in (2, 3, 4))
+    follower.receive(A, AppendRequest(2, 1, 1, old, 0, 1, 0), 10)
+    effects = follower.receive(B, AppendRequest(3, 2, 2, (), 4, 1, 0), 20)
+    assert [entry.index for entry in effects.committed] == [1, 2]
+
+
+def test_voter_set_of_a_removed_entry_is_no_longer_in_force():
+    follower = make_replica(C)
+    change = Entry(2, 2, "voters", encode_voters((A, C)))
+    follower.receive(A, AppendRequest(2, 1, 1, (change,), 0, 1, 0), 10)
+    assert follower.status(10).voters == (A, C)
+    other = Entry(3, 2, "noop", b"")
+    follower.receive(B, AppendRequest(3, 1, 1, (other,), 0, 1, 0), 20)
+    assert follower.status(20).voters == (A, B, C)
+
+
+def test_snapshot_of_uncommitted_entries_is_an_invariant_violation():
+    leader = make_leader(10_000)
+    with pytest.raises(InvariantViolationError) as caught:
+        leader.compact(2, b"state")
+    assert caught.value.event == SNAPSHOT_NOT_COMMITTED
+
+
+def test_live_voter_is_not_replaced_by_another_process_with_its_name():
+    leader = make_leader(10_000)
+    leader.receive(B, acknowledge(2, 10_000), 10_000)
+    copy = ReplicaId("b", "copy")
+    sent = leader.receive(copy, JoinRequest(0), 10_010).send
+    assert [receiver for receiver, _ in sent] == [copy]
+    leader.receive(copy, acknowledge(2, 10_010), 10_020)
+    assert leader.status(10_020).match[copy] == 2
+    assert leader.status(10_020).voters == (A, B, C)
+
+
+def test_delayed_snapshot_does_not_take_back_applied_entries():
+    follower = make_replica(C)
+    entries = tuple(Entry(2, index, "command", b"x") for index in range(2, 9))
+    follower.receive(A, AppendRequest(2, 1, 1, entries, 8, 1, 0), 10)
+    piece = SnapshotPiece(2, 5, 2, (A, B, C), 0, b"state", True, 2, 0)
+    effects = follower.receive(A, piece, 20)
+    assert effects.install is None and not effects.persist
+    assert follower.status(20).commit_index == 8
+
+
 @pytest.mark.parametrize(
     ("replies", "reason"),
     [
