--- a/mustardtrack/membership/endpoints.py
+++ b/mustardtrack/membership/endpoints.py
@@ -25,6 +25,7 @@
 EndpointState = Literal["up", "down", "leaving", "unverified"]
 
 MIN_DOWN_REPORTS = 2  # a single isolated observer must not remove a live endpoint
+RECORDS_KEPT = 8  # per endpoint; more are kept only while their leases are valid
 RETIRED_LEASES = 20  # reports delayed by more leases than this do not occur on the bus
 
 
@@ -71,6 +72,7 @@
 class _Endpoint:
     incarnation: str = ""
     reports: dict[str, _Report] = field(default_factory=dict)
+    newest: dict[str, _Report] = field(default_factory=dict)
     retired_ms: dict[str, int] = field(default_factory=dict)
     last_seen: dict[str, tuple[int, str]] = field(default_factory=dict)
     failed_ms: int | None = None
@@ -108,16 +110,22 @@
             an incarnation that has ended.
         """
         endpoint = self._get_or_add(observation.endpoint)
-        held = endpoint.reports.get(observation.observer)
+        # Kept across incarnations, so that a late report of the old one does not
+        # count against the new one.
+        previous = endpoint.newest.get(observation.observer)
         if (
-            held is not None
-            and self._is_valid(held, now_ms)
-            and held.observation.sent_ms > observation.sent_ms
+            previous is not None
+            and self._is_valid(previous, now_ms)
+            and previous.observation.sent_ms > observation.sent_ms
         ):
             return False
+        report = _Report(observation, now_ms)
+        endpoint.newest[observation.observer] = report
         if not self._adopt(observation, endpoint, now_ms):
             return False
-        endpoint.reports[observation.observer] = _Report(observation, now_ms)
+        endpoint.reports[observation.observer] = report
+        if max(len(endpoint.newest), len(endpoint.retired_ms)) > RECORDS_KEPT:
+            self._forget_expired(endpoint, now_ms)
         if observation.state == "up":
             endpoint.failed_ms = None
         if observation.state != "down":
@@ -216,6 +224,22 @@
     def _is_valid(self, report: _Report, now_ms: int) -> bool:
         return now_ms - report.received_ms < self.lease_ms
 
+    def _forget_expired(self, endpoint: _Endpoint, now_ms: int) -> None:
+        ended = [
+            observer
+            for observer, one in endpoint.newest.items()
+            if not self._is_valid(one, now_ms)
+        ]
+        for observer in ended:
+            del endpoint.newest[observer]
+            endpoint.reports.pop(observer, None)
+            endpoint.last_seen.pop(observer, None)
+        endpoint.retired_ms = {
+            incarnation: retired_ms
+            for incarnation, retired_ms in endpoint.retired_ms.items()
+            if now_ms - retired_ms < self.lease_ms * RETIRED_LEASES
+        }
+
     def _adopt(
         self, observation: Observation, endpoint: _Endpoint, now_ms: int
     ) -> bool:
@@ -228,9 +252,9 @@
             if now_ms - retired_ms < self.lease_ms * RETIRED_LEASES:
                 return False
             del endpoint.retired_ms[incarnation]
-        if observation.state == "down":
+        if observation.state == "down" and endpoint.incarnation:
             # The observer reports the last incarnation that it reached.
-            return incarnation == endpoint.incarnation or not endpoint.incarnation
+            return incarnation == endpoint.incarnation
         _retire_previous(endpoint, observation, now_ms)
         if incarnation != endpoint.incarnation:
             _start_incarnation(endpoint, observation)
--- a/mustardtrack/membership/tests/test_membership.py
+++ b/mustardtrack/membership/tests/test_membership.py
@@ -68,6 +68,9 @@
      [down("x", 5), down("y", 5), (6, "observe", seen("x"))], 7, "down"),
     ("late report of an old incarnation",
      [up("x"), up("x", 5, "b"), (6, "observe", seen("y", "leaving"))], 7, "up"),
+    ("late down report after a restart",
+     [up("x", 5), up("y", 5), up("z", 6, "b"), down("x", 1, ""), down("y", 1, "")],
+     7, "up"),
     ("restart clears down", [down("x"), down("y"), up("z", 5, "b")], 6, "up"),
     ("restart clears leaving", [leaving("x"), up("y", 5, "b")], 6, "up"),
     ("old observers still report down",
@@ -121,6 +124,32 @@
     assert table.view(E, 64_000).incarnation == "new"
 
 
+def test_own_failure_does_not_count_against_the_first_known_incarnation():
+    table = EndpointTable()
+    table.report_local(E, "", False, 5)
+    assert table.view(E, 6).state == "down"
+    table.observe(seen("x", "down"), 6)
+    assert table.view(E, 6).state == "unverified"
+
+
+def test_late_report_of_an_observer_does_not_retire_the_live_incarnation():
+    table = EndpointTable()
+    table.observe(seen("x", "up", "new", 10_000), 0)
+    table.observe(seen("x", "up", "old", 9_000), 4000)
+    assert table.observe(seen("x", "up", "new", 14_000), 4100)
+    assert table.view(E, 4100).incarnation == "new"
+
+
+def test_memory_does_not_grow_with_replaced_observers_and_restarts():
+    table = EndpointTable()
+    for number in range(200):
+        at_ms = number * 60_000
+        table.observe(seen(f"x{number}", "up", f"i{number}", at_ms), at_ms)
+        table.observe(seen("y", "up", f"i{number}", at_ms), at_ms)
+    held = table._endpoints[E]
+    assert max(map(len, (held.reports, held.last_seen, held.retired_ms))) <= 9
+
+
 def test_load_is_of_the_new_incarnation_and_aged():
     table = EndpointTable()
     table.observe(seen("x"), 0)
--- a/mustardtrack/requests/tests/test_call_machine.py
+++ b/mustardtrack/requests/tests/test_call_machine.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -21,7 +22,8 @@
 )
 
 WINDOW_MS = 2000
-UNKNOWN_MS = 5000  # dispatch window + service timeout + margin
+SERVICE_MS = 3000
+UNKNOWN_MS = WINDOW_MS + SERVICE_MS
 KEYS = ("k1", "k1", "k2")
 PICK = st.integers(0, 1000)
 
@@ -84,6 +86,7 @@
         self.to_service = []
         self.responses = []
         self.runs = Counter()
+        self.given_up = set()
         self.runs_of_attempt = Counter()
 
     def feed(self, send, name, *arguments):
@@ -102,11 +105,16 @@
     def pick(self, items, number):
         return items[number % len(items)]
 
-    @rule(key=st.sampled_from(KEYS), body=st.sampled_from(("b1", "b1", "b1", "b2")))
-    def send(self, key, body):
+    @rule(
+        key=st.sampled_from(KEYS),
+        body=st.sampled_from(("b1", "b1", "b1", "b2")),
+        steps=st.integers(0, 4),
+    )
+    def send(self, key, body, steps):
         send = Send(len(self.sends), key, body, self.now_ms)
         self.sends.append(send)
         self.feed(send, "begin")
+        self.advance(send, steps)
 
     @precondition(lambda self: self.to_control)
     @rule(number=PICK, again=st.booleans())
@@ -115,7 +123,11 @@
         if not again:
             self.to_control.remove((send, action))
         if isinstance(action, RequestClaim):
-            self.to_calls.append((send, self.claims.claim(action, self.now_ms)))
+            result = self.claims.claim(action, self.now_ms)
+            self.to_calls.append((send, result))
+            if result[0] == "outcome_unknown" and not self.runs[send.key]:
+                # The caller finds no run at the service and uses a new key.
+                self.given_up.add(send.key)
         elif isinstance(action, StoreAnswer):
             self.claims.complete(action)
         else:
@@ -124,8 +136,10 @@
     @precondition(lambda self: self.sends)
     @rule(number=PICK, steps=st.integers(1, 4))
     def run_ahead(self, number, steps):
+        self.advance(self.pick(self.sends, number), steps)
+
+    def advance(self, send, steps):
         # Single steps rarely complete a call, so double runs would not be reached.
-        send = self.pick(self.sends, number)
         for _ in range(steps):
             requests = [one for one in self.to_control if one[0] is send]
             results = [one for one in self.to_calls if one[0] is send]
@@ -162,12 +176,16 @@
         elif not send.call.record.replied:
             self.feed(send, "bytes_sent")
             self.to_service.append(send)
+            send.written_ms = self.now_ms
 
     @precondition(lambda self: self.to_service)
     @rule(number=PICK)
     def service_runs(self, number):
         send = self.pick(self.to_service, number)
         self.to_service.remove(send)
+        if self.now_ms - send.written_ms >= SERVICE_MS:
+            return  # the service gave up
+        assert send.key not in self.given_up
         self.runs[send.key] += 1
         self.runs_of_attempt[send.attempt] += 1
         self.responses.append((send.attempt, f"{send.key} {send.body}".encode()))
@@ -198,7 +216,7 @@
         killed.may_write = False
         self.to_calls = [one for one in self.to_calls if one[0] is not killed]
 
-    @rule(elapsed_ms=st.sampled_from((1, WINDOW_MS, UNKNOWN_MS)))
+    @rule(elapsed_ms=st.sampled_from((1, 1, 1, WINDOW_MS, SERVICE_MS)))
     def time_passes(self, elapsed_ms):
         self.now_ms += elapsed_ms
 
@@ -216,3 +234,4 @@
 
 
 TestCallMachine = _CallMachine.TestCase
+TestCallMachine.settings = settings(max_examples=300)
