Keep engine capacity free for urgent work and light accounts

Cause: patient work and heavy accounts filled the decode slots and the prefill queue of engines; late evictions and gaps erased valid index entries; equal copies of a crashing request ran before its quarantine was known. Change: three kinds of headroom (light accounts, most urgent class, other classes), engine priority by fair share, estimates by engine priority, a remaining home prior, a grace time for late evictions, gaps lower confidence by a tenth, suspects pause 1 s and are shared.

--- a/bench/engine.py
+++ b/bench/engine.py
@@ -79,6 +79,7 @@
     cached: int = 0
     wasted: int = 0
     cancelled: bool = False
+    order: int = 0
 
 
 @dataclass
@@ -107,7 +108,8 @@
         if not self.alive:
             job.on_fail(job, False)
             return
-        heapq.heappush(self._new, (job.priority, next(self._order), job))
+        job.order = next(self._order)
+        heapq.heappush(self._new, (job.priority, job.order, job))
         self._step()
 
     def load(self) -> tuple[int, int, int]:
@@ -204,7 +206,7 @@
             return
         self._current = None
         if job.remaining > 0:
-            heapq.heappush(self._started, (job.priority, next(self._order), job))
+            heapq.heappush(self._started, (job.priority, job.order, job))
         else:
             self._store(job.work)
             self._decoding.append(job)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,6 +17,7 @@
 from bench.workload import Deployment, Scenario
 from mustardtrack.admission import (
     ADMITTED,
+    Capacity,
     ClassShare,
     FairQueue,
     QueueItem,
@@ -116,7 +117,16 @@
         """Return the reports with their present age."""
         if self.snapshot[0] != self.clock.now:
             aged = tuple(
-                replace(each, load_age_ms=int(self.clock.now - at))
+                Candidate(
+                    each.name,
+                    each.incarnation,
+                    each.zone,
+                    each.state,
+                    each.running,
+                    each.queued,
+                    each.queued_tokens,
+                    int(self.clock.now - at),
+                )
                 for at, each in self.reports.values()
             )
             self.snapshot = (self.clock.now, aged)
@@ -163,7 +173,7 @@
             if op == "stored":
                 router.index.record(name, incarnation, digest, 0.95, now)
             else:
-                router.index.evict(name, digest)
+                router.index.evict(name, digest, now)
 
     def report_crash(self, fingerprints: list[str]) -> None:
         """Count crashes in the whole system after a commit delay."""
@@ -176,6 +186,8 @@
         def follow() -> None:
             counts = self.crash_counts.items()
             self.quarantined = frozenset(name for name, count in counts if count > 1)
+            for router in self.routers:
+                router.told(fingerprints)
 
         self.clock.after(COMMIT_MS, commit)
 
@@ -261,6 +273,8 @@
         seed = fleet.seed * 100 + self.number
         exact = fleet.options.policy == EXACT
         self.index = ExactIndex(fleet.by_name) if exact else CacheIndex(100_000)
+        if "eviction grace" in off:
+            self.index.evict_grace_ms = 0
         if "index" in off:
             self.index = CacheIndex(0)
         self.selector = Selector(self.index, settings, random.Random(seed))
@@ -294,7 +308,7 @@
             suspect=self.suspects.is_suspect(fingerprint_of(work)),
         )
         if "fair queue" in self.off:
-            self.send(work, request, False)
+            self.send(work, request, 2 * work.rank + 1)
             return
         uncached = self.selector.expected_uncached_tokens(
             request, self.fleet.candidates(), now
@@ -314,6 +328,11 @@
         if not self.pumping:
             self.pump()
 
+    def told(self, fingerprints: list[str]) -> None:
+        """Take in the fingerprints of a counted crash."""
+        if not self.off & {"quarantine", "shared suspects"}:
+            self.suspects.add(fingerprints, int(self.fleet.clock.now))
+
     def check(self, work: Work, now: int) -> object:
         """Apply the quarantine."""
         if "quarantine" in self.off:
@@ -323,19 +342,25 @@
     def pump(self) -> None:
         """Dispatch queued requests into the headroom."""
         now = int(self.fleet.clock.now)
-        capacity = 1 << 40
+        capacity = Capacity(*[1 << 40] * 3)
         if "headroom" not in self.off:
-            capacity = self.selector.headroom_tokens(self.fleet.candidates(), now)
+            tokens = self.selector.headroom_tokens(self.fleet.candidates(), now)
+            capacity = Capacity(*tokens)
+            if "light accounts" in self.off:
+                capacity = Capacity(tokens[1], tokens[1], tokens[2])
         for taken in self.queue.take(now, capacity):
             work, request = self.works.pop(taken.item.request_id)
-            self.send(work, request, taken.promoted)
+            priority = taken.priority
+            if "light accounts" in self.off:
+                priority |= 1
+            self.send(work, request, priority)
         for item, _ in self.queue.expired():
             self.works.pop(item.request_id)[0].outcome = "refused"
         self.pumping = len(self.queue) > 0
         if self.pumping:
             self.fleet.clock.after(PUMP_MS, self.pump)
 
-    def send(self, work: Work, request: RouteRequest, promoted: bool) -> None:
+    def send(self, work: Work, request: RouteRequest, priority: int) -> None:
         """Choose an endpoint and dispatch."""
         now = int(self.fleet.clock.now)
         fingerprint = fingerprint_of(work)
@@ -344,7 +369,8 @@
             self.wait_or_refuse(work, request, checked.reason)
             return
         suspect = "quarantine" not in self.off and self.suspects.is_suspect(fingerprint)
-        request = replace(request, suspect=suspect)
+        rank = priority if "priority estimate" not in self.off else work.rank
+        request = replace(request, suspect=suspect, rank=rank)
         choice = self.selector.choose(request, self.fleet.candidates(), now)
         if not isinstance(choice, Choice):
             self.wait_or_refuse(work, request, choice.reason)
@@ -355,16 +381,16 @@
         )
         if request.attempt == 1:
             self.budget.first_attempt(choice.endpoint)
-        self.submit(work, choice, promoted)
+        self.submit(work, choice, priority)
 
     def wait_or_refuse(self, work: Work, request: RouteRequest, reason: str) -> None:
         """Wait for the endpoint of a suspect, or refuse."""
         if reason == "quarantined" or self.fleet.clock.now > work.deadline:
             work.outcome = "refused"
         else:
-            self.fleet.clock.after(100.0, self.send, work, request, False)
+            self.fleet.clock.after(100.0, self.send, work, request, 2 * work.rank + 1)
 
-    def submit(self, work: Work, choice: Choice, promoted: bool) -> None:
+    def submit(self, work: Work, choice: Choice, priority: int) -> None:
         """Send the job to the engine."""
         clock = self.fleet.clock
         engine = self.fleet.by_name[choice.endpoint]
@@ -385,7 +411,6 @@
             self.failed(work, choice, was_running)
 
         source = self.fleet.by_name.get(choice.import_from)
-        priority = 0 if promoted else work.rank
         job = Job(work, priority, first, done, fail, source, choice.import_pieces)
         clock.after(delay, engine.submit, job)
         clock.after(max(0.0, work.deadline - clock.now), self.give_up, job, choice)
@@ -397,7 +422,7 @@
             lost = self.suspects.endpoint_died(choice.endpoint, choice.incarnation, now)
             if lost and "quarantine" not in self.off:
                 self.fleet.report_crash(lost)
-        self.suspects.stopped(choice.attempt)
+        self.suspects.stopped(choice.attempt, now)
         self.selector.failed(choice.attempt, now)
         request = choice.request
         if work.first >= 0 or not self.budget.allow_retry(choice.endpoint, "lost"):
@@ -408,7 +433,7 @@
             attempt=request.attempt + 1,
             excluded=request.excluded | {choice.endpoint},
         )
-        self.fleet.clock.after(1.0, self.send, work, again, False)
+        self.fleet.clock.after(1.0, self.send, work, again, 2 * work.rank + 1)
 
     def give_up(self, job: Job, choice: Choice) -> None:
         """Cancel a request that is late and still waiting."""
@@ -416,7 +441,7 @@
             job.cancelled = True
             job.work.outcome = "late"
             self.selector.finished(choice.attempt, int(self.fleet.clock.now))
-            self.suspects.stopped(choice.attempt)
+            self.suspects.stopped(choice.attempt, int(self.fleet.clock.now))
 
 
 def fingerprint_of(work: Work) -> str:
@@ -428,17 +453,23 @@
     "speed estimate": {"learn_speed": False},
     "KV import": {"import_tokens_per_s": 0.0},
     "recompute weight": {"recompute_weight": 0.0},
-    "home prior": {"home_prior": 0.0},
-    "home choices": {"home_choices": 0, "home_prior": 0.0},
+    "home prior": {"home_prior": 0.0, "prior_floor": 0.0},
+    "prior floor": {"prior_floor": 0.0},
+    "even slots": {"slot_parts": (1.0, 1.0, 1.0)},
+    "home choices": {"home_choices": 0, "home_prior": 0.0, "prior_floor": 0.0},
     "random choices": {"random_choices": 0},
 }
 MECHANISMS = (
     *OFF_SETTINGS,
     "index",
+    "eviction grace",
     "fair queue",
     "account fairness",
+    "light accounts",
+    "priority estimate",
     "headroom",
     "minimum share",
     "early refusal",
+    "shared suspects",
     "quarantine",
 )
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -54,7 +54,8 @@
     patient = [work for work in works if work.rank == 1]
     prompt = sum(work.prompt_tokens for work in ran) or 1
     # Service is counted in the window in which both classes arrive.
-    window = [work for work in ran if work.first <= scenario.duration_ms]
+    start, end = scenario.measure_from, scenario.duration_ms
+    window = [work for work in scenario.works if start <= work.first <= end]
     served = [served_tokens(work) for work in window]
     patient_served = sum(served_tokens(work) for work in window if work.rank == 1)
     row = {
@@ -176,6 +177,14 @@
             r, o, ("heavy_account", "small_p95"), ("small_alone", "small_p95")
         ),
     ),
+    (
+        "small account p95, with heavy account / with six small ones",
+        1.2,
+        False,
+        lambda r, o: ratio(
+            r, o, ("heavy_account", "small_p95"), ("seven_small", "small_p95")
+        ),
+    ),
     *(
         (
             f"hit rate / exact knowledge, {scenario}",
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -163,7 +163,7 @@
 
 def _urgent_overload(engines: int, seed: int) -> Scenario:
     end = 60_000.0
-    source = _steady(engines, seed, end, urgent=0.0, patient=1.0)
+    source = _steady(engines, seed, end, urgent=0.0, patient=2.0)
     other = Source(random.Random(seed + 1000), serial=4_000_000)
     rate = 5 * CAPACITY_PER_ENGINE * engines
     other.stream(lambda _: rate, True, end)
@@ -205,13 +205,19 @@
     return Scenario(120_000.0, source.works)
 
 
-def _heavy_account(engines: int, seed: int) -> Scenario:
-    """One account sends twice the capacity; seven send a tenth of a share."""
+def _seven_small(engines: int, seed: int) -> Scenario:
+    """Seven accounts that each use less than their fair share."""
     works = _small_alone(engines, seed).works
     for account in range(2, 8):
         other = Source(random.Random(seed + 100 * account), serial=account * 100_000)
         other.stream(lambda _: 0.1 * engines, True, 120_000.0, account=account)
         works += other.works
+    return Scenario(120_000.0, works)
+
+
+def _heavy_account(engines: int, seed: int) -> Scenario:
+    """One account sends twice the capacity next to seven small ones."""
+    works = _seven_small(engines, seed).works
     heavy = Source(random.Random(seed + 7777), serial=2_000_000)
     heavy.stream(lambda _: 2 * CAPACITY_PER_ENGINE * engines, True, 120_000.0, 0)
     return Scenario(120_000.0, works + heavy.works)
@@ -234,6 +240,7 @@
     "engine_crash": _engine_crash,
     "late_events": _late_events,
     "small_alone": _small_alone,
+    "seven_small": _seven_small,
     "heavy_account": _heavy_account,
     "crashing_request": _crashing_request,
 }
--- a/mustardtrack/admission/__init__.py
+++ b/mustardtrack/admission/__init__.py
@@ -1,6 +1,12 @@
 """Admission: fair queueing, limits, retry budgets and quarantine."""
 
-from mustardtrack.admission.fairness import ClassShare, FairQueue, QueueItem, Taken
+from mustardtrack.admission.fairness import (
+    Capacity,
+    ClassShare,
+    FairQueue,
+    QueueItem,
+    Taken,
+)
 from mustardtrack.admission.limits import AccountLimits, Limit
 from mustardtrack.admission.outcomes import ADMITTED, Admitted, Refused
 from mustardtrack.admission.quarantine import Suspects, fingerprint
@@ -10,6 +16,7 @@
     "ADMITTED",
     "AccountLimits",
     "Admitted",
+    "Capacity",
     "ClassShare",
     "FairQueue",
     "Limit",
--- a/mustardtrack/admission/fairness.py
+++ b/mustardtrack/admission/fairness.py
@@ -1,6 +1,7 @@
 """Fair queueing between classes and client accounts."""
 
 import heapq
+import math
 import random
 from collections import deque
 from collections.abc import Mapping, Sequence
@@ -51,13 +52,37 @@
 class Taken:
     """Request to dispatch now.
 
-    ``promoted`` marks work taken under its minimum share while more urgent work
-    was waiting. Engines must run it with the priority of the most urgent class,
-    or it would wait again behind that class in the engine.
+    Attributes:
+        promoted: Taken under the minimum share of its class while more urgent
+            work was waiting.
+        priority: Priority for the engine, 0 most urgent: twice the rank of the
+            class, plus 1 unless the account uses less than its fair share.
+            Promoted work has the priority of the most urgent class, or it would
+            wait again behind that class in the engine.
     """
 
     item: QueueItem
     promoted: bool
+    priority: int = 0
+
+
+@dataclass(frozen=True)
+class Capacity:
+    """Tokens that may be dispatched now, by kind of work.
+
+    The limits include each other: ``normal`` and ``lower`` are at most
+    ``light``. The difference stays free for accounts that use less than their
+    fair share, so that their requests do not wait for a busy engine.
+
+    Attributes:
+        light: Most urgent class, accounts below their fair share.
+        normal: Most urgent class, other accounts, and promoted work.
+        lower: Other classes.
+    """
+
+    light: int
+    normal: int
+    lower: int
 
 
 @dataclass
@@ -67,6 +92,15 @@
     items: deque[QueueItem] = field(default_factory=deque)
     tokens: int = 0
     finish: float = 0.0
+    used: float = 0.0
+    used_ms: int = 0
+
+    def usage(self, now_ms: int) -> float:
+        """Return the recent service in tokens, with exponential decay."""
+        if now_ms > self.used_ms:
+            self.used *= math.exp((self.used_ms - now_ms) / RATE_WINDOW_MS)
+            self.used_ms = now_ms
+        return self.used
 
 
 @dataclass
@@ -117,6 +151,7 @@
         self._classes = {share.name: _ClassQueue(share) for share in ordered}
         self._rate_per_ms = 0.0
         self._rate_since_ms = 0
+        self._swept_ms = 0
         self._queued: dict[str, QueueItem] = {}
         self._expired: list[tuple[QueueItem, Refused]] = []
         self._taken: dict[str, None] = {}
@@ -166,16 +201,22 @@
             self._push(queue, account)
         return ADMITTED
 
-    def take(self, now_ms: int, capacity_tokens: int) -> list[Taken]:
+    def take(self, now_ms: int, capacity: int | Capacity) -> list[Taken]:
         """Remove the next requests until their cost reaches the capacity.
 
         The last request may exceed the capacity. Requests whose deadline has
-        passed are moved to :meth:`expired` instead.
+        passed are moved to :meth:`expired` instead. A number stands for equal
+        limits of all kinds of work.
         """
+        if isinstance(capacity, int):
+            capacity = Capacity(capacity, capacity, capacity)
         taken: list[Taken] = []
-        left = capacity_tokens
-        while left > 0 and self._queued:
-            queue, promoted = self._next_class()
+        served = 0
+        while self._queued:
+            found = self._next(now_ms, capacity, served)
+            if found is None:
+                break
+            queue, promoted, light = found
             item = self._pop(queue)
             if self._queued.get(item.request_id) is not item:
                 continue
@@ -183,11 +224,16 @@
             if item.deadline_ms and now_ms > item.deadline_ms:
                 self._expired.append((item, self._refuse(item, "deadline", 0.0)))
                 continue
-            self._serve(queue, item)
+            self._serve(queue, item, now_ms)
             self._remember(item.request_id)
-            taken.append(Taken(item, promoted))
-            left -= item.cost_tokens
-        self._update_rate(now_ms, capacity_tokens - left)
+            rank = 0 if promoted else self._position(queue)
+            taken.append(Taken(item, promoted, 2 * rank + (not light)))
+            served += item.cost_tokens
+        self._update_rate(now_ms, served)
+        if now_ms - self._swept_ms > RATE_WINDOW_MS:
+            self._swept_ms = now_ms
+            for queue in self._classes.values():
+                self._forget_idle(queue, now_ms)
         return taken
 
     def expired(self) -> list[tuple[QueueItem, Refused]]:
@@ -231,22 +277,48 @@
             account.finish = start + item.cost_tokens / account.weight
         if account.items:
             self._push(queue, account)
-        elif account.finish <= queue.virtual:
-            del queue.accounts[name]
         return item
 
-    def _next_class(self) -> tuple[_ClassQueue, bool]:
+    def _next(
+        self, now_ms: int, capacity: Capacity, served: int
+    ) -> tuple[_ClassQueue, bool, bool] | None:
+        """Return class, promotion and lightness of the next permitted request."""
         waiting = [queue for queue in self._classes.values() if queue.heads]
-        for queue in reversed(waiting[1:]):
-            if queue.share.floor_share and queue.credit >= self._head_cost(queue):
-                return queue, True
-        return waiting[0], False
+        if served < capacity.normal:
+            for queue in reversed(waiting[1:]):
+                if queue.share.floor_share and queue.credit >= self._head_cost(queue):
+                    return queue, True, False
+        for queue in waiting:
+            light = self._is_light(queue, now_ms)
+            if self._position(queue) > 0:
+                limit = capacity.lower
+            else:
+                limit = capacity.light if light else capacity.normal
+            if served < limit:
+                return queue, False, light
+        return None
+
+    def _position(self, queue: _ClassQueue) -> int:
+        return list(self._classes.values()).index(queue)
+
+    def _is_light(self, queue: _ClassQueue, now_ms: int) -> bool:
+        """Return whether the next account has had less than its fair share."""
+        head = queue.accounts[queue.heads[0][2]]
+        total = weights = 0.0
+        for account in queue.accounts.values():
+            usage = account.usage(now_ms)
+            if usage >= 1.0 or account.items:
+                total += usage
+                weights += account.weight
+        return head.usage(now_ms) * weights < total * head.weight
 
     def _head_cost(self, queue: _ClassQueue) -> int:
         return queue.accounts[queue.heads[0][2]].items[0].cost_tokens
 
-    def _serve(self, queue: _ClassQueue, item: QueueItem) -> None:
+    def _serve(self, queue: _ClassQueue, item: QueueItem, now_ms: int) -> None:
         cost = item.cost_tokens
+        account = queue.accounts[item.account]
+        account.used = account.usage(now_ms) + cost
         for other in self._classes.values():
             if other.heads or other is queue:
                 other.credit += cost * other.share.floor_share
@@ -257,6 +329,15 @@
         # the class, or it would starve at the start of an overload.
         queue.credit = max(0.0, queue.credit - cost)
 
+    def _forget_idle(self, queue: _ClassQueue, now_ms: int) -> None:
+        idle = [
+            name
+            for name, account in queue.accounts.items()
+            if not account.items and account.usage(now_ms) < 1.0
+        ]
+        for name in idle:
+            del queue.accounts[name]
+
     def _update_rate(self, now_ms: int, served_tokens: int) -> None:
         passed_ms = max(1, now_ms - self._rate_since_ms)
         if not self._rate_since_ms:
--- a/mustardtrack/admission/quarantine.py
+++ b/mustardtrack/admission/quarantine.py
@@ -10,6 +10,7 @@
 
 QUARANTINE_RETRY_MS = 3_600_000
 SUSPECT_RETRY_MS = 500
+SUSPECT_PAUSE_MS = 1000
 SUSPECT_EXPIRY_MS = 600_000
 
 SUSPECT_ON_TWO_ENDPOINTS = define_event(
@@ -68,12 +69,17 @@
 
         Returns:
             ``Refused`` with reason ``quarantined`` (final) or ``suspect_waiting``
-            (another suspect or another copy is running); nothing was dispatched.
+            (another suspect or another copy is running, or the request became
+            a suspect within ``SUSPECT_PAUSE_MS``, in which its crash may be
+            counted without this router knowing); nothing was dispatched.
         """
         self._expire(now_ms)
         if fingerprint in quarantined:
             return self._refuse("quarantined", QUARANTINE_RETRY_MS)
-        if fingerprint in self._suspects and self._running_suspects():
+        since_ms = self._suspects.get(fingerprint)
+        if since_ms is None:
+            return ADMITTED
+        if now_ms - since_ms < SUSPECT_PAUSE_MS or self._running_suspects():
             return self._refuse("suspect_waiting", SUSPECT_RETRY_MS)
         return ADMITTED
 
@@ -113,9 +119,12 @@
         if done is not None:
             self._suspects.pop(done.fingerprint, None)
 
-    def stopped(self, attempt: str) -> None:
-        """Record a cancellation or a failure in which no endpoint died."""
-        self._running.pop(attempt, None)
+    def stopped(self, attempt: str, now_ms: int) -> None:
+        """Record a cancellation or a failure in which no death was seen."""
+        stopped = self._running.pop(attempt, None)
+        if stopped is not None and stopped.fingerprint in self._suspects:
+            # The endpoint may have died by another copy, so the pause restarts.
+            self.add([stopped.fingerprint], now_ms)
 
     def endpoint_died(self, endpoint: str, incarnation: str, now_ms: int) -> list[str]:
         """Make all requests that ran on a dead endpoint suspects.
--- a/mustardtrack/admission/tests/test_admission.py
+++ b/mustardtrack/admission/tests/test_admission.py
@@ -3,6 +3,7 @@
 import pytest
 
 from mustardtrack.admission import (
+    ADMITTED,
     ClassShare,
     FairQueue,
     QueueItem,
@@ -58,11 +59,13 @@
     suspects.started("c.1", "c", "engine-2", "x", 0)
     assert suspects.endpoint_died("engine-1", "x", 1) == ["a", "b"]
     assert not suspects.is_suspect("c")
-    suspects.started("a.2", "a", "engine-2", "x", 2)
-    assert isinstance(suspects.check("b", frozenset(), 3), Refused)
+    assert isinstance(suspects.check("a", frozenset(), 1000), Refused)
+    assert suspects.check("a", frozenset(), 1001) == ADMITTED
+    suspects.started("a.2", "a", "engine-2", "x", 1001)
+    assert isinstance(suspects.check("b", frozenset(), 1002), Refused)
     with pytest.raises(InvariantViolationError):
-        suspects.started("b.2", "b", "engine-3", "x", 3)
+        suspects.started("b.2", "b", "engine-3", "x", 1002)
     suspects.completed("a.2")
     assert not suspects.is_suspect("a")
-    assert suspects.check("b", frozenset(), 4).__class__.__name__ == "Admitted"
-    assert suspects.check("b", frozenset({"b"}), 4).reason == "quarantined"
+    assert suspects.check("b", frozenset(), 1003) == ADMITTED
+    assert suspects.check("b", frozenset({"b"}), 1003).reason == "quarantined"
--- a/mustardtrack/routing/choices.py
+++ b/mustardtrack/routing/choices.py
@@ -19,6 +19,11 @@
         home_prior: Probability that the preferred endpoint of a prefix holds
             it, assumed by a router that has just started.
         prior_half_life_ms: Half-life of that assumption after the start.
+        prior_floor: Part of that assumption that remains, for a router whose
+            events are late or lost.
+        headroom_ms: Prefill queue allowed at an engine for light accounts of the
+            most urgent class, for its other accounts, and for other classes.
+        slot_parts: Part of the slots they may fill.
         home_choices: Endpoints considered from the placement of each level.
         random_choices: Other endpoints considered.
     """
@@ -31,7 +36,10 @@
     zone_ms: float = 1.5
     recompute_weight: float = 0.5
     home_prior: float = 0.8
-    prior_half_life_ms: float = 10_000.0
+    prior_half_life_ms: float = 30_000.0
+    prior_floor: float = 0.3
+    headroom_ms: tuple[float, ...] = (1000.0, 500.0, 150.0)
+    slot_parts: tuple[float, ...] = (1.0, 0.9, 0.45)
     home_choices: int = 2
     random_choices: int = 2
     count_peers: bool = True
@@ -43,7 +51,7 @@
     """Request to place.
 
     Attributes:
-        rank: Rank of its class, 0 most urgent.
+        rank: Priority at the engine, 0 most urgent (``admission.Taken.priority``).
         chain: Digests from :func:`prefix_chain`, empty for plain services.
         level_ends: Pieces up to the end of each level, from :func:`level_ends`.
         deadline_ms: Monotonic time by which the first token is needed; 0: none.
--- a/mustardtrack/routing/index.py
+++ b/mustardtrack/routing/index.py
@@ -5,7 +5,8 @@
 
 CONFIDENCE_STEPS = 255
 DEFAULT_HALF_LIFE_MS = 60_000
-GAP_FACTOR = 0.5
+EVICT_GRACE_MS = 5000
+GAP_FACTOR = 0.9
 MINIMUM_CONFIDENCE = 0.05
 _SLOT_BITS = 32
 _TIME_BITS = 48
@@ -52,6 +53,7 @@
     def __init__(self, capacity: int, half_life_ms: int = DEFAULT_HALF_LIFE_MS):
         self.capacity = capacity
         self.half_life_ms = half_life_ms
+        self.evict_grace_ms = EVICT_GRACE_MS
         self._young: dict[int, int | dict[int, int]] = {}
         self._old: dict[int, int | dict[int, int]] = {}
         self._slots: dict[str, _Slot] = {}
@@ -88,12 +90,24 @@
         self._young[digest] = held
         self._shrink()
 
-    def evict(self, endpoint: str, digest: int) -> None:
-        """Remove one piece after an eviction event or a measured miss."""
+    def evict(self, endpoint: str, digest: int, now_ms: int | None = None) -> None:
+        """Remove one piece after an eviction event.
+
+        Args:
+            endpoint: Endpoint that evicted the piece.
+            digest: Digest of the piece.
+            now_ms: Time of receipt. If given, an entry recorded within
+                ``EVICT_GRACE_MS`` is kept: engines evict the least recently
+                used blocks, so the event is older than the entry.
+        """
         slot = self._slots.get(endpoint)
         held = self._lookup(digest)
         if slot is None or held is None:
             return
+        if now_ms is not None:
+            entry = held.get(slot.number, 0) if isinstance(held, dict) else held
+            if now_ms - _recorded_ms(entry) < self.evict_grace_ms:
+                return
         if isinstance(held, dict):
             self._size -= held.pop(slot.number, None) is not None
             if held:
@@ -175,7 +189,7 @@
             held = held.get(slot.number)
         if held is None or _slot_number(held) != slot.number:
             return 0.0
-        recorded_ms = held >> 8 & ((1 << _TIME_BITS) - 1)
+        recorded_ms = _recorded_ms(held)
         confidence = (held & 0xFF) / CONFIDENCE_STEPS
         if recorded_ms <= slot.gap_ms:
             confidence *= GAP_FACTOR
@@ -190,5 +204,9 @@
             self._size -= len(held) if isinstance(held, dict) else 1
 
 
+def _recorded_ms(packed: int) -> int:
+    return packed >> 8 & ((1 << _TIME_BITS) - 1)
+
+
 def _slot_number(packed: int) -> int:
     return packed >> (_TIME_BITS + 8)
--- a/mustardtrack/routing/loads.py
+++ b/mustardtrack/routing/loads.py
@@ -60,6 +60,7 @@
     """Own dispatches to one endpoint, and what they showed about its speed."""
 
     incarnation: str
+    restarted: bool = False
     recent: deque[tuple[int, int]] = field(default_factory=deque)
     waiting: dict[str, Running] = field(default_factory=dict)
     open: set[str] = field(default_factory=set)
--- a/mustardtrack/routing/selection.py
+++ b/mustardtrack/routing/selection.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from mustardtrack.logs.events import define_event, require_invariant
 from mustardtrack.routing.choices import (
@@ -28,7 +28,6 @@
 RETRY_MS = 1000
 SUSPECT_RETRY_MS = 500
 SUSPECT_HOLD_MS = 2000
-HEADROOM_MS = 400.0
 PREDICTED_CONFIDENCE = 0.8
 MEASURED_CONFIDENCE = 1.0
 
@@ -50,10 +49,7 @@
     source: Sequence[Candidate]
     by_name: dict[str, Candidate]
     names: list[str]
-    placement: Placement = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.placement = Placement(self.names)
+    placement: Placement
 
 
 @dataclass(frozen=True)
@@ -91,6 +87,8 @@
         self._running: dict[str, tuple[Choice, Running]] = {}
         self._reserved: dict[str, _Reservation] = {}
         self._pool: _Pool | None = None
+        self._placed: list[str] = []
+        self._placement = Placement([])
         self._started_ms: int | None = None
 
     def choose(
@@ -184,24 +182,31 @@
         cached = choice.cached_tokens if isinstance(choice, Choice) else 0
         return max(0, request.prompt_tokens - cached)
 
-    def headroom_tokens(self, candidates: Sequence[Candidate], now_ms: int) -> int:
-        """Return the tokens that keep the queues of engines short.
+    def headroom_tokens(
+        self, candidates: Sequence[Candidate], now_ms: int
+    ) -> tuple[int, ...]:
+        """Return the tokens that keep the queues of engines short, per kind.
 
         Work beyond it waits in the routers, where fairness and minimum shares
-        apply, and not in the engines.
+        apply, and not in the engines. The kinds are those of
+        ``admission.Capacity``.
         """
         pool = self._usable(candidates)
-        target = HEADROOM_MS * self._settings.prefill_tokens_per_s / 1000
-        total = 0.0
+        settings = self._settings
+        per_ms = settings.prefill_tokens_per_s / 1000
+        totals = [0.0] * len(settings.headroom_ms)
         for name, candidate in pool.by_name.items():
             if self._is_reserved(name, now_ms):
                 continue
             load = self._load(name, candidate.incarnation)
             rate = self._rate(load)
             ahead = load.estimate(candidate, 1 << 30, now_ms, self._peers(), rate)
-            if ahead.running + ahead.queued < self._settings.slots:
-                total += max(0.0, target - ahead.tokens)
-        return int(total)
+            slots = ahead.running + ahead.queued
+            kinds = zip(settings.headroom_ms, settings.slot_parts, strict=True)
+            for kind, (target_ms, part) in enumerate(kinds):
+                if slots < settings.slots * part:
+                    totals[kind] += max(0.0, target_ms * per_ms - ahead.tokens)
+        return tuple(int(total) for total in totals)
 
     def _usable(self, candidates: Sequence[Candidate]) -> _Pool:
         if self._pool is not None and self._pool.source is candidates:
@@ -209,7 +214,10 @@
         up = {each.name: each for each in candidates if each.state == "up"}
         if not up:
             up = {each.name: each for each in candidates if each.state == "unverified"}
-        pool = _Pool(candidates, up, list(up))
+        names = list(up)
+        if names != self._placed:
+            self._placed, self._placement = names, Placement(names)
+        pool = _Pool(candidates, up, names, self._placement)
         # A list could change between calls, so only tuples are kept.
         self._pool = pool if isinstance(candidates, tuple) else None
         return pool
@@ -322,10 +330,11 @@
         match = self.index.match(
             candidate.name, candidate.incarnation, request.chain, now_ms
         )
-        if match.pieces >= home or self._started_ms is None:
+        load = self._load(candidate.name, candidate.incarnation)
+        if match.pieces >= home or self._started_ms is None or load.restarted:
             return match
         age = (now_ms - self._started_ms) / self._settings.prior_half_life_ms
-        prior = self._settings.home_prior * 0.5**age
+        prior = max(self._settings.prior_floor, self._settings.home_prior * 0.5**age)
         if prior * home <= match.pieces * match.confidence:
             return match
         return Match(home, prior)
@@ -421,7 +430,8 @@
     def _load(self, name: str, incarnation: str) -> EndpointLoad:
         load = self._loads.get(name)
         if load is None or load.incarnation != incarnation:
-            load = self._loads[name] = EndpointLoad(incarnation)
+            load = EndpointLoad(incarnation, restarted=load is not None)
+            self._loads[name] = load
         return load
 
     def _slot_wait_ms(self, ahead: Estimate, load: EndpointLoad) -> float:
