--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -455,7 +455,6 @@
     "recompute weight": {"recompute_weight": 0.0},
     "home prior": {"home_prior": 0.0, "prior_floor": 0.0},
     "prior floor": {"prior_floor": 0.0},
-    "home bias": {"home_bias_ms": 0.0},
     "even slots": {"slot_parts": (1.0, 1.0, 1.0)},
     "home choices": {"home_choices": 0, "home_prior": 0.0, "prior_floor": 0.0},
     "random choices": {"random_choices": 0},
--- a/mustardtrack/routing/choices.py
+++ b/mustardtrack/routing/choices.py
@@ -26,10 +26,6 @@
         slot_parts: Part of the slots they may fill.
         home_choices: Endpoints considered from the placement of each level.
         random_choices: Other endpoints considered.
-        home_bias_ms: Cost of leaving the preferred endpoint of a prefix, so
-            that a restarted router finds prefixes where its peers put them.
-        count_peers: Estimate the unreported dispatches of other routers.
-        learn_speed: Correct the prefill rate by measured times.
     """
 
     routers: int = 8
@@ -46,7 +42,6 @@
     slot_parts: tuple[float, ...] = (1.0, 0.9, 0.45)
     home_choices: int = 2
     random_choices: int = 2
-    home_bias_ms: float = 60.0
     count_peers: bool = True
     learn_speed: bool = True
 
--- a/mustardtrack/routing/selection.py
+++ b/mustardtrack/routing/selection.py
@@ -312,8 +312,6 @@
         else:
             source, pieces = "", 0
         cost = wait_ms + compute_ms * (1.0 + settings.recompute_weight)
-        if not home:
-            cost += settings.home_bias_ms
         choice = Choice(
             f"{request.request_id}.{request.attempt}",
             name,
