Replay retained cache events after a restart in the bench

Cause: a restarted router has an empty index, so prefixes placed away from their preferred endpoint are recomputed. Change: bench routers ask each engine for its retained events (300 per engine) 0.5 s after a restart, as GET /events?after=0 offers.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -34,6 +34,7 @@
     Selector,
 )
 
+RETAINED_EVENTS_PER_ENGINE, REPLAY_MS = 300, 500.0
 REPORT_MS, REPORT_DELAY_MS = 500.0, 250.0
 PUMP_MS = 20.0
 COMMIT_MS, FOLLOW_MS = 30.0, 150.0
@@ -77,6 +78,8 @@
             engine = Engine(f"engine-{i}", zone, self.clock, self.engines, self.publish)
             self.engines.append(engine)
         self.by_name = {engine.name: engine for engine in self.engines}
+        retained = RETAINED_EVENTS_PER_ENGINE * self.deployment.engines
+        self.history: deque[tuple[str, str, str, int]] = deque(maxlen=retained)
         self.gaps: dict[str, int] = {}
         self.reports = {
             engine.name: (0.0, Candidate(engine.name, "1", engine.zone))
@@ -112,6 +115,13 @@
         """Restart all routers at once."""
         for router in self.routers:
             router.restart()
+        if "event replay" not in self.options.off:
+            self.clock.after(REPLAY_MS, self.replay)
+
+    def replay(self) -> None:
+        """Deliver the events that the engines retain, as ``after=0`` returns them."""
+        for name, incarnation, op, digest in list(self.history):
+            self.event(name, incarnation, op, digest, 0)
 
     def candidates(self) -> tuple[Candidate, ...]:
         """Return the reports with their present age."""
@@ -158,6 +168,7 @@
             self.gaps[engine.name] = self.gaps.get(engine.name, 0) + 1
             return
         delay = self.rng.uniform(*self.scenario.event_delay)
+        self.history.append((engine.name, str(engine.incarnation), op, digest))
         gap = self.gaps.pop(engine.name, 0)
         incarnation = str(engine.incarnation)
         self.clock.after(delay, self.event, engine.name, incarnation, op, digest, gap)
@@ -463,6 +474,7 @@
     *OFF_SETTINGS,
     "index",
     "eviction grace",
+    "event replay",
     "fair queue",
     "account fairness",
     "light accounts",
