--- a/mustardtrack/admission/fairness.py
+++ b/mustardtrack/admission/fairness.py
@@ -119,10 +119,10 @@
 
     The most urgent class goes first. Every class with a minimum share earns
     credit from all service while it has work queued, and is served first when
-    its credit covers its next request. Within a class, start-time fair queueing
-    over tokens by account weight: over any period in which an account has work
-    queued, it receives its weighted share of the class up to one request per
-    account.
+    its credit after the next urgent request would cover its next request.
+    Within a class, start-time fair queueing over tokens by account weight: over
+    any period in which an account has work queued, it receives its weighted
+    share of the class up to one request per account.
 
     Examples:
         >>> shares = [ClassShare("urgent", 0), ClassShare("patient", 1, 0.2)]
@@ -286,7 +286,7 @@
         waiting = [queue for queue in self._classes.values() if queue.heads]
         if served < capacity.normal:
             for queue in reversed(waiting[1:]):
-                if queue.share.floor_share and queue.credit >= self._head_cost(queue):
+                if self._is_due(queue, waiting[0]):
                     return queue, True, False
         for queue in waiting:
             light = self._is_light(queue, now_ms)
@@ -312,6 +312,12 @@
                 weights += account.weight
         return head.usage(now_ms) * weights < total * head.weight
 
+    def _is_due(self, queue: _ClassQueue, urgent: _ClassQueue) -> bool:
+        """Return whether one more urgent request would break the minimum share."""
+        floor = queue.share.floor_share
+        earned = queue.credit + floor * self._head_cost(urgent)
+        return floor > 0.0 and earned >= self._head_cost(queue)
+
     def _head_cost(self, queue: _ClassQueue) -> int:
         return queue.accounts[queue.heads[0][2]].items[0].cost_tokens
 
