Add bench/decision.py

Cause: the limit of 1 ms per decision and the size of the index were unmeasured. Change: time per decision for 10 to 10,000 endpoints with the full rendezvous ranking as baseline, bytes per index entry for 10,000 to 2,000,000 entries.

--- /dev/null
+++ b/bench/decision.py
@@ -0,0 +1,135 @@
+"""Time of a routing decision and memory of the cache index.
+
+Run ``python -m bench.decision``. Each size runs in the same process after a
+warm-up; memory is the growth that tracemalloc sees.
+"""
+
+import argparse
+import random
+import statistics
+import time
+import tracemalloc
+
+from mustardtrack.routing import (
+    CacheIndex,
+    Candidate,
+    RouteRequest,
+    SelectionSettings,
+    Selector,
+    rank_endpoints,
+)
+
+PIECES = 7
+
+
+def make_candidates(count: int, rng: random.Random) -> tuple[Candidate, ...]:
+    return tuple(
+        Candidate(
+            f"engine-{number}",
+            "a",
+            f"zone-{number % 12}",
+            running=rng.randrange(16),
+            queued=rng.randrange(4),
+            queued_tokens=rng.randrange(8000),
+            load_age_ms=rng.randrange(500),
+        )
+        for number in range(count)
+    )
+
+
+def make_request(number: int, rng: random.Random) -> RouteRequest:
+    case = rng.randrange(1000)
+    chain = tuple(random.Random(case * 100 + i).getrandbits(128) for i in range(6))
+    chain += (rng.getrandbits(128),)
+    return RouteRequest(
+        f"r{number}",
+        "hotel",
+        "urgent",
+        0,
+        chain,
+        9600,
+        80,
+        level_ends=(3, 6, PIECES),
+        zone="zone-1",
+    )
+
+
+def time_decisions(
+    count: int, decisions: int, seed: int, same_pool: bool
+) -> tuple[float, float]:
+    """Return median and 99th percentile in microseconds per decision."""
+    rng = random.Random(seed)
+    candidates = make_candidates(count, rng)
+    settings = SelectionSettings(import_tokens_per_s=40_000.0)
+    selector = Selector(CacheIndex(200_000), settings, rng)
+    requests = [make_request(number, rng) for number in range(decisions + 200)]
+    times = []
+    for now_ms, request in enumerate(requests):
+        pool = candidates if same_pool else tuple(list(candidates))
+        start = time.perf_counter_ns()
+        choice = selector.choose(request, pool, now_ms)
+        selector.dispatched(choice, now_ms)
+        times.append((time.perf_counter_ns() - start) / 1000)
+        selector.first_token(choice.attempt, 0, now_ms)
+        selector.finished(choice.attempt, now_ms)
+    times = sorted(times[200:])
+    return statistics.median(times), times[int(0.99 * len(times))]
+
+
+def time_ranking(count: int, seed: int) -> float:
+    """Return microseconds of a full rendezvous ranking, as a baseline."""
+    names = [f"engine-{number}" for number in range(count)]
+    times = []
+    for number in range(20):
+        start = time.perf_counter_ns()
+        rank_endpoints(seed * 1000 + number, names)
+        times.append((time.perf_counter_ns() - start) / 1000)
+    return statistics.median(times)
+
+
+def measure_index(entries: int, seed: int, holders: int) -> tuple[float, float]:
+    """Return bytes per entry and microseconds per match of ``PIECES`` pieces."""
+    rng = random.Random(seed)
+    digests = [rng.getrandbits(128) for _ in range(min(entries, 1000))]
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    index = CacheIndex(entries)
+    for number in range(entries // holders):
+        digest = rng.getrandbits(128) if number >= len(digests) else digests[number]
+        for holder in range(holders):
+            name = f"engine-{(number + holder) % 50}"
+            index.record(name, "a", digest, 1.0, 86_400_000 + number)
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    start = time.perf_counter_ns()
+    for number in range(1000):
+        chain = [digests[(number + i) % len(digests)] for i in range(PIECES)]
+        index.match(f"engine-{number % 50}", "a", chain, 86_400_000 + entries)
+    return used / len(index), (time.perf_counter_ns() - start) / 1_000_000
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--decisions", type=int, default=2000)
+    arguments = parser.parse_args()
+    print(f"seed {arguments.seed}, {arguments.decisions} decisions per size\n")
+    print("| endpoints | median us | p99 us | median us, new pool | full ranking us |")
+    print("| --- | --- | --- | --- | --- |")
+    for count in (10, 100, 183, 917, 1000, 10_000):
+        median, worst = time_decisions(count, arguments.decisions, arguments.seed, True)
+        fresh, _ = time_decisions(
+            count, min(200, arguments.decisions), arguments.seed, False
+        )
+        full = time_ranking(count, arguments.seed)
+        print(f"| {count} | {median:.0f} | {worst:.0f} | {fresh:.0f} | {full:.0f} |")
+    print("\n| entries | bytes/entry | bytes/entry, 2 holders | match us |")
+    print("| --- | --- | --- | --- |")
+    for entries in (10_000, 50_000, 200_000, 1_000_000, 2_000_000):
+        single, match_us = measure_index(entries, arguments.seed, 1)
+        double, _ = measure_index(entries, arguments.seed, 2)
+        print(f"| {entries} | {single:.0f} | {double:.0f} | {match_us:.1f} |")
+
+
+if __name__ == "__main__":
+    main()
