--- a/mustardtrack/process/completions.py
+++ b/mustardtrack/process/completions.py
@@ -84,7 +84,7 @@
     dispatched: bool = False
     attempts: int = 0
     excluded: set[str] = field(default_factory=set)
-    promoted: bool = False
+    priority: int = 0
 
     def route_request(self, zone: str, suspect: bool) -> RouteRequest:
         """Return the request in the terms of the selector."""
@@ -238,7 +238,7 @@
         outcome = await lane.wait(item)
         if isinstance(outcome, Refused):
             raise RefusedError(_from_admission(outcome))
-        job.promoted = outcome.promoted
+        job.priority = outcome.priority
 
     async def _run_attempts(self, job: CompletionJob, writer: ResponseWriter) -> bytes:
         resume_at: Choice | None = None
@@ -357,7 +357,7 @@
             "attempt_id": attempt.attempt_id,
             "cache_salt": job.salt.cache_salt(),
             "weights_version": job.model.weights_version,
-            "priority": 0 if job.promoted else job.rank,
+            "priority": job.priority,
             "resume_from": job.assembler.next_piece,
             "prefix_digests": [f"{digest:032x}" for digest in job.chain],
             "prefix_ends": ends,
@@ -437,7 +437,7 @@
 
     def _cancel(self, choice: Choice, attempt: Attempt) -> None:
         """Stop an attempt at the engine when nobody waits for it any more."""
-        self._traffic.suspects.stopped(attempt.attempt_id)
+        self._traffic.suspects.stopped(attempt.attempt_id, self._traffic.clock.now_ms())
         endpoint: Any = self._traffic.copy.objects("endpoint").get(choice.endpoint)
         if endpoint is not None:
             self._traffic.background(
@@ -469,10 +469,10 @@
         traffic = self._traffic
         if not error.may_have_run:
             # A request that never reached a dead endpoint is not a suspect.
-            traffic.suspects.stopped(attempt.attempt_id)
+            traffic.suspects.stopped(attempt.attempt_id, traffic.clock.now_ms())
         # A death must be counted before the request can reach another endpoint.
         result = await self._crashes.check(choice, error.reason)
-        traffic.suspects.stopped(attempt.attempt_id)
+        traffic.suspects.stopped(attempt.attempt_id, traffic.clock.now_ms())
         self._check_quarantine(job)
         started = job.assembler.next_piece > 0
         can_resume = started and not result.died and error.reason in _RESUME_REASONS
--- a/mustardtrack/process/lanes.py
+++ b/mustardtrack/process/lanes.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from mustardtrack.admission import (
+    Capacity,
     ClassShare,
     FairQueue,
     QueueItem,
@@ -78,7 +79,7 @@
         headroom = self._traffic.selector.headroom_tokens(
             self.candidates(now_ms), now_ms
         )
-        for taken in self._queue.take(now_ms, headroom):
+        for taken in self._queue.take(now_ms, Capacity(*headroom)):
             self._resolve(taken.item.request_id, taken)
         for item, refused in self._queue.expired():
             self._resolve(item.request_id, refused)
