Read the cache events of engines into the cache index

Cause: the index was corrected only by this router's own dispatches. Change: task that polls the events of each engine, follows stored and evicted pieces, clears on a new incarnation and lowers the confidence after a gap; a suspect that completes is cleared in the replicated state. Conclusion: events late and with gaps can only lower what the index believes.

--- a/mustardtrack/process/completions.py
+++ b/mustardtrack/process/completions.py
@@ -322,7 +322,7 @@
             self._close_attempt(attempt, stream)
             self._cancel(choice, attempt)
             raise
-        self._note_success(choice, attempt)
+        self._note_success(job, choice, attempt)
         return writer.finish(job.assembler.next_piece, _usage(job, last))
 
     async def _open(
@@ -419,8 +419,12 @@
             raise AttemptFailedError("truncated", "stream_incomplete")
         return final
 
-    def _note_success(self, choice: Choice, attempt: Attempt) -> None:
+    def _note_success(
+        self, job: CompletionJob, choice: Choice, attempt: Attempt
+    ) -> None:
         traffic = self._traffic
+        if traffic.suspects.is_suspect(job.fingerprint):
+            self._crashes.clear(job.fingerprint)
         now_ms = traffic.clock.now_ms()
         traffic.selector.finished(attempt.attempt_id, now_ms)
         traffic.suspects.completed(attempt.attempt_id)
--- a/mustardtrack/process/router.py
+++ b/mustardtrack/process/router.py
@@ -13,6 +13,7 @@
 from mustardtrack.configuration import ConfigurationCopy
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership import EndpointTable, HostTable, ProbeTable
+from mustardtrack.process.cache_events import CacheEventsTask
 from mustardtrack.process.caller_api import CallerApi
 from mustardtrack.process.completions import CompletionService
 from mustardtrack.process.control_client import ControlClient
@@ -72,6 +73,7 @@
         self._run(self._observer.run())
         self._run(self._heartbeats.run())
         self._run(self._lanes.run())
+        self._run(self._cache_events.run())
         self._run(self._apply_forever())
         if self._settings.platform_hosts_url:
             url = self._settings.platform_hosts_url
@@ -151,6 +153,14 @@
             traffic.limits.peer_use,
         )
         self._lanes = Lanes(traffic, self._rng)
+        self._cache_events = CacheEventsTask(
+            self._copy,
+            traffic.selector.index,
+            lambda name: traffic.endpoints.view(name, self._clock.now_ms()).incarnation,
+            self._http,
+            self._clock,
+            self._metrics,
+        )
 
     def _create_apis(self) -> None:
         peers = {
--- /dev/null
+++ b/mustardtrack/process/tests/test_cache_events.py
@@ -0,0 +1,48 @@
+"""Guards against index entries that outlive an engine or hide lost events."""
+
+from mustardtrack.process.cache_events import (
+    CacheEventRow,
+    EventCursor,
+    EventsBody,
+    apply_events,
+)
+from mustardtrack.routing import CacheIndex
+
+
+def body(incarnation, last, *events):
+    return EventsBody(incarnation, 1, last, [CacheEventRow(*one) for one in events])
+
+
+def test_stored_and_evicted_pieces_are_followed():
+    index, cursor = CacheIndex(100), EventCursor()
+    answer = body("a", 2, (1, "stored", "0a"), (2, "stored", "0b"))
+    assert apply_events(index, "e", cursor, answer, 0) == 0
+    assert index.match("e", "a", (10, 11), 0).pieces == 2
+    assert apply_events(index, "e", cursor, body("a", 3, (3, "evicted", "0b")), 0) == 0
+    assert index.match("e", "a", (10, 11), 0).pieces == 1
+
+
+def test_new_incarnation_clears_what_the_old_one_held():
+    index, cursor = CacheIndex(100), EventCursor()
+    apply_events(index, "e", cursor, body("a", 1, (1, "stored", "0a")), 0)
+    apply_events(index, "e", cursor, body("b", 0), 0)
+    assert index.match("e", "a", (10,), 0).pieces == 0
+    assert index.match("e", "b", (10,), 0).pieces == 0
+
+
+def test_lost_events_lower_the_confidence():
+    index, cursor = CacheIndex(100), EventCursor()
+    apply_events(index, "e", cursor, body("a", 1, (1, "stored", "0a")), 0)
+    before = index.match("e", "a", (10,), 0).confidence
+    assert apply_events(index, "e", cursor, body("a", 4, (4, "stored", "0c")), 0) == 2
+    assert index.match("e", "a", (10,), 0).confidence < before
+
+
+def test_repeated_and_foreign_events_change_nothing():
+    index, cursor = CacheIndex(100), EventCursor()
+    answer = body("a", 2, (1, "stored", "0a"), (2, "evicted", "0a"))
+    apply_events(index, "e", cursor, answer, 0)
+    assert apply_events(index, "e", cursor, answer, 0) == 0
+    assert index.match("e", "a", (10,), 0).pieces == 0
+    apply_events(index, "e", cursor, body("a", 3, (3, "stored", "not hex")), 0)
+    assert cursor.sequence == 3
