--- a/mustardtrack/command/application.py
+++ b/mustardtrack/command/application.py
@@ -162,6 +162,33 @@
         return EXIT_REFUSED if any("error" in row for row in rows) else EXIT_OK
 
 
+class ReportCommand(OperatorCommand):
+    """Writes a page of the users' measures."""
+
+    name = "report"
+    description = "write one page of the users' measures of the given routers"
+    options = [
+        *CONNECTION_OPTIONS,
+        option("output", description="file to write (default: print)", flag=False),
+    ]
+
+    def execute_call(self) -> int:
+        """Collect the statuses and write the page."""
+        from mustardtrack.command.report import render_report
+
+        statuses = self.connect(lambda client: client.status())
+        page = json.dumps(statuses) if self.option("json") else render_report(statuses)
+        path = self.option("output")
+        if not path:
+            self.line(page, style=None)
+            return EXIT_OK
+        try:
+            Path(path).write_text(page, encoding="utf-8")
+        except OSError as error:
+            raise UsageError(f"{path}: {error.strerror}") from error
+        return EXIT_OK
+
+
 class FormCommand(OperatorCommand):
     """Forms the control group once."""
 
@@ -229,6 +256,7 @@
         ApplyCommand(),
         StatusCommand(),
         FormCommand(),
+        ReportCommand(),
         CheckConfigCommand(),
         VersionCommand(),
     ):
--- a/mustardtrack/process/completions.py
+++ b/mustardtrack/process/completions.py
@@ -73,6 +73,7 @@
     account: Account
     class_name: str
     rank: int
+    arrived_ms: int
     deadline_ms: int
     completion: ParsedCompletion
     model: Model
@@ -152,12 +153,14 @@
         piece_chars = self._settings.piece_chars
         request_id = self._traffic.new_request_id()
         limit_ms = deadline_ms or work_class.deadline_ms
+        now_ms = self._traffic.clock.now_ms()
         return CompletionJob(
             request_id=request_id,
             account=account,
             class_name=class_name,
             rank=work_class.rank,
-            deadline_ms=self._traffic.clock.now_ms() + limit_ms,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + limit_ms,
             completion=completion,
             model=model,
             chain=prefix_chain(salt, completion.levels, piece_chars),
@@ -184,7 +187,7 @@
             await self._wait_for_turn(job)
             return await self._run_attempts(job, writer)
         except RefusedError as error:
-            traffic.count_refusal(error.refusal)
+            self._note_refusal(job, error.refusal)
             return writer.refuse(error.refusal, error.detail)
         except SlowCallerError:
             return self._refuse(job, writer, "slow_caller")
@@ -198,9 +201,14 @@
 
     def _refuse(self, job: CompletionJob, writer: ResponseWriter, reason: str) -> bytes:
         refusal = refuse(reason, dispatched=job.dispatched)
-        self._traffic.count_refusal(refusal)
+        self._note_refusal(job, refusal)
         return writer.refuse(refusal)
 
+    def _note_refusal(self, job: CompletionJob, refusal: Refusal) -> None:
+        self._traffic.count_refusal(refusal)
+        ran = refusal.ran != "not_run"
+        self._traffic.measures.note_refused(job.class_name, job.account.name, ran)
+
     def _check_quarantine(self, job: CompletionJob) -> bool:
         """Return whether the request may be dispatched now.
 
@@ -323,6 +331,13 @@
             self._cancel(choice, attempt)
             raise
         self._note_success(job, choice, attempt)
+        self._traffic.measures.note_completed(
+            job.class_name,
+            job.account.name,
+            job.completion.prompt_tokens,
+            last.cached_tokens or 0,
+            job.assembler.next_piece,
+        )
         return writer.finish(job.assembler.next_piece, _usage(job, last))
 
     async def _open(
@@ -405,6 +420,11 @@
         piece = StreamPiece(chunk.attempt_id, chunk.piece, chunk.content())
         result = job.assembler.receive(piece)
         if isinstance(result, Deliver):
+            if result.piece == 0:
+                elapsed_ms = self._traffic.clock.now_ms() - job.arrived_ms
+                self._traffic.measures.note_first_token(
+                    job.class_name, job.account.name, elapsed_ms
+                )
             await writer.write_piece(result.piece, result.text)
         elif not isinstance(result, Duplicate):
             raise AttemptFailedError("piece_gap", "stream_incomplete")
--- a/mustardtrack/process/router.py
+++ b/mustardtrack/process/router.py
@@ -247,6 +247,7 @@
             "stale_ms": self._follower.stale_ms,
             "open_requests": self._traffic.stop.open_requests,
             "queued": self._lanes.queued(),
+            "measures": self._traffic.measures.summarize(),
             "bus_bytes_sent": self._bus.bytes_sent,
             "bus_bytes_received": self._bus.bytes_received,
         }
--- a/mustardtrack/process/tests/test_operators.py
+++ b/mustardtrack/process/tests/test_operators.py
@@ -118,6 +118,9 @@
     assert "engine-1" in deployment.tool("query", "show endpoints")
     assert '"rows"' in deployment.tool("query", "show endpoints", "--json")
     assert "replica=" in deployment.tool("status")
+    deployment.stream("a request for the report", 2)
+    operators = deployment.operators("router-1")
+    assert "| patient | " in deployment.tool("report", "--operators", operators)
     try:
         deployment.tool("query", "show nothing")
     except RuntimeError as error:
--- a/mustardtrack/process/traffic.py
+++ b/mustardtrack/process/traffic.py
@@ -12,6 +12,7 @@
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership import EndpointTable, HostTable
 from mustardtrack.ports import Clock
+from mustardtrack.process.measures import Measures
 from mustardtrack.requests import AttemptTracker, PlannedStop, Refusal
 from mustardtrack.routing import Selector
 from mustardtrack.settings import Settings
@@ -36,7 +37,7 @@
     budget: RetryBudget
     endpoints: EndpointTable
     hosts: HostTable
-    reasons: dict[str, int] = field(default_factory=dict)
+    measures: Measures = field(default_factory=Measures)
     _background: set["asyncio.Task[None]"] = field(default_factory=set)
 
     @property
