Let a dispatched call go on when its caller leaves

Cause: the HTTP library cancels the handler when the connection is lost, so the answer of a booking whose caller left was never stored and the key stayed in progress, then unknown. Ruled out: the claim itself (it was granted and open). Change: service calls run in a task of their own that a planned stop waits for. Conclusion: a resend gets the stored answer.

--- a/mustardtrack/process/caller_api.py
+++ b/mustardtrack/process/caller_api.py
@@ -145,7 +145,11 @@
                 key=request.getHeader("Idempotency-Key"),
             )
             _set_idle_limit(request, None)
-            answer = await self._services.run(call)
+            work = asyncio.ensure_future(self._services.run(call))
+            self._traffic.keep(work)
+            # Klein cancels the handler when the caller leaves; a call that was
+            # dispatched must go on, so that its answer is stored for a resend.
+            answer = await asyncio.shield(work)
         except RefusedError as error:
             self._traffic.count_refusal(error.refusal)
             return write_refusal(request, error.refusal, error.detail)
--- a/mustardtrack/process/completions.py
+++ b/mustardtrack/process/completions.py
@@ -22,7 +22,7 @@
 )
 from mustardtrack.process.crashes import CrashWatch
 from mustardtrack.process.lanes import Lanes
-from mustardtrack.process.traffic import Traffic
+from mustardtrack.process.traffic import ExpectedError, Traffic
 from mustardtrack.requests import (
     Attempt,
     Complete,
@@ -40,7 +40,7 @@
 SELECTION_PAUSE_MS = 50
 
 
-class RefusedError(Exception):
+class RefusedError(ExpectedError):
     """The request gets a refusal as its answer."""
 
     def __init__(self, refusal: Refusal, detail: str = ""):
--- a/mustardtrack/process/tests/test_callers.py
+++ b/mustardtrack/process/tests/test_callers.py
@@ -179,3 +179,30 @@
         for name, member in deployment.members.items()
         if name.startswith(deployment.service)
     )
+
+
+def test_booking_of_a_caller_that_leaves_is_still_stored(deployment):
+    services = [
+        member
+        for name, member in deployment.members.items()
+        if name.startswith(deployment.service)
+    ]
+    for service in services:
+        service.post("/faults", {"late_ms": 1500})
+    key = new_key()
+    try:
+        with pytest.raises(TimeoutError):
+            leave_booking(deployment, key)
+        wait_until(lambda: deployment.book({"a": 1}, key, router=2)[0] == 201, 20)
+    finally:
+        for service in services:
+            service.post("/faults", {"late_ms": 0})
+    stored = deployment.book({"a": 1}, key)
+    assert stored[2]["Mustardtrack-Stored"] == "true"
+    assert count_key(deployment, key) == 1
+
+
+def leave_booking(deployment, key):
+    path = f"/v1/services/{deployment.service}/bookings"
+    headers = deployment.headers() | {"Idempotency-Key": key}
+    call(deployment.callers(), "POST", path, {"a": 1}, headers, timeout_s=0.5)
--- a/mustardtrack/process/traffic.py
+++ b/mustardtrack/process/traffic.py
@@ -21,6 +21,10 @@
 BACKGROUND_FAILED = define_event(8602, "ERROR", "background work failed")
 
 
+class ExpectedError(Exception):
+    """Base of errors that are an answer to a caller, not a fault."""
+
+
 @dataclass
 class Traffic:
     """Shared state of the requests of one router, used on its event loop only."""
@@ -38,7 +42,7 @@
     endpoints: EndpointTable
     hosts: HostTable
     measures: Measures = field(default_factory=Measures)
-    _background: set["asyncio.Task[None]"] = field(default_factory=set)
+    _background: set["asyncio.Future[Any]"] = field(default_factory=set)
 
     @property
     def zone(self) -> str:
@@ -56,7 +60,10 @@
 
     def background(self, work: Coroutine[Any, Any, None]) -> None:
         """Run work that no caller waits for; a planned stop waits for it."""
-        task = asyncio.ensure_future(work)
+        self.keep(asyncio.ensure_future(work))
+
+    def keep(self, task: "asyncio.Future[Any]") -> None:
+        """Keep a task that may go on after its caller has left."""
         self._background.add(task)
         task.add_done_callback(self._background_done)
 
@@ -66,7 +73,8 @@
             await asyncio.wait(set(self._background), timeout=timeout_ms / 1000)
         return len(self._background)
 
-    def _background_done(self, task: "asyncio.Task[None]") -> None:
+    def _background_done(self, task: "asyncio.Future[Any]") -> None:
         self._background.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log_event(BACKGROUND_FAILED, error=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if error is not None and not isinstance(error, ExpectedError):
+            log_event(BACKGROUND_FAILED, error=repr(error))
