--- a/mustardtrack/configuration/snapshots.py
+++ b/mustardtrack/configuration/snapshots.py
@@ -4,6 +4,11 @@
 
 import msgspec
 
+from mustardtrack.configuration.objects import ConfigObject
+from mustardtrack.configuration.store import decode_objects
+
+Objects = dict[str, dict[str, ConfigObject]]
+
 SNAPSHOT_FORMAT = 1
 
 
@@ -24,14 +29,15 @@
     claims: list[Any]
 
 
-def decode_snapshot(data: bytes) -> SnapshotData:
-    """Decode a snapshot.
+def decode_snapshot(data: bytes) -> tuple[SnapshotData, int, Objects]:
+    """Decode a snapshot, and the revision and the objects in it.
 
     Raises:
         SnapshotFormatError: If the bytes are no snapshot of this format.
     """
     try:
         stored = msgspec.msgpack.decode(data, type=SnapshotData)
+        revision, objects = decode_objects(stored.objects)
     except msgspec.DecodeError as error:
         raise SnapshotFormatError(
             f"not a snapshot ({error}), fetch one from another replica"
@@ -41,4 +47,4 @@
             f"snapshot format {stored.format} is not supported, "
             f"run the release that wrote it"
         )
-    return stored
+    return stored, revision, objects
--- a/mustardtrack/configuration/state.py
+++ b/mustardtrack/configuration/state.py
@@ -52,11 +52,7 @@
     SnapshotData,
     decode_snapshot,
 )
-from mustardtrack.configuration.store import (
-    ObjectStore,
-    decode_objects,
-    encode_objects,
-)
+from mustardtrack.configuration.store import ObjectStore, encode_objects
 from mustardtrack.idempotency import (
     Claim,
     ClaimTable,
@@ -375,8 +371,7 @@
         Raises:
             SnapshotFormatError: If the bytes are no snapshot of this format.
         """
-        stored = decode_snapshot(data)
-        revision, objects = decode_objects(stored.objects)
+        stored, revision, objects = decode_snapshot(data)
         state = cls(parallel_weight_loads)
         state.revision = revision
         state._objects = objects
--- a/mustardtrack/configuration/tests/test_state.py
+++ b/mustardtrack/configuration/tests/test_state.py
@@ -169,6 +169,8 @@
 def test_damaged_or_foreign_snapshot_is_refused(operators):
     data = operators.state.snapshot()
     fields = msgspec.msgpack.decode(data)
-    for bad in (b"", data[:-1], msgspec.msgpack.encode([99, *fields[1:]])):
+    newer = msgspec.msgpack.encode([99, *fields[1:]])
+    damaged = msgspec.msgpack.encode([*fields[:3], fields[3][:-1], *fields[4:]])
+    for bad in (b"", data[:-1], newer, damaged):
         with pytest.raises(SnapshotFormatError):
             Configuration.restore(bad)
