--- a/mustardtrack/configuration/tests/test_machine.py
+++ b/mustardtrack/configuration/tests/test_machine.py
@@ -99,8 +99,8 @@
         name = command.endpoint if action == "load" else command.name
         version, operator = self.versions.get(name, (0, ""))
         exists = version > 0
-        removed_by = self.removals.get(name)
-        known = exists or removed_by is not None
+        removed_version, removed_by = self.removals.get(name, (0, ""))
+        known = exists or removed_version > 0
         if if_version not in (None, version) and known:
             assert outcome == Conflict(version, operator if exists else removed_by)
         elif action == "create" and exists:
@@ -110,11 +110,12 @@
         else:
             assert isinstance(outcome, Accepted)
             assert outcome.revision == self.index == self.state.revision
-            assert outcome.version > version or action == "remove"
+            last_version = max(version, removed_version)
+            assert outcome.version > last_version or action == "remove"
             self.versions[name] = (outcome.version, command.operator)
             if action == "remove":
                 del self.versions[name]
-                self.removals[name] = command.operator
+                self.removals[name] = (version, command.operator)
             if outcome.fence:
                 assert outcome.fence > max(self.fences, default=0)
                 self.fences.append(outcome.fence)
