Correct the claim fake and the router model of the call machine

The router model also refused to write after a refusal by itself, which hid whether the call forbids it. Change: the fake keeps unknown claims, a killed router does nothing, and only the call decides whether the first byte may be written.

--- a/mustardtrack/requests/actions.py
+++ b/mustardtrack/requests/actions.py
@@ -39,7 +39,10 @@
 
 @dataclass(frozen=True)
 class ReleaseClaim:
-    """Release the claim, retrying until control accepts it."""
+    """Release the claim, retrying until control answers.
+
+    Control keeps the claim if its outcome is already reported as unknown.
+    """
 
     account: str
     key: str
--- a/mustardtrack/requests/tests/test_call_machine.py
+++ b/mustardtrack/requests/tests/test_call_machine.py
@@ -55,9 +55,12 @@
         if held and held[0] == action.attempt:
             held[3] = action.answer
 
-    def release(self, action):
+    def release(self, action, now_ms):
+        # An unknown outcome stays unknown, because a caller may have acted on it.
         held = self.held.get(action.key)
-        if held and held[0] == action.attempt and held[3] is None:
+        if not held or now_ms - held[2] >= UNKNOWN_MS:
+            return
+        if held[0] == action.attempt and held[3] is None:
             del self.held[action.key]
 
 
@@ -69,6 +72,7 @@
         self.key, self.body, self.began_ms = key, body, now_ms
         self.attempt = self.call.record.attempt
         self.may_write = False
+        self.alive = True
         self.refusal = None
         self.replies = 0
 
@@ -90,6 +94,8 @@
         self.runs_of_attempt = Counter()
 
     def feed(self, send, name, *arguments):
+        if not send.alive:
+            return
         for action in getattr(send.call, name)(*arguments):
             if isinstance(action, RequestClaim | StoreAnswer | ReleaseClaim):
                 self.to_control.append((send, action))
@@ -100,6 +106,7 @@
                 send.replies += 1
             elif isinstance(action, Refuse):
                 send.refusal = action.refusal
+                send.may_write = False
                 send.replies += 1
 
     def pick(self, items, number):
@@ -131,7 +138,7 @@
         elif isinstance(action, StoreAnswer):
             self.claims.complete(action)
         else:
-            self.claims.release(action)
+            self.claims.release(action, self.now_ms)
 
     @precondition(lambda self: self.sends)
     @rule(number=PICK, steps=st.integers(1, 4))
@@ -173,7 +180,7 @@
         send.may_write = False
         if self.now_ms - send.began_ms >= WINDOW_MS:
             self.feed(send, "guard_expired")
-        elif not send.call.record.replied:
+        else:
             self.feed(send, "bytes_sent")
             self.to_service.append(send)
             send.written_ms = self.now_ms
@@ -213,7 +220,7 @@
     def router_killed(self, number):
         # Its messages that are already in transit still arrive.
         killed = self.pick(self.sends, number)
-        killed.may_write = False
+        killed.may_write = killed.alive = False
         self.to_calls = [one for one in self.to_calls if one[0] is not killed]
 
     @rule(elapsed_ms=st.sampled_from((1, 1, 1, WINDOW_MS, SERVICE_MS)))
