--- a/mustardtrack/process/completions.py
+++ b/mustardtrack/process/completions.py
@@ -93,7 +93,7 @@
             request_id=self.request_id,
             account=self.account.name,
             class_name=self.class_name,
-            rank=self.rank,
+            rank=self.priority,
             chain=self.chain,
             prompt_tokens=self.completion.prompt_tokens,
             max_tokens=self.completion.max_tokens,
@@ -167,6 +167,8 @@
             ends=level_ends(completion.levels, piece_chars),
             salt=salt,
             fingerprint=fingerprint(salt, body),
+            # Lanes count two priorities for each class; the lower one until taken.
+            priority=2 * work_class.rank + 1,
             assembler=StreamAssembler(request_id),
         )
 
--- a/mustardtrack/process/control_client.py
+++ b/mustardtrack/process/control_client.py
@@ -10,7 +10,7 @@
 from mustardtrack.ports import CommandReply, CommandRequest
 from mustardtrack.settings import ControlPeer
 
-ATTEMPT_TIMEOUT_MS = 1500
+ATTEMPT_TIMEOUT_MS = 500
 PAUSE_MS = 50
 
 
--- a/mustardtrack/testing/deployment.py
+++ b/mustardtrack/testing/deployment.py
@@ -210,7 +210,7 @@
         """Return the caller address of a router, numbered from 1."""
         return str(self._base["routers"][number - 1]["callers"])
 
-    def tool(self, *arguments: str) -> str:
+    def tool(self, *arguments: str, limit_s: float = 60) -> str:
         """Run the command-line tool and return its output.
 
         Raises:
@@ -232,7 +232,7 @@
             env=environment,
             capture_output=True,
             text=True,
-            timeout=60,
+            timeout=limit_s,
         )
         if done.returncode:
             raise RuntimeError(f"{arguments}: {done.stdout}{done.stderr}")
