--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -22,6 +22,7 @@
     measure_idle,
     measure_imports,
     measure_overhead,
+    measure_probes,
 )
 from bench.capacity_routing import (
     measure_decisions,
@@ -54,6 +55,7 @@
     "queue": measure_queue,
     "imports": measure_imports,
     "idle": measure_idle,
+    "probes": measure_probes,
     "overhead": measure_overhead,
 }
 
--- a/bench/capacity_processes.py
+++ b/bench/capacity_processes.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import math
 import os
 import subprocess
 import sys
@@ -23,6 +24,8 @@
 ROUTERS = (1, 2, 4, 8)
 SETTLE_S = 3.0
 IDLE_S = 8.0
+PROBED_S = 5.0
+OBSERVED = (8, 24, 48, 96)
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 IMPORTS = {
     "bare interpreter": "pass",
@@ -69,8 +72,8 @@
         time.monotonic(),
         processor_ticks(pid),
         resident_kb(pid),
-        status.get("bus_bytes_sent", 0),
-        status.get("bus_bytes_received", 0),
+        status.get("bus_bytes_sent", math.nan),
+        status.get("bus_bytes_received", math.nan),
     )
 
 
@@ -91,7 +94,7 @@
             Series(f"{role}, {kind}", unit, "routers")
             for kind, unit in zip(kinds, units, strict=True)
         ]
-        for role in ("router", "control leader", "control follower")
+        for role in ("router", "control replica")
     }
     for count in ROUTERS:
         with tempfile.TemporaryDirectory() as folder, Fleet(folder) as fleet:
@@ -105,21 +108,46 @@
                 name: compare(before[name], read_daemon(deployment, name))
                 for name in names
             }
-        controls = sorted(
-            (row for name, row in rows.items() if name.startswith("control")),
-            key=lambda row: row[2],
-        )
-        routers = [row for name, row in rows.items() if name.startswith("router")]
-        # The leader sends to both followers, so it is the replica that sends most.
-        groups = {
-            "router": routers,
-            "control leader": controls[-1:],
-            "control follower": controls[:-1],
-        }
-        for role, group in groups.items():
-            for n, one in enumerate(series[role]):
+        # Control replicas do not report the bytes of their bus.
+        for role, some in series.items():
+            prefix = role.split()[0]
+            group = [row for name, row in rows.items() if name.startswith(prefix)]
+            for n, one in enumerate(some):
                 one.add(count, sum(row[n] for row in group) / len(group))
-    return [one for group in series.values() for one in group]
+    all_series = [one for some in series.values() for one in some]
+    return [one for one in all_series if not math.isnan(one.points[0][1])]
+
+
+def measure_probes(seed: int) -> list[Result]:
+    """Measure one router against the endpoints that it probes twice a second.
+
+    The added endpoints share the addresses of the stand-in engines, so that few
+    processes are needed.
+    """
+    cpu = Series("router, CPU", "% of a core", "observed endpoints")
+    memory = Series("router, resident", "KB", "observed endpoints")
+    sent = Series("router, bus sent to 3 control replicas", "bytes/s", cpu.per)
+    with tempfile.TemporaryDirectory() as folder, Fleet(folder) as fleet:
+        deployment = Deployment(fleet, routers=1)
+        deployment.start()
+        engines = [n for n in deployment.members if n.startswith("engine")]
+        count = 8
+        for target in OBSERVED:
+            while count < target:
+                address = deployment.members[engines[count % len(engines)]].address
+                status, body = deployment.command(
+                    f"create endpoint extra-{count} kind=engine address={address} "
+                    "zone=sofia-a serves=other-model checks_fencing=true"
+                )
+                assert status == 200, body
+                count += 1
+            time.sleep(SETTLE_S)
+            before = read_daemon(deployment, "router-1")
+            time.sleep(PROBED_S)
+            row = compare(before, read_daemon(deployment, "router-1"))
+            for series, value in zip((cpu, memory, sent), row[:3], strict=True):
+                series.add(target, value)
+    return [cpu, memory, sent]
 
 
 def measure_overhead(seed: int) -> list[Result]:
