--- a/mustardtrack/tests/test_documents.py
+++ b/mustardtrack/tests/test_documents.py
@@ -18,8 +18,9 @@
 
 LINK = re.compile(r"\[[^\]]*\]\(([^)\s]+)\)")
 CODE_SPAN = re.compile(r"`([^`\n]+)`")
-FENCE = re.compile(r"^```.*?^```", re.MULTILINE | re.DOTALL)
-MT_BLOCK = re.compile(r"^```mt\n(.*?)^```", re.MULTILINE | re.DOTALL)
+# Blocks inside list items are indented.
+FENCE = re.compile(r"^ *```.*?^ *```", re.MULTILINE | re.DOTALL)
+MT_BLOCK = re.compile(r"^ *```mt\n(.*?)^ *```", re.MULTILINE | re.DOTALL)
 PATH = re.compile(r"[\w.-]+(?:/[\w.-]+)+/?")
 ROOT_FILE = re.compile(r"[\w-]+\.(?:md|txt|toml|lock)")
 
@@ -43,7 +44,8 @@
 
 def find_commands(page):
     blocks = MT_BLOCK.findall(page.read_text())
-    return [line for block in blocks for line in block.splitlines() if line.strip()]
+    lines = [line.strip() for block in blocks for line in block.splitlines()]
+    return [line for line in lines if line]
 
 
 def list_cases(find):
