--- a/mustardtrack/process/tests/test_failures.py
+++ b/mustardtrack/process/tests/test_failures.py
@@ -43,6 +43,11 @@
     return text == expected and events[-1] == {"done": True}
 
 
+def sees_all_up(deployment, router):
+    rows = deployment.query("show endpoints", deployment.operators(router))
+    return bool(rows) and all(row["state"] == "up" for row in rows)
+
+
 def change(deployment, weight, operators):
     """Change an object, sending the command again until it is answered."""
     command_id = f"change-{weight}"
@@ -136,15 +141,42 @@
     own.members["router-1"].kill()
     own.restart("router-1")
     wait_until(lambda: own.status("router-1")["revision"] > 0)
-    wait_until(
-        lambda: all(
-            row["state"] == "up"
-            for row in own.query("show endpoints", own.operators("router-1"))
-        )
-    )
+    wait_until(lambda: sees_all_up(own, "router-1"))
     assert is_whole(own, "served from the configuration of a peer")
 
 
+def test_routers_serve_from_their_cache_files_after_everything_was_down(tmp_path):
+    with Fleet(tmp_path) as fleet:
+        own = Deployment(fleet, "zwolle", routers=2, router_folders=True)
+        own.start()
+        routers = ("router-1", "router-2")
+        for name in CONTROLS + routers:
+            own.members[name].kill()
+        for name in routers:
+            own.restart(name)
+            wait_until(lambda: sees_all_up(own, name))  # noqa: B023
+        assert is_whole(own, "served from the cache file", router=1)
+        assert is_whole(own, "served from the cache file", router=2)
+
+
+def test_host_on_the_platform_list_of_leaving_hosts_gets_no_new_work(tmp_path):
+    with Fleet(tmp_path) as fleet:
+        platform = fleet.start_platform("platform")
+        settings = {"platform_hosts_url": f"http://{platform.address}/hosts"}
+        own = Deployment(fleet, "zwolle", routers=1, settings=settings)
+        own.start()
+        engine = own.members["engine-1"]
+        rows = [{"address": engine.address, "state": "leaving"}]
+        assert platform.post("/hosts", {"hosts": rows})[0] == 200
+        operators = own.operators("router-1")
+        text = "show endpoints where name = engine-1"
+        wait_until(lambda: own.query(text, operators)[0]["state"] == "leaving")
+        before = engine.get("/runs")["runs"]
+        for number in range(30):
+            assert is_whole(own, f"not for the leaving host {number}")
+        assert engine.get("/runs")["runs"] == before
+
+
 def test_booking_is_stored_over_the_death_of_its_router(own):
     key = new_key()
     first = own.book({"a": 1}, key)
--- a/mustardtrack/testing/deployment.py
+++ b/mustardtrack/testing/deployment.py
@@ -55,6 +55,7 @@
         controls: Number of control replicas.
         routers: Number of routers.
         settings: Replaces keys of the example settings, for example ``timing``.
+        router_folders: Whether routers keep a cache file of the configuration.
     """
 
     fleet: Fleet
@@ -62,6 +63,7 @@
     controls: int = 3
     routers: int = 8
     settings: dict[str, Any] = field(default_factory=dict)
+    router_folders: bool = False
     members: dict[str, Member] = field(default_factory=dict)
     _moved: dict[str, str] = field(default_factory=dict)
 
@@ -115,7 +117,7 @@
     ) -> Member:
         """Start one daemon; its data folder stays the same over restarts."""
         settings = {**self._base, "role": role, "name": peer["name"]}
-        if role == "control":
+        if role == "control" or self.router_folders:
             settings["data_folder"] = str(self.data_folder(peer["name"]))
         path = self.fleet.folder / f"{peer['name']}.yaml"
         path.write_text(yaml.safe_dump(settings))
