Split the request paths, end attempts at the deadline of the first token

An attempt waited up to 60 s for a first token that its caller needed within 5 s, and an endpoint that began to leave between choice and dispatch was answered as an internal error. Change: jobs, relay, service requests and claimed calls are modules of their own; the limit for the first token is the request's deadline; a choice that is not current any more is made again; a stream may resume at a leaving endpoint.

--- a/mustardtrack/process/caller_api.py
+++ b/mustardtrack/process/caller_api.py
@@ -26,8 +26,10 @@
     parse_completion,
     write_refusal,
 )
-from mustardtrack.process.completions import CompletionService, RefusedError
-from mustardtrack.process.services import ServiceCalls, ServiceRequest
+from mustardtrack.process.completions import CompletionService
+from mustardtrack.process.jobs import RefusedError
+from mustardtrack.process.service_requests import ServiceRequest
+from mustardtrack.process.services import ServiceCalls
 from mustardtrack.process.traffic import Traffic
 from mustardtrack.requests import refuse
 
--- /dev/null
+++ b/mustardtrack/process/claimed_calls.py
@@ -0,0 +1,246 @@
+"""Non-idempotent calls: claim, guarded dispatch, stored answer."""
+
+import asyncio
+
+import msgspec
+
+from mustardtrack.adapters.http_endpoints import EndpointError
+from mustardtrack.idempotency import (
+    Answer,
+    BodyMismatch,
+    Claim,
+    CompleteClaim,
+    DispatchGuard,
+    Granted,
+    InProgress,
+    KeyExpired,
+    OutcomeUnknown,
+    Stored,
+    store_answer,
+)
+from mustardtrack.idempotency import ReleaseClaim as ReleaseClaimCommand
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.process.control_client import ControlClient, ControlUnavailableError
+from mustardtrack.process.jobs import RefusedError
+from mustardtrack.process.service_requests import (
+    ServiceAnswer,
+    ServiceRequest,
+    ServiceSender,
+    convert_answer,
+)
+from mustardtrack.process.traffic import Traffic
+from mustardtrack.requests import (
+    Action,
+    Call,
+    Dispatch,
+    Refuse,
+    ReleaseClaim,
+    Reply,
+    RequestClaim,
+    StoreAnswer,
+    refuse,
+)
+from mustardtrack.routing import Choice
+
+CLAIM_NOT_CLOSED = define_event(8621, "ERROR", "claim could not be closed")
+GUARD_REFUSED = define_event(8622, "WARNING", "call not dispatched after a pause")
+
+CLAIM_MARGIN_MS = 5000
+CLOSE_TIMEOUT_MS = 60_000
+STORE_WAIT_MS = 2000
+
+
+class _GuardExpiredError(Exception):
+    """The dispatch guard refused at the last step before the first byte."""
+
+
+class ClaimedCall:
+    """Carries out the actions of one send of a non-idempotent call.
+
+    Args:
+        traffic: Shared state of the router.
+        control: Client of the control group.
+        sender: Sends the call to the endpoint.
+        request: The call.
+        choice: The chosen endpoint.
+        attempt: Attempt id of this send.
+    """
+
+    def __init__(
+        self,
+        traffic: Traffic,
+        control: ControlClient,
+        sender: ServiceSender,
+        request: ServiceRequest,
+        choice: Choice,
+        attempt: str,
+    ):
+        self._traffic = traffic
+        self._control = control
+        self._sender = sender
+        self._request = request
+        self._choice = choice
+        self._attempt = attempt
+        self._call = Call(
+            request.account.name, request.key or "", request.digest(), attempt
+        )
+        timing = traffic.settings.timing
+        # The window counts from before the claim was requested.
+        self._guard = DispatchGuard(traffic.clock.now_ms(), timing.dispatch_window_ms)
+        self._unknown_after_ms = (
+            timing.dispatch_window_ms + timing.service_timeout_ms + CLAIM_MARGIN_MS
+        )
+        self._whole: ServiceAnswer | None = None
+        self.answered = False
+
+    async def execute(self, request_id: str) -> ServiceAnswer:
+        """Run the call and return the answer to the caller.
+
+        Raises:
+            RefusedError: If the caller gets a refusal.
+        """
+        self._request_id = request_id
+        actions = self._call.begin()
+        result: ServiceAnswer | RefusedError | None = None
+        while actions:
+            following: list[Action] = []
+            for action in actions:
+                if isinstance(action, RequestClaim):
+                    following += await self._claim()
+                elif isinstance(action, Dispatch):
+                    following += await self._dispatch(action)
+                elif isinstance(action, StoreAnswer):
+                    await self._store(action.answer)
+                elif isinstance(action, ReleaseClaim):
+                    self._traffic.background(self._close(self._release_command()))
+                elif isinstance(action, Reply):
+                    # This send has the whole body even if it is too large to store.
+                    result = self._whole or _decode_answer(action.answer)
+                elif isinstance(action, Refuse):
+                    result = RefusedError(action.refusal)
+            actions = following
+        if isinstance(result, ServiceAnswer):
+            return result
+        raise result or RefusedError(refuse("internal_error", dispatched=True))
+
+    async def _claim(self) -> list[Action]:
+        record = self._call.record
+        command = Claim(
+            record.account,
+            record.key,
+            record.body_digest,
+            record.attempt,
+            self._traffic.settings.name,
+            self._choice.endpoint,
+            self._unknown_after_ms,
+        )
+        window_ms = self._traffic.settings.timing.dispatch_window_ms
+        try:
+            outcome = await self._control.submit(command, window_ms)
+        except ControlUnavailableError:
+            return self._call.control_unavailable()
+        match outcome:
+            case Granted(attempt, fence):
+                return self._call.granted(attempt, fence)
+            case Stored(answer):
+                return self._call.stored(msgspec.msgpack.encode(answer))
+            case InProgress(since_wall_ms):
+                return self._call.in_progress(since_wall_ms)
+            case OutcomeUnknown(endpoint, since_wall_ms, check):
+                return self._call.outcome_unknown(endpoint, since_wall_ms, check)
+            case BodyMismatch():
+                return self._call.body_mismatch()
+            case KeyExpired():
+                return self._call.key_expired()
+        return self._call.control_unavailable()
+
+    async def _dispatch(self, action: Dispatch) -> list[Action]:
+        try:
+            answer = await self._sender.send(
+                self._request,
+                self._choice,
+                action.attempt,
+                action.fence,
+                self._before_send,
+            )
+        except _GuardExpiredError:
+            log_event(GUARD_REFUSED, attempt=action.attempt)
+            return self._call.guard_expired()
+        except EndpointError as error:
+            if error.reason == "timeout":
+                return self._call.timed_out()
+            return self._call.connection_lost()
+        echoed = answer.headers.get("mustardtrack-attempt", "")
+        if echoed != action.attempt:
+            self._traffic.tracker.connection_closed(
+                self._choice.endpoint, self._request_id
+            )
+            self._traffic.metrics.count("answers.foreign")
+            return self._call.connection_lost()
+        self.answered = True
+        self._whole = convert_answer(answer)
+        stored = store_answer(
+            self._whole.status,
+            self._whole.content_type,
+            self._whole.body,
+            self._traffic.settings.limits.stored_answer_bytes,
+        )
+        return self._call.answered(echoed, msgspec.msgpack.encode(stored))
+
+    def _before_send(self) -> None:
+        """Check the guard as the last step before the first byte is written."""
+        if not self._guard.allow(self._traffic.clock.now_ms()):
+            raise _GuardExpiredError
+        self._call.bytes_sent()
+        self._traffic.stop.mark_dispatched(self._request_id)
+
+    async def _store(self, data: bytes) -> None:
+        """Store the answer; wait for it a short time, then go on in background."""
+        record = self._call.record
+        answer = msgspec.msgpack.decode(data, type=Answer)
+        command = CompleteClaim(record.account, record.key, record.attempt, answer)
+        done = asyncio.Event()
+        self._traffic.background(self._close(command, done))
+        try:
+            await asyncio.wait_for(done.wait(), STORE_WAIT_MS / 1000)
+        except TimeoutError:
+            self._traffic.metrics.count("claims.stored_late")
+
+    def _release_command(self) -> ReleaseClaimCommand:
+        record = self._call.record
+        return ReleaseClaimCommand(record.account, record.key, record.attempt)
+
+    async def _close(
+        self,
+        command: CompleteClaim | ReleaseClaimCommand,
+        done: asyncio.Event | None = None,
+    ) -> None:
+        try:
+            await self._control.submit(command, CLOSE_TIMEOUT_MS)
+        except ControlUnavailableError as error:
+            log_event(CLAIM_NOT_CLOSED, attempt=command.attempt, error=str(error))
+            return
+        if done is not None:
+            done.set()
+
+
+def _decode_answer(data: bytes) -> ServiceAnswer:
+    """Return the answer of an earlier send."""
+    answer = msgspec.msgpack.decode(data, type=Answer)
+    if answer.kept:
+        return ServiceAnswer(answer.status, answer.content_type, answer.body, True)
+    body = msgspec.json.encode(
+        {
+            "error": {
+                "message": "The call ran; its answer was too large to be stored.",
+                "type": "refusal",
+                "code": "answer_not_stored",
+                "ran": "ran",
+                "status": answer.status,
+                "body_bytes": answer.length,
+                "body_digest": answer.digest,
+                "remedy": "Ask the service for the result of the call.",
+            }
+        }
+    )
+    return ServiceAnswer(409, "application/json", body, True)
--- a/mustardtrack/process/lanes.py
+++ b/mustardtrack/process/lanes.py
@@ -53,6 +53,10 @@
             )
         return self._candidates
 
+    def forget_candidates(self) -> None:
+        """Build the candidates anew on the next call."""
+        self._candidates_ms = -CANDIDATES_MS
+
     async def wait(self, item: QueueItem) -> Taken | Refused:
         """Queue a request and wait until it may be dispatched or is refused."""
         self._refresh()
--- a/mustardtrack/testing/campaigns.py
+++ b/mustardtrack/testing/campaigns.py
@@ -15,6 +15,8 @@
 from mustardtrack.testing.deployment import Deployment
 from mustardtrack.testing.fleet import Fleet
 
+FULL_ROUTERS = 8
+
 
 def run_campaign(
     folder: Path,
@@ -28,6 +30,8 @@
     """Run one campaign; without fault kinds it is a rolling planned restart."""
     with Fleet(folder) as fleet:
         deployment = Deployment(fleet, name, routers=routers)
+        if routers < FULL_ROUTERS:
+            deployment.engines, deployment.services = 4, 2
         deployment.start()
         campaign = Campaign(deployment, seed, callers, cuts_allowed=bool(kinds))
         if kinds:
--- a/mustardtrack/testing/deployment.py
+++ b/mustardtrack/testing/deployment.py
@@ -56,6 +56,8 @@
         routers: Number of routers.
         settings: Replaces keys of the example settings, for example ``timing``.
         router_folders: Whether routers keep a cache file of the configuration.
+        engines: Largest number of engines.
+        services: Largest number of plain services.
     """
 
     fleet: Fleet
@@ -64,6 +66,8 @@
     routers: int = 8
     settings: dict[str, Any] = field(default_factory=dict)
     router_folders: bool = False
+    engines: int = 16
+    services: int = 16
     members: dict[str, Member] = field(default_factory=dict)
     _moved: dict[str, str] = field(default_factory=dict)
 
@@ -299,7 +303,16 @@
 
     def _lines(self) -> list[str]:
         path = ROOT / "examples" / self.name / "objects.mt"
-        return path.read_text().splitlines()
+        left = {"kind=engine": self.engines, "kind=service": self.services}
+        lines = []
+        for line in path.read_text().splitlines():
+            kind = next((word for word in line.split() if word in left), None)
+            if kind is not None:
+                left[kind] -= 1
+                if left[kind] < 0:
+                    continue
+            lines.append(line)
+        return lines
 
     def _move(self, address: str) -> str:
         """Return the free address that stands for an address of the examples."""
