--- a/bench/capacity_processes.py
+++ b/bench/capacity_processes.py
@@ -18,6 +18,7 @@
     processor_ticks,
     resident_kb,
 )
+from mustardtrack.testing.batching import Rates
 from mustardtrack.testing.deployment import Deployment
 from mustardtrack.testing.fleet import Fleet
 
@@ -153,7 +154,10 @@
 def measure_overhead(seed: int) -> list[Result]:
     """Send the load of one node through one router, as bench/overhead.py does."""
     with tempfile.TemporaryDirectory() as folder, Fleet(folder) as fleet:
-        deployment = Deployment(fleet, routers=1)
+        # The stand-in engines run 64 requests at once; with a lower setting the
+        # router would hold requests back, which is policy and not overhead.
+        limits = {"limits": {"endpoint_concurrency": Rates.max_batch}}
+        deployment = Deployment(fleet, routers=1, settings=limits)
         deployment.start(*ENGINE_OPTIONS, *overhead.NO_PREFILL)
         args = argparse.Namespace(
             seed=seed,
--- a/mustardtrack/command/application.py
+++ b/mustardtrack/command/application.py
@@ -4,6 +4,7 @@
 import json
 import os
 import sys
+import uuid
 from pathlib import Path
 from typing import Any
 
@@ -120,22 +121,41 @@
     name = "apply"
     description = "apply one command, or each line of a file given as @FILE"
     arguments = [argument("text", description="a command, @FILE, or - for input")]
-    options = CONNECTION_OPTIONS
+    options = [
+        *CONNECTION_OPTIONS,
+        option(
+            "command-id",
+            description="identity under which to send again after a lost answer",
+            flag=False,
+        ),
+    ]
 
     def execute_call(self) -> int:
-        """Apply the commands in order and stop at the first refusal."""
+        """Apply the commands in order and stop at the first refusal.
+
+        A run that got no answer can be repeated with the printed identity; the
+        commands that took effect are not applied again.
+        """
         commands = _read_commands(self.argument("text"))
+        identity = self.option("command-id") or str(uuid.uuid4())
         progress = self.progress_bar(len(commands)) if len(commands) > 20 else None
 
         async def apply_all(client: Any) -> list[dict[str, Any]]:
             answers = []
-            for command in commands:
-                answers.append(await client.execute(command, getpass.getuser()))
+            for number, command in enumerate(commands):
+                command_id = f"{identity}-{number}"
+                answers.append(
+                    await client.execute(command, getpass.getuser(), command_id)
+                )
                 if progress is not None:
                     progress.advance()
             return answers
 
-        answers = self.connect(apply_all)
+        try:
+            answers = self.connect(apply_all)
+        except Exception:
+            self.line_error(f"to send again: --command-id {identity}")
+            raise
         if progress is not None:
             progress.finish()
             self.line("")
--- a/mustardtrack/command/client.py
+++ b/mustardtrack/command/client.py
@@ -46,7 +46,9 @@
     token: str
     http: HttpEndpointClient
 
-    async def execute(self, text: str, operator: str) -> dict[str, Any]:
+    async def execute(
+        self, text: str, operator: str, command_id: str = ""
+    ) -> dict[str, Any]:
         """Run one command or query.
 
         A lost answer is asked for again under the same command identity, so the
@@ -55,9 +57,9 @@
         Raises:
             OperatorError: If no address answers or the command is refused.
         """
-        body = {"text": text, "operator": operator, "command_id": str(uuid.uuid4())}
-        answer = await self.post("/operator/command", body)
-        return answer
+        identity = command_id or str(uuid.uuid4())
+        body = {"text": text, "operator": operator, "command_id": identity}
+        return await self.post("/operator/command", body)
 
     async def post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         """Post to the first address that answers; addresses are tried twice."""
--- a/mustardtrack/process/caller_api.py
+++ b/mustardtrack/process/caller_api.py
@@ -35,6 +35,8 @@
 
 DEFAULT_CLASS = "patient"
 MAX_DEADLINE_MS = 86_400_000
+# Enough for a caller to go on when several hosts fail within the time to live.
+MAX_ADDRESSES = 16
 
 
 class CallerApi:
@@ -167,6 +169,7 @@
         try:
             self._authenticate(request)
         except RefusedError as error:
+            self._traffic.count_refusal(error.refusal)
             return write_refusal(request, error.refusal)
         models = [
             {"id": name, "object": "model", "owned_by": "mustardtrack", "created": 0}
@@ -180,7 +183,7 @@
         hosts = self._traffic.hosts
         addresses = [
             {"host": one.host, "zone": one.zone, "address": one.address}
-            for one in hosts.discover(zone, now_ms)
+            for one in hosts.discover(zone, now_ms)[:MAX_ADDRESSES]
         ]
         return write_json(
             request, 200, {"addresses": addresses, "ttl_ms": hosts.ttl_ms}
--- a/mustardtrack/process/completions.py
+++ b/mustardtrack/process/completions.py
@@ -27,7 +27,7 @@
 )
 from mustardtrack.process.lanes import Lanes
 from mustardtrack.process.relay import StreamRelay
-from mustardtrack.process.traffic import Traffic
+from mustardtrack.process.traffic import OpenRequest, Traffic
 from mustardtrack.requests import Attempt, Refusal, StreamAssembler, refuse
 from mustardtrack.routing import Choice, Salt, level_ends, prefix_chain
 
@@ -109,6 +109,9 @@
         if not traffic.stop.open(job.request_id, job.account.name):
             return self._refuse(job, writer, "stopping")
         admitted = False
+        traffic.open_rows[job.request_id] = OpenRequest(
+            job.account.name, job.class_name, job.fingerprint, job.arrived_ms
+        )
         try:
             self._check_quarantine(job)
             tokens = job.completion.prompt_tokens + job.completion.max_tokens
@@ -130,6 +133,7 @@
             if admitted:
                 traffic.limits.release(job.account.name)
             traffic.tracker.finish_request(job.request_id)
+            del traffic.open_rows[job.request_id]
             traffic.stop.close(job.request_id)
 
     def _refuse(self, job: CompletionJob, writer: ResponseWriter, reason: str) -> bytes:
@@ -246,6 +250,8 @@
         )
         if job.attempts == 0:
             traffic.budget.first_attempt(choice.endpoint)
+        row = traffic.open_rows[job.request_id]
+        row.state, row.endpoint = "running", choice.endpoint
         job.attempts += 1
         job.dispatched = True
         traffic.stop.mark_dispatched(job.request_id)
--- a/mustardtrack/process/follower.py
+++ b/mustardtrack/process/follower.py
@@ -29,6 +29,7 @@
 ANSWER_MARGIN_MS = 500
 STALE_SOURCE_MS = 3000
 RETRY_PAUSE_MS = 100
+CATCH_UP_ROUTERS = 3
 
 
 class FollowerTask:
@@ -62,13 +63,11 @@
         self._rng = rng
         self._cache_file = cache_file
         self._changed = asyncio.Event()
-        self._heard_ms: int | None = None
+        self._heard_ms = clock.now_ms()
 
     @property
     def stale_ms(self) -> int:
-        """Milliseconds since a source with a leader confirmed the copy."""
-        if self._heard_ms is None:
-            return self._clock.now_ms()
+        """Milliseconds since a leader confirmed the copy, or since the start."""
         return self._clock.now_ms() - self._heard_ms
 
     async def run(self) -> None:
@@ -100,8 +99,12 @@
         return msgspec.msgpack.encode(reply)
 
     async def _catch_up(self) -> None:
-        """Ask all sources at once, so that a restarted router serves at once."""
-        sources = self._control + self._routers
+        """Ask several sources at once, so that a restarted router serves at once.
+
+        Each answers with a whole snapshot, so only a few routers are asked.
+        """
+        count = min(CATCH_UP_ROUTERS, len(self._routers))
+        sources = self._control + self._rng.sample(self._routers, count)
         await asyncio.gather(*(self._ask(address, 0) for address in sources))
         if self._copy.revision == 0:
             self._load_cache()
--- a/mustardtrack/process/observer.py
+++ b/mustardtrack/process/observer.py
@@ -211,7 +211,8 @@
             name=self._peer.name,
             address=self._peer.callers,
             zone=self._peer.zone,
-            state="draining" if self.withdrawn else "up",
+            # Without a configuration a router refuses everything.
+            state="up" if self._revision() and not self.withdrawn else "draining",
             revision=self._revision(),
             sequence=self._sequence,
             observations=encode_observations(observations),
--- a/mustardtrack/process/operators.py
+++ b/mustardtrack/process/operators.py
@@ -49,7 +49,17 @@
 CONNECTIONS = 64
 BODY_BYTES = 262_144
 IDLE_MS = 30_000
+# A leader confirms the configuration several times within this time.
+STALE_MS = 3000
 HIDDEN_FIELDS = ("key_hashes",)
+QUARANTINED_ROW = {
+    "request": "",
+    "state": "quarantined",
+    "account": "",
+    "class": "",
+    "endpoint": "",
+    "age_ms": None,
+}
 
 
 @dataclass(frozen=True)
@@ -80,7 +90,7 @@
         """Return the rows of a source of the language."""
         if source == "requests":
             return self.requests() + [
-                {"request": "", "state": "quarantined", "fingerprint": one}
+                QUARANTINED_ROW | {"fingerprint": one}
                 for one in sorted(self.quarantined())
             ]
         if source == "reasons":
@@ -189,9 +199,12 @@
     def _answer_query(self, request: Request, query: Query) -> bytes:
         table = evaluate(query, self._rows.rows(query.source))
         rows = [dict(zip(table.columns, row, strict=True)) for row in table.rows]
+        text = render_table(table) if table.columns else "no rows"
+        if self._rows.stale_ms() > STALE_MS:
+            text += f"\nstale: no leader heard of for {self._rows.stale_ms()} ms"
         answer = {
             "rows": rows,
-            "text": render_table(table),
+            "text": text,
             "source": self._settings.name,
             "revision": self._rows.revision(),
             "stale_ms": self._rows.stale_ms(),
--- a/mustardtrack/process/router.py
+++ b/mustardtrack/process/router.py
@@ -297,14 +297,15 @@
         now_ms = self._clock.now_ms()
         return [
             {
-                "request": attempt.request_id,
-                "state": "running",
-                "fingerprint": "",
-                "account": attempt.account,
-                "endpoint": attempt.endpoint,
-                "age_ms": now_ms - attempt.started_ms,
+                "request": request_id,
+                "state": row.state,
+                "account": row.account,
+                "class": row.class_name,
+                "endpoint": row.endpoint,
+                "age_ms": now_ms - row.arrived_ms,
+                "fingerprint": row.fingerprint,
             }
-            for attempt in self._traffic.tracker.open_attempts()
+            for request_id, row in self._traffic.open_rows.items()
         ]
 
     async def stop(self) -> list[str]:
--- a/mustardtrack/process/tests/test_operators.py
+++ b/mustardtrack/process/tests/test_operators.py
@@ -3,7 +3,9 @@
 import threading
 import uuid
 
-from mustardtrack.testing import call
+import pytest
+
+from mustardtrack.testing import call, open_request
 from mustardtrack.testing.deployment import OPERATOR_TOKEN, wait_until
 
 
@@ -127,3 +129,29 @@
         assert "column 6" in str(error)
     else:
         raise AssertionError("a syntax error must fail")
+
+
+def test_repeated_run_of_the_tool_applies_nothing_twice(deployment):
+    command = ("apply", "create account repeated weight=1", "--command-id", "run-7")
+    assert deployment.tool(*command) == deployment.tool(*command)
+    with pytest.raises(RuntimeError, match="exists"):
+        deployment.tool("apply", "create account repeated weight=1")
+
+
+def test_open_request_is_shown_with_its_class_and_endpoint(deployment):
+    body = {"model": deployment.model, "prompt": "shown", "max_tokens": 4000}
+    headers = deployment.headers(**{"Mustardtrack-Class": "urgent"})
+    connection, answer = open_request(
+        deployment.callers(),
+        "POST",
+        "/v1/completions",
+        body | {"stream": True},
+        headers,
+    )
+    assert answer.readline().startswith(b"data: ")
+    text = "show requests where class = urgent"
+    row = deployment.query(text, deployment.operators("router-1"))[0]
+    answer.close()
+    connection.close()
+    assert row["state"] == "running"
+    assert row["endpoint"].startswith("engine-")
--- a/mustardtrack/process/traffic.py
+++ b/mustardtrack/process/traffic.py
@@ -25,6 +25,18 @@
     """Base of errors that are an answer to a caller, not a fault."""
 
 
+@dataclass
+class OpenRequest:
+    """What operators see of an open request."""
+
+    account: str
+    class_name: str
+    fingerprint: str
+    arrived_ms: int
+    state: str = "queued"
+    endpoint: str = ""
+
+
 @dataclass
 class Traffic:
     """Shared state of the requests of one router, used on its event loop only."""
@@ -42,6 +54,7 @@
     endpoints: EndpointTable
     hosts: HostTable
     measures: Measures = field(default_factory=Measures)
+    open_rows: dict[str, "OpenRequest"] = field(default_factory=dict)
     _background: set["asyncio.Future[Any]"] = field(default_factory=set)
 
     @property
