Warn when the control group stays behind a router

Cause: routers that kept running over a new formation of the control group ignored it, and nothing said so. Change: a source at an older revision does not confirm the copy; event 8405 after 10 s; status of control replicas shows a refused disk. Conclusion: the age grows and the operator sees it.

--- a/mustardtrack/process/control.py
+++ b/mustardtrack/process/control.py
@@ -170,6 +170,7 @@
             "voters": [voter.name for voter in status.voters],
             "learners": [learner.name for learner in status.learners],
             "stale_ms": status.stale_ms,
+            "refused": status.refused,
         }
 
     def _rows(self) -> RowSource:
--- a/mustardtrack/process/follower.py
+++ b/mustardtrack/process/follower.py
@@ -25,7 +25,13 @@
 CACHE_FAILED = define_event(8403, "WARNING", "configuration cache cannot be used")
 FIRST_CONFIGURATION = define_event(8404, "INFO", "first configuration is in force")
 
+SOURCE_BEHIND = define_event(
+    8405, "ERROR", "control group stays at an older revision than this router"
+)
+
 POLL_WAIT_MS = 2000
+# A replica that has just restarted knows what is committed within a second or two.
+BEHIND_MS = 10_000
 ANSWER_MARGIN_MS = 500
 STALE_SOURCE_MS = 3000
 RETRY_PAUSE_MS = 100
@@ -64,6 +70,7 @@
         self._cache_file = cache_file
         self._changed = asyncio.Event()
         self._heard_ms = clock.now_ms()
+        self._behind_logged = False
 
     @property
     def stale_ms(self) -> int:
@@ -115,12 +122,27 @@
         for _ in range(len(self._control)):
             reply = await self._ask(self._control[0], POLL_WAIT_MS)
             if reply is not None and reply.stale_ms < STALE_SOURCE_MS:
-                self._heard_ms = self._clock.now_ms() - reply.stale_ms
+                self._note_source(reply)
                 return True
             log_event(SOURCE_LOST, address=self._control[0])
             self._control.append(self._control.pop(0))
         return False
 
+    def _note_source(self, reply: FollowReply) -> None:
+        """Record that a source with a leader answered.
+
+        A source that stays behind this router belongs to another formation of the
+        control group; the copy then counts as stale.
+        """
+        if reply.revision >= self._copy.revision:
+            self._heard_ms = self._clock.now_ms() - reply.stale_ms
+            self._behind_logged = False
+        elif self.stale_ms > BEHIND_MS and not self._behind_logged:
+            self._behind_logged = True
+            log_event(
+                SOURCE_BEHIND, source=reply.revision, revision=self._copy.revision
+            )
+
     async def _poll_routers(self) -> None:
         if self._routers:
             address = self._rng.choice(self._routers)
