Use the platform's list through one class

Cause: the router matched the list of leaving hosts itself, beside a class that does it and also refuses older lists. Change: the router uses PlatformHosts; entries may name a host or one address. Conclusion: one place decides which hosts leave.

--- a/mustardtrack/membership/listing.py
+++ b/mustardtrack/membership/listing.py
@@ -18,8 +18,8 @@
 
     Attributes:
         as_of_wall_ms: Time at which the platform created the list.
-        live: IP addresses of live hosts.
-        leaving: IP addresses of hosts that are about to be taken away.
+        live: Live hosts, as IP address or as ``IP:PORT`` of one process.
+        leaving: Hosts that are about to be taken away, in the same form.
     """
 
     as_of_wall_ms: int
@@ -61,12 +61,12 @@
         return True
 
     def leaving_names(self, addresses: Mapping[str, str]) -> set[str]:
-        """Return the names whose ``IP:PORT`` is on a leaving host."""
+        """Return the names whose ``IP:PORT`` is leaving or on a leaving host."""
         leaving = self._listing.leaving if self._listing else frozenset()
         return {
             name
             for name, address in addresses.items()
-            if address.rpartition(":")[0].strip("[]") in leaving
+            if address in leaving or address.rpartition(":")[0].strip("[]") in leaving
         }
 
     def age_ms(self, wall_ms: int) -> int | None:
--- a/mustardtrack/process/observer.py
+++ b/mustardtrack/process/observer.py
@@ -15,6 +15,7 @@
     HostHeartbeat,
     HostTable,
     Load,
+    PlatformListing,
     ProbeAnswer,
     ProbeTable,
     decode_observations,
@@ -55,9 +56,17 @@
 
 
 class PlatformBody(msgspec.Struct):
-    """The platform's lagging list of live and leaving hosts."""
+    """The platform's lagging list of live and leaving hosts.
+
+    ``as_of_wall_ms`` is the time of the list, 0 if the platform does not tell.
+    """
 
     hosts: list[PlatformHost]
+    as_of_wall_ms: int = 0
+
+    def addresses(self, state: str) -> frozenset[str]:
+        """Return the addresses with a state."""
+        return frozenset(host.address for host in self.hosts if host.state == state)
 
 
 async def probe_endpoint(
@@ -253,12 +262,15 @@
 
     Args:
         url: ``http://IP:PORT/path`` of the list.
-        apply: Called with the addresses that are leaving.
+        apply: Called with each list.
         http: HTTP client.
     """
 
     def __init__(
-        self, url: str, apply: Callable[[set[str]], None], http: HttpEndpointClient
+        self,
+        url: str,
+        apply: Callable[[PlatformListing], None],
+        http: HttpEndpointClient,
     ):
         self._address, _, path = url.removeprefix("http://").partition("/")
         self._path = f"/{path}"
@@ -286,4 +298,8 @@
         except (EndpointError, msgspec.DecodeError) as error:
             log_event(PLATFORM_UNREADABLE, error=str(error))
             return
-        self._apply({host.address for host in body.hosts if host.state == "leaving"})
+        self._apply(
+            PlatformListing(
+                body.as_of_wall_ms, body.addresses("live"), body.addresses("leaving")
+            )
+        )
--- a/mustardtrack/process/router.py
+++ b/mustardtrack/process/router.py
@@ -12,7 +12,13 @@
 from mustardtrack.admission import AccountLimits, Limit, RetryBudget, Suspects
 from mustardtrack.configuration import ConfigurationCopy
 from mustardtrack.logs import define_event, log_event
-from mustardtrack.membership import EndpointTable, HostTable, ProbeTable
+from mustardtrack.membership import (
+    EndpointTable,
+    HostTable,
+    PlatformHosts,
+    PlatformListing,
+    ProbeTable,
+)
 from mustardtrack.process.cache_events import CacheEventsTask
 from mustardtrack.process.caller_api import CallerApi
 from mustardtrack.process.completions import CompletionService
@@ -28,7 +34,7 @@
 from mustardtrack.process.traffic import Traffic
 from mustardtrack.requests import AttemptTracker, PlannedStop
 from mustardtrack.routing import CacheIndex, SelectionSettings, Selector
-from mustardtrack.settings import Settings, split_address
+from mustardtrack.settings import Settings
 
 TASK_FAILED = define_event(8801, "ERROR", "router task failed, process ends")
 
@@ -52,7 +58,7 @@
         self._copy = ConfigurationCopy(settings.parallel_weight_loads)
         self._bus = Bus(settings.name, self._peer.bus)
         self._tasks: list[asyncio.Task[None]] = []
-        self._platform_leaving: set[str] = set()
+        self._platform = PlatformHosts()
         self._stopping = False
 
     async def start(self) -> None:
@@ -77,7 +83,7 @@
         self._run(self._apply_forever())
         if self._settings.platform_hosts_url:
             url = self._settings.platform_hosts_url
-            task = PlatformTask(url, self._set_platform_leaving, self._http)
+            task = PlatformTask(url, self._receive_listing, self._http)
             self._run(task.run())
 
     def _create_traffic(self) -> Traffic:
@@ -222,21 +228,18 @@
             traffic.hosts.set_draining(peer.name, bool(host and host.draining))
         self._apply_platform()
 
-    def _set_platform_leaving(self, addresses: set[str]) -> None:
-        self._platform_leaving = addresses
-        self._apply_platform()
+    def _receive_listing(self, listing: PlatformListing) -> None:
+        if self._platform.update(listing, self._clock.now_ms()):
+            self._apply_platform()
 
     def _apply_platform(self) -> None:
-        leaving = self._platform_leaving
         endpoints: Any = self._copy.objects("endpoint")
+        addresses = {name: one.address for name, one in endpoints.items()}
         self._traffic.endpoints.set_platform_leaving(
-            name
-            for name, one in endpoints.items()
-            if one.address in leaving or split_address(one.address)[0] in leaving
-        )
-        self._traffic.hosts.set_platform_leaving(
-            peer.name for peer in self._settings.routers if peer.callers in leaving
+            self._platform.leaving_names(addresses)
         )
+        callers = {peer.name: peer.callers for peer in self._settings.routers}
+        self._traffic.hosts.set_platform_leaving(self._platform.leaving_names(callers))
 
     def _status(self) -> dict[str, Any]:
         return {
