Refuse malformed commands before they reach the replica

Cause: a command that could not be decoded ended the task of the leading control replica and with it the process; sent again, it ended one leader after the other. Change: control decodes a command when it arrives. Conclusion: malformed messages on every topic leave all processes alive.

--- a/mustardtrack/process/control.py
+++ b/mustardtrack/process/control.py
@@ -11,7 +11,11 @@
 from mustardtrack.adapters.http_endpoints import HttpEndpointClient
 from mustardtrack.adapters.zeromq import Bus
 from mustardtrack.agreement import Replica, ReplicaId, Timing
-from mustardtrack.configuration import Configuration, encode_changes
+from mustardtrack.configuration import (
+    Configuration,
+    decode_command,
+    encode_changes,
+)
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.ports import (
     CommandReply,
@@ -123,7 +127,9 @@
         request = msgspec.msgpack.decode(body, type=CommandRequest)
         if self._stopping:
             return msgspec.msgpack.encode(CommandReply("not_leader"))
-        return msgspec.msgpack.encode(await self._task.submit(request.payload))
+        # A malformed command must fail here and not in the replica's task.
+        command = decode_command(request.payload)
+        return msgspec.msgpack.encode(await self._task.submit(command))
 
     async def _receive_follow(self, sender: str, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=FollowRequest)
--- a/mustardtrack/process/replica_task.py
+++ b/mustardtrack/process/replica_task.py
@@ -24,9 +24,9 @@
     merge_effects,
 )
 from mustardtrack.configuration import (
+    Command,
     Configuration,
     Proposal,
-    decode_command,
     decode_proposal,
     encode_outcome,
     encode_proposal,
@@ -46,7 +46,7 @@
 
 @dataclass
 class _Proposal:
-    payload: bytes
+    command: Command
     reply: "asyncio.Future[CommandReply]"
 
 
@@ -122,10 +122,10 @@
         """Hand over an agreement message."""
         self._queue.put_nowait(_Delivery(data))
 
-    async def submit(self, payload: bytes) -> CommandReply:
-        """Commit one encoded command and return its outcome."""
+    async def submit(self, command: Command) -> CommandReply:
+        """Commit one command and return its outcome."""
         reply: asyncio.Future[CommandReply] = asyncio.get_running_loop().create_future()
-        self._queue.put_nowait(_Proposal(payload, reply))
+        self._queue.put_nowait(_Proposal(command, reply))
         return await reply
 
     async def form(self, voters: tuple[ReplicaId, ...]) -> None:
@@ -184,8 +184,7 @@
             return self._receive(item.data, now_ms)
         if isinstance(item, _Formation):
             return self._form(item, now_ms)
-        command = decode_command(item.payload)
-        payload = encode_proposal(Proposal(self._clock.wall_ms(), command))
+        payload = encode_proposal(Proposal(self._clock.wall_ms(), item.command))
         result, effects = self._replica.propose(payload, now_ms)
         if isinstance(result, NotLeader):
             leader = result.leader.name if result.leader else ""
--- a/mustardtrack/process/tests/test_operators.py
+++ b/mustardtrack/process/tests/test_operators.py
@@ -1,10 +1,15 @@
 """Guards against operator commands that are lost, doubled or misunderstood."""
 
+import asyncio
+import contextlib
 import threading
 import uuid
 
+import msgspec
 import pytest
 
+from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
+from mustardtrack.ports import CommandRequest
 from mustardtrack.testing import call, open_request
 from mustardtrack.testing.deployment import OPERATOR_TOKEN, wait_until
 
@@ -155,3 +160,25 @@
     connection.close()
     assert row["state"] == "running"
     assert row["endpoint"].startswith("engine-")
+
+
+TOPICS = ("agreement", "command", "follow", "form", "heartbeat", "suspect", "unknown")
+
+
+@pytest.mark.parametrize("name", ["control-1", "control-2", "control-3", "router-1"])
+def test_malformed_bus_messages_end_no_process(deployment, name):
+    bodies = (b"", b"\xc1", msgspec.msgpack.encode(CommandRequest(b"\xc1")))
+
+    async def send_all():
+        bus = Bus("test", deployment.fleet.free_address())
+        bus.start()
+        for topic in TOPICS:
+            for body in bodies:
+                with contextlib.suppress(BusTimeoutError):
+                    await bus.request(deployment.bus(name), topic, body, 100)
+        await bus.stop()
+
+    asyncio.run(send_all())
+    assert deployment.members[name].is_alive()
+    status, _ = deployment.command("set account resent weight=4")
+    assert status == 200
