Print the known faults also in quiet mode

Cause: pytest leaves out its header with -q, so the entries were not printed. Change: they are printed with the summary.

--- a/conftest.py
+++ b/conftest.py
@@ -46,6 +46,7 @@
         items[:] = [item for item in items if item not in listed]
 
 
-def pytest_report_header() -> list[str]:
-    """Print the entries of KNOWN-RED.txt."""
-    return [f"known red: {entry}" for entry in read_known_red().values()]
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print the entries of KNOWN-RED.txt, also in quiet mode."""
+    for entry in read_known_red().values():
+        terminalreporter.write_line(f"known red: {entry}")
