Treat a stream cut within a line as a lost connection

Cause: a caller of a campaign would have reported half a line as a fault of the router when a router is killed in the middle of a write. Change: the test client raises ConnectionError. Conclusion: found by reading, not seen in a run.

--- a/mustardtrack/testing/client.py
+++ b/mustardtrack/testing/client.py
@@ -72,12 +72,15 @@
 
     Raises:
         RuntimeError: If the status is not 200.
+        ConnectionError: If the stream is cut within a line.
     """
     connection, answer = open_request(address, "POST", path, body, headers, timeout_s)
     try:
         if answer.status != 200:
             raise RuntimeError(f"status {answer.status}: {answer.read()!r}")
         for line in answer:
+            if not line.endswith(b"\n"):
+                raise ConnectionError("the stream was cut within a line")
             if line.startswith(b"data: [DONE]"):
                 yield {"done": True}
             elif line.startswith(b"data: "):
