Remove state that nothing reads and work done for each request

Cause: a read of the whole change found an unused rank of a job, an unused attempt of a claimed call, a needless function object for candidates, and the router's zone looked up among all routers for every request. Ruled out: merging the records and messages of like shape; they differ in meaning. Change: the fields are gone, candidates are built in one expression, the zone is looked up once. Conclusion: behaviour is unchanged.

--- a/mustardtrack/process/claimed_calls.py
+++ b/mustardtrack/process/claimed_calls.py
@@ -80,7 +80,6 @@
         self._sender = sender
         self._request = request
         self._choice = choice
-        self._attempt = attempt
         self._call = Call(
             request.account.name, request.key or "", request.digest(), attempt
         )
--- a/mustardtrack/process/completions.py
+++ b/mustardtrack/process/completions.py
@@ -89,7 +89,6 @@
             request_id=request_id,
             account=account,
             class_name=class_name,
-            rank=work_class.rank,
             arrived_ms=now_ms,
             deadline_ms=now_ms + limit_ms,
             completion=completion,
--- a/mustardtrack/process/jobs.py
+++ b/mustardtrack/process/jobs.py
@@ -43,7 +43,6 @@
     request_id: str
     account: Account
     class_name: str
-    rank: int
     arrived_ms: int
     deadline_ms: int
     completion: ParsedCompletion
--- a/mustardtrack/process/lanes.py
+++ b/mustardtrack/process/lanes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from typing import Any
 
 from mustardtrack.admission import (
@@ -159,10 +158,7 @@
         if endpoint.kind == kind and serves in endpoint.serves and not endpoint.draining
     }
     views = traffic.endpoints.candidates(zones, now_ms)
-    convert: Callable[[EndpointView], Candidate] = lambda view: _convert(  # noqa: E731
-        view, zones[view.name]
-    )
-    return tuple(convert(view) for view in views)
+    return tuple(_convert(view, zones[view.name]) for view in views)
 
 
 def _convert(view: EndpointView, zone: str) -> Candidate:
--- a/mustardtrack/process/traffic.py
+++ b/mustardtrack/process/traffic.py
@@ -4,6 +4,7 @@
 import uuid
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Any
 
 from mustardtrack.adapters.metrics import CounterTable
@@ -57,7 +58,7 @@
     open_rows: dict[str, "OpenRequest"] = field(default_factory=dict)
     _background: set["asyncio.Future[Any]"] = field(default_factory=set)
 
-    @property
+    @cached_property
     def zone(self) -> str:
         """Availability zone of this router."""
         return self.settings.own_router().zone
