--- a/mustardtrack/adapters/clock.py
+++ b/mustardtrack/adapters/clock.py
@@ -9,8 +9,12 @@
     """Clock of the operating system."""
 
     def now_ms(self) -> int:
-        """Return monotonic milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        """Return monotonic milliseconds that include time spent suspended.
+
+        Leases must expire while the host is suspended, when the plain monotonic
+        clock stands still.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
--- a/mustardtrack/agreement/core.py
+++ b/mustardtrack/agreement/core.py
@@ -44,6 +44,11 @@
         piece_bytes: State bytes in one piece of a snapshot.
         kept_entries: Entries before a snapshot that stay in memory so that a
             slow replica can still be brought up to date without the snapshot.
+        target_voters: Size to which the group grows from replicas that ask to
+            join, and at which a voter that is silent is replaced by one of them;
+            0 keeps the names of the first formation.
+        silent_voter_ms: Silence after which a voter may be replaced by a replica
+            of another name.
     """
 
     heartbeat_ms: int = 100
@@ -52,6 +57,8 @@
     in_flight_entries: int = 4096
     piece_bytes: int = 262_144
     kept_entries: int = 1000
+    target_voters: int = 0
+    silent_voter_ms: int = 2500
 
     @property
     def lease_ms(self) -> int:
--- a/mustardtrack/agreement/replacement.py
+++ b/mustardtrack/agreement/replacement.py
@@ -1,4 +1,4 @@
-"""Replacement of lost disks: learners become voters, then old identities leave.
+"""Replacement of lost disks and hosts: learners become voters, then old ones leave.
 
 Between the two steps a group of three has four voters, one of them lost. If a
 second voter's disk is lost in that time, no entry is lost but no majority
@@ -27,10 +27,11 @@
     def on_join_request(
         self, sender: ReplicaId, message: JoinRequest, now_ms: int
     ) -> None:
-        """Start to replicate to a new disk of a replica that is a voter."""
+        """Start to replicate to a new disk of a voter, or to a new replica."""
         if sender in self._leading.peers or sender == self._core.me:
             return
-        if not any(voter.name == sender.name for voter in self._core.log.voters):
+        is_known = any(voter.name == sender.name for voter in self._core.log.voters)
+        if not is_known and not self._core.timing.target_voters:
             log_event(JOIN_REFUSED, replica=sender.name, disk=sender.disk)
             return
         for learner in self._leading.learners():
@@ -45,7 +46,7 @@
             return
         if core.log.voters_index > core.commit_index:
             return
-        replaced = self._replaced_voter()
+        replaced = self._replaced_voter() or self._surplus_voter(now_ms)
         if replaced is not None:
             voters = tuple(voter for voter in core.log.voters if voter != replaced)
             self._change(voters, now_ms)
@@ -65,8 +66,35 @@
             newest[voter.name] = voter
         return None
 
+    def _surplus_voter(self, now_ms: int) -> ReplicaId | None:
+        """Return a silent voter beyond the target size."""
+        voters = self._core.log.voters
+        target = self._core.timing.target_voters
+        if not target or len(voters) <= target:
+            return None
+        return next((one for one in voters if self._is_silent(one, now_ms)), None)
+
+    def _is_silent(self, voter: ReplicaId, now_ms: int) -> bool:
+        if voter == self._core.me:
+            return False
+        silence_ms = now_ms - self._leading.peers[voter].heard_ms
+        return silence_ms >= self._core.timing.silent_voter_ms
+
+    def _has_place(self, learner: ReplicaId, now_ms: int) -> bool:
+        """Return whether the group has a place for a replica of a new name."""
+        voters = self._core.log.voters
+        if any(voter.name == learner.name for voter in voters):
+            return True
+        target = self._core.timing.target_voters
+        if len(voters) < target:
+            return True
+        silent = any(self._is_silent(voter, now_ms) for voter in voters)
+        return len(voters) == target and silent
+
     def _may_become_voter(self, learner: ReplicaId, now_ms: int) -> bool:
         progress = self._leading.peers[learner]
+        if not self._has_place(learner, now_ms):
+            return False
         if progress.match_index < self._core.commit_index or progress.rolled_back:
             return False
         # Until the old identity is removed, three of four voters must commit. If
--- a/mustardtrack/agreement/replica.py
+++ b/mustardtrack/agreement/replica.py
@@ -128,7 +128,7 @@
             self._lead(now_ms)
         elif self._election.tick(now_ms):
             self._become_leader(now_ms)
-        if not self._core.is_voter:
+        if not self._core.is_voter or self._may_be_removed(now_ms):
             self._ask_to_join(now_ms)
         return self._finish()
 
@@ -229,6 +229,13 @@
             self._leading = self._replacement = None
         return self._core.take_effects()
 
+    def _may_be_removed(self, now_ms: int) -> bool:
+        """Return whether the others may have replaced this voter meanwhile."""
+        core = self._core
+        silence_ms = now_ms - core.leader_contact_ms
+        is_alone = core.role != LEADER and silence_ms >= core.timing.silent_voter_ms
+        return core.timing.target_voters > 0 and is_alone
+
     def _ask_to_join(self, now_ms: int) -> None:
         core = self._core
         if core.hears_leader(now_ms) or now_ms < self._join_at_ms:
--- a/mustardtrack/configuration/commands.py
+++ b/mustardtrack/configuration/commands.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mustardtrack.configuration.documents import NameWeights, PutDocument
 from mustardtrack.idempotency import Claim, CompleteClaim, ExpireClaims, ReleaseClaim
 
 FieldValue = str | int | float | bool | list[str]
@@ -93,6 +94,8 @@
     | CompleteClaim
     | ReleaseClaim
     | ExpireClaims
+    | PutDocument
+    | NameWeights
 )
 
 
--- /dev/null
+++ b/mustardtrack/configuration/documents.py
@@ -0,0 +1,126 @@
+"""Replicated state machine of whole configuration documents.
+
+A document replaces the one before it if its version is higher; any other is
+acknowledged and has no effect, so that a resent command is never refused.
+"""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+
+class PutDocument(msgspec.Struct, frozen=True, tag="put_document"):
+    """Replaces the document if ``version`` is higher than the current one.
+
+    ``content`` is opaque to the log; it was validated before it was proposed.
+    """
+
+    version: int
+    content: bytes
+
+
+class NameWeights(msgspec.Struct, frozen=True, tag="name_weights"):
+    """Names the weights version that a model is to run."""
+
+    model: str
+    version: int
+
+
+class DocumentKept(msgspec.Struct, frozen=True, tag="document_kept"):
+    """Version in force after a command, and whether the command changed it."""
+
+    version: int
+    changed: bool
+
+
+class StateMachine(ABC):
+    """State that a replica builds from the committed commands."""
+
+    revision: int
+
+    @abstractmethod
+    def apply(self, index: int, command: Any, wall_ms: int) -> Any:
+        """Apply one committed command and return its outcome."""
+
+    @abstractmethod
+    def snapshot(self) -> bytes:
+        """Return the encoded state."""
+
+
+@dataclass(frozen=True)
+class Document:
+    """One configuration document; version 0 means that there is none."""
+
+    version: int = 0
+    content: bytes = b""
+
+
+class _State(msgspec.Struct, array_like=True):
+    revision: int
+    version: int
+    content: bytes
+    weights: dict[str, int]
+
+
+class DocumentStore(StateMachine):
+    """Newest document and weights versions.
+
+    Attributes:
+        revision: Number of commands that changed the state.
+
+    Examples:
+        >>> store = DocumentStore()
+        >>> store.apply(1, PutDocument(7, b"x"), 0)
+        DocumentKept(version=7, changed=True)
+        >>> store.apply(2, PutDocument(7, b"y"), 0)
+        DocumentKept(version=7, changed=False)
+        >>> DocumentStore.restore(store.snapshot()).document.content
+        b'x'
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.document = Document()
+        self.weights: dict[str, int] = {}
+
+    @classmethod
+    def restore(cls, state: bytes) -> "DocumentStore":
+        """Return the store of a snapshot."""
+        decoded = msgspec.msgpack.decode(state, type=_State)
+        store = cls()
+        store.revision = decoded.revision
+        store.document = Document(decoded.version, decoded.content)
+        store.weights = decoded.weights
+        return store
+
+    def snapshot(self) -> bytes:
+        """Return the encoded state."""
+        document = self.document
+        state = _State(self.revision, document.version, document.content, self.weights)
+        return msgspec.msgpack.encode(state)
+
+    def apply(
+        self, index: int, command: PutDocument | NameWeights, wall_ms: int
+    ) -> DocumentKept:
+        """Apply one committed command."""
+        if isinstance(command, PutDocument):
+            return self._put(command)
+        return self._name(command)
+
+    def _put(self, command: PutDocument) -> DocumentKept:
+        changed = command.version > self.document.version
+        if changed:
+            self.document = Document(command.version, command.content)
+            self.revision += 1
+        return DocumentKept(self.document.version, changed)
+
+    def _name(self, command: NameWeights) -> DocumentKept:
+        current = self.weights.get(command.model, 1)
+        changed = command.version > current
+        if changed:
+            # Readers may hold the mapping of an earlier revision.
+            self.weights = {**self.weights, command.model: command.version}
+            self.revision += 1
+        return DocumentKept(self.weights.get(command.model, 1), changed)
--- a/mustardtrack/configuration/outcomes.py
+++ b/mustardtrack/configuration/outcomes.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from mustardtrack.configuration.documents import DocumentKept
 from mustardtrack.idempotency import (
     AttemptEnded,
     BodyMismatch,
@@ -91,6 +92,7 @@
     | Released
     | NotHeld
     | Expired
+    | DocumentKept
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/mustardtrack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/mustardtrack/ports/synchronization.py
@@ -0,0 +1,56 @@
+"""Messages by which routers and control hosts keep each other up to date."""
+
+import msgspec
+
+from mustardtrack.membership.endpointlist import EndpointList
+
+
+class SyncRequest(msgspec.Struct, frozen=True, array_like=True):
+    """What a router is and has; renews its entry in the directory.
+
+    ``failing`` holds endpoint ids that do not answer this router.
+    """
+
+    name: str
+    zone: str
+    callers: str
+    is_ready: bool
+    document_version: int
+    revision: int
+    list_term: int
+    list_sequence: int
+    hold_ms: int
+    failing: list[str] = []
+
+
+class SyncReply(msgspec.Struct, frozen=True, array_like=True):
+    """What is newer than the router has.
+
+    ``stale_ms`` is the time since a majority confirmed the state of the sender.
+    ``content`` is the compressed document, empty if the router has it already.
+    """
+
+    stale_ms: int
+    revision: int
+    document_version: int
+    content: bytes
+    weights: dict[str, int]
+    endpoints: EndpointList | None
+    controls: list[str]
+    router_count: int
+
+
+class ReadReply(msgspec.Struct, frozen=True, array_like=True):
+    """Newest document as read by the leader; ``is_sure`` is false without a lease."""
+
+    is_sure: bool
+    version: int = 0
+    content: bytes = b""
+
+
+class ControlHosts(msgspec.Struct, frozen=True, array_like=True):
+    """All control hosts as the leader sees them, sent to the other replicas."""
+
+    term: int
+    names: list[str]
+    endpoints: EndpointList
--- a/mustardtrack/process/control.py
+++ b/mustardtrack/process/control.py
@@ -27,8 +27,8 @@
     RouterHeartbeat,
 )
 from mustardtrack.process.control_client import ControlClient
-from mustardtrack.process.daemon import DaemonProcess
 from mustardtrack.process.formation import form_group
+from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import create_metrics
 from mustardtrack.process.operators import OperatorApi, RowSource
 from mustardtrack.process.replica_task import ReplicaTask
--- /dev/null
+++ b/mustardtrack/process/control_calls.py
@@ -0,0 +1,101 @@
+"""HTTP calls of operators and of callers that ask where to connect."""
+
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+from mustardtrack.adapters.http_exchange import Exchange
+from mustardtrack.configuration.documents import NameWeights, PutDocument
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.platform.endpoints import (
+    DOCUMENT_GET_TARGET,
+    DOCUMENT_PUT_TARGET,
+    LOOKUP_TARGET,
+    WEIGHTS_PUT_TARGET,
+    encode_directory_answer,
+    encode_error,
+    read_weights_request,
+)
+from mustardtrack.platform.headers import retry_after
+from mustardtrack.platform.manifests import ManifestError, read_manifest
+
+if TYPE_CHECKING:
+    from mustardtrack.process.seeded_control import SeededControlProcess
+    from mustardtrack.settings.seeded import Bounds
+
+DOCUMENT_REFUSED = define_event(8921, "WARNING", "configuration document refused")
+
+JSON = (b"content-type", b"application/json")
+RETRY_AFTER_S = 0.2
+# Callers must leave a stopped router before its grace is over.
+DIRECTORY_TTL_S = 2.0
+
+
+class ControlCalls:
+    """Answers the calls of one control host."""
+
+    def __init__(self, control: "SeededControlProcess", bounds: "Bounds"):
+        self._control = control
+        self._ttl_s = min(DIRECTORY_TTL_S, bounds.directory_ttl_s)
+        self._handlers = {
+            (b"GET", LOOKUP_TARGET): self._look_up,
+            (b"POST", DOCUMENT_PUT_TARGET): self._put_document,
+            (b"GET", DOCUMENT_GET_TARGET): self._get_document,
+            (b"POST", WEIGHTS_PUT_TARGET): self._put_weights,
+        }
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        path = exchange.target.decode("latin-1").partition("?")[0]
+        handler = self._handlers.get((exchange.method, path))
+        if handler is None:
+            exchange.respond(404, [JSON], encode_error("no such call"))
+            return
+        await handler(exchange)
+
+    async def _look_up(self, exchange: Exchange) -> None:
+        query = parse_qs(exchange.target.decode("latin-1").partition("?")[2])
+        zone = query.get("zone", [""])[0]
+        control = self._control
+        addresses = control.directory.choose(zone, control.now_ms())
+        control.metrics.count("directory.lookup")
+        if not addresses:
+            self._refuse_unready(exchange, "no router is known yet")
+            return
+        body = encode_directory_answer(addresses, self._ttl_s)
+        exchange.respond(200, [JSON], body)
+
+    async def _put_document(self, exchange: Exchange) -> None:
+        try:
+            table = read_manifest(exchange.body)
+        except ManifestError as error:
+            log_event(DOCUMENT_REFUSED, reason=str(error))
+            exchange.respond(400, [JSON], encode_error(str(error)))
+            return
+        outcome = await self._control.put(PutDocument(table.version, exchange.body))
+        if outcome is None:
+            self._refuse_unready(exchange, "no majority has confirmed the command")
+            return
+        exchange.respond(200, [JSON], b"{}")
+
+    async def _get_document(self, exchange: Exchange) -> None:
+        reply = await self._control.read()
+        if not reply.is_sure or not reply.version:
+            self._refuse_unready(exchange, "this host is not sure of the newest")
+            return
+        exchange.respond(200, [JSON], reply.content)
+
+    async def _put_weights(self, exchange: Exchange) -> None:
+        try:
+            model, version = read_weights_request(exchange.body)
+        except ValueError as error:
+            exchange.respond(400, [JSON], encode_error(str(error)))
+            return
+        outcome = await self._control.put(NameWeights(model, version))
+        if outcome is None:
+            self._refuse_unready(exchange, "no majority has confirmed the command")
+            return
+        exchange.respond(200, [JSON], b"{}")
+
+    def _refuse_unready(self, exchange: Exchange, reason: str) -> None:
+        headers = [JSON, retry_after(RETRY_AFTER_S)]
+        exchange.respond(503, headers, encode_error(reason))
--- /dev/null
+++ b/mustardtrack/process/control_link.py
@@ -0,0 +1,213 @@
+"""Tasks that keep a router up to date with the control hosts."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
+from mustardtrack.configuration.routes import RouteTable
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.platform.manifests import read_manifest
+from mustardtrack.ports import Clock
+from mustardtrack.ports.synchronization import SyncReply, SyncRequest
+from mustardtrack.routing.endpointstate import EndpointState, EndpointTable
+from mustardtrack.settings import SeededSettings
+
+TABLE_ADOPTED = define_event(8941, "INFO", "route table adopted")
+ENDPOINTS_ADOPTED = define_event(8942, "INFO", "endpoint list adopted")
+CONTROL_LOST = define_event(8943, "WARNING", "control host does not answer")
+CONTROL_REGAINED = define_event(8944, "INFO", "control host answers again")
+CONFIRMATION_LOST = define_event(
+    8945, "WARNING", "configuration is no longer confirmed, keyed requests are refused"
+)
+CONFIRMATION_REGAINED = define_event(8946, "INFO", "configuration is confirmed again")
+
+# Part of the time after which a removed key must not work for which a route table
+# serves without confirmation; the rest covers requests already accepted.
+CONFIRMATION_SHARE = 0.85
+RETRY_PAUSE_S = 0.1
+FIRST_TIMEOUT_MS = 500
+WATCH_PERIOD_S = 0.1
+
+
+@dataclass
+class ControlView:
+    """What a router knows from control.
+
+    Attributes:
+        table: Route table in force, None before the first.
+        confirmed_ms: Time at which a leader confirmed the table, by this
+            router's clock; None before the first confirmation.
+        revision: Revision of the control state that the view holds.
+        weights: Named weights version of each model.
+        weights_ms: When each of those versions was learned.
+    """
+
+    table: RouteTable | None = None
+    confirmed_ms: int | None = None
+    revision: int = 0
+    weights: dict[str, int] = field(default_factory=dict)
+    endpoints: EndpointTable = field(default_factory=EndpointTable)
+    router_count: int = 1
+
+    def age_ms(self, now_ms: int) -> int | None:
+        """Return the time since the last confirmation."""
+        return None if self.confirmed_ms is None else now_ms - self.confirmed_ms
+
+
+class ControlLinks:
+    """Exchanges messages with all control hosts that are known.
+
+    Args:
+        on_gone: Called with each endpoint that has left the list.
+    """
+
+    def __init__(
+        self,
+        settings: SeededSettings,
+        bus: Bus,
+        clock: Clock,
+        is_ready: Callable[[], bool],
+        on_gone: Callable[[EndpointState], None],
+    ):
+        self._settings = settings
+        self._bus = bus
+        self._clock = clock
+        self._is_ready = is_ready
+        self._on_gone = on_gone
+        self._limit_ms = int(settings.bounds.revoke_ms * CONFIRMATION_SHARE)
+        self.view = ControlView()
+        self._links: dict[str, asyncio.Task[None]] = {}
+        self._lost: set[str] = set()
+        self._was_confirmed = False
+
+    def start(self) -> None:
+        """Start to exchange messages with the seeds."""
+        self._link(self._settings.seed_names())
+        self._links[""] = asyncio.ensure_future(self._watch_confirmation())
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        tasks = list(self._links.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def add_seeds(self, names: list[str]) -> None:
+        """Use other seeds in addition to the hosts that are known."""
+        self._link(names)
+
+    def is_confirmed(self) -> bool:
+        """Return whether the table may serve requests with keys."""
+        age_ms = self.view.age_ms(self._clock.now_ms())
+        return age_ms is not None and age_ms < self._limit_ms
+
+    async def announce(self) -> None:
+        """Tell all control hosts the state of this router now."""
+        names = [name for name in self._links if name]
+        await asyncio.gather(*(self._announce_to(name) for name in names))
+
+    async def _announce_to(self, name: str) -> None:
+        try:
+            await self._exchange(name, hold_ms=0, timeout_ms=FIRST_TIMEOUT_MS)
+        except BusTimeoutError:
+            self._note_lost(name)
+
+    def _link(self, names: list[str]) -> None:
+        for name in names:
+            if name not in self._links:
+                self._links[name] = asyncio.ensure_future(self._run(name))
+
+    async def _run(self, name: str) -> None:
+        timing = self._settings.timing
+        timeout_ms = FIRST_TIMEOUT_MS
+        hold_ms = 0
+        while True:
+            try:
+                await self._exchange(name, hold_ms, timeout_ms)
+                hold_ms, timeout_ms = timing.sync_hold_ms, timing.sync_timeout_ms
+                self._note_answer(name)
+            except BusTimeoutError:
+                hold_ms, timeout_ms = 0, FIRST_TIMEOUT_MS
+                self._note_lost(name)
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    def _note_lost(self, name: str) -> None:
+        if name not in self._lost:
+            self._lost.add(name)
+            log_event(CONTROL_LOST, control=name)
+
+    def _note_answer(self, name: str) -> None:
+        if name in self._lost:
+            self._lost.discard(name)
+            log_event(CONTROL_REGAINED, control=name)
+
+    async def _exchange(self, name: str, hold_ms: int, timeout_ms: int) -> None:
+        view = self.view
+        order = view.endpoints.order
+        sent_ms = self._clock.now_ms()
+        listen = self._settings.listen
+        request = SyncRequest(
+            name=self._settings.name,
+            zone=self._settings.zone,
+            callers=listen.callers or "",
+            is_ready=self._is_ready(),
+            document_version=view.table.version if view.table else 0,
+            revision=view.revision,
+            list_term=order[0],
+            list_sequence=order[1],
+            hold_ms=hold_ms,
+            failing=view.endpoints.failing(sent_ms),
+        )
+        body = msgspec.msgpack.encode(request)
+        answer = await self._bus.request(name, "sync", body, timeout_ms)
+        self._adopt(name, msgspec.msgpack.decode(answer, type=SyncReply), sent_ms)
+
+    def _adopt(self, name: str, reply: SyncReply, sent_ms: int) -> None:
+        view = self.view
+        if reply.content and reply.document_version > self._version():
+            view.table = read_manifest(zlib.decompress(reply.content))
+            log_event(TABLE_ADOPTED, version=view.table.version, control=name)
+        if reply.revision > view.revision:
+            view.weights = reply.weights
+            if reply.document_version <= self._version():
+                view.revision = reply.revision
+        if reply.endpoints is not None:
+            self._adopt_endpoints(reply)
+        view.router_count = max(1, reply.router_count)
+        # A reply is not older than its request, and the state in it was confirmed
+        # ``stale_ms`` before the reply.
+        confirmed_ms = sent_ms - reply.stale_ms
+        holds_all = reply.document_version <= self._version()
+        if holds_all and reply.document_version and confirmed_ms > 0:
+            view.confirmed_ms = max(view.confirmed_ms or 0, confirmed_ms)
+        self._link(reply.controls)
+
+    def _adopt_endpoints(self, reply: SyncReply) -> None:
+        assert reply.endpoints is not None
+        before = self.view.endpoints.order
+        for state in self.view.endpoints.update(reply.endpoints):
+            self._on_gone(state)
+        if self.view.endpoints.order != before:
+            log_event(
+                ENDPOINTS_ADOPTED,
+                term=reply.endpoints.term,
+                sequence=reply.endpoints.sequence,
+                endpoints=len(reply.endpoints.endpoints),
+            )
+
+    def _version(self) -> int:
+        return self.view.table.version if self.view.table else 0
+
+    async def _watch_confirmation(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_PERIOD_S)
+            confirmed = self.is_confirmed()
+            if confirmed != self._was_confirmed:
+                self._was_confirmed = confirmed
+                event = CONFIRMATION_REGAINED if confirmed else CONFIRMATION_LOST
+                age_ms = self.view.age_ms(self._clock.now_ms())
+                log_event(event, age_ms=age_ms, limit_ms=self._limit_ms)
--- /dev/null
+++ b/mustardtrack/process/endpoint_watch.py
@@ -0,0 +1,217 @@
+"""Task of the leader that reads the platform's list and orders weight loads."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from mustardtrack.adapters.upstream import (
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    ConnectError,
+    ConnectionPool,
+)
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.membership.endpointlist import EndpointList, ListedEndpoint
+from mustardtrack.platform.endpoints import (
+    ORDER_TARGET,
+    encode_weights_order,
+    list_target,
+    read_list_page,
+)
+from mustardtrack.routing.rollout import Rollout, WeightsOrder
+
+if TYPE_CHECKING:
+    from mustardtrack.process.seeded_control import SeededControlProcess
+    from mustardtrack.settings import SeededSettings
+
+LIST_FAILED = define_event(8931, "WARNING", "platform's list could not be read")
+LIST_CHANGED = define_event(8932, "INFO", "endpoint list changed")
+ORDER_GIVEN = define_event(8933, "INFO", "weights order answered")
+
+CALL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+WATCH_PERIOD_S = 0.2
+MAX_PAGES = 1000
+# An unchanged list is repeated for replicas that missed it.
+PUBLISH_PERIOD_MS = 1000
+# Added to the order lease before a new leader gives its first order, for orders of
+# the leader before it that are still on their way.
+LEASE_MARGIN_MS = 500
+
+
+class CallError(Exception):
+    """A call to the platform or an endpoint failed; the message says how."""
+
+
+class EndpointWatch:
+    """Reads the list and gives orders while this replica leads."""
+
+    def __init__(self, control: "SeededControlProcess", settings: "SeededSettings"):
+        self._control = control
+        self._settings = settings
+        self._rollout = Rollout()
+        self._term = 0
+        self._leads_since_ms = 0
+        self._sequence = 0
+        self._list_at_ms = 0
+        self._listed: tuple[ListedEndpoint, ...] = ()
+        self._has_list = False
+        self._last_published: tuple[ListedEndpoint, ...] = ()
+        self._publish_at_ms = 0
+        self._orders: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        from twisted.internet import reactor
+
+        self._pool = ConnectionPool(reactor)
+        while True:
+            await asyncio.sleep(WATCH_PERIOD_S)
+            if not self._control.leads() or self._settings.host_list is None:
+                continue
+            self._enter_term()
+            now_ms = self._control.now_ms()
+            if now_ms >= self._list_at_ms:
+                self._list_at_ms = now_ms + self._settings.timing.list_period_ms
+                await self._read_list()
+            if self._has_list and self._control.leads():
+                self._give_orders()
+                self._publish()
+
+    def _enter_term(self) -> None:
+        term = self._control.term()
+        if term == self._term:
+            return
+        self._term = term
+        self._leads_since_ms = self._control.now_ms()
+        self._sequence = 0
+        self._rollout = Rollout()
+        self._has_list = False
+        self._last_published = ()
+
+    async def _read_list(self) -> None:
+        entries: list[ListedEndpoint] = []
+        page: str | None = None
+        address = self._settings.host_list
+        assert address is not None
+        try:
+            for _ in range(MAX_PAGES):
+                status, body = await self._call(address, b"GET", list_target(page), b"")
+                if status != 200:
+                    raise CallError(f"status {status}")
+                found, page = read_list_page(body)
+                entries += found
+                if page is None:
+                    break
+        except (CallError, ConnectError, ValueError) as error:
+            log_event(LIST_FAILED, error=str(error))
+            return
+        self._listed = tuple(sorted(entries, key=lambda entry: entry.id))
+        self._has_list = True
+
+    def _publish(self) -> None:
+        loading = self._rollout.loading()
+        listed = tuple(
+            _with_loading(endpoint, endpoint.id in loading) for endpoint in self._listed
+        )
+        now_ms = self._control.now_ms()
+        is_changed = listed != self._last_published
+        if not is_changed and now_ms < self._publish_at_ms:
+            return
+        self._publish_at_ms = now_ms + PUBLISH_PERIOD_MS
+        if is_changed:
+            self._sequence += 1
+            self._last_published = listed
+            log_event(
+                LIST_CHANGED,
+                term=self._term,
+                sequence=self._sequence,
+                endpoints=len(listed),
+                draining=[one.id for one in listed if one.is_draining],
+                loading=[one.id for one in listed if one.is_loading],
+            )
+        self._control.publish(EndpointList(self._term, self._sequence, listed))
+
+    def _give_orders(self) -> None:
+        now_ms = self._control.now_ms()
+        wait_ms = self._settings.bounds.order_lease_ms + LEASE_MARGIN_MS
+        if now_ms - self._leads_since_ms < wait_ms:
+            return
+        weights = self._control.store.weights
+        for order in self._rollout.plan(self._listed, weights, now_ms):
+            task = asyncio.ensure_future(self._give(order, self._term))
+            self._orders.add(task)
+            task.add_done_callback(self._orders.discard)
+
+    async def _give(self, order: WeightsOrder, term: int) -> None:
+        body = encode_weights_order(
+            order.model, order.version, self._control.name, term
+        )
+        headers = [(b"expect-instance", order.endpoint.id.encode())]
+        error = ""
+        status = 0
+        try:
+            status, _ = await self._call(
+                order.endpoint.address, b"POST", ORDER_TARGET, body, headers
+            )
+        except (CallError, ConnectError) as failure:
+            error = str(failure)
+        log_event(
+            ORDER_GIVEN,
+            endpoint=order.endpoint.id,
+            model=order.model,
+            version=order.version,
+            fence=term,
+            status=status,
+            error=error,
+        )
+        if status not in (0, 200, 202) and term == self._term:
+            self._rollout.reject(order.endpoint.id)
+
+    async def _call(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+        headers: list[tuple[bytes, bytes]] | None = None,
+    ) -> tuple[int, bytes]:
+        connection = self._pool.take(address)
+        if connection is None:
+            connection = await self._pool.open(address, CONNECT_TIMEOUT_S)
+        sent = [(b"host", address.encode()), *(headers or [])]
+        if body:
+            sent.append((b"content-type", b"application/json"))
+            sent.append((b"content-length", b"%d" % len(body)))
+        connection.send(method, target, sent, body)
+        status = 0
+        answer: list[bytes] = []
+        while True:
+            event = await connection.next_event(CALL_TIMEOUT_S)
+            if isinstance(event, AnswerHead):
+                status = event.status
+            elif isinstance(event, AnswerData):
+                answer.append(event.data)
+            elif isinstance(event, AnswerEnd):
+                self._pool.put(address, connection)
+                return status, b"".join(answer)
+            else:
+                connection.close()
+                reason = "no answer in time" if event is None else event.reason
+                raise CallError(f"{address}: {reason}")
+
+
+def _with_loading(endpoint: ListedEndpoint, is_loading: bool) -> ListedEndpoint:
+    if not is_loading:
+        return endpoint
+    return ListedEndpoint(
+        endpoint.id,
+        endpoint.started_ms,
+        endpoint.service,
+        endpoint.address,
+        endpoint.zone,
+        endpoint.slots,
+        endpoint.is_draining,
+        True,
+        endpoint.weights,
+    )
--- /dev/null
+++ b/mustardtrack/process/forwarder.py
@@ -0,0 +1,322 @@
+"""Forwarding of callers' requests to endpoints."""
+
+import random
+from dataclasses import dataclass
+
+from mustardtrack.adapters.http_exchange import Exchange
+from mustardtrack.adapters.metrics import CounterTable
+from mustardtrack.adapters.upstream import ConnectionPool
+from mustardtrack.admission.sharedretries import SharedRetryBudget
+from mustardtrack.configuration.routes import Account, Route, RouteTable, Service
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.platform.endpoints import encode_error
+from mustardtrack.platform.headers import RequestMetadata, read_request, retry_after
+from mustardtrack.ports import Clock
+from mustardtrack.process.attempt import Attempt, Outcome
+from mustardtrack.process.control_link import ControlLinks
+from mustardtrack.requests.forwarding import AttemptEnd, ForwardedRequest, NextStep
+from mustardtrack.routing.balancing import choose_endpoint
+from mustardtrack.routing.endpointstate import EndpointState
+from mustardtrack.routing.openings import Prompt, choose_engine
+from mustardtrack.settings import SeededSettings
+
+ANSWERED = define_event(8951, "INFO", "request ended")
+ATTEMPT_ENDED = define_event(8952, "INFO", "attempt ended without an answer")
+
+# Below this time an endpoint cannot answer, so that the request is not sent.
+MIN_SEND_MS = 20
+# Urgency of the most urgent and of the least urgent class of work.
+URGENCY_STEP = 2
+MAX_URGENCY = 9
+MAX_TRIED = 4
+JSON = (b"content-type", b"application/json")
+
+# Seconds after which a refused caller may come back, by reason.
+RETRY_AFTER_S = {
+    "unconfirmed": 0.5,
+    "no_endpoint": 0.4,
+    "not_run": 0.3,
+    "stopping": 0.1,
+}
+
+
+@dataclass
+class Admitted:
+    """A request that matched a route, with everything that attempts need.
+
+    Attributes:
+        deadline_ms: Time by which it must be answered.
+        weights_version: Newest version of its model.
+    """
+
+    exchange: Exchange
+    metadata: RequestMetadata
+    table: RouteTable
+    route: Route
+    account: Account | None
+    service: Service
+    prompt: Prompt | None
+    received_ms: int
+    deadline_ms: int
+    weights_version: int
+    urgency: int
+
+
+class Forwarder:
+    """Matches, admits, places and sends requests of one router."""
+
+    def __init__(
+        self,
+        settings: SeededSettings,
+        links: ControlLinks,
+        pool: ConnectionPool,
+        clock: Clock,
+        metrics: CounterTable,
+    ):
+        self._settings = settings
+        self._links = links
+        self.pool = pool
+        self.clock = clock
+        self.metrics = metrics
+        self._rng = random.Random()
+        self._budgets: dict[str, SharedRetryBudget] = {}
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        now_ms = self.clock.now_ms()
+        metadata = read_request(exchange.target, exchange.headers)
+        admitted = self._admit(exchange, metadata, now_ms)
+        if admitted is not None:
+            await self._serve(admitted)
+
+    def _admit(
+        self, exchange: Exchange, metadata: RequestMetadata, now_ms: int
+    ) -> Admitted | None:
+        table = self._links.view.table
+        if table is None or not self._links.is_confirmed():
+            self._refuse(exchange, metadata, "unconfirmed")
+            return None
+        route = table.match(metadata.host, metadata.path)
+        if route is None:
+            self._reject(exchange, metadata, 404, "no route matches host and path")
+            return None
+        account = None
+        if table.accounts is not None and not route.is_public:
+            account = table.accounts.get(metadata.key) if metadata.key else None
+            if account is None:
+                self._reject(exchange, metadata, 401, "the key is missing or unknown")
+                return None
+        return self._describe(exchange, metadata, table, route, account, now_ms)
+
+    def _describe(
+        self,
+        exchange: Exchange,
+        metadata: RequestMetadata,
+        table: RouteTable,
+        route: Route,
+        account: Account | None,
+        now_ms: int,
+    ) -> Admitted:
+        limit_ms = route.timeout_ms
+        if metadata.time_left_ms is not None:
+            limit_ms = min(limit_ms, metadata.time_left_ms)
+        service = table.services[self._draw_service(route)]
+        prompt = None
+        version = 1
+        if service.engine is not None and metadata.model:
+            shared = metadata.parts[:-1]
+            prompt = Prompt(
+                model=metadata.model,
+                opening=",".join(part.digest for part in shared),
+                opening_tokens=sum(part.tokens for part in shared),
+                tokens=metadata.prompt_tokens,
+            )
+            version = self._links.view.weights.get(metadata.model, 1)
+        rank = route.rank
+        if account is not None and account.rank is not None:
+            rank = account.rank
+        return Admitted(
+            exchange=exchange,
+            metadata=metadata,
+            table=table,
+            route=route,
+            account=account,
+            service=service,
+            prompt=prompt,
+            received_ms=now_ms,
+            deadline_ms=now_ms + limit_ms,
+            weights_version=version,
+            urgency=min(MAX_URGENCY, route.rank * URGENCY_STEP + min(1, rank)),
+        )
+
+    def _draw_service(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._rng.choices(route.shares, weights)[0].service
+
+    async def _serve(self, admitted: Admitted) -> None:
+        budget = self._budget(admitted.service.name)
+        budget.record_request(admitted.received_ms)
+        progress = ForwardedRequest(admitted.route)
+        tried: list[str] = []
+        step = NextStep.RETRY
+        reason = "not_run"
+        while step is NextStep.RETRY:
+            now_ms = self.clock.now_ms()
+            endpoint = None
+            if admitted.deadline_ms - now_ms >= MIN_SEND_MS and len(tried) < MAX_TRIED:
+                endpoint = self._choose(admitted, tried, now_ms)
+            is_repeat = progress.sends > 0
+            count = self._links.view.router_count
+            if endpoint is None or (is_repeat and not budget.allow(now_ms, count)):
+                reason = "no_endpoint" if endpoint is None else "retry_budget"
+                step = progress.give_up()
+                break
+            tried.append(endpoint.id)
+            outcome = await Attempt(self, admitted, endpoint, progress).run()
+            if outcome.is_final:
+                self._log_end(admitted, endpoint, progress, outcome)
+                return
+            assert outcome.end is not None
+            step = progress.decide(outcome.end)
+            self._log_attempt(admitted, endpoint, outcome, step)
+        self._give_up(admitted, progress, step, reason)
+
+    def _choose(
+        self, admitted: Admitted, tried: list[str], now_ms: int
+    ) -> EndpointState | None:
+        endpoints = self._links.view.endpoints.of_service(admitted.service.name)
+        zone = self._settings.zone
+        if admitted.prompt is None:
+            return choose_endpoint(endpoints, tried, zone, now_ms, self._rng)
+        return choose_engine(
+            endpoints,
+            admitted.prompt,
+            admitted.weights_version,
+            tried,
+            zone,
+            now_ms,
+            self._rng,
+        )
+
+    def _budget(self, service: str) -> SharedRetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            limits = self._settings.retries
+            budget = SharedRetryBudget(
+                limits.ratio, int(limits.window_s * 1000), limits.floor
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _give_up(
+        self,
+        admitted: Admitted,
+        progress: ForwardedRequest,
+        step: NextStep,
+        reason: str,
+    ) -> None:
+        exchange = admitted.exchange
+        if exchange.is_gone:
+            return
+        if step is NextStep.REFUSE:
+            progress.check_refusal()
+            self._refuse(exchange, admitted.metadata, reason)
+            return
+        is_late = self.clock.now_ms() >= admitted.deadline_ms - MIN_SEND_MS
+        status = 504 if is_late else 502
+        self.metrics.count(f"failure.{status}")
+        log_event(
+            ANSWERED,
+            request=_text(admitted.metadata.request_id),
+            route=admitted.route.name,
+            status=status,
+            sends=progress.sends,
+            elapsed_ms=self.clock.now_ms() - admitted.received_ms,
+            left_ms=admitted.deadline_ms - self.clock.now_ms(),
+        )
+        exchange.respond(status, [JSON], encode_error("no endpoint answered"))
+
+    def _refuse(
+        self, exchange: Exchange, metadata: RequestMetadata, reason: str
+    ) -> None:
+        self.metrics.count(f"refusal.{reason}")
+        log_event(
+            ANSWERED,
+            request=_text(metadata.request_id),
+            status=503,
+            reason=reason,
+            confirmed_age_ms=self._links.view.age_ms(self.clock.now_ms()),
+            list=self._links.view.endpoints.order,
+        )
+        headers = [JSON, retry_after(RETRY_AFTER_S.get(reason, 0.3))]
+        exchange.respond(503, headers, encode_error(reason))
+
+    def _reject(
+        self, exchange: Exchange, metadata: RequestMetadata, status: int, reason: str
+    ) -> None:
+        self.metrics.count(f"refusal.{status}")
+        table = self._links.view.table
+        log_event(
+            ANSWERED,
+            request=_text(metadata.request_id),
+            status=status,
+            reason=reason,
+            table_version=table.version if table else None,
+            confirmed_age_ms=self._links.view.age_ms(self.clock.now_ms()),
+        )
+        exchange.respond(status, [JSON], encode_error(reason))
+
+    def _log_end(
+        self,
+        admitted: Admitted,
+        endpoint: EndpointState,
+        progress: ForwardedRequest,
+        outcome: Outcome,
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        elapsed_ms = now_ms - admitted.received_ms
+        self.metrics.count(f"answer.{outcome.status}")
+        self.metrics.timing(f"route_rank.{admitted.route.rank}", elapsed_ms)
+        log_event(
+            ANSWERED,
+            request=_text(admitted.metadata.request_id),
+            route=admitted.route.name,
+            endpoint=endpoint.id,
+            status=outcome.status,
+            sends=progress.sends,
+            elapsed_ms=elapsed_ms,
+            first_ms=outcome.first_ms,
+            table_version=admitted.table.version,
+            note=outcome.note,
+        )
+
+    def _log_attempt(
+        self,
+        admitted: Admitted,
+        endpoint: EndpointState,
+        outcome: Outcome,
+        step: NextStep,
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        end = outcome.end or AttemptEnd.BROKEN
+        self.metrics.count(f"attempt.{end.value}")
+        log_event(
+            ATTEMPT_ENDED,
+            request=_text(admitted.metadata.request_id),
+            route=admitted.route.name,
+            endpoint=endpoint.id,
+            end=end.value,
+            note=outcome.note,
+            next=step.value,
+            elapsed_ms=now_ms - admitted.received_ms,
+            running=endpoint.running,
+            waiting=endpoint.waiting,
+            load_age_ms=now_ms - endpoint.load_ms,
+            in_flight=endpoint.in_flight,
+        )
+
+
+def _text(value: bytes | None) -> str:
+    return value.decode("latin-1") if value else ""
--- a/mustardtrack/process/replica_task.py
+++ b/mustardtrack/process/replica_task.py
@@ -25,7 +25,6 @@
 )
 from mustardtrack.configuration import (
     Command,
-    Configuration,
     Proposal,
     decode_proposal,
     encode_outcome,
@@ -41,6 +40,8 @@
 STORAGE_FAILED = define_event(8305, "ERROR", "storage failed, the replica stops")
 
 COMPACT_ENTRIES = 5000
+# Documents of 100 kB fill a disk of 128 MB long before the limit on entries.
+COMPACT_BYTES = 2_000_000
 MAX_BATCH = 512
 
 
@@ -82,13 +83,13 @@
         me: ReplicaId,
         replica: Replica,
         storage: ReplicaStorage,
-        configuration: Configuration,
+        configuration: Any,
         applied_index: int,
         send: Callable[[str, bytes], None],
         clock: Clock,
         metrics: Metrics,
         tick_ms: int,
-        restore: Callable[[bytes], Configuration],
+        restore: Callable[[bytes], Any],
     ):
         self._me = me
         self._replica = replica
@@ -96,6 +97,7 @@
         self.configuration = configuration
         self._applied = applied_index
         self._compacted = applied_index
+        self._applied_bytes = 0
         self._send = send
         self._clock = clock
         self._metrics = metrics
@@ -242,6 +244,7 @@
         self.configuration = self._restore(state)
         self._applied = index
         self._compacted = index
+        self._applied_bytes = 0
         self._fail_waiting()
         log_event(SNAPSHOT_INSTALLED, index=index)
 
@@ -259,6 +262,7 @@
                 entry.index, proposal.command, proposal.wall_ms
             )
         self._applied = entry.index
+        self._applied_bytes += len(entry.payload)
         term, reply = self._waiting.pop(entry.index, (0, None))
         if reply is None:
             return
@@ -286,11 +290,13 @@
         self._waiting.clear()
 
     def _compact_if_due(self) -> None:
-        if self._applied - self._compacted < COMPACT_ENTRIES:
+        entries = self._applied - self._compacted
+        if entries < COMPACT_ENTRIES and self._applied_bytes < COMPACT_BYTES:
             return
         effects = self._replica.compact(self._applied, self.configuration.snapshot())
         self._storage.persist(effects.persist, effects.synced)
         self._compacted = self._applied
+        self._applied_bytes = 0
 
 
 def _resolve(future: "asyncio.Future[Any]", value: object) -> None:
--- a/mustardtrack/process/router.py
+++ b/mustardtrack/process/router.py
@@ -24,9 +24,9 @@
 from mustardtrack.process.completions import CompletionService
 from mustardtrack.process.control_client import ControlClient
 from mustardtrack.process.crashes import CrashWatch
-from mustardtrack.process.daemon import DaemonProcess
 from mustardtrack.process.follower import FollowerTask
 from mustardtrack.process.lanes import Lanes
+from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import create_metrics
 from mustardtrack.process.observer import HeartbeatTask, ObserverTask, PlatformTask
 from mustardtrack.process.operators import OperatorApi, RowSource
--- /dev/null
+++ b/mustardtrack/process/seeded_control.py
@@ -0,0 +1,416 @@
+"""Control process that learns its peers from seeds."""
+
+import asyncio
+import random
+import zlib
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from mustardtrack.adapters.clock import SystemClock
+from mustardtrack.adapters.disk import DiskLog
+from mustardtrack.adapters.http_exchange import HttpServer
+from mustardtrack.adapters.metrics import CounterTable
+from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
+from mustardtrack.agreement import (
+    FormationRefusedError,
+    Replica,
+    ReplicaId,
+    Timing,
+    plan_formation,
+)
+from mustardtrack.configuration.commands import (
+    Command,
+    decode_command,
+    encode_command,
+)
+from mustardtrack.configuration.documents import (
+    DocumentKept,
+    DocumentStore,
+    NameWeights,
+    PutDocument,
+)
+from mustardtrack.configuration.outcomes import decode_outcome
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.membership.directory import RouterDirectory, RouterEntry
+from mustardtrack.membership.endpointlist import EndpointList
+from mustardtrack.ports import CommandReply, CommandRequest, FormReply, FormRequest
+from mustardtrack.ports.synchronization import (
+    ControlHosts,
+    ReadReply,
+    SyncReply,
+    SyncRequest,
+)
+from mustardtrack.process.control_calls import ControlCalls
+from mustardtrack.process.endpoint_watch import EndpointWatch
+from mustardtrack.process.lifecycle import DaemonProcess
+from mustardtrack.process.replica_task import ReplicaTask
+from mustardtrack.settings import SeededSettings, split_address
+
+REPLICA_FAILED = define_event(8911, "ERROR", "replica task failed, process ends")
+FORMED = define_event(8912, "INFO", "control group formed")
+DOCUMENT_KEPT = define_event(8913, "INFO", "configuration command committed")
+COMMAND_UNDECIDED = define_event(
+    8914, "WARNING", "configuration command has no outcome yet"
+)
+
+# A router that has not been heard for this long is not given to callers. Routers
+# report every 0.4 s, so that three lost reports remove one.
+ROUTER_LEASE_MS = 1400
+# Age reported by a replica that cannot vouch for its state.
+UNCONFIRMED_MS = 1_000_000_000
+FORM_RETRY_S = 0.2
+FORM_TIMEOUT_MS = 500
+# Operators move on after one second without an answer.
+COMMAND_TIMEOUT_MS = 700
+COMMAND_RETRY_S = 0.05
+# Whole documents are large; a slow replica gets a snapshot instead of old ones.
+KEPT_ENTRIES = 20
+
+
+class SeededControlProcess(DaemonProcess):
+    """One control replica, the directory and the calls of operators."""
+
+    def __init__(self, settings: SeededSettings):
+        self._settings = settings
+        self._name = settings.bus_address
+        self._clock = SystemClock()
+        self.metrics = CounterTable()
+        self._bus = Bus(self._name, self._name)
+        self.directory = RouterDirectory(ROUTER_LEASE_MS)
+        self._endpoints = EndpointList()
+        self._controls: list[str] = settings.seed_names()
+        self._controls_term = 0
+        self._changed = asyncio.Event()
+        self._compressed: tuple[int, bytes] = (0, b"")
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Load the stored state, bind the ports and start the replica."""
+        self._open_replica()
+        for topic, handler in (
+            ("agreement", self._receive_agreement),
+            ("command", self._receive_command),
+            ("read", self._receive_read),
+            ("form", self._receive_form),
+            ("sync", self._receive_sync),
+            ("hosts", self._receive_hosts),
+        ):
+            self._bus.handle(topic, handler)
+        self._bus.start()
+        calls = ControlCalls(self, self._settings.bounds)
+        self._watch = EndpointWatch(self, self._settings)
+        self._listen(calls)
+        for coroutine in (self._task.run(), self._follow_state(), self._watch.run()):
+            self._spawn(coroutine)
+        if self._settings.bootstrap and self._name in self._settings.seed_names():
+            self._spawn(self._form_group(), may_end=True)
+
+    def _listen(self, calls: ControlCalls) -> None:
+        from twisted.internet import reactor
+
+        listen = self._settings.listen
+        servers = {}
+        for address in (listen.operators, listen.directory):
+            if address is not None and address not in servers:
+                host, port = split_address(address)
+                servers[address] = HttpServer(calls.handle)
+                servers[address].listen(reactor, host, port)
+        self._servers = list(servers.values())
+
+    def _spawn(
+        self, coroutine: Coroutine[Any, Any, None], may_end: bool = False
+    ) -> None:
+        task = asyncio.ensure_future(coroutine)
+        if not may_end:
+            task.add_done_callback(self._task_ended)
+        self._tasks.append(task)
+
+    def _open_replica(self) -> None:
+        settings = self._settings
+        assert settings.data_folder is not None
+        self._storage = DiskLog(Path(settings.data_folder) / "replica")
+        stored = self._storage.load()
+        self._me = ReplicaId(self._name, stored.disk)
+        timing = Timing(
+            heartbeat_ms=settings.timing.heartbeat_ms,
+            election_timeout_ms=settings.timing.election_timeout_ms,
+            kept_entries=KEPT_ENTRIES,
+            target_voters=2 * settings.tolerated_losses + 1,
+        )
+        replica = Replica(
+            self._me, stored, timing, random.Random(), self._clock.now_ms()
+        )
+        replica.join(settings.seed_names())
+        store, applied = DocumentStore(), 0
+        if stored.snapshot is not None:
+            store = DocumentStore.restore(stored.snapshot.state)
+            applied = stored.snapshot.index
+        self._task = ReplicaTask(
+            self._me,
+            replica,
+            self._storage,
+            store,
+            applied,
+            self._post,
+            self._clock,
+            self.metrics,
+            settings.timing.tick_ms,
+            DocumentStore.restore,
+        )
+
+    def _post(self, name: str, data: bytes) -> None:
+        self._bus.post(name, "agreement", data)
+
+    def _task_ended(self, task: "asyncio.Task[None]") -> None:
+        if task.cancelled() or self._stopping:
+            return
+        log_event(REPLICA_FAILED, error=repr(task.exception()))
+        # Without its replica or its disk the process must not answer anything.
+        self.fail()
+
+    # State that other tasks of the process read.
+
+    @property
+    def name(self) -> str:
+        """Bus address, which names this replica."""
+        return self._name
+
+    @property
+    def store(self) -> DocumentStore:
+        """State built from the committed commands."""
+        return self._task.configuration
+
+    def now_ms(self) -> int:
+        """Return monotonic milliseconds."""
+        return self._clock.now_ms()
+
+    def leads(self) -> bool:
+        """Return whether this replica leads with a valid lease."""
+        return self._task.leads()
+
+    def term(self) -> int:
+        """Return the current term."""
+        return self._task.status().term
+
+    def endpoints(self) -> EndpointList:
+        """Return the newest endpoint list that is known."""
+        return self._endpoints
+
+    def publish(self, endpoints: EndpointList) -> None:
+        """Adopt a list that this leader read, and copy it to the other replicas."""
+        status = self._task.status()
+        names = [replica.name for replica in (*status.voters, *status.learners)]
+        self._controls, self._controls_term = sorted(set(names)), status.term
+        self._adopt(endpoints)
+        message = ControlHosts(status.term, self._controls, endpoints)
+        body = msgspec.msgpack.encode(message)
+        for name in self._controls:
+            if name != self._name:
+                self._bus.post(name, "hosts", body)
+
+    def _adopt(self, endpoints: EndpointList) -> None:
+        if endpoints.order > self._endpoints.order:
+            self._endpoints = endpoints
+            self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _follow_state(self) -> None:
+        while True:
+            await self._task.wait_for_revision(self.store.revision, 10_000)
+            self._notify()
+
+    # Formation
+
+    async def _form_group(self) -> None:
+        names = self._settings.seed_names()
+        while not self._task.status().formed:
+            try:
+                await self._form_once(names)
+            except (FormationRefusedError, BusTimeoutError):
+                await asyncio.sleep(FORM_RETRY_S)
+        log_event(FORMED, voters=[voter.name for voter in self._task.status().voters])
+
+    async def _form_once(self, names: list[str]) -> None:
+        replies = await asyncio.gather(
+            *(self._ask_form(name, FormRequest()) for name in names)
+        )
+        voters = plan_formation(names, replies)
+        request = FormRequest([(voter.name, voter.disk) for voter in voters])
+        await asyncio.gather(*(self._ask_form(name, request) for name in names))
+
+    async def _ask_form(self, name: str, request: FormRequest) -> FormReply:
+        body = msgspec.msgpack.encode(request)
+        if name == self._name:
+            answer = await self._receive_form(name, body)
+        else:
+            answer = await self._bus.request(name, "form", body, FORM_TIMEOUT_MS)
+        return msgspec.msgpack.decode(answer, type=FormReply)
+
+    async def _receive_form(self, sender: str, body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=FormRequest)
+        if request.voters:
+            await self._task.form(tuple(ReplicaId(*pair) for pair in request.voters))
+        status = self._task.status()
+        voters = [(voter.name, voter.disk) for voter in status.voters]
+        reply = FormReply(self._name, self._me.disk, status.formed, voters)
+        return msgspec.msgpack.encode(reply)
+
+    # Bus
+
+    async def _receive_agreement(self, sender: str, body: bytes) -> None:
+        self._task.deliver(body)
+
+    async def _receive_hosts(self, sender: str, body: bytes) -> None:
+        hosts = msgspec.msgpack.decode(body, type=ControlHosts)
+        if hosts.term >= self._controls_term:
+            self._controls, self._controls_term = hosts.names, hosts.term
+        self._adopt(hosts.endpoints)
+
+    async def _receive_sync(self, sender: str, body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=SyncRequest)
+        self.directory.report(
+            RouterEntry(
+                name=request.name,
+                zone=request.zone,
+                callers=request.callers,
+                is_ready=request.is_ready,
+                seen_ms=self.now_ms(),
+            )
+        )
+        if not self._is_newer(request):
+            try:
+                await asyncio.wait_for(self._changed.wait(), request.hold_ms / 1000)
+            except TimeoutError:
+                pass  # The reply then only renews what the router has.
+        return msgspec.msgpack.encode(self._sync_reply(request))
+
+    def _is_newer(self, request: SyncRequest) -> bool:
+        known = (request.list_term, request.list_sequence)
+        return self.store.revision > request.revision or self._endpoints.order > known
+
+    def _sync_reply(self, request: SyncRequest) -> SyncReply:
+        store = self.store
+        document = store.document
+        has_older = request.document_version < document.version
+        known = (request.list_term, request.list_sequence)
+        is_newer_list = self._endpoints.order > known
+        stale_ms = self._task.status().stale_ms if self.leads() else UNCONFIRMED_MS
+        return SyncReply(
+            stale_ms=stale_ms,
+            revision=store.revision,
+            document_version=document.version,
+            content=self._compress() if has_older else b"",
+            weights=store.weights,
+            endpoints=self._endpoints if is_newer_list else None,
+            controls=self._controls,
+            router_count=len(self.directory.live(self.now_ms())),
+        )
+
+    def _compress(self) -> bytes:
+        document = self.store.document
+        if self._compressed[0] != document.version:
+            self._compressed = (document.version, zlib.compress(document.content, 6))
+        return self._compressed[1]
+
+    # Commands and reads
+
+    async def _receive_command(self, sender: str, body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=CommandRequest)
+        if self._stopping:
+            return msgspec.msgpack.encode(CommandReply("not_leader"))
+        command = decode_command(request.payload)
+        return msgspec.msgpack.encode(await self._task.submit(command))
+
+    async def put(self, command: PutDocument | NameWeights) -> DocumentKept | None:
+        """Commit a command through the leader.
+
+        Returns:
+            The outcome, or None if there is none in time; the command may still
+            commit, and sending it again is safe.
+        """
+        deadline_ms = self.now_ms() + COMMAND_TIMEOUT_MS
+        while self.now_ms() < deadline_ms and not self._stopping:
+            reply = await self._submit(command, deadline_ms - self.now_ms())
+            if reply is not None and reply.status == "committed":
+                outcome = decode_outcome(reply.outcome)
+                assert isinstance(outcome, DocumentKept)
+                log_event(
+                    DOCUMENT_KEPT,
+                    command=type(command).__name__,
+                    version=command.version,
+                    in_force=outcome.version,
+                    changed=outcome.changed,
+                )
+                return outcome
+            await asyncio.sleep(COMMAND_RETRY_S)
+        log_event(
+            COMMAND_UNDECIDED, command=type(command).__name__, version=command.version
+        )
+        return None
+
+    async def _submit(self, command: Command, timeout_ms: int) -> CommandReply | None:
+        status = self._task.status()
+        if status.leader is None:
+            return None
+        try:
+            if status.leader.name == self._name:
+                return await asyncio.wait_for(
+                    self._task.submit(command), timeout_ms / 1000
+                )
+            body = msgspec.msgpack.encode(CommandRequest(encode_command(command)))
+            answer = await self._bus.request(
+                status.leader.name, "command", body, timeout_ms
+            )
+        except (BusTimeoutError, TimeoutError):
+            return None
+        return msgspec.msgpack.decode(answer, type=CommandReply)
+
+    async def read(self) -> ReadReply:
+        """Return the newest document, if a leader can vouch for it."""
+        status = self._task.status()
+        if self.leads():
+            document = self.store.document
+            return ReadReply(True, document.version, document.content)
+        if status.leader is None or status.leader.name == self._name:
+            return ReadReply(False)
+        try:
+            answer = await self._bus.request(
+                status.leader.name, "read", b"", COMMAND_TIMEOUT_MS
+            )
+        except BusTimeoutError:
+            return ReadReply(False)
+        return msgspec.msgpack.decode(answer, type=ReadReply)
+
+    async def _receive_read(self, sender: str, body: bytes) -> bytes:
+        document = self.store.document
+        reply = ReadReply(False)
+        if self.leads():
+            reply = ReadReply(True, document.version, document.content)
+        return msgspec.msgpack.encode(reply)
+
+    async def stop(self) -> list[str]:
+        """Finish open calls and close the ports."""
+        self._stopping = True
+        for server in self._servers:
+            server.is_stopping = True
+        await asyncio.sleep(0.3)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._storage.close()
+        await self._bus.stop()
+        return []
+
+    def open_requests(self) -> list[str]:
+        """Return nothing: commands without an answer are sent again."""
+        return []
+
+    def reload_certificates(self) -> None:
+        """Do nothing: the bus and the calls of this role use no certificates."""
--- /dev/null
+++ b/mustardtrack/process/seeded_router.py
@@ -0,0 +1,98 @@
+"""Router process that learns its peers from seeds and forwards requests."""
+
+import asyncio
+from typing import Any, cast
+
+from mustardtrack.adapters.clock import SystemClock
+from mustardtrack.adapters.http_exchange import Exchange, HttpServer, ServerLimits
+from mustardtrack.adapters.metrics import CounterTable
+from mustardtrack.adapters.upstream import ConnectionPool
+from mustardtrack.adapters.zeromq import Bus
+from mustardtrack.platform.endpoints import READY_TARGET
+from mustardtrack.process.control_link import ControlLinks
+from mustardtrack.process.forwarder import Forwarder
+from mustardtrack.process.lifecycle import DaemonProcess
+from mustardtrack.routing.endpointstate import EndpointState
+from mustardtrack.settings import SeededSettings, split_address
+
+# Time before the end of the grace at which the process ends, so that it is not
+# killed while it closes its connections.
+STOP_MARGIN_S = 0.8
+# Callers keep directory answers for some seconds and still come to a stopping router.
+MIN_STOP_S = 4.0
+STOP_POLL_S = 0.05
+
+
+class SeededRouterProcess(DaemonProcess):
+    """One router on an entry host."""
+
+    def __init__(self, settings: SeededSettings):
+        self._settings = settings
+        self._clock = SystemClock()
+        self.metrics = CounterTable()
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Open the ports; requests are refused until control has answered."""
+        from twisted.internet import reactor as installed_reactor
+
+        reactor = cast(Any, installed_reactor)
+        settings = self._settings
+        # A router only dials, so that its bus has no port of its own.
+        self._bus = Bus(settings.name, settings.bus_address)
+        self._pool = ConnectionPool(reactor)
+        self._links = ControlLinks(
+            settings, self._bus, self._clock, self._is_ready, self._forget
+        )
+        self._forwarder = Forwarder(
+            settings, self._links, self._pool, self._clock, self.metrics
+        )
+        self._callers = HttpServer(self._forwarder.handle, ServerLimits())
+        self._readiness = HttpServer(self._answer_readiness)
+        assert settings.listen.callers is not None
+        self._callers.listen(reactor, *split_address(settings.listen.callers))
+        if settings.listen.readiness is not None:
+            address = split_address(settings.listen.readiness)
+            self._readiness.listen(reactor, *address)
+        self._links.start()
+
+    def _is_ready(self) -> bool:
+        return not self._stopping and self._links.is_confirmed()
+
+    def _forget(self, state: EndpointState) -> None:
+        self._pool.drop(state.id)
+
+    def _answer_readiness(self, exchange: Exchange) -> None:
+        is_known = exchange.target.decode("latin-1").partition("?")[0] == READY_TARGET
+        status = 404 if not is_known else 200 if self._is_ready() else 503
+        exchange.respond(status, [], b"")
+
+    async def stop(self) -> list[str]:
+        """Leave the directory, then answer what callers still send."""
+        self._stopping = True
+        self._callers.is_stopping = True
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        end_s = started_s + self._settings.bounds.grace_s - STOP_MARGIN_S
+        await self._links.announce()
+        while loop.time() < end_s:
+            is_busy = bool(self._callers.open_exchanges())
+            is_busy = is_busy or self._callers.has_partial_requests()
+            if loop.time() - started_s >= MIN_STOP_S and not is_busy:
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        self._callers.stop_listening()
+        interrupted = self.open_requests()
+        self._callers.close_connections()
+        self._readiness.stop_listening()
+        await self._links.stop()
+        await asyncio.sleep(STOP_POLL_S)
+        return interrupted
+
+    def open_requests(self) -> list[str]:
+        """Return the targets of the requests that are not answered."""
+        open_now = self._callers.open_exchanges()
+        return [exchange.target.decode("latin-1") for exchange in open_now]
+
+    def reload_certificates(self) -> None:
+        """Do nothing: this role uses no certificates."""
--- /dev/null
+++ b/mustardtrack/routing/rollout.py
@@ -0,0 +1,88 @@
+"""Which engine loads new weights next.
+
+Load pattern: a new weights version is named every few seconds while long prompts
+keep all engines busy. Each load takes an engine out of service for seconds, and
+too many at once slow each other and leave too few engines for the traffic.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from mustardtrack.membership.endpointlist import ListedEndpoint
+
+# Part of the engines that may load at once; above about a third, loads slow each
+# other on the users' sheets.
+PARALLEL_SHARE = 1 / 3
+MIN_PARALLEL = 2
+# An order without an effect in the list after this time is given again. A load
+# takes about 2 s after the running requests have ended.
+ORDER_LIFETIME_MS = 8000
+
+
+@dataclass(frozen=True)
+class WeightsOrder:
+    """Order to load a weights version."""
+
+    endpoint: ListedEndpoint
+    model: str
+    version: int
+
+
+@dataclass
+class _Open:
+    version: int
+    given_ms: int
+
+
+class Rollout:
+    """Brings every engine to the named weights, a few at a time.
+
+    One instance belongs to one leadership; it starts without open orders.
+    """
+
+    def __init__(self) -> None:
+        self._open: dict[str, _Open] = {}
+
+    def loading(self) -> frozenset[str]:
+        """Return the endpoints with an order that is not complete."""
+        return frozenset(self._open)
+
+    def plan(
+        self,
+        endpoints: Sequence[ListedEndpoint],
+        named: Mapping[str, int],
+        now_ms: int,
+    ) -> list[WeightsOrder]:
+        """Return the orders to give now and count them as given."""
+        self._close_finished(endpoints, now_ms)
+        behind = [
+            (endpoint, model, version)
+            for endpoint in endpoints
+            for model, version in named.items()
+            if endpoint.weights.get(model, version) < version
+        ]
+        engines = sum(1 for endpoint in endpoints if endpoint.weights)
+        limit = max(MIN_PARALLEL, int(engines * PARALLEL_SHARE))
+        orders: list[WeightsOrder] = []
+        for endpoint, model, version in behind:
+            if len(self._open) >= limit:
+                break
+            if endpoint.id in self._open or endpoint.is_draining:
+                continue
+            self._open[endpoint.id] = _Open(version, now_ms)
+            orders.append(WeightsOrder(endpoint, model, version))
+        return orders
+
+    def reject(self, endpoint_id: str) -> None:
+        """Forget an order that the endpoint did not take."""
+        self._open.pop(endpoint_id, None)
+
+    def _close_finished(self, endpoints: Sequence[ListedEndpoint], now_ms: int) -> None:
+        versions = {
+            endpoint.id: max(endpoint.weights.values(), default=0)
+            for endpoint in endpoints
+        }
+        for endpoint_id, order in list(self._open.items()):
+            reached = versions.get(endpoint_id, order.version) >= order.version
+            if reached or now_ms - order.given_ms > ORDER_LIFETIME_MS:
+                del self._open[endpoint_id]
--- a/mustardtrack/settings/__init__.py
+++ b/mustardtrack/settings/__init__.py
@@ -10,11 +10,13 @@
     TlsFiles,
     split_address,
 )
+from mustardtrack.settings.seeded import SeededSettings
 
 __all__ = [
     "ControlPeer",
     "Limits",
     "RouterPeer",
+    "SeededSettings",
     "Settings",
     "SettingsError",
     "Timing",
--- a/mustardtrack/settings/loader.py
+++ b/mustardtrack/settings/loader.py
@@ -6,6 +6,7 @@
 from pydantic import ValidationError
 
 from mustardtrack.settings.models import Settings
+from mustardtrack.settings.seeded import SeededSettings
 
 
 class SettingsError(Exception):
@@ -15,9 +16,11 @@
     """
 
 
-def load_settings(path: str | Path) -> Settings:
+def load_settings(path: str | Path) -> Settings | SeededSettings:
     """Read and validate a settings file.
 
+    A file with the key ``seeds`` describes a process that learns its peers.
+
     Args:
         path: YAML file.
 
@@ -37,7 +40,8 @@
     if not isinstance(data, dict):
         raise SettingsError(f"{path}: the top level must be a mapping of keys")
     try:
-        return Settings.model_validate(data)
+        model = SeededSettings if "seeds" in data else Settings
+        return model.model_validate(data)
     except ValidationError as error:
         raise SettingsError(_describe(path, error)) from error
 
