Load the oldest weights first and keep openings in the store

Change: oldest weights first, engines report the end of a load, placement costs in milliseconds, openings are saved to and fetched from the store.

--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -93,9 +93,7 @@
         self._id_header = b""
         self._skipping = False
         self._foreign = 0
-        self.ready: asyncio.Future[None] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.idle_limit_s = DEFAULT_IDLE_S
         self.idle_since_s = 0.0
         self.requests_sent = 0
--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -79,6 +79,19 @@
 
 
 ORDER_TARGET = b"/v1/order"
+REPORT_TARGET = b"/v1/report"
+
+
+def read_report(body: bytes) -> tuple[dict[str, int], bool]:
+    """Decode an engine's report into its weights and whether it is loading.
+
+    Raises:
+        ValueError: If it cannot be read.
+    """
+    data = json.loads(body)
+    if not isinstance(data, dict):
+        raise ValueError("the report must be a JSON object")
+    return _read_weights(data.get("models")), data.get("busy") is True
 
 
 def encode_weights_order(model: str, version: int, holder: str, fence: int) -> bytes:
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -139,13 +139,15 @@
     def _instructions(self) -> Instructions:
         admitted = self._admitted
         account = admitted.account
-        version = salt = urgency = None
+        version = salt = urgency = store_address = None
         if admitted.prompt is not None:
             model = admitted.prompt.model
             version = self._endpoint.listed.weights.get(model)
             wall = account.name if account and account.is_isolated else ""
             salt = f"{model}.{version}.{wall}"
             urgency = admitted.urgency
+            store = admitted.table.store()
+            store_address = store.store_address if store else None
         return Instructions(
             instance=self._endpoint.id,
             time_left_ms=max(1, self._left_ms()),
@@ -153,6 +155,8 @@
             urgency=urgency,
             weights_version=version,
             cache_salt=salt,
+            fetch_from=store_address,
+            save_to=store_address,
         )
 
     async def _receive(self, connection: UpstreamConnection) -> Outcome:
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from mustardtrack.adapters.upstream import (
     AnswerData,
     AnswerEnd,
@@ -14,9 +16,11 @@
 from mustardtrack.membership.endpointlist import EndpointList, ListedEndpoint
 from mustardtrack.platform.endpoints import (
     ORDER_TARGET,
+    REPORT_TARGET,
     encode_weights_order,
     list_target,
     read_list_page,
+    read_report,
 )
 from mustardtrack.routing.rollout import Rollout, WeightsOrder
 
@@ -26,11 +30,17 @@
 
 LIST_FAILED = define_event(8931, "WARNING", "platform's list could not be read")
 LIST_CHANGED = define_event(8932, "INFO", "endpoint list changed")
+REPORT_FAILED = define_event(8934, "WARNING", "engine's report could not be read")
 ORDER_GIVEN = define_event(8933, "INFO", "weights order answered")
 
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
-WATCH_PERIOD_S = 0.2
+WATCH_PERIOD_S = 0.1
+# A load takes about 2 s on the users' sheets; reports before that are wasted calls.
+FIRST_REPORT_S = 1.9
+REPORT_PERIOD_S = 0.3
+# Reports asked for one load, about as long as the lifetime of an order.
+MAX_REPORTS = 20
 MAX_PAGES = 1000
 # An unchanged list is repeated for replicas that missed it.
 PUBLISH_PERIOD_MS = 1000
@@ -54,8 +64,11 @@
         self._leads_since_ms = 0
         self._sequence = 0
         self._list_at_ms = 0
+        self._entries: tuple[ListedEndpoint, ...] = ()
         self._listed: tuple[ListedEndpoint, ...] = ()
+        self._reported: dict[str, dict[str, int]] = {}
         self._has_list = False
+        self._reported = {}
         self._last_published: tuple[ListedEndpoint, ...] = ()
         self._publish_at_ms = 0
         self._orders: set[asyncio.Task[None]] = set()
@@ -75,6 +88,7 @@
                 self._list_at_ms = now_ms + self._settings.timing.list_period_ms
                 await self._read_list()
             if self._has_list and self._control.leads():
+                self._merge_reports()
                 self._give_orders()
                 self._publish()
 
@@ -87,6 +101,7 @@
         self._sequence = 0
         self._rollout = Rollout()
         self._has_list = False
+        self._reported = {}
         self._last_published = ()
 
     async def _read_list(self) -> None:
@@ -106,9 +121,19 @@
         except (CallError, ConnectError, ValueError) as error:
             log_event(LIST_FAILED, error=str(error))
             return
-        self._listed = tuple(sorted(entries, key=lambda entry: entry.id))
+        self._entries = tuple(sorted(entries, key=lambda entry: entry.id))
         self._has_list = True
 
+    def _merge_reports(self) -> None:
+        """Join the list with newer weights that engines have reported."""
+        known = {entry.id for entry in self._entries}
+        for endpoint_id in [one for one in self._reported if one not in known]:
+            del self._reported[endpoint_id]
+        self._listed = tuple(
+            _with_weights(entry, self._reported.get(entry.id))
+            for entry in self._entries
+        )
+
     def _publish(self) -> None:
         loading = self._rollout.loading()
         listed = tuple(
@@ -165,9 +190,30 @@
             status=status,
             error=error,
         )
-        if status not in (0, 200, 202) and term == self._term:
+        if status in (0, 200, 202):
+            await self._await_load(order, term)
+        elif term == self._term:
             self._rollout.reject(order.endpoint.id)
 
+    async def _await_load(self, order: WeightsOrder, term: int) -> None:
+        """Ask the engine until it has loaded, since the list lags behind it."""
+        await asyncio.sleep(FIRST_REPORT_S)
+        for _ in range(MAX_REPORTS):
+            if term != self._term or not self._control.leads():
+                return
+            try:
+                status, body = await self._call(
+                    order.endpoint.address, b"GET", REPORT_TARGET, b""
+                )
+                weights, _ = read_report(body) if status == 200 else ({}, True)
+            except (CallError, ConnectError, ValueError) as error:
+                log_event(REPORT_FAILED, endpoint=order.endpoint.id, error=str(error))
+                weights = {}
+            if weights.get(order.model, 0) >= order.version:
+                self._reported[order.endpoint.id] = weights
+                return
+            await asyncio.sleep(REPORT_PERIOD_S)
+
     async def _call(
         self,
         address: str,
@@ -204,14 +250,16 @@
 def _with_loading(endpoint: ListedEndpoint, is_loading: bool) -> ListedEndpoint:
     if not is_loading:
         return endpoint
-    return ListedEndpoint(
-        endpoint.id,
-        endpoint.started_ms,
-        endpoint.service,
-        endpoint.address,
-        endpoint.zone,
-        endpoint.slots,
-        endpoint.is_draining,
-        True,
-        endpoint.weights,
-    )
+    return msgspec.structs.replace(endpoint, is_loading=True)
+
+
+def _with_weights(
+    endpoint: ListedEndpoint, reported: dict[str, int] | None
+) -> ListedEndpoint:
+    if not reported:
+        return endpoint
+    newest = {
+        model: max(version, reported.get(model, 0))
+        for model, version in endpoint.weights.items()
+    }
+    return msgspec.structs.replace(endpoint, weights=newest)
--- a/mustardtrack/routing/openings.py
+++ b/mustardtrack/routing/openings.py
@@ -20,18 +20,21 @@
 MIN_OPENING_TOKENS = 1024
 # Engines on which an opening is looked for and left behind under load.
 OPENING_COPIES = 2
-# Queue places by which the preferred engine must be longer before the next is used.
-# Reading an opening again delays an engine by about this many short requests.
-LEAVE_MARGIN = 6.0
-# Tokens of unread prompt that count as one queue place.
-TOKENS_PER_PLACE = 2000
-# Queue places charged for weights older than the newest: a late request costs more
-# than an answer on old weights.
-OLD_WEIGHTS_PENALTY = 3.0
-# Queue places charged for another availability zone.
-ZONE_PENALTY = 0.4
-# Queue places charged for failing all answers.
-FAILURE_PENALTY = 40.0
+# Time until the first token by which the preferred engine must be slower before the
+# next one is used; fetching an opening takes about 50 ms, reading it 200 ms.
+LEAVE_MARGIN_MS = 150.0
+# Prompt tokens that an engine reads in a millisecond, on the users' sheets.
+TOKENS_PER_MS = 60.0
+# Delay that a running request adds to a new one's first token, and a waiting one.
+RUNNING_MS = 10.0
+WAITING_MS = 60.0
+# A fifth of a long request's worth is lost on weights that have been replaced, nearly
+# all of it when the first token is late, at about a second.
+OLD_WEIGHTS_MS = 300.0
+# Cost of bytes between availability zones, in the same measure.
+ZONE_MS = 10.0
+# Delay charged for failing all answers.
+FAILURE_MS = 2000.0
 
 
 @dataclass(frozen=True)
@@ -81,7 +84,7 @@
         return None
 
     def cost(state: EndpointState) -> float:
-        return _places(state, prompt.model, newest, zone, now_ms)
+        return _first_token_ms(state, prompt.model, newest, zone, now_ms)
 
     if prompt.follows_opening:
         by_id = {state.id: state for state in usable}
@@ -89,19 +92,20 @@
         ranked = rank_endpoints(digest, list(by_id))[:OPENING_COPIES]
         preferred = min(
             range(len(ranked)),
-            key=lambda place: cost(by_id[ranked[place]]) + place * LEAVE_MARGIN,
+            key=lambda place: cost(by_id[ranked[place]]) + place * LEAVE_MARGIN_MS,
         )
         return by_id[ranked[preferred]]
     return min(usable, key=lambda state: (cost(state), rng.random()))
 
 
-def _places(
+def _first_token_ms(
     state: EndpointState, model: str, newest: int, zone: str, now_ms: int
 ) -> float:
-    places = state.queue_length(now_ms) + 3.0 * state.reported_waiting(now_ms)
-    places += state.unread_tokens / TOKENS_PER_PLACE
+    cost_ms = RUNNING_MS * state.queue_length(now_ms)
+    cost_ms += WAITING_MS * state.reported_waiting(now_ms)
+    cost_ms += state.unread_tokens / TOKENS_PER_MS
     if state.listed.weights.get(model, newest) < newest:
-        places += OLD_WEIGHTS_PENALTY
+        cost_ms += OLD_WEIGHTS_MS
     if state.listed.zone != zone:
-        places += ZONE_PENALTY
-    return places + FAILURE_PENALTY * max(0.0, state.failure_share - 0.1)
+        cost_ms += ZONE_MS
+    return cost_ms + FAILURE_MS * max(0.0, state.failure_share - 0.1)
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -10,9 +10,9 @@
 
 from mustardtrack.membership.endpointlist import ListedEndpoint
 
-# Part of the engines that may load at once; above about a third, loads slow each
-# other on the users' sheets.
-PARALLEL_SHARE = 1 / 3
+# Part of the engines that may load at once; above it, loads slow each other on the
+# users' sheets (2 of 5, 3 of 9 and 12 of 30 engines).
+PARALLEL_SHARE = 0.4
 MIN_PARALLEL = 2
 # An order without an effect in the list after this time is given again. A load
 # takes about 2 s after the running requests have ended.
@@ -61,6 +61,9 @@
             for model, version in named.items()
             if endpoint.weights.get(model, version) < version
         ]
+        # The oldest weights first: while versions follow each other quickly, an
+        # engine late in a fixed order would never be reached.
+        behind.sort(key=lambda item: item[0].weights[item[1]])
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL, int(engines * PARALLEL_SHARE))
         orders: list[WeightsOrder] = []
