Place prompts by the leader with the knowledge of all routers

Cause: each router sees an eighth of the load, with reports 0.5 to 6 s old; after a weights load all of them sent to the same engine (38 requests waiting there). Change: the leading control host places every prompt; it counts what each engine has to read and which openings it read; routers report progress, and place alone when it does not answer.

--- a/mustardtrack/configuration/routes.py
+++ b/mustardtrack/configuration/routes.py
@@ -86,6 +86,7 @@
         max_connections: Connections that one endpoint accepts from all hosts.
         store_address: Address of the store of kept KV cache, if this is one.
         store_zone: Availability zone of that store.
+        store_tokens: Tokens that it keeps.
     """
 
     name: str
@@ -93,6 +94,7 @@
     engine: EngineLimits | None = None
     store_address: str | None = None
     store_zone: str | None = None
+    store_tokens: int = 0
 
 
 @dataclass(frozen=True)
--- a/mustardtrack/platform/manifests.py
+++ b/mustardtrack/platform/manifests.py
@@ -159,6 +159,7 @@
         engine=_read_engine(engine) if isinstance(engine, dict) else None,
         store_address=store_address if isinstance(store_address, str) else None,
         store_zone=item.get("zone") if isinstance(item.get("zone"), str) else None,
+        store_tokens=int(_number(item, "kv-capacity-tokens")),
     )
 
 
--- a/mustardtrack/ports/synchronization.py
+++ b/mustardtrack/ports/synchronization.py
@@ -27,6 +27,7 @@
     """What is newer than the router has.
 
     ``stale_ms`` is the time since a majority confirmed the state of the sender.
+    ``leader`` is the replica that leads, as far as the sender knows.
     ``content`` is the compressed document, empty if the router has it already.
     """
 
@@ -38,6 +39,7 @@
     endpoints: EndpointList | None
     controls: list[str]
     router_count: int
+    leader: str = ""
 
 
 class ReadReply(msgspec.Struct, frozen=True, array_like=True):
@@ -54,3 +56,15 @@
     term: int
     names: list[str]
     endpoints: EndpointList
+
+
+class Progress(msgspec.Struct, frozen=True, array_like=True):
+    """What became of placed prompts since the last message of a router.
+
+    ``read`` and ``ended`` hold request ids, ``silent`` the engines that the router
+    could not reach.
+    """
+
+    read: list[str]
+    ended: list[str]
+    silent: list[str]
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -139,15 +139,17 @@
     def _instructions(self) -> Instructions:
         admitted = self._admitted
         account = admitted.account
-        version = salt = urgency = store_address = None
+        version = salt = urgency = fetch_from = save_to = None
         if admitted.prompt is not None:
             model = admitted.prompt.model
             version = self._endpoint.listed.weights.get(model)
             wall = account.name if account and account.is_isolated else ""
             salt = f"{model}.{version}.{wall}"
             urgency = admitted.urgency
-            store = admitted.table.store()
-            store_address = store.store_address if store else None
+            placement = self._progress.placement
+            if placement is not None:
+                fetch_from = placement.fetch_from or None
+                save_to = placement.save_to or None
         return Instructions(
             instance=self._endpoint.id,
             time_left_ms=max(1, self._left_ms()),
@@ -155,8 +157,8 @@
             urgency=urgency,
             weights_version=version,
             cache_salt=salt,
-            fetch_from=store_address,
-            save_to=store_address,
+            fetch_from=fetch_from,
+            save_to=save_to,
         )
 
     async def _receive(self, connection: UpstreamConnection) -> Outcome:
@@ -307,6 +309,7 @@
         if self._is_unread:
             self._is_unread = False
             self._endpoint.record_first_byte(self._tokens)
+            self._forwarder.record_read(self._admitted)
 
     def _left_ms(self) -> int:
         return self._admitted.deadline_ms - self._clock.now_ms()
--- a/mustardtrack/process/control_link.py
+++ b/mustardtrack/process/control_link.py
@@ -43,7 +43,7 @@
             router's clock; None before the first confirmation.
         revision: Revision of the control state that the view holds.
         weights: Named weights version of each model.
-        weights_ms: When each of those versions was learned.
+        leader: Control replica that leads, as last heard.
     """
 
     table: RouteTable | None = None
@@ -52,6 +52,7 @@
     weights: dict[str, int] = field(default_factory=dict)
     endpoints: EndpointTable = field(default_factory=EndpointTable)
     router_count: int = 1
+    leader: str = ""
 
     def age_ms(self, now_ms: int) -> int | None:
         """Return the time since the last confirmation."""
@@ -177,6 +178,8 @@
                 view.revision = reply.revision
         if reply.endpoints is not None:
             self._adopt_endpoints(reply)
+        if reply.leader:
+            view.leader = reply.leader
         view.router_count = max(1, reply.router_count)
         # A reply is not older than its request, and the state in it was confirmed
         # ``stale_ms`` before the reply.
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -14,10 +14,12 @@
 from mustardtrack.ports import Clock
 from mustardtrack.process.attempt import Attempt, Outcome
 from mustardtrack.process.control_link import ControlLinks
+from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.requests.forwarding import AttemptEnd, ForwardedRequest, NextStep
 from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.openings import Prompt, choose_engine
+from mustardtrack.routing.placements import Placement, PlacementRequest
 from mustardtrack.settings import SeededSettings
 
 ANSWERED = define_event(8951, "INFO", "request ended")
@@ -72,7 +74,9 @@
         pool: ConnectionPool,
         clock: Clock,
         metrics: CounterTable,
+        placements: PlacementClient,
     ):
+        self._placements = placements
         self._settings = settings
         self._links = links
         self.pool = pool
@@ -164,9 +168,9 @@
         reason = "not_run"
         while step is NextStep.RETRY:
             now_ms = self.clock.now_ms()
-            endpoint = None
+            endpoint, placement = None, None
             if admitted.deadline_ms - now_ms >= MIN_SEND_MS and len(tried) < MAX_TRIED:
-                endpoint = self._choose(admitted, tried, now_ms)
+                endpoint, placement = await self._choose(admitted, tried, now_ms)
             is_repeat = progress.sends > 0
             count = self._links.view.router_count
             if endpoint is None or (is_repeat and not budget.allow(now_ms, count)):
@@ -174,23 +178,35 @@
                 step = progress.give_up()
                 break
             tried.append(endpoint.id)
+            progress.placement = placement
+            choice = self._describe_choice(admitted, endpoint, placement, now_ms)
             outcome = await Attempt(self, admitted, endpoint, progress).run()
             if outcome.is_final:
-                self._log_end(admitted, endpoint, progress, outcome)
+                self._placements.record_end(_request_id(admitted))
+                self._log_end(admitted, endpoint, progress, outcome, choice)
                 return
             assert outcome.end is not None
+            if outcome.end in (AttemptEnd.NOT_SENT, AttemptEnd.TIMED_OUT):
+                self._placements.record_silence(endpoint.id)
             step = progress.decide(outcome.end)
             self._log_attempt(admitted, endpoint, outcome, step)
+        self._placements.record_end(_request_id(admitted))
         self._give_up(admitted, progress, step, reason)
 
-    def _choose(
+    async def _choose(
         self, admitted: Admitted, tried: list[str], now_ms: int
-    ) -> EndpointState | None:
+    ) -> tuple[EndpointState | None, Placement | None]:
         endpoints = self._links.view.endpoints.of_service(admitted.service.name)
         zone = self._settings.zone
         if admitted.prompt is None:
-            return choose_endpoint(endpoints, tried, zone, now_ms, self._rng)
-        return choose_engine(
+            chosen = choose_endpoint(endpoints, tried, zone, now_ms, self._rng)
+            return chosen, None
+        placement = await self._placements.ask(self._placement_request(admitted, tried))
+        if placement is not None:
+            for state in endpoints:
+                if state.id == placement.endpoint:
+                    return state, placement
+        chosen = choose_engine(
             endpoints,
             admitted.prompt,
             admitted.weights_version,
@@ -199,6 +215,55 @@
             now_ms,
             self._rng,
         )
+        return chosen, None
+
+    def _placement_request(
+        self, admitted: Admitted, tried: list[str]
+    ) -> PlacementRequest:
+        metadata = admitted.metadata
+        account = admitted.account
+        return PlacementRequest(
+            request_id=_text(metadata.request_id),
+            service=admitted.service.name,
+            model=metadata.model,
+            parts=[(part.digest, part.tokens) for part in metadata.parts],
+            wall=account.name if account and account.is_isolated else "",
+            tokens=metadata.prompt_tokens,
+            output_tokens=metadata.max_output_tokens,
+            rank=admitted.route.rank,
+            objective_ms=admitted.route.objective_ms,
+            time_left_ms=admitted.deadline_ms - self.clock.now_ms(),
+            zone=self._settings.zone,
+            tried=tried,
+        )
+
+    def record_read(self, admitted: Admitted) -> None:
+        """Report the first token of a prompt."""
+        if admitted.prompt is not None:
+            self._placements.record_read(_request_id(admitted))
+
+    def _describe_choice(
+        self,
+        admitted: Admitted,
+        endpoint: EndpointState,
+        placement: Placement | None,
+        now_ms: int,
+    ) -> dict[str, object]:
+        """Return the inputs of a choice with their age, for the log."""
+        prompt = admitted.prompt
+        weights = endpoint.listed.weights.get(prompt.model) if prompt else None
+        return {
+            "tokens": prompt.tokens if prompt else 0,
+            "running": endpoint.running,
+            "waiting": endpoint.waiting,
+            "load_age_ms": now_ms - endpoint.load_ms,
+            "in_flight": endpoint.in_flight,
+            "unread_tokens": endpoint.unread_tokens,
+            "expected_ms": placement.expected_ms if placement else None,
+            "fetch_from": placement.fetch_from if placement else None,
+            "weights": weights,
+            "newest": admitted.weights_version if prompt else None,
+        }
 
     def _budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
@@ -274,6 +339,7 @@
         endpoint: EndpointState,
         progress: ForwardedRequest,
         outcome: Outcome,
+        choice: dict[str, object],
     ) -> None:
         now_ms = self.clock.now_ms()
         elapsed_ms = now_ms - admitted.received_ms
@@ -290,6 +356,7 @@
             first_ms=outcome.first_ms,
             table_version=admitted.table.version,
             note=outcome.note,
+            **choice,
         )
 
     def _log_attempt(
@@ -318,5 +385,9 @@
         )
 
 
+def _request_id(admitted: Admitted) -> str:
+    return _text(admitted.metadata.request_id)
+
+
 def _text(value: bytes | None) -> str:
     return value.decode("latin-1") if value else ""
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -33,12 +33,15 @@
     PutDocument,
 )
 from mustardtrack.configuration.outcomes import decode_outcome
+from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.directory import RouterDirectory, RouterEntry
 from mustardtrack.membership.endpointlist import EndpointList
+from mustardtrack.platform.manifests import read_manifest
 from mustardtrack.ports import CommandReply, CommandRequest, FormReply, FormRequest
 from mustardtrack.ports.synchronization import (
     ControlHosts,
+    Progress,
     ReadReply,
     SyncReply,
     SyncRequest,
@@ -47,6 +50,11 @@
 from mustardtrack.process.endpoint_watch import EndpointWatch
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.replica_task import ReplicaTask
+from mustardtrack.routing.placements import (
+    Placement,
+    PlacementRequest,
+    PlacementTable,
+)
 from mustardtrack.settings import SeededSettings, split_address
 
 REPLICA_FAILED = define_event(8911, "ERROR", "replica task failed, process ends")
@@ -80,6 +88,8 @@
         self.metrics = CounterTable()
         self._bus = Bus(self._name, self._name)
         self.directory = RouterDirectory(ROUTER_LEASE_MS)
+        self.placements = PlacementTable()
+        self._table: RouteTable | None = None
         self._endpoints = EndpointList()
         self._controls: list[str] = settings.seed_names()
         self._controls_term = 0
@@ -98,6 +108,8 @@
             ("form", self._receive_form),
             ("sync", self._receive_sync),
             ("hosts", self._receive_hosts),
+            ("place", self._receive_place),
+            ("progress", self._receive_progress),
         ):
             self._bus.handle(topic, handler)
         self._bus.start()
@@ -215,6 +227,7 @@
     def _adopt(self, endpoints: EndpointList) -> None:
         if endpoints.order > self._endpoints.order:
             self._endpoints = endpoints
+            self.placements.update(endpoints.endpoints)
             self._notify()
 
     def _notify(self) -> None:
@@ -301,7 +314,9 @@
         has_older = request.document_version < document.version
         known = (request.list_term, request.list_sequence)
         is_newer_list = self._endpoints.order > known
-        stale_ms = self._task.status().stale_ms if self.leads() else UNCONFIRMED_MS
+        status = self._task.status()
+        leader = status.leader
+        stale_ms = status.stale_ms if self.leads() else UNCONFIRMED_MS
         return SyncReply(
             stale_ms=stale_ms,
             revision=store.revision,
@@ -311,6 +326,7 @@
             endpoints=self._endpoints if is_newer_list else None,
             controls=self._controls,
             router_count=len(self.directory.live(self.now_ms())),
+            leader=leader.name if leader else "",
         )
 
     def _compress(self) -> bytes:
@@ -319,6 +335,38 @@
             self._compressed = (document.version, zlib.compress(document.content, 6))
         return self._compressed[1]
 
+    # Placement of prompts
+
+    async def _receive_place(self, sender: str, body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=PlacementRequest)
+        placement = Placement()
+        table = self._route_table()
+        if self.leads() and table is not None:
+            service = table.services.get(request.service)
+            if service is not None:
+                placement = self.placements.place(
+                    request,
+                    service,
+                    table.store(),
+                    self.store.weights,
+                    self.now_ms(),
+                )
+        return msgspec.msgpack.encode(placement)
+
+    async def _receive_progress(self, sender: str, body: bytes) -> None:
+        progress = msgspec.msgpack.decode(body, type=Progress)
+        self.placements.record_read(progress.read)
+        self.placements.record_end(progress.ended)
+        self.placements.record_silence(progress.silent, self.now_ms())
+
+    def _route_table(self) -> RouteTable | None:
+        document = self.store.document
+        if not document.version:
+            return None
+        if self._table is None or self._table.version != document.version:
+            self._table = read_manifest(document.content)
+        return self._table
+
     # Commands and reads
 
     async def _receive_command(self, sender: str, body: bytes) -> bytes:
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -12,6 +12,7 @@
 from mustardtrack.process.control_link import ControlLinks
 from mustardtrack.process.forwarder import Forwarder
 from mustardtrack.process.lifecycle import DaemonProcess
+from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.settings import SeededSettings, split_address
 
@@ -44,8 +45,14 @@
         self._links = ControlLinks(
             settings, self._bus, self._clock, self._is_ready, self._forget
         )
+        self._placements = PlacementClient(self._bus, self._links, self.metrics)
         self._forwarder = Forwarder(
-            settings, self._links, self._pool, self._clock, self.metrics
+            settings,
+            self._links,
+            self._pool,
+            self._clock,
+            self.metrics,
+            self._placements,
         )
         self._callers = HttpServer(self._forwarder.handle, ServerLimits())
         self._readiness = HttpServer(self._answer_readiness)
@@ -55,6 +62,7 @@
             address = split_address(settings.listen.readiness)
             self._readiness.listen(reactor, *address)
         self._links.start()
+        self._placements.start()
 
     def _is_ready(self) -> bool:
         return not self._stopping and self._links.is_confirmed()
@@ -85,6 +93,7 @@
         interrupted = self.open_requests()
         self._callers.close_connections()
         self._readiness.stop_listening()
+        await self._placements.stop()
         await self._links.stop()
         await asyncio.sleep(STOP_POLL_S)
         return interrupted
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -9,6 +9,7 @@
 
 from mustardtrack.configuration.routes import Route
 from mustardtrack.logs import define_event, require_invariant
+from mustardtrack.routing.placements import Placement
 
 REFUSED_AFTER_RUN = define_event(
     7101, "ERROR", "refusal says not run although the request may have run"
@@ -50,6 +51,7 @@
         may_have_run: Whether an endpoint can have begun to run it.
         ran_on: Attempts that may have run.
         resume_after: Last event that the caller received, None before the first.
+        placement: Advice for the present attempt, None if the router chose alone.
         connect_failures: Endpoints to which no connection could be made.
     """
 
@@ -58,6 +60,7 @@
     may_have_run: bool = False
     ran_on: int = 0
     resume_after: bytes | None = None
+    placement: Placement | None = None
     connect_failures: int = 0
 
     def record_send(self) -> None:
--- /dev/null
+++ b/mustardtrack/routing/placements.py
@@ -0,0 +1,407 @@
+"""Placement of prompts on model engines with the knowledge of all routers.
+
+Load pattern: many routers that each see a small part of the traffic place long
+prompts, of which an engine reads only a few a second, on the same engines. With
+local knowledge they all choose the engine that looks idle, and openings are read
+again on engine after engine. One process, the leading control host, therefore
+places all prompts of a deployment: it knows what every engine has still to read,
+and which openings each engine read last and has not yet had to evict.
+
+The table only advises. A router that gets no answer in time places the prompt by
+itself (:mod:`mustardtrack.routing.openings`).
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from mustardtrack.configuration.routes import Service
+from mustardtrack.membership.endpointlist import ListedEndpoint
+
+# Prompt tokens that an engine reads in a millisecond, on the users' sheets.
+TOKENS_PER_MS = 60.0
+# Delay that each running request adds to the first token of another.
+RUNNING_MS = 2.0
+# Time to move a token of KV cache between engines of a zone, on the users' sheets
+# (35 kB at 180 Gbit/s); between zones it takes twice as long.
+MOVE_MS_PER_TOKEN = 0.0016
+# Cached tokens below which a fetch costs more than reading them.
+MIN_FETCH_TOKENS = 256
+# A shared token that is read again is priced at about a thousandth of a short
+# request; expressed in milliseconds of delay it must outweigh a fetch.
+READ_AGAIN_MS_PER_TOKEN = 0.01
+# Part of an objective after which an estimate counts as late, since it is rough.
+LATE_SHARE = 0.6
+# Delay charged for each millisecond beyond that.
+LATE_FACTOR = 3.0
+# A fifth of the worth is lost on weights that have been replaced for some time.
+OLD_WEIGHTS_MS = 500.0
+# Delay charged when an engine's memory would be exceeded, so that it must evict
+# running requests.
+MEMORY_MS = 1500.0
+# Bytes between zones are paid for.
+ZONE_MS = 8.0
+# Time without placements on an engine that a router could not reach.
+REST_MS = 1500
+# Memory of an engine that placements may fill; outputs are estimates.
+MEMORY_SHARE = 0.92
+EXPIRY_PERIOD_MS = 500
+
+
+class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt to be placed.
+
+    Attributes:
+        parts: Digest and tokens of each part of the prompt, in order; the last
+            belongs to the request alone.
+        wall: Account whose cached parts are not shared, empty if they are.
+        tokens: Tokens of the whole prompt.
+        output_tokens: Most tokens that are generated.
+        rank: Class of work, 0 is the most urgent.
+        time_left_ms: Time after which the request has ended in any case.
+        tried: Engines that did not run it.
+    """
+
+    request_id: str
+    service: str
+    model: str
+    parts: list[tuple[str, int]]
+    wall: str
+    tokens: int
+    output_tokens: int
+    rank: int
+    objective_ms: int
+    time_left_ms: int
+    zone: str
+    tried: list[str]
+
+
+class Placement(msgspec.Struct, frozen=True, array_like=True):
+    """Where a prompt goes.
+
+    Attributes:
+        endpoint: Engine, empty if there is none to use.
+        fetch_from: Address that holds more of the prompt than the engine.
+        save_to: Store that is to receive the parts.
+        expected_ms: Estimated time until the first token.
+    """
+
+    endpoint: str = ""
+    fetch_from: str = ""
+    save_to: str = ""
+    expected_ms: float = 0.0
+
+
+@dataclass
+class _Work:
+    """One placed prompt that has not ended."""
+
+    engine: str
+    read_tokens: int
+    memory_tokens: int
+    rank: int
+    ends_ms: int
+    is_read: bool = False
+
+
+@dataclass
+class _Engine:
+    """Estimated state of one engine."""
+
+    listed: ListedEndpoint
+    work: dict[str, _Work] = field(default_factory=dict)
+    cache: "OrderedDict[tuple[str, str], int]" = field(default_factory=OrderedDict)
+    cached_tokens: int = 0
+    resting_until_ms: int = 0
+
+    def unread_tokens(self, rank: int) -> int:
+        """Tokens to be read before a prompt of this rank."""
+        return sum(
+            work.read_tokens
+            for work in self.work.values()
+            if not work.is_read and work.rank <= rank
+        )
+
+    def memory_tokens(self) -> int:
+        """Tokens of all requests that have not ended."""
+        return sum(work.memory_tokens for work in self.work.values())
+
+    def cached_prefix(self, keys: Iterable[tuple[tuple[str, str], int]]) -> int:
+        """Return the tokens of the leading parts that are cached."""
+        tokens = 0
+        for key, size in keys:
+            if key not in self.cache:
+                break
+            tokens += size
+        return tokens
+
+    def keep(
+        self, keys: Iterable[tuple[tuple[str, str], int]], capacity_tokens: int
+    ) -> None:
+        """Record parts as used last, and evict what no longer fits."""
+        for key, size in keys:
+            before = self.cache.pop(key, 0)
+            self.cache[key] = size
+            self.cached_tokens += size - before
+        room = max(0, capacity_tokens - self.memory_tokens())
+        while self.cached_tokens > room and self.cache:
+            _, size = self.cache.popitem(last=False)
+            self.cached_tokens -= size
+
+    def clear(self) -> None:
+        """Forget the cache, which a restart or other weights have emptied."""
+        self.cache.clear()
+        self.cached_tokens = 0
+
+
+class PlacementTable:
+    """Engines of a deployment with their estimated load and caches.
+
+    Times are monotonic milliseconds of the process that keeps the table.
+    """
+
+    def __init__(self) -> None:
+        self._engines: dict[str, _Engine] = {}
+        self._work: dict[str, _Work] = {}
+        self._stored: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._stored_tokens = 0
+        self._next_expiry_ms = 0
+
+    def update(self, endpoints: Iterable[ListedEndpoint]) -> None:
+        """Adopt the endpoint list."""
+        engines: dict[str, _Engine] = {}
+        for listed in endpoints:
+            if not listed.weights:
+                continue
+            engine = self._engines.pop(listed.id, None)
+            if engine is None or engine.listed.started_ms != listed.started_ms:
+                engine = _Engine(listed)
+            elif engine.listed.weights != listed.weights:
+                engine.clear()
+            engine.listed = listed
+            engines[listed.id] = engine
+        for gone in self._engines.values():
+            for request_id in gone.work:
+                self._work.pop(request_id, None)
+        self._engines = engines
+
+    def place(
+        self,
+        request: PlacementRequest,
+        service: Service,
+        store: Service | None,
+        weights: Mapping[str, int],
+        now_ms: int,
+    ) -> Placement:
+        """Choose an engine and count the prompt as placed on it.
+
+        Args:
+            request: The prompt.
+            service: Service whose engines may run it.
+            store: Store of kept KV cache, if it can be used.
+            weights: Newest version of each model.
+            now_ms: Monotonic time.
+        """
+        self._expire(now_ms)
+        usable = self._usable(request, now_ms)
+        if not usable:
+            return Placement()
+        newest = weights.get(request.model, 1)
+        estimates = [
+            (self._estimate(engine, request, service, store, newest), engine)
+            for engine in usable
+        ]
+        estimate, engine = min(estimates, key=lambda item: item[0].cost_ms)
+        return self._commit(request, service, store, engine, estimate, now_ms)
+
+    def record_read(self, request_ids: Iterable[str]) -> None:
+        """Count prompts as read: their first token has arrived."""
+        for request_id in request_ids:
+            work = self._work.get(request_id)
+            if work is not None:
+                work.is_read = True
+
+    def record_end(self, request_ids: Iterable[str]) -> None:
+        """Count requests as ended."""
+        for request_id in request_ids:
+            self._remove(request_id)
+
+    def record_silence(self, endpoint_ids: Iterable[str], now_ms: int) -> None:
+        """Place nothing for a while on engines that a router could not reach."""
+        for endpoint_id in endpoint_ids:
+            engine = self._engines.get(endpoint_id)
+            if engine is not None:
+                engine.resting_until_ms = now_ms + REST_MS
+
+    def forget_store(self) -> None:
+        """Forget what the store holds; it has restarted empty."""
+        self._stored.clear()
+        self._stored_tokens = 0
+
+    def outstanding(self, endpoint_id: str) -> int:
+        """Return the number of requests on an engine."""
+        engine = self._engines.get(endpoint_id)
+        return len(engine.work) if engine else 0
+
+    def _usable(self, request: PlacementRequest, now_ms: int) -> list[_Engine]:
+        candidates = [
+            engine
+            for engine in self._engines.values()
+            if engine.listed.service == request.service
+            and not engine.listed.is_draining
+            and not engine.listed.is_loading
+            and engine.listed.id not in request.tried
+        ]
+        rested = [one for one in candidates if one.resting_until_ms <= now_ms]
+        return rested or candidates
+
+    def _estimate(
+        self,
+        engine: _Engine,
+        request: PlacementRequest,
+        service: Service,
+        store: Service | None,
+        newest: int,
+    ) -> "_Estimate":
+        version = engine.listed.weights.get(request.model, newest)
+        keys = _part_keys(request, version)
+        shared = keys[:-1]
+        cached = engine.cached_prefix(shared)
+        source, fetched = self._find_source(engine, shared, cached, store)
+        held = max(cached, fetched)
+        read = max(1, request.tokens - held)
+        move_ms = (held - cached) * MOVE_MS_PER_TOKEN * 2
+        queue_ms = engine.unread_tokens(request.rank) / TOKENS_PER_MS
+        first_ms = queue_ms + read / TOKENS_PER_MS + move_ms
+        first_ms += RUNNING_MS * len(engine.work)
+        cost_ms = first_ms
+        late_ms = first_ms - LATE_SHARE * request.objective_ms
+        cost_ms += LATE_FACTOR * max(0.0, late_ms)
+        unread_shared = sum(size for _, size in shared) - held
+        cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, unread_shared)
+        if version < newest:
+            cost_ms += OLD_WEIGHTS_MS
+        if engine.listed.zone != request.zone:
+            cost_ms += ZONE_MS
+        if service.engine is not None and service.engine.memory_tokens:
+            room = MEMORY_SHARE * service.engine.memory_tokens
+            needed = engine.memory_tokens() + request.tokens + request.output_tokens
+            if needed > room:
+                cost_ms += MEMORY_MS * needed / room
+        return _Estimate(cost_ms, first_ms, source, read, version)
+
+    def _find_source(
+        self,
+        engine: _Engine,
+        shared: list[tuple[tuple[str, str], int]],
+        cached: int,
+        store: Service | None,
+    ) -> tuple[str, int]:
+        """Return the address that holds most of the shared parts."""
+        total = sum(size for _, size in shared)
+        if total - cached < MIN_FETCH_TOKENS:
+            return "", 0
+        best, best_rank = ("", 0), (cached + MIN_FETCH_TOKENS - 1, False)
+        for other in self._engines.values():
+            if other is engine or other.listed.is_loading:
+                continue
+            held = other.cached_prefix(shared)
+            rank = (held, other.listed.zone == engine.listed.zone)
+            if rank > best_rank:
+                best, best_rank = (other.listed.address, held), rank
+        if not best[0] and store is not None and store.store_address:
+            held = _leading(shared, self._stored)
+            if held >= cached + MIN_FETCH_TOKENS:
+                best = (store.store_address, held)
+        return best
+
+    def _commit(
+        self,
+        request: PlacementRequest,
+        service: Service,
+        store: Service | None,
+        engine: _Engine,
+        estimate: "_Estimate",
+        now_ms: int,
+    ) -> Placement:
+        self._remove(request.request_id)
+        work = _Work(
+            engine=engine.listed.id,
+            read_tokens=estimate.read_tokens,
+            memory_tokens=request.tokens + request.output_tokens,
+            rank=request.rank,
+            ends_ms=now_ms + request.time_left_ms,
+        )
+        engine.work[request.request_id] = work
+        self._work[request.request_id] = work
+        keys = _part_keys(request, estimate.version)
+        if service.engine is not None:
+            engine.keep(keys, service.engine.memory_tokens)
+        save_to = ""
+        if store is not None and store.store_address:
+            save_to = self._plan_save(keys[:-1], store)
+        return Placement(
+            endpoint=engine.listed.id,
+            fetch_from=estimate.source,
+            save_to=save_to,
+            expected_ms=round(estimate.first_ms, 1),
+        )
+
+    def _plan_save(
+        self, shared: list[tuple[tuple[str, str], int]], store: Service
+    ) -> str:
+        """Return the store if it lacks shared parts that are worth keeping."""
+        total = sum(size for _, size in shared)
+        if total < MIN_FETCH_TOKENS:
+            return ""
+        lacks = _leading(shared, self._stored) < total
+        for key, size in shared:
+            before = self._stored.pop(key, 0)
+            self._stored[key] = size
+            self._stored_tokens += size - before
+        while self._stored_tokens > store.store_tokens and self._stored:
+            _, size = self._stored.popitem(last=False)
+            self._stored_tokens -= size
+        return (store.store_address or "") if lacks else ""
+
+    def _remove(self, request_id: str) -> None:
+        work = self._work.pop(request_id, None)
+        if work is not None and work.engine in self._engines:
+            self._engines[work.engine].work.pop(request_id, None)
+
+    def _expire(self, now_ms: int) -> None:
+        """Forget requests whose routers never reported their end."""
+        if now_ms < self._next_expiry_ms:
+            return
+        self._next_expiry_ms = now_ms + EXPIRY_PERIOD_MS
+        ended = [key for key, work in self._work.items() if work.ends_ms < now_ms]
+        self.record_end(ended)
+
+
+@dataclass(frozen=True)
+class _Estimate:
+    cost_ms: float
+    first_ms: float
+    source: str
+    read_tokens: int
+    version: int
+
+
+def _part_keys(
+    request: PlacementRequest, version: int
+) -> list[tuple[tuple[str, str], int]]:
+    salt = f"{request.model}.{version}.{request.wall}"
+    return [((salt, digest), tokens) for digest, tokens in request.parts]
+
+
+def _leading(
+    shared: list[tuple[tuple[str, str], int]], held: Mapping[tuple[str, str], int]
+) -> int:
+    tokens = 0
+    for key, size in shared:
+        if key not in held:
+            break
+        tokens += size
+    return tokens
