Fetch only what was read, and drain an engine before it loads weights

Cause: fetches named engines that had not read the opening yet; 55 requests met an engine that had just been told to load and were refused after 100 to 340 ms; the sheets' reading speed is twice what a busy engine reaches. Change: only read parts count as sources, the store is a source once they are read; an engine gets no prompt for up to 700 ms before its order; 33 tokens/ms.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -35,7 +35,7 @@
 
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
-WATCH_PERIOD_S = 0.1
+WATCH_PERIOD_S = 0.05
 # A load takes about 2 s on the users' sheets; reports before that are wasted calls.
 FIRST_REPORT_S = 1.9
 REPORT_PERIOD_S = 0.3
@@ -163,7 +163,8 @@
         if now_ms - self._leads_since_ms < wait_ms:
             return
         weights = self._control.store.weights
-        for order in self._rollout.plan(self._listed, weights, now_ms):
+        unread = self._control.placements.unread
+        for order in self._rollout.plan(self._listed, weights, unread, now_ms):
             task = asyncio.ensure_future(self._give(order, self._term))
             self._orders.add(task)
             task.add_done_callback(self._orders.discard)
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -12,7 +12,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -20,24 +20,31 @@
 from mustardtrack.configuration.routes import Service
 from mustardtrack.membership.endpointlist import ListedEndpoint
 
-# Prompt tokens that an engine reads in a millisecond, on the users' sheets.
-TOKENS_PER_MS = 60.0
+# Prompt tokens that an engine reads in a millisecond beside other work; the sheets
+# state twice as much for an engine that does nothing else.
+TOKENS_PER_MS = 33.0
+# Time from the arrival of a prompt at an idle engine to its first token, without
+# reading.
+BASE_MS = 40.0
 # Delay that each running request adds to the first token of another.
 RUNNING_MS = 2.0
-# Time to move a token of KV cache between engines of a zone, on the users' sheets
-# (35 kB at 180 Gbit/s); between zones it takes twice as long.
-MOVE_MS_PER_TOKEN = 0.0016
+# Time to move a token of KV cache between engines of different zones, on the users'
+# sheets (35 kB at 180 Gbit/s, twice as long between zones).
+MOVE_MS_PER_TOKEN = 0.0032
 # Cached tokens below which a fetch costs more than reading them.
-MIN_FETCH_TOKENS = 256
-# A shared token that is read again is priced at about a thousandth of a short
-# request; expressed in milliseconds of delay it must outweigh a fetch.
-READ_AGAIN_MS_PER_TOKEN = 0.01
+MIN_FETCH_TOKENS = 16
+# Reading a long opening again is priced at most of the worth of its request, which
+# is as bad as half a second of delay.
+READ_AGAIN_MS_PER_TOKEN = 0.04
 # Part of an objective after which an estimate counts as late, since it is rough.
-LATE_SHARE = 0.6
+LATE_SHARE = 0.7
 # Delay charged for each millisecond beyond that.
 LATE_FACTOR = 3.0
 # A fifth of the worth is lost on weights that have been replaced for some time.
-OLD_WEIGHTS_MS = 500.0
+OLD_WEIGHTS_MS = 450.0
+# Time after which an answer on replaced weights begins to lose worth, less the time
+# until a placed prompt begins to run.
+OLD_WEIGHTS_GRACE_MS = 1000
 # Delay charged when an engine's memory would be exceeded, so that it must evict
 # running requests.
 MEMORY_MS = 1500.0
@@ -103,6 +110,7 @@
     memory_tokens: int
     rank: int
     ends_ms: int
+    keys: "tuple[tuple[str, str], ...]" = ()
     is_read: bool = False
 
 
@@ -113,6 +121,7 @@
     listed: ListedEndpoint
     work: dict[str, _Work] = field(default_factory=dict)
     cache: "OrderedDict[tuple[str, str], int]" = field(default_factory=OrderedDict)
+    unread: "set[tuple[str, str]]" = field(default_factory=set)
     cached_tokens: int = 0
     resting_until_ms: int = 0
 
@@ -137,22 +146,35 @@
             tokens += size
         return tokens
 
+    def readable_prefix(self, keys: Iterable[tuple[tuple[str, str], int]]) -> int:
+        """Return the tokens of the leading parts that others can fetch."""
+        tokens = 0
+        for key, size in keys:
+            if key not in self.cache or key in self.unread:
+                break
+            tokens += size
+        return tokens
+
     def keep(
         self, keys: Iterable[tuple[tuple[str, str], int]], capacity_tokens: int
     ) -> None:
         """Record parts as used last, and evict what no longer fits."""
         for key, size in keys:
             before = self.cache.pop(key, 0)
+            if not before:
+                self.unread.add(key)
             self.cache[key] = size
             self.cached_tokens += size - before
         room = max(0, capacity_tokens - self.memory_tokens())
         while self.cached_tokens > room and self.cache:
-            _, size = self.cache.popitem(last=False)
+            key, size = self.cache.popitem(last=False)
+            self.unread.discard(key)
             self.cached_tokens -= size
 
     def clear(self) -> None:
         """Forget the cache, which a restart or other weights have emptied."""
         self.cache.clear()
+        self.unread.clear()
         self.cached_tokens = 0
 
 
@@ -166,7 +188,9 @@
         self._engines: dict[str, _Engine] = {}
         self._work: dict[str, _Work] = {}
         self._stored: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._unsaved: set[tuple[str, str]] = set()
         self._stored_tokens = 0
+        self._named: dict[str, tuple[int, int]] = {}
         self._next_expiry_ms = 0
 
     def update(self, endpoints: Iterable[ListedEndpoint]) -> None:
@@ -210,7 +234,7 @@
             return Placement()
         newest = weights.get(request.model, 1)
         estimates = [
-            (self._estimate(engine, request, service, store, newest), engine)
+            (self._estimate(engine, request, service, store, newest, now_ms), engine)
             for engine in usable
         ]
         estimate, engine = min(estimates, key=lambda item: item[0].cost_ms)
@@ -220,8 +244,13 @@
         """Count prompts as read: their first token has arrived."""
         for request_id in request_ids:
             work = self._work.get(request_id)
-            if work is not None:
-                work.is_read = True
+            if work is None or work.is_read:
+                continue
+            work.is_read = True
+            engine = self._engines.get(work.engine)
+            if engine is not None:
+                engine.unread.difference_update(work.keys)
+            self._unsaved.difference_update(work.keys)
 
     def record_end(self, request_ids: Iterable[str]) -> None:
         """Count requests as ended."""
@@ -238,6 +267,7 @@
     def forget_store(self) -> None:
         """Forget what the store holds; it has restarted empty."""
         self._stored.clear()
+        self._unsaved.clear()
         self._stored_tokens = 0
 
     def outstanding(self, endpoint_id: str) -> int:
@@ -245,6 +275,12 @@
         engine = self._engines.get(endpoint_id)
         return len(engine.work) if engine else 0
 
+    def unread(self, endpoint_id: str) -> int:
+        """Return the number of requests on an engine without a first token."""
+        engine = self._engines.get(endpoint_id)
+        works = engine.work.values() if engine else ()
+        return sum(1 for work in works if not work.is_read)
+
     def _usable(self, request: PlacementRequest, now_ms: int) -> list[_Engine]:
         candidates = [
             engine
@@ -264,6 +300,7 @@
         service: Service,
         store: Service | None,
         newest: int,
+        now_ms: int,
     ) -> "_Estimate":
         version = engine.listed.weights.get(request.model, newest)
         keys = _part_keys(request, version)
@@ -272,16 +309,16 @@
         source, fetched = self._find_source(engine, shared, cached, store)
         held = max(cached, fetched)
         read = max(1, request.tokens - held)
-        move_ms = (held - cached) * MOVE_MS_PER_TOKEN * 2
+        move_ms = (held - cached) * MOVE_MS_PER_TOKEN
         queue_ms = engine.unread_tokens(request.rank) / TOKENS_PER_MS
-        first_ms = queue_ms + read / TOKENS_PER_MS + move_ms
+        first_ms = BASE_MS + queue_ms + read / TOKENS_PER_MS + move_ms
         first_ms += RUNNING_MS * len(engine.work)
         cost_ms = first_ms
         late_ms = first_ms - LATE_SHARE * request.objective_ms
         cost_ms += LATE_FACTOR * max(0.0, late_ms)
         unread_shared = sum(size for _, size in shared) - held
         cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, unread_shared)
-        if version < newest:
+        if version < newest and self._is_replaced(request.model, newest, now_ms):
             cost_ms += OLD_WEIGHTS_MS
         if engine.listed.zone != request.zone:
             cost_ms += ZONE_MS
@@ -292,6 +329,14 @@
                 cost_ms += MEMORY_MS * needed / room
         return _Estimate(cost_ms, first_ms, source, read, version)
 
+    def _is_replaced(self, model: str, newest: int, now_ms: int) -> bool:
+        """Return whether older weights lose worth by now."""
+        named = self._named.get(model)
+        if named is None or named[0] != newest:
+            self._named[model] = (newest, now_ms)
+            return False
+        return now_ms - named[1] >= OLD_WEIGHTS_GRACE_MS
+
     def _find_source(
         self,
         engine: _Engine,
@@ -307,12 +352,12 @@
         for other in self._engines.values():
             if other is engine or other.listed.is_loading:
                 continue
-            held = other.cached_prefix(shared)
+            held = other.readable_prefix(shared)
             rank = (held, other.listed.zone == engine.listed.zone)
             if rank > best_rank:
                 best, best_rank = (other.listed.address, held), rank
         if not best[0] and store is not None and store.store_address:
-            held = _leading(shared, self._stored)
+            held = _leading(shared, self._stored, self._unsaved)
             if held >= cached + MIN_FETCH_TOKENS:
                 best = (store.store_address, held)
         return best
@@ -333,6 +378,7 @@
             memory_tokens=request.tokens + request.output_tokens,
             rank=request.rank,
             ends_ms=now_ms + request.time_left_ms,
+            keys=tuple(key for key, _ in _part_keys(request, estimate.version)),
         )
         engine.work[request.request_id] = work
         self._work[request.request_id] = work
@@ -356,13 +402,16 @@
         total = sum(size for _, size in shared)
         if total < MIN_FETCH_TOKENS:
             return ""
-        lacks = _leading(shared, self._stored) < total
+        lacks = _leading(shared, self._stored, ()) < total
         for key, size in shared:
             before = self._stored.pop(key, 0)
+            if not before:
+                self._unsaved.add(key)
             self._stored[key] = size
             self._stored_tokens += size - before
         while self._stored_tokens > store.store_tokens and self._stored:
-            _, size = self._stored.popitem(last=False)
+            key, size = self._stored.popitem(last=False)
+            self._unsaved.discard(key)
             self._stored_tokens -= size
         return (store.store_address or "") if lacks else ""
 
@@ -397,11 +446,13 @@
 
 
 def _leading(
-    shared: list[tuple[tuple[str, str], int]], held: Mapping[tuple[str, str], int]
+    shared: list[tuple[tuple[str, str], int]],
+    held: Mapping[tuple[str, str], int],
+    pending: Collection[tuple[str, str]],
 ) -> int:
     tokens = 0
     for key, size in shared:
-        if key not in held:
+        if key not in held or key in pending:
             break
         tokens += size
     return tokens
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -5,7 +5,7 @@
 too many at once slow each other and leave too few engines for the traffic.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from mustardtrack.membership.endpointlist import ListedEndpoint
@@ -14,6 +14,9 @@
 # users' sheets (2 of 5, 3 of 9 and 12 of 30 engines).
 PARALLEL_SHARE = 0.4
 MIN_PARALLEL = 2
+# An engine refuses requests that have not started when the order arrives, so that it
+# gets no new ones for up to this time before.
+LONGEST_DRAIN_MS = 700
 # An order without an effect in the list after this time is given again. A load
 # takes about 2 s after the running requests have ended.
 ORDER_LIFETIME_MS = 8000
@@ -31,7 +34,8 @@
 @dataclass
 class _Open:
     version: int
-    given_ms: int
+    begun_ms: int
+    is_given: bool = False
 
 
 class Rollout:
@@ -51,9 +55,18 @@
         self,
         endpoints: Sequence[ListedEndpoint],
         named: Mapping[str, int],
+        unread: Callable[[str], int],
         now_ms: int,
     ) -> list[WeightsOrder]:
-        """Return the orders to give now and count them as given."""
+        """Return the orders to give now and count them as given.
+
+        Args:
+            endpoints: The endpoint list.
+            named: Newest version of each model.
+            unread: Returns the number of requests that have not started at an
+                endpoint.
+            now_ms: Monotonic time.
+        """
         self._close_finished(endpoints, now_ms)
         behind = [
             (endpoint, model, version)
@@ -66,14 +79,20 @@
         behind.sort(key=lambda item: item[0].weights[item[1]])
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL, int(engines * PARALLEL_SHARE))
-        orders: list[WeightsOrder] = []
-        for endpoint, model, version in behind:
+        for endpoint, _, version in behind:
             if len(self._open) >= limit:
                 break
-            if endpoint.id in self._open or endpoint.is_draining:
+            if endpoint.id not in self._open and not endpoint.is_draining:
+                self._open[endpoint.id] = _Open(version, now_ms)
+        orders: list[WeightsOrder] = []
+        for endpoint, model, version in behind:
+            order = self._open.get(endpoint.id)
+            if order is None or order.is_given:
                 continue
-            self._open[endpoint.id] = _Open(version, now_ms)
-            orders.append(WeightsOrder(endpoint, model, version))
+            is_drained = unread(endpoint.id) == 0
+            if is_drained or now_ms - order.begun_ms >= LONGEST_DRAIN_MS:
+                order.version, order.is_given = version, True
+                orders.append(WeightsOrder(endpoint, model, version))
         return orders
 
     def reject(self, endpoint_id: str) -> None:
@@ -87,5 +106,6 @@
         }
         for endpoint_id, order in list(self._open.items()):
             reached = versions.get(endpoint_id, order.version) >= order.version
-            if reached or now_ms - order.given_ms > ORDER_LIFETIME_MS:
+            # An endpoint that left the list is forgotten as well.
+            if reached or now_ms - order.begun_ms > ORDER_LIFETIME_MS:
                 del self._open[endpoint_id]
