--- /dev/null
+++ b/mustardtrack/configuration/tests/test_documents.py
@@ -0,0 +1,53 @@
+"""Guards against documents that revert or differ between replicas."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardtrack.configuration.commands import (
+    Proposal,
+    decode_proposal,
+    encode_proposal,
+)
+from mustardtrack.configuration.documents import (
+    DocumentStore,
+    NameWeights,
+    PutDocument,
+)
+
+PUTS = st.builds(PutDocument, st.integers(1, 9), st.binary(max_size=3))
+NAMES = st.builds(NameWeights, st.sampled_from(["m", "n"]), st.integers(1, 9))
+
+
+@given(st.lists(PUTS | NAMES, max_size=20))
+def test_version_and_content_never_revert(commands):
+    store = DocumentStore()
+    kept = {}
+    for index, command in enumerate(commands, 1):
+        before = store.document.version
+        store.apply(index, command, 0)
+        assert store.document.version >= before
+        content = kept.setdefault(store.document.version, store.document.content)
+        assert content == store.document.content
+
+
+@given(st.lists(PUTS | NAMES, max_size=20))
+def test_snapshot_restores_everything(commands):
+    store = DocumentStore()
+    for index, command in enumerate(commands, 1):
+        store.apply(index, command, 0)
+    copy = DocumentStore.restore(store.snapshot())
+    assert copy.snapshot() == store.snapshot()
+    assert (copy.revision, copy.weights) == (store.revision, store.weights)
+
+
+def test_second_content_of_a_version_is_acknowledged_without_effect():
+    store = DocumentStore()
+    assert store.apply(1, PutDocument(5, b"a"), 0).changed
+    again = store.apply(2, PutDocument(5, b"b"), 0)
+    assert (again.version, again.changed) == (5, False)
+    assert store.document.content == b"a"
+
+
+def test_document_commands_pass_through_the_log():
+    for command in (PutDocument(3, b"x"), NameWeights("m", 2)):
+        assert decode_proposal(encode_proposal(Proposal(1, command))).command == command
--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -42,7 +42,12 @@
         return None
     state = item.get("state")
     slots = item.get("slots")
-    if state not in _STATES or not isinstance(slots, int) or isinstance(slots, bool):
+    if (
+        not isinstance(state, str)
+        or state not in _STATES
+        or not isinstance(slots, int)
+        or isinstance(slots, bool)
+    ):
         return None
     if ":" not in item["address"]:
         return None
--- a/mustardtrack/platform/manifests.py
+++ b/mustardtrack/platform/manifests.py
@@ -113,7 +113,7 @@
     if timeout_ms <= 0:
         raise ManifestError(f"route {name}: timeout-ms must be above 0")
     kind = item.get("kind")
-    if kind not in _REPEATABILITY:
+    if not isinstance(kind, str) or kind not in _REPEATABILITY:
         raise ManifestError(f"route {name}: kind {kind!r} is unknown")
     return Route(
         name=name,
--- /dev/null
+++ b/mustardtrack/platform/tests/test_endpoints.py
@@ -0,0 +1,84 @@
+"""Guards against list entries that name a false endpoint or hide a sound one."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardtrack.platform.endpoints import (
+    encode_weights_order,
+    list_target,
+    read_list_page,
+    read_weights_request,
+)
+
+ENTRY = {
+    "id": "i-1",
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "slots": 64,
+    "state": "ready",
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "born": 17,
+}
+FOREIGN = [
+    None,
+    5,
+    {},
+    {**ENTRY, "id": 7},
+    {**ENTRY, "state": "other"},
+    {**ENTRY, "slots": "x"},
+    {**ENTRY, "address": None},
+    {**ENTRY, "address": "nowhere"},
+    {**ENTRY, "service": ""},
+]
+
+
+def page(entries, following=None):
+    return json.dumps({"instances": entries, "next-token": following}).encode()
+
+
+def test_entry_is_decoded():
+    [endpoint], following = read_list_page(page([ENTRY], "p-50"))
+    assert (endpoint.id, endpoint.started_ms, endpoint.weights) == ("i-1", 17, {"m": 3})
+    assert not endpoint.is_draining
+    assert following == "p-50"
+
+
+@pytest.mark.parametrize("entry", FOREIGN)
+def test_unreadable_entry_hides_no_other(entry):
+    endpoints, _ = read_list_page(page([entry, ENTRY]))
+    assert [endpoint.id for endpoint in endpoints] == ["i-1"]
+
+
+def test_page_that_is_no_list_is_an_error():
+    for body in (b"", b"[]", b"{}", b'{"instances": 5}'):
+        with pytest.raises(ValueError):
+            read_list_page(body)
+
+
+VALUES = st.none() | st.booleans() | st.integers() | st.text(max_size=5) | st.just([])
+
+
+@given(st.sampled_from(sorted(ENTRY)), VALUES)
+def test_foreign_value_is_never_an_error(key, value):
+    endpoints, _ = read_list_page(page([{**ENTRY, key: value}, ENTRY]))
+    assert endpoints[-1].id == "i-1"
+
+
+def test_order_names_holder_and_fence():
+    order = json.loads(encode_weights_order("m", 2, "c1", 9))
+    assert (order["holder"], order["fence"], order["switch-mode"]) == ("c1", 9, "queue")
+
+
+def test_weights_request_needs_model_and_version():
+    assert read_weights_request(b'{"model": "m", "version": 2}') == ("m", 2)
+    for body in (b"{}", b"[]", b'{"model": "m", "version": true}', b"x"):
+        with pytest.raises(ValueError):
+            read_weights_request(body)
+
+
+def test_page_token_is_escaped():
+    assert list_target("a&b") == b"/instances?page-token=a%26b"
--- /dev/null
+++ b/mustardtrack/requests/tests/test_forwarding.py
@@ -0,0 +1,85 @@
+"""Guards against requests that run twice or are called not run falsely."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardtrack.configuration.routes import Repeatability, Route, ServiceShare
+from mustardtrack.logs import InvariantViolationError
+from mustardtrack.requests.eventstream import EventSplitter
+from mustardtrack.requests.forwarding import AttemptEnd, ForwardedRequest, NextStep
+
+
+def route(kind, attempts=2, resumable=False):
+    return Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        repeatability=kind,
+        timeout_ms=1000,
+        objective_ms=100,
+        objective_gap_ms=0,
+        rank=0,
+        shares=(ServiceShare("s", 1.0),),
+        max_attempts=attempts,
+        is_resumable=resumable,
+    )
+
+
+@pytest.mark.parametrize(
+    "end", [AttemptEnd.BROKEN, AttemptEnd.FAILED, AttemptEnd.TIMED_OUT]
+)
+@pytest.mark.parametrize("kind", [Repeatability.AT_MOST_ONCE, Repeatability.STREAM])
+def test_request_that_may_have_run_is_not_sent_again(kind, end):
+    progress = ForwardedRequest(route(kind))
+    progress.record_send()
+    assert progress.decide(end) is NextStep.FAIL
+    with pytest.raises(InvariantViolationError):
+        progress.record_send()
+    with pytest.raises(InvariantViolationError):
+        progress.check_refusal()
+
+
+def test_booking_that_did_not_run_is_tried_again_and_then_refused():
+    progress = ForwardedRequest(route(Repeatability.AT_MOST_ONCE, attempts=1))
+    progress.record_send()
+    assert progress.decide(AttemptEnd.NOT_RUN) is NextStep.RETRY
+    progress.record_send()
+    assert progress.decide(AttemptEnd.NOT_RUN) is NextStep.REFUSE
+    progress.check_refusal()
+
+
+def test_resumable_stream_goes_on_elsewhere_within_its_attempts():
+    progress = ForwardedRequest(route(Repeatability.STREAM, 2, resumable=True))
+    progress.record_send()
+    assert progress.decide(AttemptEnd.BROKEN) is NextStep.RETRY
+    progress.record_send()
+    assert progress.decide(AttemptEnd.BROKEN) is NextStep.FAIL
+
+
+ENDS = st.lists(st.sampled_from(AttemptEnd), max_size=6)
+KINDS = st.sampled_from(Repeatability)
+
+
+@given(KINDS, st.integers(1, 3), st.booleans(), ENDS)
+def test_any_run_keeps_the_promises(kind, attempts, resumable, ends):
+    progress = ForwardedRequest(route(kind, attempts, resumable))
+    ran = 0
+    for end in ends:
+        if end is not AttemptEnd.NOT_SENT:
+            progress.record_send()
+        ran += end not in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN)
+        step = progress.decide(end)
+        if step is NextStep.REFUSE:
+            assert ran == 0
+        if step is not NextStep.RETRY:
+            break
+    assert ran <= attempts
+
+
+@given(st.lists(st.binary(max_size=6), max_size=8))
+def test_splitter_hands_out_every_byte_once_and_whole_events_only(chunks):
+    splitter = EventSplitter()
+    out = b"".join(splitter.feed(chunk) for chunk in chunks)
+    assert out + splitter.rest == b"".join(chunks)
+    assert not out or out.endswith(b"\n\n")
--- /dev/null
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -0,0 +1,56 @@
+"""Guards against weights that reach some engines late or never."""
+
+from mustardtrack.membership.endpointlist import ListedEndpoint
+from mustardtrack.routing.rollout import LONGEST_DRAIN_MS, ORDER_LIFETIME_MS, Rollout
+
+
+def engine(name, version):
+    return ListedEndpoint(
+        name, 0, "s", "10.0.0.1:1", "a", 8, False, False, {"m": version}
+    )
+
+
+def idle(endpoint_id):
+    return 0
+
+
+def names(orders):
+    return [order.endpoint.id for order in orders]
+
+
+def test_oldest_weights_load_first_when_versions_follow_quickly():
+    """Guards against engines at the end of the list that stay behind for good."""
+    engines = [engine("a", 3), engine("b", 3), engine("c", 2), engine("d", 1)]
+    assert names(Rollout().plan(engines, {"m": 4}, idle, 0)) == ["d", "c"]
+
+
+def test_no_more_loads_at_once_than_the_share():
+    engines = [engine(f"e{n}", 1) for n in range(9)]
+    rollout = Rollout()
+    assert len(rollout.plan(engines, {"m": 2}, idle, 0)) == 3
+    assert rollout.plan(engines, {"m": 2}, idle, 10) == []
+
+
+def test_engine_is_drained_before_its_order():
+    """Guards against prompts that are refused by an engine just told to load."""
+    rollout = Rollout()
+    assert rollout.plan([engine("a", 1)], {"m": 2}, lambda name: 1, 0) == []
+    assert rollout.loading() == {"a"}
+    orders = rollout.plan([engine("a", 1)], {"m": 2}, lambda name: 1, LONGEST_DRAIN_MS)
+    assert names(orders) == ["a"]
+
+
+def test_lost_order_is_given_again():
+    rollout = Rollout()
+    rollout.plan([engine("a", 1)], {"m": 2}, idle, 0)
+    later_ms = ORDER_LIFETIME_MS + 1
+    assert names(rollout.plan([engine("a", 1)], {"m": 2}, idle, later_ms)) == ["a"]
+
+
+def test_finished_and_removed_engines_make_room():
+    rollout = Rollout()
+    engines = [engine(f"e{n}", 1) for n in range(4)]
+    first = names(rollout.plan(engines, {"m": 2}, idle, 0))
+    assert len(first) == 2
+    rest = [engine(first[0], 2)] + [one for one in engines if one.id not in first]
+    assert len(rollout.plan(rest, {"m": 2}, idle, 10)) == 2
