Count the links of KV cache, keep few openings in the store, load slowly under load

Every prompt was saved to the store, whose link (75 Gbit/s) 1,900 saves of 0.6 GB fill, and fetches waited behind them for up to 2 s; a third of the engines loaded in a burst. Change: transfers are counted on both links and not started behind 300 ms of others; the store gets long openings asked for twice; busy engines load only as fast as the limit requires; rendezvous hashing prefers a home, which a new leader knows too.

--- a/mustardtrack/configuration/routes.py
+++ b/mustardtrack/configuration/routes.py
@@ -69,6 +69,7 @@
         slots: Requests that an engine batches.
         memory_tokens: Tokens of running requests and cached prefixes.
         token_bytes: Bytes of KV cache per token.
+        link_mbps: Megabits a second that an engine's link carries.
         models: Names of the models that the engines run.
     """
 
@@ -76,6 +77,7 @@
     memory_tokens: int
     token_bytes: int
     models: tuple[str, ...]
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -87,6 +89,7 @@
         store_address: Address of the store of kept KV cache, if this is one.
         store_zone: Availability zone of that store.
         store_tokens: Tokens that it keeps.
+        store_link_mbps: Megabits a second that its link carries.
     """
 
     name: str
@@ -95,6 +98,7 @@
     store_address: str | None = None
     store_zone: str | None = None
     store_tokens: int = 0
+    store_link_mbps: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/mustardtrack/platform/manifests.py
+++ b/mustardtrack/platform/manifests.py
@@ -160,6 +160,7 @@
         store_address=store_address if isinstance(store_address, str) else None,
         store_zone=item.get("zone") if isinstance(item.get("zone"), str) else None,
         store_tokens=int(_number(item, "kv-capacity-tokens")),
+        store_link_mbps=_number(item, "link-mbps"),
     )
 
 
@@ -170,6 +171,7 @@
         memory_tokens=int(_number(item, "kv-capacity-tokens")),
         token_bytes=int(_number(item, "kv-token-bytes")),
         models=tuple(_text(model, "name") for model in models),
+        link_mbps=_number(item, "link-mbps"),
     )
 
 
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -194,8 +194,11 @@
     def _give_orders(self) -> None:
         now_ms = self._control.now_ms()
         weights = self._control.store.weights
-        unread = self._control.placements.unread
-        for order in self._rollout.plan(self._listed, weights, unread, now_ms):
+        placements = self._control.placements
+        orders = self._rollout.plan(
+            self._listed, weights, placements.unread, placements.queue_ms(), now_ms
+        )
+        for order in orders:
             self._last_order_ms = now_ms
             task = asyncio.ensure_future(self._give(order, self._term))
             self._orders.add(task)
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -16,9 +16,11 @@
 from dataclasses import dataclass, field
 
 import msgspec
+from xxhash import xxh3_64_intdigest
 
 from mustardtrack.configuration.routes import Service
 from mustardtrack.membership.endpointlist import ListedEndpoint
+from mustardtrack.routing.placement import rank_endpoints
 
 # Prompt tokens that an engine reads in a millisecond beside other work; the sheets
 # state twice as much for an engine that does nothing else.
@@ -28,11 +30,19 @@
 BASE_MS = 40.0
 # Delay that each running request adds to the first token of another.
 RUNNING_MS = 2.0
-# Time to move a token of KV cache between engines of different zones, on the users'
-# sheets (35 kB at 180 Gbit/s, twice as long between zones).
-MOVE_MS_PER_TOKEN = 0.0032
-# Cached tokens below which a fetch costs more than reading them.
-MIN_FETCH_TOKENS = 16
+# Moves between availability zones take this many times as long.
+ZONE_MOVE_FACTOR = 2
+# Longest wait for a link; reading an opening takes about this long.
+LONGEST_LINK_WAIT_MS = 300
+# Cached tokens below which a fetch from an engine costs more than reading them.
+MIN_FETCH_TOKENS = 64
+# Shared tokens below which the store is not used; its link serves all engines.
+MIN_STORE_TOKENS = 1024
+# Requests for an opening after which it is kept in the store.
+MIN_STORE_USES = 2
+# Delay charged for an engine other than the one that rendezvous hashing prefers for an
+# opening. A new leader then finds openings where the one before it left them.
+AWAY_MS = 40.0
 # Reading a long opening again is priced at most of the worth of its request, which
 # is as bad as half a second of delay.
 READ_AGAIN_MS_PER_TOKEN = 0.04
@@ -55,6 +65,9 @@
 # Memory of an engine that placements may fill; outputs are estimates.
 MEMORY_SHARE = 0.92
 EXPIRY_PERIOD_MS = 500
+MAX_RANK = 1_000_000
+# Openings whose uses are counted; a deployment of today has a few hundred.
+MAX_COUNTED_OPENINGS = 10_000
 
 
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -114,6 +127,34 @@
     is_read: bool = False
 
 
+@dataclass
+class _Link:
+    """Link of an engine or store, which carries one transfer after another."""
+
+    busy_until_ms: float = 0.0
+
+    def wait_ms(self, now_ms: int) -> float:
+        """Return the time until a new transfer starts."""
+        return max(0.0, self.busy_until_ms - now_ms)
+
+    def add(self, duration_ms: float, now_ms: int) -> None:
+        """Count a transfer."""
+        self.busy_until_ms = max(self.busy_until_ms, now_ms) + duration_ms
+
+
+@dataclass(frozen=True)
+class _Source:
+    """Where parts of a prompt can be fetched from."""
+
+    address: str = ""
+    held_tokens: int = 0
+    move_ms: float = 0.0
+    link: "_Link | None" = None
+
+
+NO_SOURCE = _Source()
+
+
 @dataclass
 class _Engine:
     """Estimated state of one engine."""
@@ -124,6 +165,7 @@
     unread: "set[tuple[str, str]]" = field(default_factory=set)
     cached_tokens: int = 0
     resting_until_ms: int = 0
+    link: "_Link" = field(default_factory=lambda: _Link())
 
     def unread_tokens(self, rank: int) -> int:
         """Tokens to be read before a prompt of this rank."""
@@ -190,6 +232,8 @@
         self._stored: OrderedDict[tuple[str, str], int] = OrderedDict()
         self._unsaved: set[tuple[str, str]] = set()
         self._stored_tokens = 0
+        self._store_link = _Link()
+        self._uses: OrderedDict[tuple[str, str], int] = OrderedDict()
         self._named: dict[str, tuple[int, int]] = {}
         self._next_expiry_ms = 0
 
@@ -233,11 +277,17 @@
         if not usable:
             return Placement()
         newest = weights.get(request.model, 1)
+        home = _find_home(request, usable)
         estimates = [
             (self._estimate(engine, request, service, store, newest, now_ms), engine)
             for engine in usable
         ]
-        estimate, engine = min(estimates, key=lambda item: item[0].cost_ms)
+        estimate, engine = min(
+            estimates,
+            key=lambda item: (
+                item[0].cost_ms + (AWAY_MS if item[1].listed.id != home else 0.0)
+            ),
+        )
         return self._commit(request, service, store, engine, estimate, now_ms)
 
     def record_read(self, request_ids: Iterable[str]) -> None:
@@ -281,6 +331,12 @@
         works = engine.work.values() if engine else ()
         return sum(1 for work in works if not work.is_read)
 
+    def queue_ms(self) -> float:
+        """Return the time that the engines take to read what is placed, on average."""
+        engines = [one for one in self._engines.values() if not one.listed.is_loading]
+        unread = sum(engine.unread_tokens(MAX_RANK) for engine in engines)
+        return unread / TOKENS_PER_MS / max(1, len(engines))
+
     def _usable(self, request: PlacementRequest, now_ms: int) -> list[_Engine]:
         candidates = [
             engine
@@ -306,12 +362,11 @@
         keys = _part_keys(request, version)
         shared = keys[:-1]
         cached = engine.cached_prefix(shared)
-        source, fetched = self._find_source(engine, shared, cached, store)
-        held = max(cached, fetched)
+        source = self._find_source(engine, shared, cached, service, store, now_ms)
+        held = max(cached, source.held_tokens)
         read = max(1, request.tokens - held)
-        move_ms = (held - cached) * MOVE_MS_PER_TOKEN
         queue_ms = engine.unread_tokens(request.rank) / TOKENS_PER_MS
-        first_ms = BASE_MS + queue_ms + read / TOKENS_PER_MS + move_ms
+        first_ms = BASE_MS + queue_ms + read / TOKENS_PER_MS + source.move_ms
         first_ms += RUNNING_MS * len(engine.work)
         cost_ms = first_ms
         late_ms = first_ms - LATE_SHARE * request.objective_ms
@@ -342,26 +397,60 @@
         engine: _Engine,
         shared: list[tuple[tuple[str, str], int]],
         cached: int,
+        service: Service,
         store: Service | None,
-    ) -> tuple[str, int]:
-        """Return the address that holds most of the shared parts."""
+        now_ms: int,
+    ) -> _Source:
+        """Return the engine, or else the store, that holds most of the parts."""
         total = sum(size for _, size in shared)
-        if total - cached < MIN_FETCH_TOKENS:
-            return "", 0
-        best, best_rank = ("", 0), (cached + MIN_FETCH_TOKENS - 1, False)
+        if total - cached < MIN_FETCH_TOKENS or service.engine is None:
+            return NO_SOURCE
+        best, best_rank = NO_SOURCE, (cached + MIN_FETCH_TOKENS - 1, False)
         for other in self._engines.values():
             if other is engine or other.listed.is_loading:
                 continue
             held = other.readable_prefix(shared)
-            rank = (held, other.listed.zone == engine.listed.zone)
-            if rank > best_rank:
-                best, best_rank = (other.listed.address, held), rank
-        if not best[0] and store is not None and store.store_address:
-            held = _leading(shared, self._stored, self._unsaved)
-            if held >= cached + MIN_FETCH_TOKENS:
-                best = (store.store_address, held)
+            is_near = other.listed.zone == engine.listed.zone
+            if (held, is_near) <= best_rank:
+                continue
+            found = _plan_move(
+                other.listed.address,
+                held,
+                (held - cached) * service.engine.token_bytes,
+                service.engine.link_mbps,
+                is_near,
+                (other.link, engine.link),
+                now_ms,
+            )
+            if found is not None:
+                best, best_rank = found, (held, is_near)
+        if best is NO_SOURCE and store is not None and total >= MIN_STORE_TOKENS:
+            return self._find_in_store(engine, shared, cached, service, store, now_ms)
         return best
 
+    def _find_in_store(
+        self,
+        engine: _Engine,
+        shared: list[tuple[tuple[str, str], int]],
+        cached: int,
+        service: Service,
+        store: Service,
+        now_ms: int,
+    ) -> _Source:
+        held = _leading(shared, self._stored, self._unsaved)
+        if held < cached + MIN_STORE_TOKENS or service.engine is None:
+            return NO_SOURCE
+        found = _plan_move(
+            store.store_address or "",
+            held,
+            (held - cached) * service.engine.token_bytes,
+            store.store_link_mbps,
+            store.store_zone == engine.listed.zone,
+            (self._store_link, engine.link),
+            now_ms,
+        )
+        return found or NO_SOURCE
+
     def _commit(
         self,
         request: PlacementRequest,
@@ -385,35 +474,58 @@
         keys = _part_keys(request, estimate.version)
         if service.engine is not None:
             engine.keep(keys, service.engine.memory_tokens)
-        save_to = ""
-        if store is not None and store.store_address:
-            save_to = self._plan_save(keys[:-1], store)
+        if estimate.source.link is not None:
+            estimate.source.link.add(estimate.source.move_ms, now_ms)
+            engine.link.add(estimate.source.move_ms, now_ms)
         return Placement(
             endpoint=engine.listed.id,
-            fetch_from=estimate.source,
-            save_to=save_to,
+            fetch_from=estimate.source.address,
+            save_to=self._plan_save(keys, engine, service, store, now_ms),
             expected_ms=round(estimate.first_ms, 1),
         )
 
     def _plan_save(
-        self, shared: list[tuple[tuple[str, str], int]], store: Service
+        self,
+        keys: list[tuple[tuple[str, str], int]],
+        engine: _Engine,
+        service: Service,
+        store: Service | None,
+        now_ms: int,
     ) -> str:
-        """Return the store if it lacks shared parts that are worth keeping."""
+        """Return the store if it lacks an opening that is asked for repeatedly."""
+        shared = keys[:-1]
         total = sum(size for _, size in shared)
-        if total < MIN_FETCH_TOKENS:
+        if store is None or service.engine is None or total < MIN_STORE_TOKENS:
+            return ""
+        if self._count_use(shared[-1][0]) < MIN_STORE_USES:
+            return ""
+        if _leading(shared, self._stored, ()) == total:
+            for key, _ in shared:
+                self._stored.move_to_end(key)
+            return ""
+        if self._store_link.wait_ms(now_ms) > LONGEST_LINK_WAIT_MS:
             return ""
-        lacks = _leading(shared, self._stored, ()) < total
+        size_bytes = sum(size for _, size in keys) * service.engine.token_bytes
+        is_near = store.store_zone == engine.listed.zone
+        duration_ms = _move_ms(size_bytes, store.store_link_mbps, is_near)
+        self._store_link.add(duration_ms, now_ms)
         for key, size in shared:
-            before = self._stored.pop(key, 0)
-            if not before:
+            if key not in self._stored:
                 self._unsaved.add(key)
-            self._stored[key] = size
-            self._stored_tokens += size - before
+                self._stored[key] = size
+                self._stored_tokens += size
         while self._stored_tokens > store.store_tokens and self._stored:
             key, size = self._stored.popitem(last=False)
             self._unsaved.discard(key)
             self._stored_tokens -= size
-        return (store.store_address or "") if lacks else ""
+        return store.store_address or ""
+
+    def _count_use(self, key: tuple[str, str]) -> int:
+        uses = self._uses.pop(key, 0) + 1
+        self._uses[key] = uses
+        if len(self._uses) > MAX_COUNTED_OPENINGS:
+            self._uses.popitem(last=False)
+        return uses
 
     def _remove(self, request_id: str) -> None:
         work = self._work.pop(request_id, None)
@@ -433,11 +545,44 @@
 class _Estimate:
     cost_ms: float
     first_ms: float
-    source: str
+    source: _Source
     read_tokens: int
     version: int
 
 
+def _find_home(request: PlacementRequest, engines: list[_Engine]) -> str:
+    """Return the engine that rendezvous hashing prefers for a long opening."""
+    shared = request.parts[:-1]
+    if sum(tokens for _, tokens in shared) < MIN_STORE_TOKENS:
+        return ""
+    digest = xxh3_64_intdigest(shared[-1][0].encode())
+    return rank_endpoints(digest, [engine.listed.id for engine in engines])[0]
+
+
+def _move_ms(size_bytes: int, link_mbps: float, is_near: bool) -> float:
+    if link_mbps <= 0:
+        return 0.0
+    duration_ms = size_bytes * 8 / (link_mbps * 1000)
+    return duration_ms if is_near else duration_ms * ZONE_MOVE_FACTOR
+
+
+def _plan_move(
+    address: str,
+    held_tokens: int,
+    size_bytes: int,
+    link_mbps: float,
+    is_near: bool,
+    links: tuple[_Link, _Link],
+    now_ms: int,
+) -> _Source | None:
+    """Return a source with its delay, None if a link is busy for too long."""
+    wait_ms = max(link.wait_ms(now_ms) for link in links)
+    if wait_ms > LONGEST_LINK_WAIT_MS:
+        return None
+    move_ms = wait_ms + _move_ms(size_bytes, link_mbps, is_near)
+    return _Source(address, held_tokens, move_ms, links[0])
+
+
 def _part_keys(
     request: PlacementRequest, version: int
 ) -> list[tuple[tuple[str, str], int]]:
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -5,6 +5,7 @@
 too many at once slow each other and leave too few engines for the traffic.
 """
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -14,6 +15,14 @@
 # users' sheets (2 of 5, 3 of 9 and 12 of 30 engines).
 PARALLEL_SHARE = 0.4
 MIN_PARALLEL = 2
+# Average time to read what is placed on an engine above which the engines are needed
+# for traffic, so that no more of them load than the time limit requires.
+BUSY_QUEUE_MS = 250.0
+# Time of one load with the requests that run before it.
+LOAD_MS = 3000
+# Time after a version was named by which all engines are to have loaded it; the users
+# ask for 15 s, and a lost order takes 8 s to be given again.
+FINISH_MS = 11_000
 # An engine refuses requests that have not started when the order arrives, so that it
 # gets no new ones for up to this time before.
 LONGEST_DRAIN_MS = 700
@@ -46,6 +55,7 @@
 
     def __init__(self) -> None:
         self._open: dict[str, _Open] = {}
+        self._named: dict[str, tuple[int, int]] = {}
 
     def loading(self) -> frozenset[str]:
         """Return the endpoints with an order that is not complete."""
@@ -66,6 +76,7 @@
         endpoints: Sequence[ListedEndpoint],
         named: Mapping[str, int],
         unread: Callable[[str], int],
+        queue_ms: float,
         now_ms: int,
     ) -> list[WeightsOrder]:
         """Return the orders to give now and count them as given.
@@ -75,6 +86,7 @@
             named: Newest version of each model.
             unread: Returns the number of requests that have not started at an
                 endpoint.
+            queue_ms: Average time to read what is placed on an engine.
             now_ms: Monotonic time.
         """
         self._close_finished(endpoints, now_ms)
@@ -89,6 +101,8 @@
         behind.sort(key=lambda item: item[0].weights[item[1]])
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL, int(engines * PARALLEL_SHARE))
+        if queue_ms > BUSY_QUEUE_MS:
+            limit = min(limit, self._count_needed(named, len(behind), now_ms))
         for endpoint, _, version in behind:
             if len(self._open) >= limit:
                 break
@@ -105,6 +119,17 @@
                 orders.append(WeightsOrder(endpoint, model, version))
         return orders
 
+    def _count_needed(self, named: Mapping[str, int], behind: int, now_ms: int) -> int:
+        """Return how many engines must load at once to finish in time."""
+        for model, version in named.items():
+            if self._named.get(model, (0, 0))[0] != version:
+                self._named[model] = (version, now_ms)
+        left_ms = min(
+            (named_ms + FINISH_MS - now_ms for _, named_ms in self._named.values()),
+            default=0,
+        )
+        return max(1, math.ceil(behind * LOAD_MS / max(LOAD_MS, left_ms)))
+
     def reject(self, endpoint_id: str) -> None:
         """Forget an order that the endpoint did not take."""
         self._open.pop(endpoint_id, None)
