Keep openings in the store, demote late prompts, refuse hopeless ones

Change: every new long opening is saved while the store's link has room; placement looks at each engine once; prompts that would be late are admitted behind the others; prompts that cannot be answered while the caller waits are refused at once with a time to return; the account's class of work goes before the route's.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -24,6 +24,7 @@
 from mustardtrack.requests.eventstream import EventSplitter
 from mustardtrack.requests.forwarding import AttemptEnd, ForwardedRequest
 from mustardtrack.routing.endpointstate import EndpointState
+from mustardtrack.routing.placements import URGENCIES, URGENCY_STEP
 
 if TYPE_CHECKING:
     from mustardtrack.process.forwarder import Admitted, Forwarder
@@ -145,9 +146,10 @@
             version = self._endpoint.listed.weights.get(model)
             wall = account.name if account and account.is_isolated else ""
             salt = f"{model}.{version}.{wall}"
-            urgency = admitted.urgency
+            urgency = min(URGENCIES - 1, admitted.rank * URGENCY_STEP)
             placement = self._progress.placement
             if placement is not None:
+                urgency = placement.urgency
                 fetch_from = placement.fetch_from or None
                 save_to = placement.save_to or None
         return Instructions(
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -27,15 +27,17 @@
 
 # Below this time an endpoint cannot answer, so that the request is not sent.
 MIN_SEND_MS = 20
-# Urgency of the most urgent and of the least urgent class of work.
-URGENCY_STEP = 2
-MAX_URGENCY = 9
 MAX_TRIED = 4
 JSON = (b"content-type", b"application/json")
 
 # Seconds after which a refused caller may come back, by reason. A process that waits
 # for control does so for about two seconds; callers try only once more.
-RETRY_AFTER_S = {"unconfirmed": 1.5, "no_endpoint": 1.0, "not_run": 0.8}
+RETRY_AFTER_S = {
+    "unconfirmed": 1.5,
+    "no_endpoint": 1.0,
+    "not_run": 0.8,
+    "hopeless": 2.0,
+}
 DEFAULT_RETRY_AFTER_S = 0.8
 # Callers that were refused together come back spread by this share.
 RETRY_AFTER_SPREAD = 0.3
@@ -48,6 +50,7 @@
     Attributes:
         deadline_ms: Time by which it must be answered.
         weights_version: Newest version of its model.
+        rank: Class of work; the account's goes before the route's.
     """
 
     exchange: Exchange
@@ -60,7 +63,7 @@
     received_ms: int
     deadline_ms: int
     weights_version: int
-    urgency: int
+    rank: int
 
 
 class Forwarder:
@@ -149,7 +152,7 @@
             received_ms=now_ms,
             deadline_ms=now_ms + limit_ms,
             weights_version=version,
-            urgency=min(MAX_URGENCY, route.rank * URGENCY_STEP + min(1, rank)),
+            rank=rank,
         )
 
     def _draw_service(self, route: Route) -> str:
@@ -172,6 +175,9 @@
                 endpoint, placement = await self._choose(admitted, tried, now_ms)
             is_repeat = progress.sends > 0
             count = self._links.view.router_count
+            if placement is not None and placement.is_hopeless:
+                reason, step = "hopeless", progress.give_up()
+                break
             if endpoint is None or (is_repeat and not budget.allow(now_ms, count)):
                 reason = "no_endpoint" if endpoint is None else "retry_budget"
                 step = progress.give_up()
@@ -202,6 +208,8 @@
             return chosen, None
         placement = await self._placements.ask(self._placement_request(admitted, tried))
         if placement is not None:
+            if placement.is_hopeless:
+                return None, placement
             for state in endpoints:
                 if state.id == placement.endpoint:
                     return state, placement
@@ -229,7 +237,7 @@
             wall=account.name if account and account.is_isolated else "",
             tokens=metadata.prompt_tokens,
             output_tokens=metadata.max_output_tokens,
-            rank=admitted.route.rank,
+            rank=admitted.rank,
             objective_ms=admitted.route.objective_ms,
             time_left_ms=admitted.deadline_ms - self.clock.now_ms(),
             zone=self._settings.zone,
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -65,6 +65,9 @@
             log_event(PLACEMENT_LOST, leader=leader, request=request.request_id)
             return None
         placement = msgspec.msgpack.decode(answer, type=Placement)
+        if placement.is_hopeless:
+            self._metrics.count("placement.hopeless")
+            return placement
         if not placement.endpoint:
             self._metrics.count("placement.none")
             return None
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -38,8 +38,9 @@
 MIN_FETCH_TOKENS = 64
 # Shared tokens below which the store is not used; its link serves all engines.
 MIN_STORE_TOKENS = 1024
-# Requests for an opening after which it is kept in the store.
-MIN_STORE_USES = 2
+# Longest wait of a save for the store's link; saves may wait longer than fetches, for
+# which a first token waits.
+LONGEST_SAVE_WAIT_MS = 600
 # Delay charged for an engine other than the one that rendezvous hashing prefers for an
 # opening. A new leader then finds openings where the one before it left them.
 AWAY_MS = 40.0
@@ -65,9 +66,19 @@
 # Memory of an engine that placements may fill; outputs are estimates.
 MEMORY_SHARE = 0.92
 EXPIRY_PERIOD_MS = 500
-MAX_RANK = 1_000_000
-# Openings whose uses are counted; a deployment of today has a few hundred.
-MAX_COUNTED_OPENINGS = 10_000
+# Urgencies that engines know, 0 to 9, and the steps between classes of work.
+URGENCIES = 10
+URGENCY_STEP = 2
+# Urgency of a prompt that would be late in its own class; there it would only make
+# the prompts behind it late as well.
+LATE_URGENCY = 4
+# Callers give a stream up when its first event takes this many objectives or this
+# long, whichever is more.
+PATIENCE_OBJECTIVES = 4
+PATIENCE_MS = 2000
+# Part of a caller's patience after which a prompt is refused; estimates are rough and
+# the caller may come back.
+PATIENCE_SHARE = 0.9
 
 
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -106,12 +117,16 @@
         fetch_from: Address that holds more of the prompt than the engine.
         save_to: Store that is to receive the parts.
         expected_ms: Estimated time until the first token.
+        urgency: Order of admission at the engine, 0 is first.
+        is_hopeless: Whether no engine can answer while the caller waits.
     """
 
     endpoint: str = ""
     fetch_from: str = ""
     save_to: str = ""
     expected_ms: float = 0.0
+    urgency: int = 0
+    is_hopeless: bool = False
 
 
 @dataclass
@@ -121,7 +136,7 @@
     engine: str
     read_tokens: int
     memory_tokens: int
-    rank: int
+    urgency: int
     ends_ms: int
     keys: "tuple[tuple[str, str], ...]" = ()
     is_read: bool = False
@@ -161,23 +176,38 @@
 
     listed: ListedEndpoint
     work: dict[str, _Work] = field(default_factory=dict)
+    unread_tokens: list[int] = field(default_factory=lambda: [0] * URGENCIES)
+    memory_tokens: int = 0
     cache: "OrderedDict[tuple[str, str], int]" = field(default_factory=OrderedDict)
     unread: "set[tuple[str, str]]" = field(default_factory=set)
     cached_tokens: int = 0
     resting_until_ms: int = 0
     link: "_Link" = field(default_factory=lambda: _Link())
 
-    def unread_tokens(self, rank: int) -> int:
-        """Tokens to be read before a prompt of this rank."""
-        return sum(
-            work.read_tokens
-            for work in self.work.values()
-            if not work.is_read and work.rank <= rank
-        )
+    def unread_before(self, urgency: int) -> int:
+        """Tokens to be read before a prompt of this urgency."""
+        return sum(self.unread_tokens[: urgency + 1])
 
-    def memory_tokens(self) -> int:
-        """Tokens of all requests that have not ended."""
-        return sum(work.memory_tokens for work in self.work.values())
+    def add(self, request_id: str, work: _Work) -> None:
+        """Count a prompt as placed."""
+        self.work[request_id] = work
+        self.memory_tokens += work.memory_tokens
+        self.unread_tokens[work.urgency] += work.read_tokens
+
+    def mark_read(self, work: _Work) -> None:
+        """Count a prompt as read; others can fetch its parts."""
+        if not work.is_read:
+            work.is_read = True
+            self.unread_tokens[work.urgency] -= work.read_tokens
+            self.unread.difference_update(work.keys)
+
+    def remove(self, request_id: str) -> None:
+        """Count a request as ended."""
+        work = self.work.pop(request_id, None)
+        if work is not None:
+            self.memory_tokens -= work.memory_tokens
+            if not work.is_read:
+                self.unread_tokens[work.urgency] -= work.read_tokens
 
     def cached_prefix(self, keys: Iterable[tuple[tuple[str, str], int]]) -> int:
         """Return the tokens of the leading parts that are cached."""
@@ -207,7 +237,7 @@
                 self.unread.add(key)
             self.cache[key] = size
             self.cached_tokens += size - before
-        room = max(0, capacity_tokens - self.memory_tokens())
+        room = max(0, capacity_tokens - self.memory_tokens)
         while self.cached_tokens > room and self.cache:
             key, size = self.cache.popitem(last=False)
             self.unread.discard(key)
@@ -233,7 +263,6 @@
         self._unsaved: set[tuple[str, str]] = set()
         self._stored_tokens = 0
         self._store_link = _Link()
-        self._uses: OrderedDict[tuple[str, str], int] = OrderedDict()
         self._named: dict[str, tuple[int, int]] = {}
         self._next_expiry_ms = 0
 
@@ -276,30 +305,28 @@
         usable = self._usable(request, now_ms)
         if not usable:
             return Placement()
-        newest = weights.get(request.model, 1)
-        home = _find_home(request, usable)
-        estimates = [
-            (self._estimate(engine, request, service, store, newest, now_ms), engine)
-            for engine in usable
-        ]
-        estimate, engine = min(
-            estimates,
-            key=lambda item: (
-                item[0].cost_ms + (AWAY_MS if item[1].listed.id != home else 0.0)
-            ),
-        )
-        return self._commit(request, service, store, engine, estimate, now_ms)
+        question = _Question(request, service, store, weights, now_ms)
+        question.home = _find_home(request, usable)
+        urgency = min(URGENCIES - 1, request.rank * URGENCY_STEP)
+        estimate = self._find_best(question, usable, urgency)
+        if estimate.first_ms > request.objective_ms and urgency < LATE_URGENCY:
+            urgency = LATE_URGENCY
+            estimate = self._find_best(question, usable, urgency)
+        patience_ms = max(PATIENCE_MS, PATIENCE_OBJECTIVES * request.objective_ms)
+        patience_ms = min(patience_ms, request.time_left_ms)
+        if estimate.first_ms > PATIENCE_SHARE * patience_ms:
+            return Placement(expected_ms=round(estimate.first_ms), is_hopeless=True)
+        return self._commit(question, estimate, urgency)
 
     def record_read(self, request_ids: Iterable[str]) -> None:
         """Count prompts as read: their first token has arrived."""
         for request_id in request_ids:
             work = self._work.get(request_id)
-            if work is None or work.is_read:
+            if work is None:
                 continue
-            work.is_read = True
             engine = self._engines.get(work.engine)
             if engine is not None:
-                engine.unread.difference_update(work.keys)
+                engine.mark_read(work)
             self._unsaved.difference_update(work.keys)
 
     def record_end(self, request_ids: Iterable[str]) -> None:
@@ -334,7 +361,7 @@
     def queue_ms(self) -> float:
         """Return the time that the engines take to read what is placed, on average."""
         engines = [one for one in self._engines.values() if not one.listed.is_loading]
-        unread = sum(engine.unread_tokens(MAX_RANK) for engine in engines)
+        unread = sum(sum(engine.unread_tokens) for engine in engines)
         return unread / TOKENS_PER_MS / max(1, len(engines))
 
     def _usable(self, request: PlacementRequest, now_ms: int) -> list[_Engine]:
@@ -349,40 +376,44 @@
         rested = [one for one in candidates if one.resting_until_ms <= now_ms]
         return rested or candidates
 
+    def _find_best(
+        self, question: "_Question", usable: list[_Engine], urgency: int
+    ) -> "_Estimate":
+        return min(
+            (self._estimate(engine, question, urgency) for engine in usable),
+            key=lambda estimate: estimate.cost_ms,
+        )
+
     def _estimate(
-        self,
-        engine: _Engine,
-        request: PlacementRequest,
-        service: Service,
-        store: Service | None,
-        newest: int,
-        now_ms: int,
+        self, engine: _Engine, question: "_Question", urgency: int
     ) -> "_Estimate":
+        request, service = question.request, question.service
+        newest = question.newest
         version = engine.listed.weights.get(request.model, newest)
-        keys = _part_keys(request, version)
-        shared = keys[:-1]
+        shared = question.shared(version)
         cached = engine.cached_prefix(shared)
-        source = self._find_source(engine, shared, cached, service, store, now_ms)
+        source = self._find_source(engine, question, version, cached)
         held = max(cached, source.held_tokens)
         read = max(1, request.tokens - held)
-        queue_ms = engine.unread_tokens(request.rank) / TOKENS_PER_MS
-        first_ms = BASE_MS + queue_ms + read / TOKENS_PER_MS + source.move_ms
-        first_ms += RUNNING_MS * len(engine.work)
-        cost_ms = first_ms
+        first_ms = BASE_MS + (engine.unread_before(urgency) + read) / TOKENS_PER_MS
+        first_ms += source.move_ms + RUNNING_MS * len(engine.work)
         late_ms = first_ms - LATE_SHARE * request.objective_ms
-        cost_ms += LATE_FACTOR * max(0.0, late_ms)
-        unread_shared = sum(size for _, size in shared) - held
-        cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, unread_shared)
-        if version < newest and self._is_replaced(request.model, newest, now_ms):
+        cost_ms = first_ms + LATE_FACTOR * max(0.0, late_ms)
+        cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, question.shared_tokens - held)
+        if version < newest and self._is_replaced(
+            request.model, newest, question.now_ms
+        ):
             cost_ms += OLD_WEIGHTS_MS
         if engine.listed.zone != request.zone:
             cost_ms += ZONE_MS
+        if question.home and engine.listed.id != question.home:
+            cost_ms += AWAY_MS
         if service.engine is not None and service.engine.memory_tokens:
             room = MEMORY_SHARE * service.engine.memory_tokens
-            needed = engine.memory_tokens() + request.tokens + request.output_tokens
+            needed = engine.memory_tokens + request.tokens + request.output_tokens
             if needed > room:
                 cost_ms += MEMORY_MS * needed / room
-        return _Estimate(cost_ms, first_ms, source, read, version)
+        return _Estimate(cost_ms, first_ms, engine, source, read, version)
 
     def _is_replaced(self, model: str, newest: int, now_ms: int) -> bool:
         """Return whether older weights lose worth by now."""
@@ -393,122 +424,123 @@
         return now_ms - named[1] >= OLD_WEIGHTS_GRACE_MS
 
     def _find_source(
-        self,
-        engine: _Engine,
-        shared: list[tuple[tuple[str, str], int]],
-        cached: int,
-        service: Service,
-        store: Service | None,
-        now_ms: int,
+        self, engine: _Engine, question: "_Question", version: int, cached: int
     ) -> _Source:
         """Return the engine, or else the store, that holds most of the parts."""
-        total = sum(size for _, size in shared)
-        if total - cached < MIN_FETCH_TOKENS or service.engine is None:
+        limits = question.service.engine
+        if limits is None or question.shared_tokens - cached < MIN_FETCH_TOKENS:
             return NO_SOURCE
-        best, best_rank = NO_SOURCE, (cached + MIN_FETCH_TOKENS - 1, False)
-        for other in self._engines.values():
-            if other is engine or other.listed.is_loading:
-                continue
-            held = other.readable_prefix(shared)
-            is_near = other.listed.zone == engine.listed.zone
-            if (held, is_near) <= best_rank:
+        for held, other in self._holders(question, version):
+            if held < cached + MIN_FETCH_TOKENS:
+                break
+            if other is engine:
                 continue
             found = _plan_move(
                 other.listed.address,
                 held,
-                (held - cached) * service.engine.token_bytes,
-                service.engine.link_mbps,
-                is_near,
+                (held - cached) * limits.token_bytes,
+                limits.link_mbps,
+                other.listed.zone == engine.listed.zone,
                 (other.link, engine.link),
-                now_ms,
+                question.now_ms,
             )
             if found is not None:
-                best, best_rank = found, (held, is_near)
-        if best is NO_SOURCE and store is not None and total >= MIN_STORE_TOKENS:
-            return self._find_in_store(engine, shared, cached, service, store, now_ms)
-        return best
+                return found
+        return self._find_in_store(engine, question, version, cached)
+
+    def _holders(
+        self, question: "_Question", version: int
+    ) -> list[tuple[int, _Engine]]:
+        """Return the engines that hold parts to fetch, the most tokens first."""
+        holders = question.holders.get(version)
+        if holders is None:
+            shared = question.shared(version)
+            found = (
+                (engine.readable_prefix(shared), engine)
+                for engine in self._engines.values()
+                if not engine.listed.is_loading
+            )
+            holders = [item for item in found if item[0] >= MIN_FETCH_TOKENS]
+            holders.sort(key=lambda item: -item[0])
+            question.holders[version] = holders
+        return holders
 
     def _find_in_store(
-        self,
-        engine: _Engine,
-        shared: list[tuple[tuple[str, str], int]],
-        cached: int,
-        service: Service,
-        store: Service,
-        now_ms: int,
+        self, engine: _Engine, question: "_Question", version: int, cached: int
     ) -> _Source:
-        held = _leading(shared, self._stored, self._unsaved)
-        if held < cached + MIN_STORE_TOKENS or service.engine is None:
+        store, limits = question.store, question.service.engine
+        if store is None or limits is None:
+            return NO_SOURCE
+        if question.shared_tokens < MIN_STORE_TOKENS:
+            return NO_SOURCE
+        held = _leading(question.shared(version), self._stored, self._unsaved)
+        if held < cached + MIN_STORE_TOKENS:
             return NO_SOURCE
         found = _plan_move(
             store.store_address or "",
             held,
-            (held - cached) * service.engine.token_bytes,
+            (held - cached) * limits.token_bytes,
             store.store_link_mbps,
             store.store_zone == engine.listed.zone,
             (self._store_link, engine.link),
-            now_ms,
+            question.now_ms,
         )
         return found or NO_SOURCE
 
     def _commit(
-        self,
-        request: PlacementRequest,
-        service: Service,
-        store: Service | None,
-        engine: _Engine,
-        estimate: "_Estimate",
-        now_ms: int,
+        self, question: "_Question", estimate: "_Estimate", urgency: int
     ) -> Placement:
+        request, now_ms = question.request, question.now_ms
+        engine, source = estimate.engine, estimate.source
         self._remove(request.request_id)
+        keys = _part_keys(request, estimate.version)
         work = _Work(
             engine=engine.listed.id,
             read_tokens=estimate.read_tokens,
             memory_tokens=request.tokens + request.output_tokens,
-            rank=request.rank,
+            urgency=urgency,
             ends_ms=now_ms + request.time_left_ms,
-            keys=tuple(key for key, _ in _part_keys(request, estimate.version)),
+            keys=tuple(key for key, _ in keys),
         )
-        engine.work[request.request_id] = work
+        engine.add(request.request_id, work)
         self._work[request.request_id] = work
-        keys = _part_keys(request, estimate.version)
-        if service.engine is not None:
-            engine.keep(keys, service.engine.memory_tokens)
-        if estimate.source.link is not None:
-            estimate.source.link.add(estimate.source.move_ms, now_ms)
-            engine.link.add(estimate.source.move_ms, now_ms)
+        limits = question.service.engine
+        if limits is not None:
+            engine.keep(keys, limits.memory_tokens)
+        if source.link is not None:
+            source.link.add(source.move_ms, now_ms)
+            engine.link.add(source.move_ms, now_ms)
         return Placement(
             endpoint=engine.listed.id,
-            fetch_from=estimate.source.address,
-            save_to=self._plan_save(keys, engine, service, store, now_ms),
+            fetch_from=source.address,
+            save_to=self._plan_save(keys, engine, question),
             expected_ms=round(estimate.first_ms, 1),
+            urgency=urgency,
         )
 
     def _plan_save(
         self,
         keys: list[tuple[tuple[str, str], int]],
         engine: _Engine,
-        service: Service,
-        store: Service | None,
-        now_ms: int,
+        question: "_Question",
     ) -> str:
-        """Return the store if it lacks an opening that is asked for repeatedly."""
-        shared = keys[:-1]
-        total = sum(size for _, size in shared)
-        if store is None or service.engine is None or total < MIN_STORE_TOKENS:
+        """Return the store if it lacks the opening and its link has room."""
+        store, limits = question.store, question.service.engine
+        if store is None or limits is None:
             return ""
-        if self._count_use(shared[-1][0]) < MIN_STORE_USES:
+        if question.shared_tokens < MIN_STORE_TOKENS:
             return ""
-        if _leading(shared, self._stored, ()) == total:
+        shared = keys[:-1]
+        if all(key in self._stored for key, _ in shared):
             for key, _ in shared:
                 self._stored.move_to_end(key)
             return ""
-        if self._store_link.wait_ms(now_ms) > LONGEST_LINK_WAIT_MS:
+        if self._store_link.wait_ms(question.now_ms) > LONGEST_SAVE_WAIT_MS:
             return ""
-        size_bytes = sum(size for _, size in keys) * service.engine.token_bytes
+        size_bytes = sum(size for _, size in keys) * limits.token_bytes
         is_near = store.store_zone == engine.listed.zone
         duration_ms = _move_ms(size_bytes, store.store_link_mbps, is_near)
-        self._store_link.add(duration_ms, now_ms)
+        self._store_link.add(duration_ms, question.now_ms)
         for key, size in shared:
             if key not in self._stored:
                 self._unsaved.add(key)
@@ -520,17 +552,10 @@
             self._stored_tokens -= size
         return store.store_address or ""
 
-    def _count_use(self, key: tuple[str, str]) -> int:
-        uses = self._uses.pop(key, 0) + 1
-        self._uses[key] = uses
-        if len(self._uses) > MAX_COUNTED_OPENINGS:
-            self._uses.popitem(last=False)
-        return uses
-
     def _remove(self, request_id: str) -> None:
         work = self._work.pop(request_id, None)
         if work is not None and work.engine in self._engines:
-            self._engines[work.engine].work.pop(request_id, None)
+            self._engines[work.engine].remove(request_id)
 
     def _expire(self, now_ms: int) -> None:
         """Forget requests whose routers never reported their end."""
@@ -545,11 +570,42 @@
 class _Estimate:
     cost_ms: float
     first_ms: float
+    engine: _Engine
     source: _Source
     read_tokens: int
     version: int
 
 
+class _Question:
+    """A prompt to be placed, with what is the same for all engines."""
+
+    def __init__(
+        self,
+        request: PlacementRequest,
+        service: Service,
+        store: Service | None,
+        weights: Mapping[str, int],
+        now_ms: int,
+    ):
+        self.request = request
+        self.service = service
+        self.store = store if store is not None and store.store_address else None
+        self.newest = weights.get(request.model, 1)
+        self.now_ms = now_ms
+        self.home = ""
+        self.shared_tokens = sum(tokens for _, tokens in request.parts[:-1])
+        self.holders: dict[int, list[tuple[int, _Engine]]] = {}
+        self._shared: dict[int, list[tuple[tuple[str, str], int]]] = {}
+
+    def shared(self, version: int) -> list[tuple[tuple[str, str], int]]:
+        """Return the shared parts as they are cached under a weights version."""
+        shared = self._shared.get(version)
+        if shared is None:
+            shared = _part_keys(self.request, version)[:-1]
+            self._shared[version] = shared
+        return shared
+
+
 def _find_home(request: PlacementRequest, engines: list[_Engine]) -> str:
     """Return the engine that rendezvous hashing prefers for a long opening."""
     shared = request.parts[:-1]
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -19,10 +19,10 @@
 # for traffic, so that no more of them load than the time limit requires.
 BUSY_QUEUE_MS = 250.0
 # Time of one load with the requests that run before it.
-LOAD_MS = 3000
+LOAD_MS = 2600
 # Time after a version was named by which all engines are to have loaded it; the users
-# ask for 15 s, and a lost order takes 8 s to be given again.
-FINISH_MS = 11_000
+# ask for 15 s, and the last loads end later than planned.
+FINISH_MS = 12_500
 # An engine refuses requests that have not started when the order arrives, so that it
 # gets no new ones for up to this time before.
 LONGEST_DRAIN_MS = 700
