--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -512,12 +512,24 @@
             engine.link.add(source.move_ms, now_ms)
         return Placement(
             endpoint=engine.listed.id,
-            fetch_from=source.address,
+            fetch_from=source.address or self._find_spare(question, estimate.version),
             save_to=self._plan_save(keys, engine, question),
             expected_ms=round(estimate.first_ms, 1),
             urgency=urgency,
         )
 
+    def _find_spare(self, question: "_Question", version: int) -> str:
+        """Return the store if it holds an opening that the engine should have.
+
+        Engines evict by rules of their own, and fetching from a source costs nothing
+        while they hold the parts themselves.
+        """
+        store = question.store
+        if store is None or question.shared_tokens < MIN_STORE_TOKENS:
+            return ""
+        held = _leading(question.shared(version), self._stored, self._unsaved)
+        return (store.store_address or "") if held >= MIN_STORE_TOKENS else ""
+
     def _plan_save(
         self,
         keys: list[tuple[tuple[str, str], int]],
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -202,3 +202,12 @@
     placements = [place(table, prompt(str(n), f"o{n}")) for n in range(12)]
     assert placements[-1].is_hopeless
     assert table.outstanding("1") < 12
+
+
+def test_engine_that_evicted_an_opening_can_fetch_it():
+    """Guards against trusting an estimated cache: engines evict earlier."""
+    table = make("1")
+    place(table, prompt("a"), store=STORE)
+    table.record_read(["a"])
+    table.record_end(["a"])
+    assert place(table, prompt("b"), store=STORE).fetch_from == "10.0.0.99:1"
