Follow cache events, load one engine at a time while engines are busy

Change: the leader long-polls the cache events of every engine and of the store, which also shows whether the store is up; busy engines load one by one until the time limit leaves no slack.

--- a/mustardtrack/membership/endpointlist.py
+++ b/mustardtrack/membership/endpointlist.py
@@ -41,3 +41,19 @@
     def order(self) -> tuple[int, int]:
         """Position among all lists."""
         return self.term, self.sequence
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Changes of the prefix cache of one engine or store.
+
+    Attributes:
+        epoch: Identity of one start; another one means that the cache was lost.
+        following: Number after which to ask for further events.
+        has_gap: Whether events before these were lost.
+        changes: Salt, digest and remaining tokens of each changed part.
+    """
+
+    epoch: str
+    following: int
+    has_gap: bool
+    changes: list[tuple[str, str, int]]
--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -4,7 +4,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from mustardtrack.membership.endpointlist import ListedEndpoint
+from mustardtrack.membership.endpointlist import CacheEvents, ListedEndpoint
 
 _STATES = {"ready": False, "draining": True}
 
@@ -83,6 +83,40 @@
     }
 
 
+def events_target(since: int) -> bytes:
+    """Return the request target of the cache events after a number."""
+    return b"/v1/kv-events?since=%d" % since
+
+
+EVENTS_WAIT_HEADER = b"wait-ms"
+
+
+def read_cache_events(body: bytes) -> CacheEvents:
+    """Decode cache events; an event that cannot be read is left out.
+
+    Raises:
+        ValueError: If the answer as a whole cannot be read.
+    """
+    data = json.loads(body)
+    if not isinstance(data, dict) or not isinstance(data.get("next-token"), int):
+        raise ValueError("the answer names no next event")
+    changes = []
+    for item in data.get("events") or []:
+        if not isinstance(item, list) or len(item) < 5 or item[1] not in ("+", "-"):
+            continue
+        _, sign, salt, digest, tokens = item[:5]
+        if isinstance(tokens, int):
+            # A removal states the tokens that are left.
+            kept = tokens if sign == "+" else 0
+            changes.append((str(salt), str(digest), kept))
+    return CacheEvents(
+        epoch=str(data.get("boot-epoch")),
+        following=data["next-token"],
+        has_gap=data.get("lost") is True,
+        changes=changes,
+    )
+
+
 ORDER_TARGET = b"/v1/order"
 REPORT_TARGET = b"/v1/report"
 
--- a/mustardtrack/platform/tests/test_endpoints.py
+++ b/mustardtrack/platform/tests/test_endpoints.py
@@ -9,6 +9,7 @@
 from mustardtrack.platform.endpoints import (
     encode_weights_order,
     list_target,
+    read_cache_events,
     read_list_page,
     read_weights_request,
 )
@@ -82,3 +83,25 @@
 
 def test_page_token_is_escaped():
     assert list_target("a&b") == b"/instances?page-token=a%26b"
+
+
+def test_cache_events_are_decoded_and_foreign_ones_left_out():
+    body = {
+        "boot-epoch": 7,
+        "next-token": 120,
+        "lost": True,
+        "events": [
+            [1, "+", "s", "5c", 800, "m"],
+            [2, "-", "s", "91", 128, "m"],
+            [3, "?", "s", "x", 1, "m"],
+            "x",
+            [4],
+            [5, "+", "s", "y", None, "m"],
+        ],
+    }
+    events = read_cache_events(json.dumps(body).encode())
+    assert (events.epoch, events.following, events.has_gap) == ("7", 120, True)
+    assert events.changes == [("s", "5c", 800), ("s", "91", 0)]
+    for bad in (b"", b"[]", b"{}"):
+        with pytest.raises(ValueError):
+            read_cache_events(bad)
--- /dev/null
+++ b/mustardtrack/process/cache_watch.py
@@ -0,0 +1,143 @@
+"""Tasks of the leader that follow the cache events of engines and of the store."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from mustardtrack.adapters.upstream import (
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    ConnectError,
+    ConnectionPool,
+)
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.membership.endpointlist import CacheEvents
+from mustardtrack.platform.endpoints import (
+    EVENTS_WAIT_HEADER,
+    events_target,
+    read_cache_events,
+)
+
+if TYPE_CHECKING:
+    from mustardtrack.process.seeded_control import SeededControlProcess
+
+EVENTS_LOST = define_event(8971, "WARNING", "cache events cannot be read")
+EVENTS_REGAINED = define_event(8972, "INFO", "cache events are read")
+CACHE_RESTARTED = define_event(8973, "INFO", "cache has started again empty")
+
+# A call is held for up to this time until there are events; shorter ones are priced.
+WAIT_MS = 1000
+CALL_TIMEOUT_S = 1.6
+CONNECT_TIMEOUT_S = 0.4
+PERIOD_S = 0.25
+# Events arrive in bursts; reading them together saves messages.
+PAUSE_S = 0.15
+RETRY_PAUSE_S = 0.5
+
+
+class CacheWatch:
+    """Follows the caches while this replica leads."""
+
+    def __init__(self, control: "SeededControlProcess"):
+        self._control = control
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self.store_is_up = False
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        from twisted.internet import reactor
+
+        self._pool = ConnectionPool(reactor)
+        try:
+            while True:
+                await asyncio.sleep(PERIOD_S)
+                self._choose_sources()
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    def _choose_sources(self) -> None:
+        wanted: dict[str, str] = {}
+        if self._control.leads():
+            for endpoint in self._control.endpoints().endpoints:
+                if endpoint.weights:
+                    wanted[endpoint.id] = endpoint.address
+            table = self._control.route_table()
+            store = table.store() if table else None
+            if store is not None and store.store_address is not None:
+                wanted[""] = store.store_address
+        for source in [one for one in self._tasks if one not in wanted]:
+            self._tasks.pop(source).cancel()
+        for source, address in wanted.items():
+            if source not in self._tasks:
+                coroutine = self._follow(source, address)
+                self._tasks[source] = asyncio.ensure_future(coroutine)
+
+    async def _follow(self, source: str, address: str) -> None:
+        """Follow one engine, or the store if ``source`` is empty."""
+        following, epoch, is_lost = 0, "", False
+        while True:
+            try:
+                events = await self._ask(address, following)
+            except (ConnectError, ValueError) as error:
+                if not is_lost:
+                    log_event(EVENTS_LOST, endpoint=source, error=str(error))
+                is_lost = True
+                self._note_store(source, False)
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if is_lost:
+                log_event(EVENTS_REGAINED, endpoint=source)
+                is_lost = False
+            if epoch and events.epoch != epoch:
+                log_event(CACHE_RESTARTED, endpoint=source, epoch=events.epoch)
+                self._forget(source)
+            epoch, following = events.epoch, events.following
+            self._apply(source, events)
+            self._note_store(source, True)
+            await asyncio.sleep(PAUSE_S)
+
+    def _note_store(self, source: str, is_up: bool) -> None:
+        if source == "":
+            self.store_is_up = is_up
+
+    def _forget(self, source: str) -> None:
+        if source:
+            self._control.placements.forget_cache(source)
+        else:
+            self._control.placements.forget_store()
+
+    def _apply(self, source: str, events: CacheEvents) -> None:
+        if source:
+            self._control.placements.apply_events(source, events.changes)
+        else:
+            self._control.placements.apply_store_events(events.changes)
+
+    async def _ask(self, address: str, since: int) -> CacheEvents:
+        """Return the events after a number.
+
+        Raises:
+            ConnectError: If there is no answer.
+            ValueError: If the answer cannot be read.
+        """
+        connection = self._pool.take(address)
+        if connection is None:
+            connection = await self._pool.open(address, CONNECT_TIMEOUT_S)
+        headers = [(b"host", address.encode()), (EVENTS_WAIT_HEADER, b"%d" % WAIT_MS)]
+        connection.send(b"GET", events_target(since), headers, b"")
+        status, parts = 0, []
+        while True:
+            event = await connection.next_event(CALL_TIMEOUT_S)
+            if isinstance(event, AnswerHead):
+                status = event.status
+            elif isinstance(event, AnswerData):
+                parts.append(event.data)
+            elif isinstance(event, AnswerEnd):
+                self._pool.put(address, connection)
+                break
+            else:
+                connection.close()
+                raise ConnectError("no answer to a call for cache events")
+        if status != 200:
+            raise ValueError(f"status {status}")
+        return read_cache_events(b"".join(parts))
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -46,6 +46,7 @@
     SyncReply,
     SyncRequest,
 )
+from mustardtrack.process.cache_watch import CacheWatch
 from mustardtrack.process.control_calls import ControlCalls
 from mustardtrack.process.endpoint_watch import EndpointWatch
 from mustardtrack.process.lifecycle import DaemonProcess
@@ -116,7 +117,13 @@
         calls = ControlCalls(self, self._settings.bounds)
         self._watch = EndpointWatch(self, self._settings)
         self._listen(calls)
-        for coroutine in (self._task.run(), self._follow_state(), self._watch.run()):
+        self._caches = CacheWatch(self)
+        for coroutine in (
+            self._task.run(),
+            self._follow_state(),
+            self._watch.run(),
+            self._caches.run(),
+        ):
             self._spawn(coroutine)
         if self._settings.bootstrap and self._name in self._settings.seed_names():
             self._spawn(self._form_group(), may_end=True)
@@ -340,14 +347,14 @@
     async def _receive_place(self, sender: str, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=PlacementRequest)
         placement = Placement()
-        table = self._route_table()
+        table = self.route_table()
         if self.leads() and table is not None:
             service = table.services.get(request.service)
             if service is not None:
                 placement = self.placements.place(
                     request,
                     service,
-                    table.store(),
+                    table.store() if self._caches.store_is_up else None,
                     self.store.weights,
                     self.now_ms(),
                 )
@@ -359,7 +366,8 @@
         self.placements.record_end(progress.ended)
         self.placements.record_silence(progress.silent, self.now_ms())
 
-    def _route_table(self) -> RouteTable | None:
+    def route_table(self) -> RouteTable | None:
+        """Return the newest route table, None before the first."""
         document = self.store.document
         if not document.version:
             return None
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -243,6 +243,17 @@
             self.unread.discard(key)
             self.cached_tokens -= size
 
+    def correct(self, key: tuple[str, str], tokens: int) -> None:
+        """Store what the engine reports about one part."""
+        if tokens <= 0:
+            # A part of a prompt that is being read may be reported as removed late.
+            if key not in self.unread:
+                self.cached_tokens -= self.cache.pop(key, 0)
+            return
+        self.cached_tokens += tokens - self.cache.get(key, 0)
+        self.cache[key] = tokens
+        self.unread.discard(key)
+
     def clear(self) -> None:
         """Forget the cache, which a restart or other weights have emptied."""
         self.cache.clear()
@@ -341,6 +352,31 @@
             if engine is not None:
                 engine.resting_until_ms = now_ms + REST_MS
 
+    def apply_events(
+        self, endpoint_id: str, changes: Iterable[tuple[str, str, int]]
+    ) -> None:
+        """Correct the estimated cache of an engine by what it reports."""
+        engine = self._engines.get(endpoint_id)
+        if engine is None:
+            return
+        for salt, digest, tokens in changes:
+            engine.correct((salt, digest), tokens)
+
+    def apply_store_events(self, changes: Iterable[tuple[str, str, int]]) -> None:
+        """Correct what the store is believed to hold."""
+        for salt, digest, tokens in changes:
+            key = (salt, digest)
+            self._stored_tokens += tokens - self._stored.pop(key, 0)
+            self._unsaved.discard(key)
+            if tokens > 0:
+                self._stored[key] = tokens
+
+    def forget_cache(self, endpoint_id: str) -> None:
+        """Forget the cache of an engine that has started again."""
+        engine = self._engines.get(endpoint_id)
+        if engine is not None:
+            engine.clear()
+
     def forget_store(self) -> None:
         """Forget what the store holds; it has restarted empty."""
         self._stored.clear()
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -17,12 +17,12 @@
 MIN_PARALLEL = 2
 # Average time to read what is placed on an engine above which the engines are needed
 # for traffic, so that no more of them load than the time limit requires.
-BUSY_QUEUE_MS = 250.0
-# Time of one load with the requests that run before it.
-LOAD_MS = 2600
+BUSY_QUEUE_MS = 150.0
+# Time of one load at a busy engine, with the requests that run before it.
+BUSY_LOAD_MS = 3300
 # Time after a version was named by which all engines are to have loaded it; the users
 # ask for 15 s, and the last loads end later than planned.
-FINISH_MS = 12_500
+FINISH_MS = 13_500
 # An engine refuses requests that have not started when the order arrives, so that it
 # gets no new ones for up to this time before.
 LONGEST_DRAIN_MS = 700
@@ -101,8 +101,9 @@
         behind.sort(key=lambda item: item[0].weights[item[1]])
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL, int(engines * PARALLEL_SHARE))
-        if queue_ms > BUSY_QUEUE_MS:
-            limit = min(limit, self._count_needed(named, len(behind), now_ms))
+        has_slack = self._has_slack(named, len(behind), limit, now_ms)
+        if has_slack and queue_ms > BUSY_QUEUE_MS:
+            limit = 1
         for endpoint, _, version in behind:
             if len(self._open) >= limit:
                 break
@@ -119,8 +120,10 @@
                 orders.append(WeightsOrder(endpoint, model, version))
         return orders
 
-    def _count_needed(self, named: Mapping[str, int], behind: int, now_ms: int) -> int:
-        """Return how many engines must load at once to finish in time."""
+    def _has_slack(
+        self, named: Mapping[str, int], behind: int, limit: int, now_ms: int
+    ) -> bool:
+        """Return whether all engines can still load in time if they wait."""
         for model, version in named.items():
             if self._named.get(model, (0, 0))[0] != version:
                 self._named[model] = (version, now_ms)
@@ -128,7 +131,7 @@
             (named_ms + FINISH_MS - now_ms for _, named_ms in self._named.values()),
             default=0,
         )
-        return max(1, math.ceil(behind * LOAD_MS / max(LOAD_MS, left_ms)))
+        return left_ms > math.ceil(behind / limit) * BUSY_LOAD_MS
 
     def reject(self, endpoint_id: str) -> None:
         """Forget an order that the endpoint did not take."""
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -211,3 +211,27 @@
     table.record_read(["a"])
     table.record_end(["a"])
     assert place(table, prompt("b"), store=STORE).fetch_from == "10.0.0.99:1"
+
+
+def test_reported_eviction_is_believed():
+    """Guards against fetches from an engine that no longer holds the parts."""
+    table = make("1", "2")
+    first = place(table, prompt("a")).endpoint
+    table.record_read(["a"])
+    table.record_end(["a"])
+    table.apply_events(first, [("m.1.", "o", 0)])
+    assert place(table, prompt("b", tried=[first])).fetch_from == ""
+
+
+def test_reported_part_is_a_source_for_a_new_leader():
+    table = make("1", "2")
+    table.apply_events("1", [("m.1.", "o", 12_750)])
+    assert place(table, prompt("b", tried=["1"])).fetch_from == "10.0.0.1:1"
+
+
+def test_store_that_restarted_is_no_source():
+    table = make("1")
+    table.apply_store_events([("m.1.", "o", 12_750)])
+    assert place(table, prompt("a"), store=STORE).fetch_from == "10.0.0.99:1"
+    table.forget_store()
+    assert place(table, prompt("b"), store=STORE).fetch_from == ""
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -3,6 +3,7 @@
 from mustardtrack.membership.endpointlist import ListedEndpoint
 from mustardtrack.routing.rollout import (
     BUSY_QUEUE_MS,
+    FINISH_MS,
     LONGEST_DRAIN_MS,
     ORDER_LIFETIME_MS,
     Rollout,
@@ -63,13 +64,11 @@
     assert len(rollout.plan(rest, {"m": 2}, idle, 0, 10)) == 2
 
 
-def test_busy_engines_load_as_slowly_as_the_time_limit_allows():
+def test_busy_engines_load_one_by_one_while_the_time_limit_allows():
     """Guards against a burst that meets two thirds of the engines."""
-    engines = [engine(f"e{n}", 1) for n in range(5)]
+    engines = [engine(f"e{n}", 1) for n in range(9)]
     rollout = Rollout()
     busy_ms = BUSY_QUEUE_MS + 1
-    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, 0)) == 2
-    late = Rollout()
-    late.plan([], {"m": 2}, idle, busy_ms, 0)
-    assert len(late.plan(engines[:1] * 3, {"m": 2}, idle, busy_ms, 0)) == 1
-    assert len(Rollout().plan(engines[:2], {"m": 2}, idle, busy_ms, 0)) == 1
+    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, 0)) == 1
+    assert rollout.plan(engines, {"m": 2}, idle, busy_ms, 1000) == []
+    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, FINISH_MS // 2)) == 2
