--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -72,6 +72,8 @@
 # Urgency of a prompt that would be late in its own class; there it would only make
 # the prompts behind it late as well.
 LATE_URGENCY = 4
+# Part of the objective beyond which an estimate shows that a prompt will be late.
+LATE_CERTAIN = 1.25
 # Callers give a stream up when its first event takes this many objectives or this
 # long, whichever is more.
 PATIENCE_OBJECTIVES = 4
@@ -320,7 +322,8 @@
         question.home = _find_home(request, usable)
         urgency = min(URGENCIES - 1, request.rank * URGENCY_STEP)
         estimate = self._find_best(question, usable, urgency)
-        if estimate.first_ms > request.objective_ms and urgency < LATE_URGENCY:
+        is_late = estimate.first_ms > LATE_CERTAIN * request.objective_ms
+        if is_late and urgency < LATE_URGENCY:
             urgency = LATE_URGENCY
             estimate = self._find_best(question, usable, urgency)
         patience_ms = max(PATIENCE_MS, PATIENCE_OBJECTIVES * request.objective_ms)
