--- a/mustardtrack/process/control_link.py
+++ b/mustardtrack/process/control_link.py
@@ -102,9 +102,10 @@
         self._link(names)
 
     def is_confirmed(self) -> bool:
-        """Return whether the table may serve requests with keys."""
+        """Return whether table and endpoints are known and the table may serve."""
         age_ms = self.view.age_ms(self._clock.now_ms())
-        return age_ms is not None and age_ms < self._limit_ms
+        has_endpoints = self.view.endpoints.order > (0, 0)
+        return has_endpoints and age_ms is not None and age_ms < self._limit_ms
 
     async def announce(self) -> None:
         """Tell all control hosts the state of this router now."""
