Serve metrics as text, bound the logs, keep wire names in platform

Cause: the users' engineers have only logs and metrics; output to a slow reader blocked the process; four wire names stood outside the platform package (found by the new test, seen to fail). Change: counters and histograms at metrics_port in Prometheus' text format, rendered by its library on demand; at most 400 lines and 200 kB a second, never blocking, what is left out is counted.

--- a/mustardtrack/logs/events.py
+++ b/mustardtrack/logs/events.py
@@ -15,6 +15,8 @@
 
 from loguru import logger
 
+from mustardtrack.logs.bounded import BoundedWriter
+
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 EventListener = Callable[["Event", dict[str, Any]], None]
@@ -110,7 +112,9 @@
         raise InvariantViolationError(event, fields)
 
 
-def configure_logging(stream: TextIO | None = None, level: str = "INFO") -> None:
+def configure_logging(
+    stream: TextIO | BoundedWriter | None = None, level: str = "INFO"
+) -> None:
     """Write one JSON object per event to a stream, standard error by default."""
     target = stream or sys.stderr
 
--- a/mustardtrack/platform/headers.py
+++ b/mustardtrack/platform/headers.py
@@ -11,6 +11,7 @@
 # The endpoint's signature over an answer; without it an answer is not the endpoint's.
 SIGNATURE = b"response-seal"
 
+_EXPECT_INSTANCE = b"expect-instance"
 _KEY_SCHEME = b"bearer "
 # These concern one connection only.
 _HOP_BY_HOP = frozenset(
@@ -30,7 +31,7 @@
     {
         b"tenant",
         b"deadline-ms",
-        b"expect-instance",
+        _EXPECT_INSTANCE,
         b"expect-version",
         b"request-urgency",
         b"cache-salt",
@@ -157,6 +158,17 @@
     return [(name, value) for name, value in headers if name not in dropped]
 
 
+def resume_headers(headers: Headers, last_event_id: bytes) -> Headers:
+    """Return the headers of a stream that goes on after an event."""
+    others = [one for one in headers if one[0] != LAST_EVENT_ID]
+    return [*others, (LAST_EVENT_ID, last_event_id)]
+
+
+def expect_instance(instance: str) -> tuple[bytes, bytes]:
+    """Encode that only this start of an endpoint may take a call."""
+    return _EXPECT_INSTANCE, instance.encode("latin-1")
+
+
 def returned_headers(headers: Headers) -> Headers:
     """Return the endpoint's headers that a caller receives."""
     dropped = _HOP_BY_HOP | _listed_in_connection(headers)
@@ -196,7 +208,7 @@
         (b"kv-save", instructions.save_to),
     )
     return [
-        (b"expect-instance", instructions.instance.encode("latin-1")),
+        expect_instance(instructions.instance),
         (DEADLINE, b"%d" % instructions.time_left_ms),
         *((name, str(value).encode()) for name, value in optional if value is not None),
     ]
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -8,7 +8,6 @@
     AnswerEnd,
     AnswerEvent,
     AnswerHead,
-    Broken,
     ConnectError,
     UpstreamConnection,
 )
@@ -19,6 +18,7 @@
     forwarded_headers,
     instruction_headers,
     read_answer,
+    resume_headers,
     returned_headers,
 )
 from mustardtrack.requests.eventstream import EventSplitter
@@ -118,8 +118,7 @@
         keeps_key = admitted.table.accounts is None
         headers = forwarded_headers(exchange.headers, keeps_key)
         if self._progress.resume_after is not None:
-            headers = [one for one in headers if one[0] != b"last-event-id"]
-            headers.append((b"last-event-id", self._progress.resume_after))
+            headers = resume_headers(headers, self._progress.resume_after)
         headers += instruction_headers(self._instructions())
         if exchange.body or exchange.header(b"content-length") is not None:
             headers.append((b"content-length", b"%d" % len(exchange.body)))
@@ -318,6 +317,3 @@
 
     def _elapsed_ms(self) -> int:
         return self._clock.now_ms() - self._admitted.received_ms
-
-
-__all__ = ["Attempt", "Broken", "Outcome"]
--- a/mustardtrack/process/daemon.py
+++ b/mustardtrack/process/daemon.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from mustardtrack.logs import configure_logging
+from mustardtrack.logs.bounded import BoundedWriter
 from mustardtrack.process.lifecycle import DaemonProcess, Lifecycle
 from mustardtrack.process.reactor import install_reactor
 from mustardtrack.settings import SeededSettings, SettingsError, load_settings
@@ -47,8 +48,10 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     # The operators of seeded deployments collect standard output only.
-    seeded = isinstance(settings, SeededSettings)
-    configure_logging(sys.stdout if seeded else sys.stderr, level=level)
+    if isinstance(settings, SeededSettings):
+        configure_logging(BoundedWriter(sys.stdout.fileno()), level=level)
+    else:
+        configure_logging(sys.stderr, level=level)
     return run_process(settings)
 
 
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -23,6 +23,7 @@
     read_list_page,
     read_report,
 )
+from mustardtrack.platform.headers import expect_instance
 from mustardtrack.routing.rollout import Rollout, WeightsOrder
 
 if TYPE_CHECKING:
@@ -208,7 +209,7 @@
         body = encode_weights_order(
             order.model, order.version, self._control.name, term
         )
-        headers = [(b"expect-instance", order.endpoint.id.encode())]
+        headers = [expect_instance(order.endpoint.id)]
         error = ""
         status = 0
         try:
--- a/mustardtrack/process/metrics.py
+++ b/mustardtrack/process/metrics.py
@@ -1,11 +1,16 @@
 """Choice of the metrics adapter."""
 
+from typing import TYPE_CHECKING
+
 from mustardtrack.adapters.metrics import CounterTable, StatsdMetrics
 from mustardtrack.logs import add_event_listener
-from mustardtrack.settings import Settings, split_address
+from mustardtrack.settings import split_address
+
+if TYPE_CHECKING:
+    from mustardtrack.settings import Settings
 
 
-def create_metrics(settings: Settings) -> CounterTable:
+def create_metrics(settings: "Settings") -> CounterTable:
     """Return the metrics of a process; each numbered event has a counter."""
     if settings.statsd is None:
         metrics = CounterTable()
@@ -13,5 +18,10 @@
         host, port = split_address(settings.statsd)
         prefix = f"mustardtrack.{settings.deployment}.{settings.name}"
         metrics = StatsdMetrics(host, port, prefix)
-    add_event_listener(lambda event, fields: metrics.count(f"event.{event.number}"))
+    count_events(metrics)
     return metrics
+
+
+def count_events(metrics: CounterTable) -> None:
+    """Count each numbered log event."""
+    add_event_listener(lambda event, fields: metrics.count(f"event.{event.number}"))
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -11,6 +11,7 @@
 
 from mustardtrack.adapters.clock import SystemClock
 from mustardtrack.adapters.disk import DiskLog
+from mustardtrack.adapters.exposition import serve_metrics
 from mustardtrack.adapters.http_exchange import HttpServer
 from mustardtrack.adapters.metrics import CounterTable
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
@@ -50,6 +51,7 @@
 from mustardtrack.process.control_calls import ControlCalls
 from mustardtrack.process.endpoint_watch import EndpointWatch
 from mustardtrack.process.lifecycle import DaemonProcess
+from mustardtrack.process.metrics import count_events
 from mustardtrack.process.replica_task import ReplicaTask
 from mustardtrack.routing.placements import (
     Placement,
@@ -87,6 +89,7 @@
         self._name = settings.bus_address
         self._clock = SystemClock()
         self.metrics = CounterTable()
+        count_events(self.metrics)
         self._bus = Bus(self._name, self._name)
         self.directory = RouterDirectory(ROUTER_LEASE_MS)
         self.placements = PlacementTable()
@@ -139,6 +142,9 @@
                 servers[address] = HttpServer(calls.handle)
                 servers[address].listen(reactor, host, port)
         self._servers = list(servers.values())
+        metrics_port = self._settings.metrics_port
+        if metrics_port is not None:
+            serve_metrics(reactor, self._settings.host, metrics_port, self.metrics)
 
     def _spawn(
         self, coroutine: Coroutine[Any, Any, None], may_end: bool = False
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -4,6 +4,7 @@
 from typing import Any, cast
 
 from mustardtrack.adapters.clock import SystemClock
+from mustardtrack.adapters.exposition import serve_metrics
 from mustardtrack.adapters.http_exchange import Exchange, HttpServer, ServerLimits
 from mustardtrack.adapters.metrics import CounterTable
 from mustardtrack.adapters.upstream import ConnectionPool
@@ -12,6 +13,7 @@
 from mustardtrack.process.control_link import ControlLinks
 from mustardtrack.process.forwarder import Forwarder
 from mustardtrack.process.lifecycle import DaemonProcess
+from mustardtrack.process.metrics import count_events
 from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.settings import SeededSettings, split_address
@@ -31,6 +33,7 @@
         self._settings = settings
         self._clock = SystemClock()
         self.metrics = CounterTable()
+        count_events(self.metrics)
         self._stopping = False
 
     async def start(self) -> None:
@@ -61,6 +64,8 @@
         if settings.listen.readiness is not None:
             address = split_address(settings.listen.readiness)
             self._readiness.listen(reactor, *address)
+        if settings.metrics_port is not None:
+            serve_metrics(reactor, settings.host, settings.metrics_port, self.metrics)
         self._links.start()
         self._placements.start()
 
--- a/mustardtrack/tests/test_layers.py
+++ b/mustardtrack/tests/test_layers.py
@@ -1,6 +1,7 @@
 """Guards against I/O in the packages that hold the decisions."""
 
 import ast
+import re
 from pathlib import Path
 
 import pytest
@@ -40,3 +41,64 @@
         modules = imported_modules(path)
         assert not {name.split(".")[0] for name in modules} & FORBIDDEN, path
         assert not [name for name in modules if name.startswith(FORBIDDEN_PACKAGES)]
+
+
+# Names that only the users' platform uses. Words that the project's own interface
+# uses as well, such as "version" or "slots", prove nothing and are left out.
+WIRE_NAMES = (
+    "request-id",
+    "deadline-ms",
+    "prefix-hash",
+    "response-seal",
+    "expect-instance",
+    "expect-version",
+    "instance-load",
+    "instance-id",
+    "not-executed",
+    "token-usage",
+    "cache-salt",
+    "request-urgency",
+    "kv-fetch",
+    "kv-save",
+    "weight-versions",
+    "last-event-id",
+    "path-prefix",
+    "traffic-split",
+    "target-latency-ms",
+    "max-attempts",
+    "api-keys",
+    "kv-store-addr",
+    "next-token",
+    "page-token",
+    "boot-epoch",
+    "ttl-s",
+    "/v1/lookup",
+    "/v1/config",
+    "/v1/version-put",
+    "/v1/order",
+    "/v1/report",
+    "/v1/kv-",
+    "/instances",
+)
+
+
+def text_constants(path: Path) -> set[str]:
+    texts = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Constant) and isinstance(node.value, str | bytes):
+            value = node.value
+            texts.add(value if isinstance(value, str) else value.decode("latin-1"))
+    return texts
+
+
+def test_only_the_platform_package_names_wire_fields():
+    """Guards against wire names that spread beyond their translation."""
+    for path in PACKAGE.rglob("*.py"):
+        parts = path.relative_to(PACKAGE).parts
+        if parts[0] == "platform" or {"tests", "testing"} & set(parts):
+            continue
+        for text in text_constants(path):
+            # The project's own headers begin with its name.
+            foreign = re.sub(r"mustardtrack-[a-z-]+", "", text.lower())
+            found = [name for name in WIRE_NAMES if name in foreign]
+            assert not found, (path, text)
