Read exchanged seeds, test groups that grow and replace hosts by other names

Cause: seeds may be exchanged with or without a signal; hosts return at other addresses; the grown deployments must bear two losses, which needs five voters. Change: the settings file is watched and read on SIGHUP; tests for joining replicas.

--- /dev/null
+++ b/mustardtrack/agreement/tests/test_joining.py
@@ -0,0 +1,92 @@
+"""Guards a group that grows from, and is repaired by, replicas of other names."""
+
+from dataclasses import replace
+
+import pytest
+
+from mustardtrack.testing.disks import MemoryDisk
+from mustardtrack.testing.replicas import FAST, STEP_MS, Node, ReplicaGroup
+
+
+def make(target, seed=1):
+    timing = replace(FAST, target_voters=target, silent_voter_ms=900)
+    group = ReplicaGroup(3, seed, timing=timing)
+    group.form()
+    leader = group.run_until_leader()
+    group.propose(leader.name, [b"x"] * 20)
+    group.run(300)
+    return group
+
+
+def add(group, name):
+    group.nodes[name] = Node(name, MemoryDisk(name))
+    group.start(name)
+
+
+def voter_names(group):
+    leader = group.leader()
+    return {voter.name for voter in group.voters(leader)} if leader else set()
+
+
+def run_until_voters(group, names, limit_ms=20_000):
+    for _ in range(limit_ms // STEP_MS):
+        if voter_names(group) == set(names):
+            return
+        group.run(STEP_MS)
+    raise AssertionError(f"voters are {voter_names(group)}, not {names}")
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_group_grows_to_its_target_and_no_further(seed):
+    """Guards against a group of three where two losses must be borne."""
+    group = make(5, seed)
+    for name in "def":
+        add(group, name)
+    run_until_voters_of(group, 5)
+    group.run(2000)
+    assert len(voter_names(group)) == 5
+
+
+def run_until_voters_of(group, size, limit_ms=20_000):
+    for _ in range(limit_ms // STEP_MS):
+        if len(voter_names(group)) == size:
+            return
+        group.run(STEP_MS)
+    raise AssertionError(f"voters are {voter_names(group)}")
+
+
+@pytest.mark.parametrize("lost", ["a", "b", "c"])
+def test_host_that_is_gone_for_good_is_replaced_by_one_of_another_name(lost):
+    group = make(3)
+    before = dict(group.acknowledged)
+    group.lose_disk(lost)
+    add(group, "d")
+    run_until_voters(group, set("abcd") - {lost})
+    second = next(name for name in "abc" if name != lost)
+    group.crash(second)
+    leader = group.run_until_leader()
+    group.propose(leader.name, [b"after"])
+    group.run(500)
+    assert before.items() <= group.acknowledged.items()
+    assert len(group.acknowledged) > len(before)
+
+
+def test_replaced_voter_that_returns_does_not_vote():
+    """Guards against an old disk that takes part in elections of its own group."""
+    group = make(3)
+    group.crash("b")
+    add(group, "d")
+    run_until_voters(group, "acd")
+    group.start("b")
+    group.run(4000)
+    assert voter_names(group) == set("acd")
+    returned = group.nodes["b"]
+    assert returned.identity not in group.voters(returned)
+    assert returned.applied_index >= max(group.acknowledged)
+
+
+def test_silent_voter_keeps_its_place_while_nobody_asks_for_it():
+    group = make(3)
+    group.crash("b")
+    group.run(4000)
+    assert voter_names(group) == set("abc")
--- a/mustardtrack/process/daemon.py
+++ b/mustardtrack/process/daemon.py
@@ -16,11 +16,11 @@
 EXIT_SETTINGS = 2
 
 
-def create_process(settings: "Settings | SeededSettings") -> DaemonProcess:
+def create_process(settings: "Settings | SeededSettings", path: str) -> DaemonProcess:
     """Return the process of the role named in the settings."""
     # The roles import the reactor, which must be installed before.
     if isinstance(settings, SeededSettings):
-        return _create_seeded(settings)
+        return _create_seeded(settings, path)
     if settings.role == "control":
         from mustardtrack.process.control import ControlProcess
 
@@ -30,14 +30,14 @@
     return RouterProcess(settings)
 
 
-def _create_seeded(settings: SeededSettings) -> DaemonProcess:
+def _create_seeded(settings: SeededSettings, path: str) -> DaemonProcess:
     if settings.role == "control":
         from mustardtrack.process.seeded_control import SeededControlProcess
 
-        return SeededControlProcess(settings)
+        return SeededControlProcess(settings, path)
     from mustardtrack.process.seeded_router import SeededRouterProcess
 
-    return SeededRouterProcess(settings)
+    return SeededRouterProcess(settings, path)
 
 
 def start_daemon(path: str, level: str = "INFO") -> int:
@@ -52,16 +52,16 @@
         configure_logging(BoundedWriter(sys.stdout.fileno()), level=level)
     else:
         configure_logging(sys.stderr, level=level)
-    return run_process(settings)
+    return run_process(settings, path)
 
 
-def run_process(settings: "Settings | SeededSettings") -> int:
+def run_process(settings: "Settings | SeededSettings", path: str) -> int:
     """Run one process until it stops and return its exit code."""
     install_reactor()
     from twisted.internet import reactor as installed_reactor
 
     reactor = cast(Any, installed_reactor)
-    lifecycle = Lifecycle(create_process(settings), settings.name)
+    lifecycle = Lifecycle(create_process(settings, path), settings.name)
     reactor.callWhenRunning(lambda: asyncio.ensure_future(lifecycle.start()))
     reactor.run(installSignalHandlers=False)
     return lifecycle.exit_code
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -53,6 +53,7 @@
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import count_events
 from mustardtrack.process.replica_task import ReplicaTask
+from mustardtrack.process.settings_watch import SettingsWatch
 from mustardtrack.routing.placements import (
     Placement,
     PlacementRequest,
@@ -84,8 +85,9 @@
 class SeededControlProcess(DaemonProcess):
     """One control replica, the directory and the calls of operators."""
 
-    def __init__(self, settings: SeededSettings):
+    def __init__(self, settings: SeededSettings, path: str):
         self._settings = settings
+        self._settings_watch = SettingsWatch(path, self._adopt_settings)
         self._name = settings.bus_address
         self._clock = SystemClock()
         self.metrics = CounterTable()
@@ -126,6 +128,7 @@
             self._follow_state(),
             self._watch.run(),
             self._caches.run(),
+            self._settings_watch.run(),
         ):
             self._spawn(coroutine)
         if self._settings.bootstrap and self._name in self._settings.seed_names():
@@ -170,6 +173,7 @@
             self._me, stored, timing, random.Random(), self._clock.now_ms()
         )
         replica.join(settings.seed_names())
+        self._replica = replica
         store, applied = DocumentStore(), 0
         if stored.snapshot is not None:
             store = DocumentStore.restore(stored.snapshot.state)
@@ -477,7 +481,12 @@
         return []
 
     def reload_certificates(self) -> None:
-        """Do nothing: the bus and the calls of this role use no certificates."""
+        """Read the settings again; this role uses no certificates."""
+        self._settings_watch.reload()
+
+    def _adopt_settings(self, settings: SeededSettings) -> None:
+        names = {*settings.seed_names(), *self._controls}
+        self._replica.join(sorted(names))
 
 
 def _describe_command(command: DocumentCommand) -> str:
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -15,6 +15,7 @@
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import count_events
 from mustardtrack.process.placement_client import PlacementClient
+from mustardtrack.process.settings_watch import SettingsWatch
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.settings import SeededSettings, split_address
 
@@ -29,8 +30,9 @@
 class SeededRouterProcess(DaemonProcess):
     """One router on an entry host."""
 
-    def __init__(self, settings: SeededSettings):
+    def __init__(self, settings: SeededSettings, path: str):
         self._settings = settings
+        self._watch = SettingsWatch(path, self._adopt_settings)
         self._clock = SystemClock()
         self.metrics = CounterTable()
         count_events(self.metrics)
@@ -66,6 +68,7 @@
             self._readiness.listen(reactor, *address)
         if settings.metrics_port is not None:
             serve_metrics(reactor, settings.host, settings.metrics_port, self.metrics)
+        self._watch_task = asyncio.ensure_future(self._watch.run())
         self._links.start()
         self._placements.start()
 
@@ -98,6 +101,7 @@
         interrupted = self.open_requests()
         self._callers.close_connections()
         self._readiness.stop_listening()
+        self._watch_task.cancel()
         await self._placements.stop()
         await self._links.stop()
         await asyncio.sleep(STOP_POLL_S)
@@ -109,4 +113,8 @@
         return [exchange.target.decode("latin-1") for exchange in open_now]
 
     def reload_certificates(self) -> None:
-        """Do nothing: this role uses no certificates."""
+        """Read the settings again; this role uses no certificates."""
+        self._watch.reload()
+
+    def _adopt_settings(self, settings: SeededSettings) -> None:
+        self._links.add_seeds(settings.seed_names())
