Refuse requests that crash their endpoints, use fresh connections for bookings

Cause: one request can crash each endpoint that runs it and comes again at any router; endpoints drop idle connections without notice, which loses a request that must not be repeated. Change: routers report requests whose endpoint broke off, the leader counts them, all routers refuse a fingerprint after three; requests that run at most once use connections idle for up to 1.5 s.

--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import socket
 from collections import deque
 from collections.abc import Sequence
@@ -321,14 +322,22 @@
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self.opened = 0
 
-    def take(self, key: str) -> UpstreamConnection | None:
-        """Return the most recently used idle connection of an endpoint."""
+    def take(
+        self, key: str, longest_idle_s: float = math.inf
+    ) -> UpstreamConnection | None:
+        """Return the most recently used idle connection of an endpoint.
+
+        Args:
+            key: Endpoint.
+            longest_idle_s: Idle time above which a connection is not used.
+        """
         now_s = asyncio.get_running_loop().time()
         idle = self._idle.get(key, [])
         while idle:
             connection = idle.pop()
             age_s = now_s - connection.idle_since_s
             usable_s = max(0.2, connection.idle_limit_s - IDLE_MARGIN_S)
+            usable_s = min(usable_s, longest_idle_s)
             if connection.is_reusable and not connection.is_lost and age_s < usable_s:
                 return connection
             if not connection.is_lost:
--- a/mustardtrack/ports/synchronization.py
+++ b/mustardtrack/ports/synchronization.py
@@ -28,6 +28,7 @@
 
     ``stale_ms`` is the time since a majority confirmed the state of the sender.
     ``leader`` is the replica that leads, as far as the sender knows.
+    ``refused`` holds fingerprints of requests that crash the endpoints they run on.
     ``content`` is the compressed document, empty if the router has it already.
     """
 
@@ -40,6 +41,7 @@
     controls: list[str]
     router_count: int
     leader: str = ""
+    refused: list[str] = []
 
 
 class ReadReply(msgspec.Struct, frozen=True, array_like=True):
@@ -62,9 +64,11 @@
     """What became of placed prompts since the last message of a router.
 
     ``read`` and ``ended`` hold request ids, ``silent`` the engines that the router
-    could not reach.
+    could not reach, ``broken`` the fingerprints of requests whose endpoint broke the
+    connection while it ran them.
     """
 
     read: list[str]
     ended: list[str]
     silent: list[str]
+    broken: list[str] = []
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -1,5 +1,6 @@
 """One attempt to have an endpoint answer a request."""
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,10 @@
 
 # Two round trips between zones with room for one lost packet.
 CONNECT_TIMEOUT_MS = 300
+# Idle time of a connection above which it does not carry a request that must not be
+# repeated: endpoints drop idle connections without notice, and such a request would
+# be lost with it.
+ONCE_IDLE_S = 1.5
 # Objectives after which a call that may be repeated is tried elsewhere.
 REPEAT_AFTER_OBJECTIVES = 2.5
 # Time without an event after which a stream that may go on elsewhere is moved.
@@ -102,7 +107,9 @@
 
     async def _connect(self) -> UpstreamConnection:
         pool = self._forwarder.pool
-        connection = pool.take(self._endpoint.id)
+        is_repeatable = self._admitted.route.may_repeat
+        longest_idle_s = math.inf if is_repeatable else ONCE_IDLE_S
+        connection = pool.take(self._endpoint.id, longest_idle_s)
         if connection is None:
             timeout_ms = min(CONNECT_TIMEOUT_MS, self._left_ms())
             address = self._endpoint.listed.address
--- a/mustardtrack/process/control_link.py
+++ b/mustardtrack/process/control_link.py
@@ -44,6 +44,7 @@
         revision: Revision of the control state that the view holds.
         weights: Named weights version of each model.
         leader: Control replica that leads, as last heard.
+        refused: Fingerprints of requests that crash the endpoints they run on.
     """
 
     table: RouteTable | None = None
@@ -53,6 +54,7 @@
     endpoints: EndpointTable = field(default_factory=EndpointTable)
     router_count: int = 1
     leader: str = ""
+    refused: frozenset[str] = frozenset()
 
     def age_ms(self, now_ms: int) -> int | None:
         """Return the time since the last confirmation."""
@@ -181,6 +183,8 @@
             self._adopt_endpoints(reply)
         if reply.leader:
             view.leader = reply.leader
+        if name == view.leader:
+            view.refused = frozenset(reply.refused)
         view.router_count = max(1, reply.router_count)
         # A reply is not older than its request, and the state in it was confirmed
         # ``stale_ms`` before the reply.
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass
 
+from xxhash import xxh3_128_hexdigest
+
 from mustardtrack.adapters.http_exchange import Exchange
 from mustardtrack.adapters.metrics import CounterTable
 from mustardtrack.adapters.upstream import ConnectionPool
@@ -37,6 +39,7 @@
     "no_endpoint": 1.0,
     "not_run": 0.8,
     "hopeless": 2.0,
+    "crashes_endpoints": 10.0,
 }
 DEFAULT_RETRY_AFTER_S = 0.8
 # Callers that were refused together come back spread by this share.
@@ -112,6 +115,10 @@
             if account is None:
                 self._reject(exchange, metadata, 401, "the key is missing or unknown")
                 return None
+        refused = self._links.view.refused
+        if refused and _fingerprint(exchange, account) in refused:
+            self._refuse(exchange, metadata, "crashes_endpoints")
+            return None
         return self._describe(exchange, metadata, table, route, account, now_ms)
 
     def _describe(
@@ -162,6 +169,7 @@
         return self._rng.choices(route.shares, weights)[0].service
 
     async def _serve(self, admitted: Admitted) -> None:
+        exchange = admitted.exchange
         budget = self._budget(admitted.service.name)
         budget.record_request(admitted.received_ms)
         progress = ForwardedRequest(admitted.route)
@@ -193,6 +201,9 @@
             assert outcome.end is not None
             if outcome.end in (AttemptEnd.NOT_SENT, AttemptEnd.TIMED_OUT):
                 self._placements.record_silence(endpoint.id)
+            if outcome.end is AttemptEnd.BROKEN:
+                fingerprint = _fingerprint(exchange, admitted.account)
+                self._placements.record_broken(fingerprint)
             step = progress.decide(outcome.end)
             self._log_attempt(admitted, endpoint, outcome, step)
         self._placements.record_end(_request_id(admitted))
@@ -398,5 +409,12 @@
     return _text(admitted.metadata.request_id)
 
 
+def _fingerprint(exchange: Exchange, account: Account | None) -> str:
+    """Return the same text for the same request of the same account."""
+    name = account.name.encode() if account else b""
+    content = b"\0".join((name, exchange.method, exchange.target, exchange.body))
+    return xxh3_128_hexdigest(content)
+
+
 def _text(value: bytes | None) -> str:
     return value.decode("latin-1") if value else ""
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -37,6 +37,7 @@
         self._read: list[str] = []
         self._ended: list[str] = []
         self._silent: set[str] = set()
+        self._broken: list[str] = []
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -90,13 +91,20 @@
         """Report an endpoint that does not answer."""
         self._silent.add(endpoint_id)
 
+    def record_broken(self, fingerprint: str) -> None:
+        """Report a request whose endpoint broke the connection."""
+        self._broken.append(fingerprint)
+
     async def _send_progress(self) -> None:
         while True:
             await asyncio.sleep(PROGRESS_PERIOD_S)
-            if not (self._read or self._ended or self._silent):
+            if not (self._read or self._ended or self._silent or self._broken):
                 continue
-            progress = Progress(self._read, self._ended, sorted(self._silent))
+            progress = Progress(
+                self._read, self._ended, sorted(self._silent), self._broken
+            )
             self._read, self._ended, self._silent = [], [], set()
+            self._broken = []
             leader = self._links.view.leader
             if leader:
                 self._bus.post(leader, "progress", msgspec.msgpack.encode(progress))
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -15,6 +15,7 @@
 from mustardtrack.adapters.http_exchange import HttpServer
 from mustardtrack.adapters.metrics import CounterTable
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
+from mustardtrack.admission.crashtally import CrashTally
 from mustardtrack.agreement import (
     FormationRefusedError,
     Replica,
@@ -95,6 +96,7 @@
         self._bus = Bus(self._name, self._name)
         self.directory = RouterDirectory(ROUTER_LEASE_MS)
         self.placements = PlacementTable()
+        self._crashes = CrashTally()
         self._table: RouteTable | None = None
         self._endpoints = EndpointList()
         self._controls: list[str] = settings.seed_names()
@@ -344,6 +346,7 @@
             controls=self._controls,
             router_count=len(self.directory.live(self.now_ms())),
             leader=leader.name if leader else "",
+            refused=self._crashes.refused(self.now_ms()),
         )
 
     def _compress(self) -> bytes:
@@ -375,6 +378,7 @@
         self.placements.record_read(progress.read)
         self.placements.record_end(progress.ended)
         self.placements.record_silence(progress.silent, self.now_ms())
+        self._crashes.record(progress.broken, self.now_ms())
 
     def route_table(self) -> RouteTable | None:
         """Return the newest route table, None before the first."""
