--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -24,6 +24,8 @@
 # so that the request does not cross the endpoint's close.
 IDLE_MARGIN_S = 1.0
 DEFAULT_IDLE_S = 4.0
+# An endpoint that states whole seconds keeps a connection at least this long.
+SHORTEST_IDLE_S = 0.2
 MAX_HEADER_BYTES = 65_536
 # Late second answers that may precede the answer to the current request.
 MAX_FOREIGN_ANSWERS = 4
@@ -334,14 +336,16 @@
         now_s = asyncio.get_running_loop().time()
         idle = self._idle.get(key, [])
         while idle:
-            connection = idle.pop()
+            connection = idle[-1]
             age_s = now_s - connection.idle_since_s
-            usable_s = max(0.2, connection.idle_limit_s - IDLE_MARGIN_S)
-            usable_s = min(usable_s, longest_idle_s)
-            if connection.is_reusable and not connection.is_lost and age_s < usable_s:
-                return connection
-            if not connection.is_lost:
-                connection.transport.loseConnection()
+            usable_s = max(SHORTEST_IDLE_S, connection.idle_limit_s - IDLE_MARGIN_S)
+            if connection.is_lost or not connection.is_reusable or age_s >= usable_s:
+                idle.pop()
+                if not connection.is_lost:
+                    connection.transport.loseConnection()
+                continue
+            # The last one was used last, so that the others are idle for longer.
+            return idle.pop() if age_s < longest_idle_s else None
         return None
 
     async def open(self, address: str, timeout_s: float) -> UpstreamConnection:
--- /dev/null
+++ b/mustardtrack/process/tests/test_seeded.py
@@ -0,0 +1,240 @@
+"""Whole path of seeded processes: three control hosts, a router and one endpoint.
+
+Guards against a deployment that does not form, does not serve, answers from an old
+configuration or loses it with its processes.
+"""
+
+import http.client
+import json
+import signal
+import subprocess
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import pytest
+import yaml
+
+CONTROLS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+ROUTER = "127.0.0.21"
+OPERATOR_PORT, CALLER_PORT, READY_PORT, BUS_PORT = 18783, 18782, 18789, 17340
+LONGEST_WAIT_S = 20.0
+
+
+class Endpoint(BaseHTTPRequestHandler):
+    """Endpoint and platform's list in one server."""
+
+    protocol_version = "HTTP/1.1"
+    ran: list[dict[str, str]] = []
+    address = ""
+
+    def do_GET(self):  # noqa: N802
+        """Answer the list of endpoints."""
+        entry = {
+            "id": "i-1",
+            "service": "s1",
+            "address": self.address,
+            "zone": "a",
+            "slots": 6,
+            "state": "ready",
+        }
+        self._send(200, json.dumps({"instances": [entry, {"id": 5}]}).encode(), {})
+
+    def do_POST(self):  # noqa: N802
+        """Run a request."""
+        body = self.rfile.read(int(self.headers["content-length"] or 0))
+        self.ran.append(dict(self.headers.items()))
+        if body == b"refuse":
+            self._send(503, b"", {"Not-Executed": "1"})
+        elif body == b"break":
+            self.close_connection = True
+        else:
+            request_id = self.headers["Request-Id"]
+            seal = {"Request-Id": request_id, "Response-Seal": "x"}
+            self._send(200, b"echo " + body, seal)
+
+    def _send(self, status, body, headers):
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments):
+        """Write nothing."""
+
+
+def document(version, prefix="/x/"):
+    route = {
+        "name": "r1",
+        "host": "a.example",
+        "path-prefix": prefix,
+        "kind": "non_idempotent",
+        "timeout-ms": 2000,
+        "service": "s1",
+        "max-attempts": 2,
+    }
+    tenants = [{"name": "t1", "api-keys": ["k1"]}]
+    services = [{"name": "s1", "max-connections": 50}]
+    return {
+        "version": version,
+        "routes": [route],
+        "services": services,
+        "tenants": tenants,
+    }
+
+
+def call(host, port, method, path, body=None, headers=None):
+    connection = http.client.HTTPConnection(host, port, timeout=5)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    finally:
+        connection.close()
+
+
+def request(body, number, path="/x/1", key="k1"):
+    headers = {
+        "Host": "a.example",
+        "Request-Id": f"id{number}",
+        "Deadline-Ms": "1500",
+        "Authorization": f"Bearer {key}",
+        "Tenant": "forged",
+    }
+    return call(ROUTER, CALLER_PORT, "POST", path, body, headers)
+
+
+def wait_until(condition):
+    deadline_s = time.monotonic() + LONGEST_WAIT_S
+    while time.monotonic() < deadline_s:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass  # The process does not listen yet.
+        time.sleep(0.1)
+    raise AssertionError("condition not reached")
+
+
+class Hosts:
+    """The daemons of one deployment."""
+
+    def __init__(self, folder):
+        self._folder = folder
+        self.running = {}
+
+    def start(self, host, bootstrap=True):
+        """Start the daemon of a host."""
+        settings = {
+            "role": "router" if host == ROUTER else "control",
+            "name": host,
+            "zone": "a",
+            "host": host,
+            "seeds": [f"{control}:{OPERATOR_PORT}" for control in CONTROLS],
+            "bootstrap": bootstrap,
+            "internal_ports": [BUS_PORT, BUS_PORT + 9],
+            "host_list": Endpoint.address,
+            "listen": {"operators": f"{host}:{OPERATOR_PORT}"},
+        }
+        if host == ROUTER:
+            settings["listen"] = {
+                "callers": f"{host}:{CALLER_PORT}",
+                "readiness": f"{host}:{READY_PORT}",
+            }
+        else:
+            settings["data_folder"] = str(self._folder / host)
+        path = self._folder / f"{host}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        arguments = ["-m", "mustardtrack.process.daemon", "--config", str(path)]
+        log = (self._folder / f"{host}.log").open("ab")
+        self.running[host] = subprocess.Popen(
+            [sys.executable, *arguments], stdout=log, stderr=log
+        )
+
+    def stop(self, host, number):
+        """Send a signal and return the exit code."""
+        process = self.running.pop(host)
+        process.send_signal(number)
+        return process.wait(timeout=20)
+
+
+@pytest.fixture
+def hosts(tmp_path):
+    server = ThreadingHTTPServer(("127.0.0.31", 0), Endpoint)
+    Endpoint.address = f"127.0.0.31:{server.server_address[1]}"
+    Endpoint.ran = []
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    deployment = Hosts(tmp_path)
+    for host in (*CONTROLS, ROUTER):
+        deployment.start(host)
+    yield deployment
+    for host in list(deployment.running):
+        deployment.stop(host, signal.SIGKILL)
+    server.shutdown()
+    server.server_close()
+
+
+def put(host, content):
+    path = "/v1/config/put"
+    return call(host, OPERATOR_PORT, "POST", path, json.dumps(content).encode())[0]
+
+
+def read(host):
+    status, body = call(host, OPERATOR_PORT, "GET", "/v1/config/get")
+    return json.loads(body) if status == 200 else None
+
+
+def is_ready():
+    return call(ROUTER, READY_PORT, "GET", "/v1/ready")[0] == 200
+
+
+def test_deployment_forms_serves_and_keeps_its_configuration(hosts):
+    wait_until(lambda: put(CONTROLS[0], document(3)) == 200)
+    wait_until(is_ready)
+    status, body = request(b"hello", 1)
+    assert (status, body) == (200, b"echo hello")
+    seen = {name.lower(): value for name, value in Endpoint.ran[-1].items()}
+    assert seen["tenant"] == "t1"
+    assert seen["expect-instance"] == "i-1"
+    assert "authorization" not in seen
+    assert 0 < int(seen["deadline-ms"]) <= 1500
+
+    assert request(b"x", 2, key="other")[0] == 401
+    assert request(b"x", 3, path="/unknown/")[0] == 404
+
+    before = len(Endpoint.ran)
+    assert request(b"break", 4)[0] == 502
+    assert len(Endpoint.ran) == before + 1, "a booking that may have run ran again"
+    assert request(b"refuse", 5)[0] == 503
+
+    answer = call(CONTROLS[1], OPERATOR_PORT, "GET", "/v1/lookup?zone=a")
+    assert json.loads(answer[1])["addresses"] == [f"{ROUTER}:{CALLER_PORT}"]
+
+    assert put(CONTROLS[2], document(2, "/old/")) == 200
+    assert put(CONTROLS[2], {"version": 9}) == 400
+    assert put(CONTROLS[1], document(5, "/y/")) == 200
+    assert read(CONTROLS[0])["version"] == 5
+    wait_until(lambda: request(b"new", 6, path="/y/1")[0] == 200)
+    assert request(b"old", 7)[0] == 404
+
+    for host in CONTROLS:
+        hosts.stop(host, signal.SIGKILL)
+    assert request(b"alone", 8, path="/y/1")[0] == 200
+    for host in CONTROLS:
+        hosts.start(host, bootstrap=False)
+    wait_until(lambda: (read(CONTROLS[1]) or {}).get("version") == 5)
+    assert hosts.stop(ROUTER, signal.SIGTERM) == 0
+
+
+def test_router_without_control_refuses_keyed_requests_in_time(hosts):
+    """Guards against keys that work on a router that is cut off."""
+    wait_until(lambda: put(CONTROLS[0], document(3)) == 200)
+    wait_until(is_ready)
+    for host in CONTROLS:
+        hosts.stop(host, signal.SIGKILL)
+    time.sleep(5.0)
+    assert request(b"x", 1)[0] == 503
+    assert not is_ready()
