Count the time limit of weights from the first version that an engine lacks

Change: each engine's limit begins with the first version that it lacks; prompts are not placed on engines within 2 s of that limit, and refused if no other is left.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -61,7 +61,7 @@
     def __init__(self, control: "SeededControlProcess", settings: "SeededSettings"):
         self._control = control
         self._settings = settings
-        self._rollout = Rollout()
+        self._rollout = Rollout(settings.bounds.weights_ms)
         self._term = 0
         self._leads_since_ms = 0
         self._last_order_ms = 0
@@ -102,7 +102,7 @@
         self._term = term
         self._leads_since_ms = self._last_order_ms = self._control.now_ms()
         self._sequence = 0
-        self._rollout = Rollout()
+        self._rollout = Rollout(self._settings.bounds.weights_ms)
         self._has_list = False
         self._reported = {}
         self._last_published = ()
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -219,7 +219,7 @@
             return chosen, None
         placement = await self._placements.ask(self._placement_request(admitted, tried))
         if placement is not None:
-            if placement.is_hopeless:
+            if not placement.endpoint:
                 return None, placement
             for state in endpoints:
                 if state.id == placement.endpoint:
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -71,7 +71,7 @@
             return placement
         if not placement.endpoint:
             self._metrics.count("placement.none")
-            return None
+            return placement if placement.is_known else None
         self._metrics.count("placement.leader")
         self._placed.add(request.request_id)
         return placement
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -95,7 +95,7 @@
         count_events(self.metrics)
         self._bus = Bus(self._name, self._name)
         self.directory = RouterDirectory(ROUTER_LEASE_MS)
-        self.placements = PlacementTable()
+        self.placements = PlacementTable(settings.bounds.weights_ms)
         self._crashes = CrashTally()
         self._table: RouteTable | None = None
         self._endpoints = EndpointList()
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -20,6 +20,7 @@
 
 from mustardtrack.configuration.routes import Service
 from mustardtrack.membership.endpointlist import ListedEndpoint
+from mustardtrack.routing.namedweights import NamedWeights
 from mustardtrack.routing.placement import rank_endpoints
 
 # Prompt tokens that an engine reads in a millisecond beside other work; the sheets
@@ -66,6 +67,9 @@
 # Memory of an engine that placements may fill; outputs are estimates.
 MEMORY_SHARE = 0.92
 EXPIRY_PERIOD_MS = 500
+# Time before the limit on old weights at which an engine gets no more prompts; a
+# placed prompt may wait before it begins.
+WEIGHTS_MARGIN_MS = 2000
 # Urgencies that engines know, 0 to 9, and the steps between classes of work.
 URGENCIES = 10
 URGENCY_STEP = 2
@@ -121,6 +125,7 @@
         expected_ms: Estimated time until the first token.
         urgency: Order of admission at the engine, 0 is first.
         is_hopeless: Whether no engine can answer while the caller waits.
+        is_known: Whether the sender leads and knows engines of the service.
     """
 
     endpoint: str = ""
@@ -129,6 +134,7 @@
     expected_ms: float = 0.0
     urgency: int = 0
     is_hopeless: bool = False
+    is_known: bool = False
 
 
 @dataclass
@@ -267,16 +273,21 @@
     """Engines of a deployment with their estimated load and caches.
 
     Times are monotonic milliseconds of the process that keeps the table.
+
+    Args:
+        weights_limit_ms: Time after the naming of a version after which no request
+            may begin on an older one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, weights_limit_ms: int) -> None:
+        self._weights_limit_ms = weights_limit_ms - WEIGHTS_MARGIN_MS
         self._engines: dict[str, _Engine] = {}
         self._work: dict[str, _Work] = {}
         self._stored: OrderedDict[tuple[str, str], int] = OrderedDict()
         self._unsaved: set[tuple[str, str]] = set()
         self._stored_tokens = 0
         self._store_link = _Link()
-        self._named: dict[str, tuple[int, int]] = {}
+        self._named = NamedWeights()
         self._next_expiry_ms = 0
 
     def update(self, endpoints: Iterable[ListedEndpoint]) -> None:
@@ -315,9 +326,10 @@
             now_ms: Monotonic time.
         """
         self._expire(now_ms)
+        self._named.update(weights, now_ms)
         usable = self._usable(request, now_ms)
         if not usable:
-            return Placement()
+            return Placement(is_known=self._knows(request.service))
         question = _Question(request, service, store, weights, now_ms)
         question.home = _find_home(request, usable)
         urgency = min(URGENCIES - 1, request.rank * URGENCY_STEP)
@@ -329,7 +341,9 @@
         patience_ms = max(PATIENCE_MS, PATIENCE_OBJECTIVES * request.objective_ms)
         patience_ms = min(patience_ms, request.time_left_ms)
         if estimate.first_ms > PATIENCE_SHARE * patience_ms:
-            return Placement(expected_ms=round(estimate.first_ms), is_hopeless=True)
+            return Placement(
+                expected_ms=round(estimate.first_ms), is_hopeless=True, is_known=True
+            )
         return self._commit(question, estimate, urgency)
 
     def record_read(self, request_ids: Iterable[str]) -> None:
@@ -411,10 +425,21 @@
             and not engine.listed.is_draining
             and not engine.listed.is_loading
             and engine.listed.id not in request.tried
+            and not self._is_overdue(engine, request.model, now_ms)
         ]
         rested = [one for one in candidates if one.resting_until_ms <= now_ms]
         return rested or candidates
 
+    def _knows(self, service: str) -> bool:
+        engines = self._engines.values()
+        return any(engine.listed.service == service for engine in engines)
+
+    def _is_overdue(self, engine: _Engine, model: str, now_ms: int) -> bool:
+        """Return whether no request may begin on the weights of an engine any more."""
+        version = engine.listed.weights.get(model, 0)
+        replaced_ms = self._named.replaced_ms(model, version, now_ms)
+        return replaced_ms is not None and replaced_ms >= self._weights_limit_ms
+
     def _find_best(
         self, question: "_Question", usable: list[_Engine], urgency: int
     ) -> "_Estimate":
@@ -439,9 +464,8 @@
         late_ms = first_ms - LATE_SHARE * request.objective_ms
         cost_ms = first_ms + LATE_FACTOR * max(0.0, late_ms)
         cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, question.shared_tokens - held)
-        if version < newest and self._is_replaced(
-            request.model, newest, question.now_ms
-        ):
+        replaced_ms = self._named.replaced_ms(request.model, version, question.now_ms)
+        if replaced_ms is not None and replaced_ms >= OLD_WEIGHTS_GRACE_MS:
             cost_ms += OLD_WEIGHTS_MS
         if engine.listed.zone != request.zone:
             cost_ms += ZONE_MS
@@ -454,14 +478,6 @@
                 cost_ms += MEMORY_MS * needed / room
         return _Estimate(cost_ms, first_ms, engine, source, read, version)
 
-    def _is_replaced(self, model: str, newest: int, now_ms: int) -> bool:
-        """Return whether older weights lose worth by now."""
-        named = self._named.get(model)
-        if named is None or named[0] != newest:
-            self._named[model] = (newest, now_ms)
-            return False
-        return now_ms - named[1] >= OLD_WEIGHTS_GRACE_MS
-
     def _find_source(
         self, engine: _Engine, question: "_Question", version: int, cached: int
     ) -> _Source:
@@ -555,6 +571,7 @@
             save_to=self._plan_save(keys, engine, question),
             expected_ms=round(estimate.first_ms, 1),
             urgency=urgency,
+            is_known=True,
         )
 
     def _find_spare(self, question: "_Question", version: int) -> str:
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from mustardtrack.membership.endpointlist import ListedEndpoint
+from mustardtrack.routing.namedweights import NamedWeights
 
 # Part of the engines that may load at once; above it, loads slow each other on the
 # users' sheets (2 of 5, 3 of 9 and 12 of 30 engines).
@@ -20,9 +21,9 @@
 BUSY_QUEUE_MS = 150.0
 # Time of one load at a busy engine, with the requests that run before it.
 BUSY_LOAD_MS = 3300
-# Time after a version was named by which all engines are to have loaded it; the users
-# ask for 15 s, and the last loads end later than planned.
-FINISH_MS = 13_500
+# Part of the time limit by which the plan brings an engine to new weights; loads at
+# busy engines end later than planned.
+FINISH_SHARE = 0.75
 # An engine refuses requests that have not started when the order arrives, so that it
 # gets no new ones for up to this time before.
 LONGEST_DRAIN_MS = 700
@@ -51,11 +52,16 @@
     """Brings every engine to the named weights, a few at a time.
 
     One instance belongs to one leadership; it starts without open orders.
+
+    Args:
+        limit_ms: Time after the naming of a version after which no request may
+            begin on an older one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limit_ms: int) -> None:
+        self._finish_ms = FINISH_SHARE * limit_ms
         self._open: dict[str, _Open] = {}
-        self._named: dict[str, tuple[int, int]] = {}
+        self._named = NamedWeights()
 
     def loading(self) -> frozenset[str]:
         """Return the endpoints with an order that is not complete."""
@@ -101,8 +107,8 @@
         behind.sort(key=lambda item: item[0].weights[item[1]])
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL, int(engines * PARALLEL_SHARE))
-        has_slack = self._has_slack(named, len(behind), limit, now_ms)
-        if has_slack and queue_ms > BUSY_QUEUE_MS:
+        self._named.update(named, now_ms)
+        if queue_ms > BUSY_QUEUE_MS and self._has_slack(behind, limit, now_ms):
             limit = 1
         for endpoint, _, version in behind:
             if len(self._open) >= limit:
@@ -121,17 +127,23 @@
         return orders
 
     def _has_slack(
-        self, named: Mapping[str, int], behind: int, limit: int, now_ms: int
+        self,
+        behind: Sequence[tuple[ListedEndpoint, str, int]],
+        limit: int,
+        now_ms: int,
     ) -> bool:
-        """Return whether all engines can still load in time if they wait."""
-        for model, version in named.items():
-            if self._named.get(model, (0, 0))[0] != version:
-                self._named[model] = (version, now_ms)
-        left_ms = min(
-            (named_ms + FINISH_MS - now_ms for _, named_ms in self._named.values()),
-            default=0,
-        )
-        return left_ms > math.ceil(behind / limit) * BUSY_LOAD_MS
+        """Return whether all engines can still load in time if they wait.
+
+        The time limit of an engine begins with the first version that it lacks, not
+        with the newest.
+        """
+        for place, (endpoint, model, _) in enumerate(behind):
+            version = endpoint.weights[model]
+            replaced_ms = self._named.replaced_ms(model, version, now_ms) or 0
+            needed_ms = math.ceil((place + 1) / limit) * BUSY_LOAD_MS
+            if replaced_ms + needed_ms >= self._finish_ms:
+                return False
+        return True
 
     def reject(self, endpoint_id: str) -> None:
         """Forget an order that the endpoint did not take."""
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -48,7 +48,7 @@
 
 
 def make(*names):
-    table = PlacementTable()
+    table = PlacementTable(15_000)
     table.update([engine(name) for name in names])
     return table
 
@@ -154,7 +154,7 @@
 
 
 def test_loading_draining_and_tried_engines_get_nothing():
-    table = PlacementTable()
+    table = PlacementTable(15_000)
     table.update(
         [engine("1", is_loading=True), engine("2", is_draining=True), engine("3")]
     )
@@ -171,7 +171,7 @@
 
 def test_replaced_weights_are_avoided_once_they_lose_worth():
     """Guards against answers on old weights while engines with new ones idle."""
-    table = PlacementTable()
+    table = PlacementTable(15_000)
     table.update([engine("1", version=1), engine("2", zone="b", version=2)])
     assert place(table, prompt("a"), 0, weights={"m": 2}).endpoint == "1"
     assert place(table, prompt("b"), 2000, weights={"m": 2}).endpoint == "2"
@@ -235,3 +235,10 @@
     assert place(table, prompt("a"), store=STORE).fetch_from == "10.0.0.99:1"
     table.forget_store()
     assert place(table, prompt("b"), store=STORE).fetch_from == ""
+
+
+def test_overdue_weights_get_no_request():
+    """Guards against requests that begin on weights past their time limit."""
+    table = make("1")
+    assert place(table, prompt("a"), 0, weights={"m": 2}).endpoint == "1"
+    assert place(table, prompt("b"), 14_000, weights={"m": 3}).endpoint == ""
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -3,12 +3,13 @@
 from mustardtrack.membership.endpointlist import ListedEndpoint
 from mustardtrack.routing.rollout import (
     BUSY_QUEUE_MS,
-    FINISH_MS,
     LONGEST_DRAIN_MS,
     ORDER_LIFETIME_MS,
     Rollout,
 )
 
+LIMIT_MS = 15_000
+
 
 def engine(name, version):
     return ListedEndpoint(
@@ -27,19 +28,19 @@
 def test_oldest_weights_load_first_when_versions_follow_quickly():
     """Guards against engines at the end of the list that stay behind for good."""
     engines = [engine("a", 3), engine("b", 3), engine("c", 2), engine("d", 1)]
-    assert names(Rollout().plan(engines, {"m": 4}, idle, 0, 0)) == ["d", "c"]
+    assert names(Rollout(LIMIT_MS).plan(engines, {"m": 4}, idle, 0, 0)) == ["d", "c"]
 
 
 def test_no_more_loads_at_once_than_the_share():
     engines = [engine(f"e{n}", 1) for n in range(9)]
-    rollout = Rollout()
+    rollout = Rollout(LIMIT_MS)
     assert len(rollout.plan(engines, {"m": 2}, idle, 0, 0)) == 3
     assert rollout.plan(engines, {"m": 2}, idle, 0, 10) == []
 
 
 def test_engine_is_drained_before_its_order():
     """Guards against prompts that are refused by an engine just told to load."""
-    rollout = Rollout()
+    rollout = Rollout(LIMIT_MS)
     assert rollout.plan([engine("a", 1)], {"m": 2}, lambda name: 1, 0, 0) == []
     assert rollout.loading() == {"a"}
     orders = rollout.plan(
@@ -49,14 +50,14 @@
 
 
 def test_lost_order_is_given_again():
-    rollout = Rollout()
+    rollout = Rollout(LIMIT_MS)
     rollout.plan([engine("a", 1)], {"m": 2}, idle, 0, 0)
     later_ms = ORDER_LIFETIME_MS + 1
     assert names(rollout.plan([engine("a", 1)], {"m": 2}, idle, 0, later_ms)) == ["a"]
 
 
 def test_finished_and_removed_engines_make_room():
-    rollout = Rollout()
+    rollout = Rollout(LIMIT_MS)
     engines = [engine(f"e{n}", 1) for n in range(4)]
     first = names(rollout.plan(engines, {"m": 2}, idle, 0, 0))
     assert len(first) == 2
@@ -67,8 +68,17 @@
 def test_busy_engines_load_one_by_one_while_the_time_limit_allows():
     """Guards against a burst that meets two thirds of the engines."""
     engines = [engine(f"e{n}", 1) for n in range(9)]
-    rollout = Rollout()
+    rollout = Rollout(LIMIT_MS)
     busy_ms = BUSY_QUEUE_MS + 1
     assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, 0)) == 1
     assert rollout.plan(engines, {"m": 2}, idle, busy_ms, 1000) == []
-    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, FINISH_MS // 2)) == 2
+    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, LIMIT_MS // 2)) == 2
+
+
+def test_time_limit_begins_with_the_first_version_that_an_engine_lacks():
+    """Guards against versions that follow each other and defer the oldest engines."""
+    engines = [engine(f"e{n}", 1) for n in range(9)]
+    rollout = Rollout(LIMIT_MS)
+    busy_ms = BUSY_QUEUE_MS + 1
+    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, 0)) == 1
+    assert len(rollout.plan(engines, {"m": 3}, idle, busy_ms, LIMIT_MS // 2)) == 2
