--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -22,7 +22,7 @@
 USER_TIMEOUT_MS = 1200
 # An idle connection is used no later than this before the endpoint's stated limit,
 # so that the request does not cross the endpoint's close.
-IDLE_MARGIN_S = 1.0
+IDLE_MARGIN_S = 0.4
 DEFAULT_IDLE_S = 4.0
 # An endpoint that states whole seconds keeps a connection at least this long.
 SHORTEST_IDLE_S = 0.2
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -278,6 +278,8 @@
             "in_flight": endpoint.in_flight,
             "unread_tokens": endpoint.unread_tokens,
             "expected_ms": placement.expected_ms if placement else None,
+            "read_tokens": placement.read_tokens if placement else None,
+            "urgency": placement.urgency if placement else None,
             "fetch_from": placement.fetch_from if placement else None,
             "weights": weights,
             "newest": admitted.weights_version if prompt else None,
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -123,6 +123,7 @@
         fetch_from: Address that holds more of the prompt than the engine.
         save_to: Store that is to receive the parts.
         expected_ms: Estimated time until the first token.
+        read_tokens: Tokens that the engine is expected to read.
         urgency: Order of admission at the engine, 0 is first.
         is_hopeless: Whether no engine can answer while the caller waits.
         is_known: Whether the sender leads and knows engines of the service.
@@ -132,6 +133,7 @@
     fetch_from: str = ""
     save_to: str = ""
     expected_ms: float = 0.0
+    read_tokens: int = 0
     urgency: int = 0
     is_hopeless: bool = False
     is_known: bool = False
@@ -570,6 +572,7 @@
             fetch_from=source.address or self._find_spare(question, estimate.version),
             save_to=self._plan_save(keys, engine, question),
             expected_ms=round(estimate.first_ms, 1),
+            read_tokens=estimate.read_tokens,
             urgency=urgency,
             is_known=True,
         )
