Count the expected wait against the limit of old weights

Ruled out: a missing order (24 orders, none refused). Change: an engine whose expected first token lies beyond the limit gets no prompt.

--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -11,6 +11,7 @@
 itself (:mod:`mustardtrack.routing.openings`).
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -340,6 +341,9 @@
         if is_late and urgency < LATE_URGENCY:
             urgency = LATE_URGENCY
             estimate = self._find_best(question, usable, urgency)
+        if math.isinf(estimate.cost_ms):
+            # It would begin on weights whose time limit is over by then.
+            return Placement(is_known=True)
         patience_ms = max(PATIENCE_MS, PATIENCE_OBJECTIVES * request.objective_ms)
         patience_ms = min(patience_ms, request.time_left_ms)
         if estimate.first_ms > PATIENCE_SHARE * patience_ms:
@@ -469,6 +473,8 @@
         replaced_ms = self._named.replaced_ms(request.model, version, question.now_ms)
         if replaced_ms is not None and replaced_ms >= OLD_WEIGHTS_GRACE_MS:
             cost_ms += OLD_WEIGHTS_MS
+        if replaced_ms is not None and replaced_ms + first_ms > self._weights_limit_ms:
+            cost_ms = math.inf
         if engine.listed.zone != request.zone:
             cost_ms += ZONE_MS
         if question.home and engine.listed.id != question.home:
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -242,3 +242,14 @@
     table = make("1")
     assert place(table, prompt("a"), 0, weights={"m": 2}).endpoint == "1"
     assert place(table, prompt("b"), 14_000, weights={"m": 3}).endpoint == ""
+
+
+def test_request_that_would_wait_past_the_limit_of_old_weights_goes_elsewhere():
+    """Guards against requests that are placed in time and begin too late."""
+    table = make("1")
+    for number in range(4):
+        place(table, prompt(str(number), f"o{number}"), 0, weights={"m": 2})
+    # The limit is 15 s; the queue of four long prompts takes about 2 s.
+    late = prompt("z", tokens=400, rank=2)
+    assert place(table, late, 11_900, weights={"m": 2}).endpoint == ""
+    assert place(table, late, 9000, weights={"m": 2}).endpoint == "1"
