Send calls to engines, store and list through one client

Cause: the watches of the endpoint list and of the cache events each held the same exchange of one request and its answer, with an error class of its own. Change: ConnectionPool.call, with ConnectionBrokenError, which nothing had used; unused members of the pool go. Only texts of logged errors differ.

--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -313,16 +313,11 @@
 
 
 class ConnectionPool:
-    """Idle connections of one process by endpoint.
-
-    Attributes:
-        opened: Connections opened so far.
-    """
+    """Idle connections of one process by endpoint."""
 
     def __init__(self, reactor: Any):
         self._reactor = reactor
         self._idle: dict[str, list[UpstreamConnection]] = {}
-        self.opened = 0
 
     def take(
         self, key: str, longest_idle_s: float = math.inf
@@ -355,9 +350,56 @@
             ConnectError: If there is no connection within the timeout.
         """
         host, _, port = address.rpartition(":")
-        self.opened += 1
         return await open_connection(self._reactor, host, int(port), timeout_s)
 
+    async def call(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        connect_timeout_s: float,
+        silence_s: float,
+    ) -> tuple[int, bytes]:
+        """Send a call and return the status and the whole body of its answer.
+
+        Args:
+            address: Address ``IP:PORT``, which also names the connection.
+            method: HTTP method.
+            target: Request target.
+            headers: Headers without the host and the length.
+            body: JSON body, empty if there is none.
+            connect_timeout_s: Longest time until a new connection is open.
+            silence_s: Longest time without a part of the answer.
+
+        Raises:
+            ConnectError: If there is no connection.
+            ConnectionBrokenError: If the answer did not come or is not whole.
+        """
+        connection = self.take(address)
+        if connection is None:
+            connection = await self.open(address, connect_timeout_s)
+        sent = [(b"host", address.encode()), *headers]
+        if body:
+            sent.append((b"content-type", b"application/json"))
+            sent.append((b"content-length", b"%d" % len(body)))
+        connection.send(method, target, sent, body)
+        status, parts = 0, []
+        while True:
+            event = await connection.next_event(silence_s)
+            if isinstance(event, AnswerHead):
+                status = event.status
+            elif isinstance(event, AnswerData):
+                parts.append(event.data)
+            elif isinstance(event, AnswerEnd):
+                self.put(address, connection)
+                return status, b"".join(parts)
+            else:
+                connection.close()
+                reason = "no answer in time" if event is None else event.reason
+                raise ConnectionBrokenError(f"{address}: {reason}")
+
     def put(self, key: str, connection: UpstreamConnection) -> None:
         """Keep a connection for reuse, or close it if it cannot be reused."""
         if not connection.is_reusable or connection.is_lost:
@@ -372,7 +414,3 @@
         for connection in self._idle.pop(key, []):
             if not connection.is_lost:
                 connection.transport.loseConnection()
-
-    def keys(self) -> list[str]:
-        """Return the endpoints with idle connections."""
-        return list(self._idle)
--- a/mustardtrack/process/cache_watch.py
+++ b/mustardtrack/process/cache_watch.py
@@ -4,10 +4,8 @@
 from typing import TYPE_CHECKING
 
 from mustardtrack.adapters.upstream import (
-    AnswerData,
-    AnswerEnd,
-    AnswerHead,
     ConnectError,
+    ConnectionBrokenError,
     ConnectionPool,
 )
 from mustardtrack.logs import define_event, log_event
@@ -79,7 +77,7 @@
         while True:
             try:
                 events = await self._ask(address, following)
-            except (ConnectError, ValueError) as error:
+            except (ConnectError, ConnectionBrokenError, ValueError) as error:
                 if not is_lost:
                     log_event(EVENTS_LOST, endpoint=source, error=str(error))
                 is_lost = True
@@ -117,27 +115,19 @@
         """Return the events after a number.
 
         Raises:
-            ConnectError: If there is no answer.
+            ConnectError: If there is no connection.
+            ConnectionBrokenError: If there is no answer.
             ValueError: If the answer cannot be read.
         """
-        connection = self._pool.take(address)
-        if connection is None:
-            connection = await self._pool.open(address, CONNECT_TIMEOUT_S)
-        headers = [(b"host", address.encode()), (EVENTS_WAIT_HEADER, b"%d" % WAIT_MS)]
-        connection.send(b"GET", events_target(since), headers, b"")
-        status, parts = 0, []
-        while True:
-            event = await connection.next_event(CALL_TIMEOUT_S)
-            if isinstance(event, AnswerHead):
-                status = event.status
-            elif isinstance(event, AnswerData):
-                parts.append(event.data)
-            elif isinstance(event, AnswerEnd):
-                self._pool.put(address, connection)
-                break
-            else:
-                connection.close()
-                raise ConnectError("no answer to a call for cache events")
+        status, body = await self._pool.call(
+            address,
+            b"GET",
+            events_target(since),
+            [(EVENTS_WAIT_HEADER, b"%d" % WAIT_MS)],
+            b"",
+            CONNECT_TIMEOUT_S,
+            CALL_TIMEOUT_S,
+        )
         if status != 200:
             raise ValueError(f"status {status}")
-        return read_cache_events(b"".join(parts))
+        return read_cache_events(body)
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -6,10 +6,8 @@
 import msgspec
 
 from mustardtrack.adapters.upstream import (
-    AnswerData,
-    AnswerEnd,
-    AnswerHead,
     ConnectError,
+    ConnectionBrokenError,
     ConnectionPool,
 )
 from mustardtrack.configuration.documents import ClaimOrders, ReleaseOrders
@@ -51,10 +49,6 @@
 LEASE_MARGIN_MS = 500
 
 
-class CallError(Exception):
-    """A call to the platform or an endpoint failed; the message says how."""
-
-
 class EndpointWatch:
     """Reads the list and gives orders while this replica leads."""
 
@@ -71,7 +65,6 @@
         self._listed: tuple[ListedEndpoint, ...] = ()
         self._reported: dict[str, dict[str, int]] = {}
         self._has_list = False
-        self._reported = {}
         self._last_published: tuple[ListedEndpoint, ...] = ()
         self._publish_at_ms = 0
         self._orders: set[asyncio.Task[None]] = set()
@@ -116,12 +109,12 @@
             for _ in range(MAX_PAGES):
                 status, body = await self._call(address, b"GET", list_target(page), b"")
                 if status != 200:
-                    raise CallError(f"status {status}")
+                    raise ValueError(f"status {status}")
                 found, page = read_list_page(body)
                 entries += found
                 if page is None:
                     break
-        except (CallError, ConnectError, ValueError) as error:
+        except (ConnectionBrokenError, ConnectError, ValueError) as error:
             log_event(LIST_FAILED, error=str(error))
             return
         self._entries = tuple(sorted(entries, key=lambda entry: entry.id))
@@ -216,7 +209,7 @@
             status, _ = await self._call(
                 order.endpoint.address, b"POST", ORDER_TARGET, body, headers
             )
-        except (CallError, ConnectError) as failure:
+        except (ConnectionBrokenError, ConnectError) as failure:
             error = str(failure)
         log_event(
             ORDER_GIVEN,
@@ -243,7 +236,7 @@
                     order.endpoint.address, b"GET", REPORT_TARGET, b""
                 )
                 weights, _ = read_report(body) if status == 200 else ({}, True)
-            except (CallError, ConnectError, ValueError) as error:
+            except (ConnectionBrokenError, ConnectError, ValueError) as error:
                 log_event(REPORT_FAILED, endpoint=order.endpoint.id, error=str(error))
                 weights = {}
             if weights.get(order.model, 0) >= order.version:
@@ -259,29 +252,15 @@
         body: bytes,
         headers: list[tuple[bytes, bytes]] | None = None,
     ) -> tuple[int, bytes]:
-        connection = self._pool.take(address)
-        if connection is None:
-            connection = await self._pool.open(address, CONNECT_TIMEOUT_S)
-        sent = [(b"host", address.encode()), *(headers or [])]
-        if body:
-            sent.append((b"content-type", b"application/json"))
-            sent.append((b"content-length", b"%d" % len(body)))
-        connection.send(method, target, sent, body)
-        status = 0
-        answer: list[bytes] = []
-        while True:
-            event = await connection.next_event(CALL_TIMEOUT_S)
-            if isinstance(event, AnswerHead):
-                status = event.status
-            elif isinstance(event, AnswerData):
-                answer.append(event.data)
-            elif isinstance(event, AnswerEnd):
-                self._pool.put(address, connection)
-                return status, b"".join(answer)
-            else:
-                connection.close()
-                reason = "no answer in time" if event is None else event.reason
-                raise CallError(f"{address}: {reason}")
+        return await self._pool.call(
+            address,
+            method,
+            target,
+            headers or [],
+            body,
+            CONNECT_TIMEOUT_S,
+            CALL_TIMEOUT_S,
+        )
 
 
 def _with_loading(endpoint: ListedEndpoint, is_loading: bool) -> ListedEndpoint:
