State the cache salt, the urgency and the leading parts once

Cause: the router and the placement table each wrote the salt; if one changed, every estimate of the caches would be wrong without an error. The urgency of a class, the account's wall and the walk over leading parts stood twice or three times. Change: cache_salt, rank_urgency, Admitted.wall and one walk; named types for parts.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -25,7 +25,7 @@
 from mustardtrack.requests.eventstream import EventSplitter
 from mustardtrack.requests.forwarding import AttemptEnd, ForwardedRequest
 from mustardtrack.routing.endpointstate import EndpointState
-from mustardtrack.routing.placements import URGENCIES, URGENCY_STEP
+from mustardtrack.routing.placements import cache_salt, rank_urgency
 
 if TYPE_CHECKING:
     from mustardtrack.process.forwarder import Admitted, Forwarder
@@ -150,9 +150,8 @@
         if admitted.prompt is not None:
             model = admitted.prompt.model
             version = self._endpoint.listed.weights.get(model)
-            wall = account.name if account and account.is_isolated else ""
-            salt = f"{model}.{version}.{wall}"
-            urgency = min(URGENCIES - 1, admitted.rank * URGENCY_STEP)
+            salt = cache_salt(model, version, admitted.wall)
+            urgency = rank_urgency(admitted.rank)
             placement = self._progress.placement
             if placement is not None:
                 urgency = placement.urgency
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -68,6 +68,12 @@
     weights_version: int
     rank: int
 
+    @property
+    def wall(self) -> str:
+        """Account whose cached parts are not shared, empty if they are."""
+        account = self.account
+        return account.name if account and account.is_isolated else ""
+
 
 class Forwarder:
     """Matches, admits, places and sends requests of one router."""
@@ -239,13 +245,12 @@
         self, admitted: Admitted, tried: list[str]
     ) -> PlacementRequest:
         metadata = admitted.metadata
-        account = admitted.account
         return PlacementRequest(
             request_id=_text(metadata.request_id),
             service=admitted.service.name,
             model=metadata.model,
             parts=[(part.digest, part.tokens) for part in metadata.parts],
-            wall=account.name if account and account.is_isolated else "",
+            wall=admitted.wall,
             tokens=metadata.prompt_tokens,
             output_tokens=metadata.max_output_tokens,
             rank=admitted.rank,
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -87,6 +87,26 @@
 # the caller may come back.
 PATIENCE_SHARE = 0.9
 
+# Salt and digest of one part of a prompt, and such parts with their tokens.
+PartKey = tuple[str, str]
+PartSizes = list[tuple[PartKey, int]]
+
+
+def cache_salt(model: str, version: int | None, wall: str) -> str:
+    """Return the text under which engines share cached parts.
+
+    Args:
+        model: Model of the prompt.
+        version: Weights version that reads the parts, None if it is not known.
+        wall: Account whose parts are not shared, empty if they are.
+    """
+    return f"{model}.{version}.{wall}"
+
+
+def rank_urgency(rank: int) -> int:
+    """Return the urgency that an engine is told for a class of work."""
+    return min(URGENCIES - 1, rank * URGENCY_STEP)
+
 
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
     """A prompt to be placed.
@@ -149,7 +169,7 @@
     memory_tokens: int
     urgency: int
     ends_ms: int
-    keys: "tuple[tuple[str, str], ...]" = ()
+    keys: tuple[PartKey, ...] = ()
     is_read: bool = False
 
 
@@ -175,7 +195,7 @@
     address: str = ""
     held_tokens: int = 0
     move_ms: float = 0.0
-    link: "_Link | None" = None
+    link: _Link | None = None
 
 
 NO_SOURCE = _Source()
@@ -189,11 +209,11 @@
     work: dict[str, _Work] = field(default_factory=dict)
     unread_tokens: list[int] = field(default_factory=lambda: [0] * URGENCIES)
     memory_tokens: int = 0
-    cache: "OrderedDict[tuple[str, str], int]" = field(default_factory=OrderedDict)
-    unread: "set[tuple[str, str]]" = field(default_factory=set)
+    cache: OrderedDict[PartKey, int] = field(default_factory=OrderedDict)
+    unread: set[PartKey] = field(default_factory=set)
     cached_tokens: int = 0
     resting_until_ms: int = 0
-    link: "_Link" = field(default_factory=lambda: _Link())
+    link: _Link = field(default_factory=_Link)
 
     def unread_before(self, urgency: int) -> int:
         """Tokens to be read before a prompt of this urgency."""
@@ -220,27 +240,15 @@
             if not work.is_read:
                 self.unread_tokens[work.urgency] -= work.read_tokens
 
-    def cached_prefix(self, keys: Iterable[tuple[tuple[str, str], int]]) -> int:
+    def cached_prefix(self, keys: PartSizes) -> int:
         """Return the tokens of the leading parts that are cached."""
-        tokens = 0
-        for key, size in keys:
-            if key not in self.cache:
-                break
-            tokens += size
-        return tokens
+        return _leading(keys, self.cache, ())
 
-    def readable_prefix(self, keys: Iterable[tuple[tuple[str, str], int]]) -> int:
+    def readable_prefix(self, keys: PartSizes) -> int:
         """Return the tokens of the leading parts that others can fetch."""
-        tokens = 0
-        for key, size in keys:
-            if key not in self.cache or key in self.unread:
-                break
-            tokens += size
-        return tokens
+        return _leading(keys, self.cache, self.unread)
 
-    def keep(
-        self, keys: Iterable[tuple[tuple[str, str], int]], capacity_tokens: int
-    ) -> None:
+    def keep(self, keys: PartSizes, capacity_tokens: int) -> None:
         """Record parts as used last, and evict what no longer fits."""
         for key, size in keys:
             before = self.cache.pop(key, 0)
@@ -254,7 +262,7 @@
             self.unread.discard(key)
             self.cached_tokens -= size
 
-    def correct(self, key: tuple[str, str], tokens: int) -> None:
+    def correct(self, key: PartKey, tokens: int) -> None:
         """Store what the engine reports about one part."""
         if tokens <= 0:
             # A part of a prompt that is being read may be reported as removed late.
@@ -286,8 +294,8 @@
         self._weights_limit_ms = weights_limit_ms - WEIGHTS_MARGIN_MS
         self._engines: dict[str, _Engine] = {}
         self._work: dict[str, _Work] = {}
-        self._stored: OrderedDict[tuple[str, str], int] = OrderedDict()
-        self._unsaved: set[tuple[str, str]] = set()
+        self._stored: OrderedDict[PartKey, int] = OrderedDict()
+        self._unsaved: set[PartKey] = set()
         self._stored_tokens = 0
         self._store_link = _Link()
         self._named = NamedWeights()
@@ -335,7 +343,7 @@
             return Placement(is_known=self._knows(request.service))
         question = _Question(request, service, store, weights, now_ms)
         question.home = _find_home(request, usable)
-        urgency = min(URGENCIES - 1, request.rank * URGENCY_STEP)
+        urgency = rank_urgency(request.rank)
         estimate = self._find_best(question, usable, urgency)
         is_late = estimate.first_ms > LATE_CERTAIN * request.objective_ms
         if is_late and urgency < LATE_URGENCY:
@@ -597,7 +605,7 @@
 
     def _plan_save(
         self,
-        keys: list[tuple[tuple[str, str], int]],
+        keys: PartSizes,
         engine: _Engine,
         question: "_Question",
     ) -> str:
@@ -672,9 +680,9 @@
         self.home = ""
         self.shared_tokens = sum(tokens for _, tokens in request.parts[:-1])
         self.holders: dict[int, list[tuple[int, _Engine]]] = {}
-        self._shared: dict[int, list[tuple[tuple[str, str], int]]] = {}
+        self._shared: dict[int, PartSizes] = {}
 
-    def shared(self, version: int) -> list[tuple[tuple[str, str], int]]:
+    def shared(self, version: int) -> PartSizes:
         """Return the shared parts as they are cached under a weights version."""
         shared = self._shared.get(version)
         if shared is None:
@@ -716,20 +724,17 @@
     return _Source(address, held_tokens, move_ms, links[0])
 
 
-def _part_keys(
-    request: PlacementRequest, version: int
-) -> list[tuple[tuple[str, str], int]]:
-    salt = f"{request.model}.{version}.{request.wall}"
+def _part_keys(request: PlacementRequest, version: int) -> PartSizes:
+    salt = cache_salt(request.model, version, request.wall)
     return [((salt, digest), tokens) for digest, tokens in request.parts]
 
 
 def _leading(
-    shared: list[tuple[tuple[str, str], int]],
-    held: Mapping[tuple[str, str], int],
-    pending: Collection[tuple[str, str]],
+    parts: PartSizes, held: Mapping[PartKey, int], pending: Collection[PartKey]
 ) -> int:
+    """Return the tokens of the leading parts that are held and complete."""
     tokens = 0
-    for key, size in shared:
+    for key, size in parts:
         if key not in held or key in pending:
             break
         tokens += size
