Import the address parser from where it stands, so that clean machines start

Cause: configuration/objects.py took split_address through the pydantic models, which only import it. Both seeded roles therefore loaded pydantic, which deploy/requirements.txt leaves out: they started here because this machine's own Python has it, and would not have started on a clean machine. Change: the import names the module that defines the function.

--- a/mustardtrack/configuration/objects.py
+++ b/mustardtrack/configuration/objects.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from mustardtrack.settings.models import split_address
+from mustardtrack.settings.seeded import split_address
 
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._/-]{0,126}\Z"
 KEY_HASH_PATTERN = r"^[0-9a-f]{64}\Z"
