Form groups and answer formations through one module, type the state machine

Cause: seeded control wrote form_group and its answer again, ReplicaTask had lost the type of its state to Any while an abstract base for it stood unused by one of the two state machines, and the own document was read in two places. Change: form_group takes addresses and a time limit; answer_form; ReplicaTask is generic over StateMachine, which Configuration implements too.

--- a/mustardtrack/configuration/documents.py
+++ b/mustardtrack/configuration/documents.py
@@ -4,12 +4,12 @@
 acknowledged and has no effect, so that a resent command is never refused.
 """
 
-from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import Any
 
 import msgspec
 
+from mustardtrack.configuration.statemachine import StateMachine
+
 
 class PutDocument(msgspec.Struct, frozen=True, tag="put_document"):
     """Replaces the document if ``version`` is higher than the current one.
@@ -54,20 +54,6 @@
     changed: bool
 
 
-class StateMachine(ABC):
-    """State that a replica builds from the committed commands."""
-
-    revision: int
-
-    @abstractmethod
-    def apply(self, index: int, command: Any, wall_ms: int) -> Any:
-        """Apply one committed command and return its outcome."""
-
-    @abstractmethod
-    def snapshot(self) -> bytes:
-        """Return the encoded state."""
-
-
 @dataclass(frozen=True)
 class Document:
     """One configuration document; version 0 means that there is none."""
--- a/mustardtrack/configuration/state.py
+++ b/mustardtrack/configuration/state.py
@@ -52,6 +52,7 @@
     SnapshotData,
     decode_snapshot,
 )
+from mustardtrack.configuration.statemachine import StateMachine
 from mustardtrack.configuration.store import ObjectStore, encode_objects
 from mustardtrack.idempotency import (
     Claim,
@@ -84,7 +85,7 @@
     value: ConfigObject | None
 
 
-class Configuration(ObjectStore):
+class Configuration(ObjectStore, StateMachine):
     """Objects, command results, claims and crash counts of the deployment.
 
     Every method is deterministic: replicas that apply the same commands with the
--- a/mustardtrack/process/control.py
+++ b/mustardtrack/process/control.py
@@ -22,12 +22,10 @@
     CommandRequest,
     FollowReply,
     FollowRequest,
-    FormReply,
-    FormRequest,
     RouterHeartbeat,
 )
 from mustardtrack.process.control_client import ControlClient
-from mustardtrack.process.formation import form_group
+from mustardtrack.process.formation import answer_form, form_group
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import create_metrics
 from mustardtrack.process.operators import OperatorApi, RowSource
@@ -146,13 +144,7 @@
         return msgspec.msgpack.encode(reply)
 
     async def _receive_form(self, sender: str, body: bytes) -> bytes:
-        request = msgspec.msgpack.decode(body, type=FormRequest)
-        if request.voters:
-            await self._task.form(tuple(ReplicaId(*pair) for pair in request.voters))
-        status = self._task.status()
-        voters = [(voter.name, voter.disk) for voter in status.voters]
-        reply = FormReply(self._me.name, self._me.disk, status.formed, voters)
-        return msgspec.msgpack.encode(reply)
+        return await answer_form(self._task, self._me, body)
 
     async def _receive_heartbeat(self, sender: str, body: bytes) -> None:
         heartbeat = msgspec.msgpack.decode(body, type=RouterHeartbeat)
@@ -161,7 +153,7 @@
             self._routers[heartbeat.name] = (heartbeat, self._clock.now_ms())
 
     async def _form(self) -> list[tuple[str, str]]:
-        return await form_group(self._bus, self._settings.control)
+        return await form_group(self._bus, self._addresses)
 
     def _status(self) -> dict[str, object]:
         status = self._task.status()
--- a/mustardtrack/process/formation.py
+++ b/mustardtrack/process/formation.py
@@ -1,18 +1,26 @@
-"""First formation of the control group, started by an operator."""
+"""First formation of the control group, by an operator or by the seeds."""
 
 import asyncio
+from collections.abc import Mapping
+from typing import Any
 
 import msgspec
 
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
-from mustardtrack.agreement import FormationRefusedError, plan_formation
+from mustardtrack.agreement import (
+    FormationRefusedError,
+    ReplicaId,
+    plan_formation,
+)
 from mustardtrack.ports import FormReply, FormRequest
-from mustardtrack.settings import ControlPeer
+from mustardtrack.process.replica_task import ReplicaTask
 
 FORM_TIMEOUT_MS = 3000
 
 
-async def form_group(bus: Bus, peers: list[ControlPeer]) -> list[tuple[str, str]]:
+async def form_group(
+    bus: Bus, addresses: Mapping[str, str], timeout_ms: int = FORM_TIMEOUT_MS
+) -> list[tuple[str, str]]:
     """Form the control group from all configured replicas.
 
     A step that was interrupted can be repeated. A group that exists cannot be
@@ -20,7 +28,8 @@
 
     Args:
         bus: Message bus.
-        peers: All control replicas of the settings.
+        addresses: Bus address of each control replica by its name.
+        timeout_ms: Longest wait for one replica.
 
     Returns:
         Name and disk identity of each voter.
@@ -29,19 +38,39 @@
         FormationRefusedError: If a replica does not answer or belongs to another
             group.
     """
-    replies = await asyncio.gather(*(_ask(bus, peer, FormRequest()) for peer in peers))
-    voters = plan_formation([peer.name for peer in peers], replies)
+
+    async def ask_all(request: FormRequest) -> list[FormReply]:
+        return await asyncio.gather(
+            *(
+                _ask(bus, name, address, request, timeout_ms)
+                for name, address in addresses.items()
+            )
+        )
+
+    voters = plan_formation(list(addresses), await ask_all(FormRequest()))
     pairs = [(voter.name, voter.disk) for voter in voters]
-    await asyncio.gather(*(_ask(bus, peer, FormRequest(pairs)) for peer in peers))
+    await ask_all(FormRequest(pairs))
     return pairs
 
 
-async def _ask(bus: Bus, peer: ControlPeer, request: FormRequest) -> FormReply:
+async def _ask(
+    bus: Bus, name: str, address: str, request: FormRequest, timeout_ms: int
+) -> FormReply:
     body = msgspec.msgpack.encode(request)
     try:
-        answer = await bus.request(peer.bus, "form", body, FORM_TIMEOUT_MS)
+        answer = await bus.request(address, "form", body, timeout_ms)
     except BusTimeoutError as error:
         raise FormationRefusedError(
-            f"{peer.name} does not answer at {peer.bus}; start it and form again"
+            f"{name} does not answer at {address}; start it and form again"
         ) from error
     return msgspec.msgpack.decode(answer, type=FormReply)
+
+
+async def answer_form(task: ReplicaTask[Any], me: ReplicaId, body: bytes) -> bytes:
+    """Answer one question of a formation, and store the voters if it names them."""
+    request = msgspec.msgpack.decode(body, type=FormRequest)
+    if request.voters:
+        await task.form(tuple(ReplicaId(*pair) for pair in request.voters))
+    status = task.status()
+    voters = [(voter.name, voter.disk) for voter in status.voters]
+    return msgspec.msgpack.encode(FormReply(me.name, me.disk, status.formed, voters))
--- a/mustardtrack/process/replica_task.py
+++ b/mustardtrack/process/replica_task.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
@@ -30,6 +30,7 @@
     encode_outcome,
     encode_proposal,
 )
+from mustardtrack.configuration.statemachine import StateMachine
 from mustardtrack.logs import define_event, log_event, require_invariant
 from mustardtrack.ports import Clock, CommandReply, Metrics, ReplicaStorage
 
@@ -44,6 +45,8 @@
 COMPACT_BYTES = 2_000_000
 MAX_BATCH = 512
 
+StateT = TypeVar("StateT", bound=StateMachine)
+
 
 @dataclass
 class _Proposal:
@@ -62,7 +65,7 @@
     reply: "asyncio.Future[None]"
 
 
-class ReplicaTask:
+class ReplicaTask(Generic[StateT]):
     """Runs one replica.
 
     Args:
@@ -75,7 +78,7 @@
         clock: Clock.
         metrics: Metrics.
         tick_ms: Period of the replica's timer.
-        restore: Builds a configuration from the state of a snapshot.
+        restore: Builds the state machine from the state of a snapshot.
     """
 
     def __init__(
@@ -83,13 +86,13 @@
         me: ReplicaId,
         replica: Replica,
         storage: ReplicaStorage,
-        configuration: Any,
+        configuration: StateT,
         applied_index: int,
         send: Callable[[str, bytes], None],
         clock: Clock,
         metrics: Metrics,
         tick_ms: int,
-        restore: Callable[[bytes], Any],
+        restore: Callable[[bytes], StateT],
     ):
         self._me = me
         self._replica = replica
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -21,7 +21,6 @@
     Replica,
     ReplicaId,
     Timing,
-    plan_formation,
 )
 from mustardtrack.configuration.commands import (
     Command,
@@ -40,7 +39,7 @@
 from mustardtrack.membership.directory import RouterDirectory, RouterEntry
 from mustardtrack.membership.endpointlist import EndpointList
 from mustardtrack.platform.manifests import read_manifest
-from mustardtrack.ports import CommandReply, CommandRequest, FormReply, FormRequest
+from mustardtrack.ports import CommandReply, CommandRequest
 from mustardtrack.ports.synchronization import (
     ControlHosts,
     Progress,
@@ -51,6 +50,7 @@
 from mustardtrack.process.cache_watch import CacheWatch
 from mustardtrack.process.control_calls import ControlCalls
 from mustardtrack.process.endpoint_watch import EndpointWatch
+from mustardtrack.process.formation import answer_form, form_group
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import count_events
 from mustardtrack.process.replica_task import ReplicaTask
@@ -264,35 +264,15 @@
         names = self._settings.seed_names()
         while not self._task.status().formed:
             try:
-                await self._form_once(names)
-            except (FormationRefusedError, BusTimeoutError):
+                await form_group(
+                    self._bus, {name: name for name in names}, FORM_TIMEOUT_MS
+                )
+            except FormationRefusedError:
                 await asyncio.sleep(FORM_RETRY_S)
         log_event(FORMED, voters=[voter.name for voter in self._task.status().voters])
 
-    async def _form_once(self, names: list[str]) -> None:
-        replies = await asyncio.gather(
-            *(self._ask_form(name, FormRequest()) for name in names)
-        )
-        voters = plan_formation(names, replies)
-        request = FormRequest([(voter.name, voter.disk) for voter in voters])
-        await asyncio.gather(*(self._ask_form(name, request) for name in names))
-
-    async def _ask_form(self, name: str, request: FormRequest) -> FormReply:
-        body = msgspec.msgpack.encode(request)
-        if name == self._name:
-            answer = await self._receive_form(name, body)
-        else:
-            answer = await self._bus.request(name, "form", body, FORM_TIMEOUT_MS)
-        return msgspec.msgpack.decode(answer, type=FormReply)
-
     async def _receive_form(self, sender: str, body: bytes) -> bytes:
-        request = msgspec.msgpack.decode(body, type=FormRequest)
-        if request.voters:
-            await self._task.form(tuple(ReplicaId(*pair) for pair in request.voters))
-        status = self._task.status()
-        voters = [(voter.name, voter.disk) for voter in status.voters]
-        reply = FormReply(self._name, self._me.disk, status.formed, voters)
-        return msgspec.msgpack.encode(reply)
+        return await answer_form(self._task, self._me, body)
 
     # Bus
 
@@ -446,26 +426,26 @@
 
     async def read(self) -> ReadReply:
         """Return the newest document, if a leader can vouch for it."""
-        status = self._task.status()
-        if self.leads():
-            document = self.store.document
-            return ReadReply(True, document.version, document.content)
-        if status.leader is None or status.leader.name == self._name:
-            return ReadReply(False)
+        own = self._read_own()
+        leader = self._task.status().leader
+        if own.is_sure or leader is None or leader.name == self._name:
+            return own
         try:
             answer = await self._bus.request(
-                status.leader.name, "read", b"", COMMAND_TIMEOUT_MS
+                leader.name, "read", b"", COMMAND_TIMEOUT_MS
             )
         except BusTimeoutError:
-            return ReadReply(False)
+            return own
         return msgspec.msgpack.decode(answer, type=ReadReply)
 
     async def _receive_read(self, sender: str, body: bytes) -> bytes:
+        return msgspec.msgpack.encode(self._read_own())
+
+    def _read_own(self) -> ReadReply:
         document = self.store.document
-        reply = ReadReply(False)
-        if self.leads():
-            reply = ReadReply(True, document.version, document.content)
-        return msgspec.msgpack.encode(reply)
+        if not self.leads():
+            return ReadReply(False)
+        return ReadReply(True, document.version, document.content)
 
     async def stop(self) -> list[str]:
         """Finish open calls and close the ports."""
--- a/mustardtrack/process/weight_loads.py
+++ b/mustardtrack/process/weight_loads.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from mustardtrack.adapters.http_endpoints import EndpointError, HttpEndpointClient
-from mustardtrack.configuration import FinishLoad, WeightLoad
+from mustardtrack.configuration import Configuration, FinishLoad, WeightLoad
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.process.control_client import ControlClient, ControlUnavailableError
 from mustardtrack.process.replica_task import ReplicaTask
@@ -34,7 +34,10 @@
     """
 
     def __init__(
-        self, replica: ReplicaTask, control: ControlClient, http: HttpEndpointClient
+        self,
+        replica: ReplicaTask[Configuration],
+        control: ControlClient,
+        http: HttpEndpointClient,
     ):
         self._replica = replica
         self._control = control
