Remove members that nothing reads and a second type of the caller limits

Change: ServerLimits goes for CallerLimits, which had the same fields and values; the path of a target is taken apart once; fields, methods and a setting without a reader go, among them the list of failing endpoints that every message to control carried.

--- a/mustardtrack/adapters/exposition.py
+++ b/mustardtrack/adapters/exposition.py
@@ -79,8 +79,7 @@
     """Serve the metrics of a process."""
 
     def answer(exchange: Exchange) -> None:
-        path = exchange.target.decode("latin-1").partition("?")[0]
-        if path == METRICS_PATH:
+        if exchange.path == METRICS_PATH:
             exchange.respond(200, [CONTENT_TYPE], render_metrics(table))
         else:
             exchange.respond(404, [], b"")
--- a/mustardtrack/adapters/http_exchange.py
+++ b/mustardtrack/adapters/http_exchange.py
@@ -7,12 +7,12 @@
 import asyncio
 import socket
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 import h11
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
+from mustardtrack.configuration.routes import CallerLimits
 from mustardtrack.logs import define_event, log_event
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -25,23 +25,12 @@
 LISTEN_BACKLOG = 512
 
 
-@dataclass(frozen=True)
-class ServerLimits:
-    """What a peer may send, and how long it may take or stay idle."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3000
-    idle_timeout_ms: int = 15_000
-
-
 class Exchange:
     """One request and its answer.
 
     Attributes:
         headers: Names in lower case, in the order of arrival.
         is_gone: Whether the caller closed the connection before the answer ended.
-        received_s: Event-loop time at which the request was complete.
     """
 
     def __init__(
@@ -52,12 +41,20 @@
         self.target: bytes = request.target
         self.headers: list[tuple[bytes, bytes]] = list(request.headers)
         self.body = body
-        self.received_s = asyncio.get_running_loop().time()
         self.is_gone = False
         self.is_started = False
-        self.is_finished = False
         self.on_gone: Callable[[], None] | None = None
 
+    @property
+    def path(self) -> str:
+        """Path of the target, without the query."""
+        return self.target.decode("latin-1").partition("?")[0]
+
+    @property
+    def query(self) -> str:
+        """Query of the target, empty if there is none."""
+        return self.target.decode("latin-1").partition("?")[2]
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header given in lower case."""
         for key, value in self.headers:
@@ -85,13 +82,11 @@
 
     def finish(self) -> None:
         """End the answer."""
-        self.is_finished = True
         if not self.is_gone:
             self._connection.end_answer()
 
     def abort(self) -> None:
         """Break the connection off, so that the answer cannot look complete."""
-        self.is_finished = True
         if not self.is_gone:
             self._connection.break_off()
 
@@ -267,9 +262,9 @@
         limits: What a peer may send.
     """
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None):
+    def __init__(self, handler: Handler, limits: CallerLimits | None = None):
         self.handler = handler
-        self.limits = limits or ServerLimits()
+        self.limits = limits or CallerLimits()
         self.connections: set[ServerConnection] = set()
         self.is_stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -121,8 +121,8 @@
 REPORT_TARGET = b"/v1/report"
 
 
-def read_report(body: bytes) -> tuple[dict[str, int], bool]:
-    """Decode an engine's report into its weights and whether it is loading.
+def read_report(body: bytes) -> dict[str, int]:
+    """Decode the weights that an engine reports.
 
     Raises:
         ValueError: If it cannot be read.
@@ -130,7 +130,7 @@
     data = json.loads(body)
     if not isinstance(data, dict):
         raise ValueError("the report must be a JSON object")
-    return _read_weights(data.get("models")), data.get("busy") is True
+    return _read_weights(data.get("models"))
 
 
 def encode_weights_order(model: str, version: int, holder: str, fence: int) -> bytes:
--- a/mustardtrack/platform/manifests.py
+++ b/mustardtrack/platform/manifests.py
@@ -25,15 +25,6 @@
     """The document is not valid; the message names the field and the remedy."""
 
 
-def read_version(content: bytes) -> int:
-    """Return the version of a document without checking the rest.
-
-    Raises:
-        ManifestError: If it is no JSON object with a version.
-    """
-    return _version(_parse(content))
-
-
 def read_manifest(content: bytes) -> RouteTable:
     """Decode and validate a document.
 
--- a/mustardtrack/ports/synchronization.py
+++ b/mustardtrack/ports/synchronization.py
@@ -6,10 +6,7 @@
 
 
 class SyncRequest(msgspec.Struct, frozen=True, array_like=True):
-    """What a router is and has; renews its entry in the directory.
-
-    ``failing`` holds endpoint ids that do not answer this router.
-    """
+    """What a router is and has; renews its entry in the directory."""
 
     name: str
     zone: str
@@ -20,7 +17,6 @@
     list_term: int
     list_sequence: int
     hold_ms: int
-    failing: list[str] = []
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardtrack/process/control_calls.py
+++ b/mustardtrack/process/control_calls.py
@@ -45,15 +45,14 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
-        path = exchange.target.decode("latin-1").partition("?")[0]
-        handler = self._handlers.get((exchange.method, path))
+        handler = self._handlers.get((exchange.method, exchange.path))
         if handler is None:
             exchange.respond(404, [JSON], encode_error("no such call"))
             return
         await handler(exchange)
 
     async def _look_up(self, exchange: Exchange) -> None:
-        query = parse_qs(exchange.target.decode("latin-1").partition("?")[2])
+        query = parse_qs(exchange.query)
         zone = query.get("zone", [""])[0]
         control = self._control
         addresses = control.directory.choose(zone, control.now_ms())
--- a/mustardtrack/process/control_link.py
+++ b/mustardtrack/process/control_link.py
@@ -164,7 +164,6 @@
             list_term=order[0],
             list_sequence=order[1],
             hold_ms=hold_ms,
-            failing=view.endpoints.failing(sent_ms),
         )
         body = msgspec.msgpack.encode(request)
         answer = await self._bus.request(name, "sync", body, timeout_ms)
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -235,7 +235,7 @@
                 status, body = await self._call(
                     order.endpoint.address, b"GET", REPORT_TARGET, b""
                 )
-                weights, _ = read_report(body) if status == 200 else ({}, True)
+                weights = read_report(body) if status == 200 else {}
             except (ConnectionBrokenError, ConnectError, ValueError) as error:
                 log_event(REPORT_FAILED, endpoint=order.endpoint.id, error=str(error))
                 weights = {}
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -5,7 +5,7 @@
 
 from mustardtrack.adapters.clock import SystemClock
 from mustardtrack.adapters.exposition import serve_metrics
-from mustardtrack.adapters.http_exchange import Exchange, HttpServer, ServerLimits
+from mustardtrack.adapters.http_exchange import Exchange, HttpServer
 from mustardtrack.adapters.metrics import CounterTable
 from mustardtrack.adapters.upstream import ConnectionPool
 from mustardtrack.adapters.zeromq import Bus
@@ -59,7 +59,7 @@
             self.metrics,
             self._placements,
         )
-        self._callers = HttpServer(self._forwarder.handle, ServerLimits())
+        self._callers = HttpServer(self._forwarder.handle)
         self._readiness = HttpServer(self._answer_readiness)
         assert settings.listen.callers is not None
         self._callers.listen(reactor, *split_address(settings.listen.callers))
@@ -79,8 +79,9 @@
         self._pool.drop(state.id)
 
     def _answer_readiness(self, exchange: Exchange) -> None:
-        is_known = exchange.target.decode("latin-1").partition("?")[0] == READY_TARGET
-        status = 404 if not is_known else 200 if self._is_ready() else 503
+        status = (
+            404 if exchange.path != READY_TARGET else 200 if self._is_ready() else 503
+        )
         exchange.respond(status, [], b"")
 
     async def stop(self) -> list[str]:
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -52,7 +52,6 @@
         ran_on: Attempts that may have run.
         resume_after: Last event that the caller received, None before the first.
         placement: Advice for the present attempt, None if the router chose alone.
-        connect_failures: Endpoints to which no connection could be made.
     """
 
     route: Route
@@ -61,7 +60,6 @@
     ran_on: int = 0
     resume_after: bytes | None = None
     placement: Placement | None = None
-    connect_failures: int = 0
 
     def record_send(self) -> None:
         """Count a send; it must be allowed by the steps before."""
@@ -78,8 +76,6 @@
         if end in _MAY_HAVE_RUN:
             self.may_have_run = True
             self.ran_on += 1
-        if end is AttemptEnd.NOT_SENT:
-            self.connect_failures += 1
         if self._may_try_again():
             return NextStep.RETRY
         return self.give_up()
--- a/mustardtrack/routing/endpointstate.py
+++ b/mustardtrack/routing/endpointstate.py
@@ -4,7 +4,7 @@
 last answer, the failures from this router's own attempts.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from mustardtrack.membership.endpointlist import EndpointList, ListedEndpoint
 
@@ -43,8 +43,6 @@
     silences: int = 0
     resting_until_ms: int = 0
     failure_share: float = 0.0
-    connections: int = 0
-    weights: dict[str, int] = field(default_factory=dict)
 
     @property
     def id(self) -> str:
@@ -152,18 +150,6 @@
             if not state.listed.is_draining and not state.listed.is_loading
         ]
 
-    def all_of_service(self, service: str) -> list[EndpointState]:
-        """Return all listed endpoints of a service."""
-        return self._services.get(service, [])
-
-    def failing(self, now_ms: int) -> list[str]:
-        """Return the endpoints that rest after repeated silence."""
-        return [
-            state.id
-            for state in self._states.values()
-            if state.silences > 1 and state.is_resting(now_ms)
-        ]
-
 
 def _is_other_start(before: ListedEndpoint, after: ListedEndpoint) -> bool:
     return (before.address, before.started_ms) != (after.address, after.started_ms)
--- a/mustardtrack/settings/seeded.py
+++ b/mustardtrack/settings/seeded.py
@@ -65,7 +65,6 @@
     revoke_ms: Milliseconds = 5000
     order_lease_ms: Milliseconds = 3000
     directory_ttl_s: Seconds = 5.0
-    configuration_apply_ms: Milliseconds = 2000
     weights_ms: Milliseconds = 15_000
 
 
