Keep cancellations that arrive together with an answer

Cause: asyncio.wait_for of Python 3.11 returns the result and drops the cancellation if the awaited call has just ended. Ruled out: open requests or the grace (the stop is bounded by grace_s before it ends its tasks), sockets left open before the ZeroMQ context ends. Change: asyncio.timeout in place of asyncio.wait_for, seven places. Conclusion: planned stops wait for cancelled tasks, so that no wait in them may swallow a cancellation.

--- a/mustardtrack/adapters/tests/test_zeromq.py
+++ b/mustardtrack/adapters/tests/test_zeromq.py
@@ -74,3 +74,36 @@
             return await buses[0].request(addresses[1], "echo", b"again", 5000)
 
     assert asyncio.run(scenario()) == b"again"
+
+
+@pytest.mark.parametrize("steps", range(6))
+def test_request_that_is_answered_and_cancelled_at_once_is_cancelled(steps):
+    """Guards against a cancellation that is lost when the answer has just arrived.
+
+    A task that sends requests in a loop would go on, and a planned stop that waits
+    for it would never end.
+    """
+
+    async def scenario():
+        async with two_buses() as (buses, addresses):
+
+            async def echo(sender, body):
+                return body
+
+            buses[1].handle("echo", echo)
+            await buses[0].request(addresses[1], "echo", b"", 5000)
+            task = asyncio.ensure_future(
+                buses[0].request(addresses[1], "silent", b"", 5000)
+            )
+            await asyncio.sleep(0.05)
+            peer = buses[0]._peers[addresses[1]]
+            request_id = next(iter(peer._waiting))
+            peer.answer(request_id, b"late")
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            was_done = task.done()
+            task.cancel()
+            await asyncio.wait([task])
+            return was_done or task.cancelled()
+
+    assert asyncio.run(scenario())
--- a/mustardtrack/adapters/zeromq.py
+++ b/mustardtrack/adapters/zeromq.py
@@ -110,9 +110,10 @@
         peer = self._peer(address)
         frame = self._encode(topic, body, request_id)
         try:
-            return await asyncio.wait_for(
-                peer.exchange(request_id, frame), timeout_ms / 1000
-            )
+            # Not asyncio.wait_for, which in Python 3.11 loses a cancellation that
+            # arrives together with the answer.
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await peer.exchange(request_id, frame)
         except TimeoutError as error:
             self._replace(address, peer)
             raise BusTimeoutError(
--- a/mustardtrack/process/callers.py
+++ b/mustardtrack/process/callers.py
@@ -223,7 +223,8 @@
         if self._flow.writable.is_set():
             return
         try:
-            await asyncio.wait_for(self._flow.writable.wait(), self._stall_ms / 1000)
+            async with asyncio.timeout(self._stall_ms / 1000):
+                await self._flow.writable.wait()
         except TimeoutError as error:
             raise SlowCallerError from error
 
--- a/mustardtrack/process/claimed_calls.py
+++ b/mustardtrack/process/claimed_calls.py
@@ -201,7 +201,8 @@
         done = asyncio.Event()
         self._traffic.background(self._close(command, done))
         try:
-            await asyncio.wait_for(done.wait(), STORE_WAIT_MS / 1000)
+            async with asyncio.timeout(STORE_WAIT_MS / 1000):
+                await done.wait()
         except TimeoutError:
             self._traffic.metrics.count("claims.stored_late")
 
--- a/mustardtrack/process/replica_task.py
+++ b/mustardtrack/process/replica_task.py
@@ -148,7 +148,8 @@
                 return
             changed = self._changed
             try:
-                await asyncio.wait_for(changed.wait(), remaining / 1000)
+                async with asyncio.timeout(remaining / 1000):
+                    await changed.wait()
             except TimeoutError:
                 return
 
@@ -176,7 +177,8 @@
         wait_ms = max(0, next_tick - self._clock.now_ms())
         batch = []
         try:
-            batch.append(await asyncio.wait_for(self._queue.get(), wait_ms / 1000))
+            async with asyncio.timeout(wait_ms / 1000):
+                batch.append(await self._queue.get())
         except TimeoutError:
             return []
         while len(batch) < MAX_BATCH and not self._queue.empty():
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -298,7 +298,8 @@
         )
         if not self._is_newer(request):
             try:
-                await asyncio.wait_for(self._changed.wait(), request.hold_ms / 1000)
+                async with asyncio.timeout(request.hold_ms / 1000):
+                    await self._changed.wait()
             except TimeoutError:
                 pass  # The reply then only renews what the router has.
         return msgspec.msgpack.encode(self._sync_reply(request))
@@ -413,9 +414,8 @@
             return None
         try:
             if status.leader.name == self._name:
-                return await asyncio.wait_for(
-                    self._task.submit(command), timeout_ms / 1000
-                )
+                async with asyncio.timeout(timeout_ms / 1000):
+                    return await self._task.submit(command)
             body = msgspec.msgpack.encode(CommandRequest(encode_command(command)))
             answer = await self._bus.request(
                 status.leader.name, "command", body, timeout_ms
