Bound the connections to an endpoint, adopt the callers' limits of the document

Cause: max_connections was decoded and not enforced; an endpoint resets what is beyond it together with the request. The callers' limits of the document were not used either: a document with a longer idle time would have callers send on connections that the router closes. The HTTP server uses the limits of the table in force.

--- a/mustardtrack/adapters/tests/test_upstream.py
+++ b/mustardtrack/adapters/tests/test_upstream.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from mustardtrack.adapters import upstream
 from mustardtrack.adapters.upstream import (
     AnswerData,
     AnswerEnd,
     AnswerHead,
     Broken,
+    ConnectError,
     ConnectionPool,
     UpstreamConnection,
 )
@@ -183,3 +185,49 @@
         assert pool.take("e") is None
 
     play(scenario)
+
+
+def test_pool_counts_connections_until_they_are_lost(monkeypatch):
+    """Guards against more connections than an endpoint accepts, which it resets."""
+
+    async def open_one(reactor, host, port, timeout_s):
+        connection = connect()
+        if port == 2:
+            raise ConnectError("refused")
+        return connection
+
+    monkeypatch.setattr(upstream, "open_connection", open_one)
+
+    async def scenario():
+        pool = ConnectionPool(None)
+        first = await pool.open("10.0.0.1:1", 1.0)
+        await pool.open("10.0.0.1:1", 1.0)
+        assert pool.open_count("10.0.0.1:1") == 2
+        first.connectionLost(Reason(True))
+        assert pool.open_count("10.0.0.1:1") == 1
+        with pytest.raises(ConnectError):
+            await pool.open("10.0.0.1:2", 1.0)
+        assert pool.open_count("10.0.0.1:2") == 0
+
+    play(scenario)
+
+
+def test_pool_closes_the_connection_that_was_idle_for_longest():
+    """Guards against idle connections that keep a fresh one from being opened."""
+
+    async def scenario():
+        pool = ConnectionPool(None)
+        connections = []
+        for _ in range(2):
+            connection = connect()
+            send(connection)
+            connection.dataReceived(answer(b"r1"))
+            await read_all(connection)
+            connections.append(connection)
+        for connection in connections:
+            pool.put("e", connection)
+        pool.close_oldest("e")
+        assert connections[0].transport.closed == "closed"
+        assert pool.take("e") is connections[1]
+
+    play(scenario)
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -7,8 +7,8 @@
 import asyncio
 import math
 import socket
-from collections import deque
-from collections.abc import Sequence
+from collections import Counter, deque
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -83,6 +83,7 @@
         idle_limit_s: Time for which the endpoint keeps an idle connection.
         is_reusable: Whether another request may be sent.
         ready: Done once the connection is open.
+        on_lost: Called once when an open connection has ended.
     """
 
     transport: Any
@@ -102,6 +103,7 @@
         self.requests_sent = 0
         self.is_lost = False
         self.is_reusable = False
+        self.on_lost: Callable[[], None] | None = None
 
     @staticmethod
     def _new_http() -> h11.Connection:
@@ -191,6 +193,8 @@
             self._add(Broken(reason.getErrorMessage()))
             self._request = None
         _resolve(self._waiter)
+        if self.on_lost is not None:
+            self.on_lost()
 
     def _break(self, reason: str) -> None:
         self.is_reusable = False
@@ -318,6 +322,7 @@
     def __init__(self, reactor: Any):
         self._reactor = reactor
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._open: Counter[str] = Counter()
 
     def take(
         self, key: str, longest_idle_s: float = math.inf
@@ -343,6 +348,14 @@
             return idle.pop() if age_s < longest_idle_s else None
         return None
 
+    def close_oldest(self, key: str) -> None:
+        """Close the connection of an endpoint that has been idle for longest."""
+        idle = self._idle.get(key, [])
+        if idle:
+            connection = idle.pop(0)
+            if not connection.is_lost:
+                connection.transport.loseConnection()
+
     async def open(self, address: str, timeout_s: float) -> UpstreamConnection:
         """Open a new connection.
 
@@ -350,7 +363,34 @@
             ConnectError: If there is no connection within the timeout.
         """
         host, _, port = address.rpartition(":")
-        return await open_connection(self._reactor, host, int(port), timeout_s)
+        # Counted from the start, so that requests at the same moment see each other.
+        self._open[address] += 1
+        try:
+            connection = await open_connection(
+                self._reactor, host, int(port), timeout_s
+            )
+        except BaseException:
+            self._note_closed(address)
+            raise
+        if connection.is_lost:
+            self._note_closed(address)
+        connection.on_lost = lambda: self._note_closed(address)
+        return connection
+
+    def _note_closed(self, address: str) -> None:
+        self._open[address] -= 1
+        if not self._open[address]:
+            del self._open[address]
+
+    def open_count(self, address: str) -> int:
+        """Return the connections to an address that are open or being opened."""
+        return self._open[address]
+
+    def has_idle(self, key: str) -> bool:
+        """Return whether an idle connection of an endpoint may be reused."""
+        return any(
+            not one.is_lost and one.is_reusable for one in self._idle.get(key, ())
+        )
 
     async def call(
         self,
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -113,6 +113,10 @@
         if connection is None:
             timeout_ms = min(CONNECT_TIMEOUT_MS, self._left_ms())
             address = self._endpoint.listed.address
+            limit = self._forwarder.connection_limit(self._admitted.service)
+            if pool.open_count(address) >= limit:
+                # The idle ones are too old for a request that must not repeat.
+                pool.close_oldest(self._endpoint.id)
             self._forwarder.metrics.count("upstream.connection")
             connection = await pool.open(address, timeout_ms / 1000)
             connection.is_reusable = True
--- a/mustardtrack/process/control_link.py
+++ b/mustardtrack/process/control_link.py
@@ -66,6 +66,7 @@
 
     Args:
         on_gone: Called with each endpoint that has left the list.
+        on_table: Called with each route table that takes effect.
     """
 
     def __init__(
@@ -75,12 +76,14 @@
         clock: Clock,
         is_ready: Callable[[], bool],
         on_gone: Callable[[EndpointState], None],
+        on_table: Callable[[RouteTable], None],
     ):
         self._settings = settings
         self._bus = bus
         self._clock = clock
         self._is_ready = is_ready
         self._on_gone = on_gone
+        self._on_table = on_table
         self._limit_ms = int(settings.bounds.revoke_ms * CONFIRMATION_SHARE)
         self.view = ControlView()
         self._links: dict[str, asyncio.Task[None]] = {}
@@ -174,6 +177,7 @@
         if reply.content and reply.document_version > self._version():
             view.table = read_manifest(zlib.decompress(reply.content))
             log_event(TABLE_ADOPTED, version=view.table.version, control=name)
+            self._on_table(view.table)
         if reply.revision > view.revision:
             view.weights = reply.weights
             if reply.document_version <= self._version():
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -8,6 +8,7 @@
 from mustardtrack.adapters.http_exchange import Exchange
 from mustardtrack.adapters.metrics import CounterTable
 from mustardtrack.adapters.upstream import ConnectionPool
+from mustardtrack.admission.connections import share_connections
 from mustardtrack.admission.sharedretries import SharedRetryBudget
 from mustardtrack.configuration.routes import Account, Route, RouteTable, Service
 from mustardtrack.logs import define_event, log_event
@@ -38,6 +39,7 @@
     "unconfirmed": 1.5,
     "no_endpoint": 1.0,
     "not_run": 0.8,
+    "connections": 0.8,
     "hopeless": 2.0,
     "crashes_endpoints": 10.0,
 }
@@ -193,7 +195,7 @@
                 reason, step = "hopeless", progress.give_up()
                 break
             if endpoint is None or (is_repeat and not budget.allow(now_ms, count)):
-                reason = "no_endpoint" if endpoint is None else "retry_budget"
+                reason = self._describe_lack(admitted, endpoint)
                 step = progress.give_up()
                 break
             tried.append(endpoint.id)
@@ -215,10 +217,22 @@
         self._placements.record_end(_request_id(admitted))
         self._give_up(admitted, progress, step, reason)
 
+    def _describe_lack(self, admitted: Admitted, endpoint: EndpointState | None) -> str:
+        """Return why a request is not sent, for the log and the caller."""
+        if endpoint is not None:
+            return "retry_budget"
+        listed = self._links.view.endpoints.of_service(admitted.service.name)
+        is_full = listed and not self._connectable(admitted.service, listed)
+        return "connections" if is_full else "no_endpoint"
+
     async def _choose(
         self, admitted: Admitted, tried: list[str], now_ms: int
     ) -> tuple[EndpointState | None, Placement | None]:
-        endpoints = self._links.view.endpoints.of_service(admitted.service.name)
+        listed = self._links.view.endpoints.of_service(admitted.service.name)
+        endpoints = self._connectable(admitted.service, listed)
+        if len(endpoints) < len(listed):
+            full = {state.id for state in listed} - {state.id for state in endpoints}
+            tried = [*tried, *sorted(full)]
         zone = self._settings.zone
         if admitted.prompt is None:
             chosen = choose_endpoint(endpoints, tried, zone, now_ms, self._rng)
@@ -241,6 +255,18 @@
         )
         return chosen, None
 
+    def _connectable(
+        self, service: Service, endpoints: list[EndpointState]
+    ) -> list[EndpointState]:
+        """Return the endpoints that accept a connection of this router."""
+        limit = self.connection_limit(service)
+        return [
+            state
+            for state in endpoints
+            if self.pool.open_count(state.listed.address) < limit
+            or self.pool.has_idle(state.id)
+        ]
+
     def _placement_request(
         self, admitted: Admitted, tried: list[str]
     ) -> PlacementRequest:
@@ -260,6 +286,11 @@
             tried=tried,
         )
 
+    def connection_limit(self, service: Service) -> int:
+        """Return the connections that this router may have to one endpoint."""
+        count = self._links.view.router_count
+        return share_connections(service.max_connections, count)
+
     def record_read(self, admitted: Admitted) -> None:
         """Report the first token of a prompt."""
         if admitted.prompt is not None:
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -9,6 +9,7 @@
 from mustardtrack.adapters.metrics import CounterTable
 from mustardtrack.adapters.upstream import ConnectionPool
 from mustardtrack.adapters.zeromq import Bus
+from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.platform.endpoints import READY_TARGET
 from mustardtrack.process.control_link import ControlLinks
 from mustardtrack.process.forwarder import Forwarder
@@ -48,7 +49,12 @@
         self._bus = Bus(settings.name, settings.bus_address)
         self._pool = ConnectionPool(reactor)
         self._links = ControlLinks(
-            settings, self._bus, self._clock, self._is_ready, self._forget
+            settings,
+            self._bus,
+            self._clock,
+            self._is_ready,
+            self._forget,
+            self._adopt_table,
         )
         self._placements = PlacementClient(self._bus, self._links, self.metrics)
         self._forwarder = Forwarder(
@@ -75,6 +81,9 @@
     def _is_ready(self) -> bool:
         return not self._stopping and self._links.is_confirmed()
 
+    def _adopt_table(self, table: RouteTable) -> None:
+        self._callers.limits = table.limits
+
     def _forget(self, state: EndpointState) -> None:
         self._pool.drop(state.id)
 
--- a/mustardtrack/process/tests/test_seeded.py
+++ b/mustardtrack/process/tests/test_seeded.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -22,6 +23,8 @@
 LONGEST_WAIT_S = 20.0
 # A router reports to every control host at least every 0.4 s; a busy machine delays it.
 SYNC_WAIT_S = 2.0
+# Callers reuse connections that were idle for up to four fifths of the limit.
+IDLE_TIMEOUT_MS = 2500
 
 
 class Endpoint(BaseHTTPRequestHandler):
@@ -85,6 +88,7 @@
         "routes": [route],
         "services": services,
         "tenants": tenants,
+        "limits": {"idle-timeout-ms": IDLE_TIMEOUT_MS},
     }
 
 
@@ -109,6 +113,14 @@
     return call(ROUTER, CALLER_PORT, "POST", path, body, headers)
 
 
+def closes_after_idle_s():
+    """Return the seconds after which the router closes an idle connection."""
+    with socket.create_connection((ROUTER, CALLER_PORT), timeout=20) as connection:
+        started_s = time.monotonic()
+        assert connection.recv(1) == b""
+        return time.monotonic() - started_s
+
+
 def wait_until(condition, longest_s=LONGEST_WAIT_S):
     deadline_s = time.monotonic() + longest_s
     while time.monotonic() < deadline_s:
@@ -212,6 +224,8 @@
     assert request(b"x", 2, key="other")[0] == 401
     assert request(b"x", 3, path="/unknown/")[0] == 404
 
+    assert closes_after_idle_s() == pytest.approx(IDLE_TIMEOUT_MS / 1000, abs=0.5)
+
     before = len(Endpoint.ran)
     assert request(b"break", 4)[0] == 502
     assert len(Endpoint.ran) == before + 1, "a booking that may have run ran again"
