Reuse connections that rested for longer until one of them is reset

Cause: requests that must not repeat, which are most streams, reused only connections that rested under 1.5 s.

--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -84,6 +84,7 @@
         is_reusable: Whether another request may be sent.
         ready: Done once the connection is open.
         on_lost: Called once when an open connection has ended.
+        rested_s: Time for which it was idle before its present request.
     """
 
     transport: Any
@@ -100,6 +101,7 @@
         self.ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.idle_limit_s = DEFAULT_IDLE_S
         self.idle_since_s = 0.0
+        self.rested_s = 0.0
         self.requests_sent = 0
         self.is_lost = False
         self.is_reusable = False
@@ -345,7 +347,10 @@
                     connection.transport.loseConnection()
                 continue
             # The last one was used last, so that the others are idle for longer.
-            return idle.pop() if age_s < longest_idle_s else None
+            if age_s >= longest_idle_s:
+                return None
+            connection.rested_s = age_s
+            return idle.pop()
         return None
 
     def close_oldest(self, key: str) -> None:
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -32,10 +32,6 @@
 
 # Two round trips between zones with room for one lost packet.
 CONNECT_TIMEOUT_MS = 300
-# Idle time of a connection above which it does not carry a request that must not be
-# repeated: endpoints drop idle connections without notice, and such a request would
-# be lost with it.
-ONCE_IDLE_S = 1.5
 # Objectives after which a call that may be repeated is tried elsewhere.
 REPEAT_AFTER_OBJECTIVES = 2.5
 # Time without an event after which a stream that may go on elsewhere is moved.
@@ -108,7 +104,8 @@
     async def _connect(self) -> UpstreamConnection:
         pool = self._forwarder.pool
         is_repeatable = self._admitted.route.may_repeat
-        longest_idle_s = math.inf if is_repeatable else ONCE_IDLE_S
+        trusted_s = self._forwarder.idle_trust.longest_idle_s(self._clock.now_ms())
+        longest_idle_s = math.inf if is_repeatable else trusted_s
         connection = pool.take(self._endpoint.id, longest_idle_s)
         if connection is None:
             timeout_ms = min(CONNECT_TIMEOUT_MS, self._left_ms())
@@ -177,7 +174,7 @@
         if isinstance(event, Outcome):
             return event
         if not isinstance(event, AnswerHead):
-            return self._broken(connection, "no answer head")
+            return self._broken_unanswered(connection)
         answer = read_answer(event.headers)
         self._record_head(connection, event, answer)
         if answer.did_not_run:
@@ -303,6 +300,12 @@
             return Outcome(AttemptEnd.TIMED_OUT, note="no data in time")
         return event
 
+    def _broken_unanswered(self, connection: UpstreamConnection) -> Outcome:
+        rested_s = connection.rested_s
+        if rested_s > 0:
+            self._forwarder.idle_trust.record_reset(rested_s, self._clock.now_ms())
+        return self._broken(connection, f"no answer head, idle for {rested_s:.2f} s")
+
     def _broken(self, connection: UpstreamConnection, note: str) -> Outcome:
         connection.close()
         self._endpoint.record_answer(is_failure=True)
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -19,6 +19,7 @@
 from mustardtrack.process.control_link import ControlLinks
 from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.requests.forwarding import AttemptEnd, ForwardedRequest, NextStep
+from mustardtrack.requests.reuse import IdleTrust
 from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.openings import Prompt, choose_engine
@@ -95,6 +96,7 @@
         self.pool = pool
         self.clock = clock
         self.metrics = metrics
+        self.idle_trust = IdleTrust()
         self._rng = random.Random()
         self._budgets: dict[str, SharedRetryBudget] = {}
 
