Send routers the changes of the endpoint list instead of the whole list

Cause: each of five control hosts sent the whole list, 2.8 KB at 35 endpoints, to each of 74 routers at every change, and weights rollouts change it several times a second. Change: control hosts remember 64 lists and send the endpoints that differ; a router whose list they do not remember gets the whole list.

--- /dev/null
+++ b/mustardtrack/membership/listchanges.py
@@ -0,0 +1,85 @@
+"""Changes between endpoint lists.
+
+Load pattern: weights are replaced on tens of endpoints, so that the list changes many
+times a second, and every control host tells every router. Whole lists then take a
+good part of a small host's link; a change names only the endpoints that differ.
+"""
+
+from collections import OrderedDict
+
+import msgspec
+
+from mustardtrack.membership.endpointlist import EndpointList, ListedEndpoint
+
+# Lists that a control host remembers; a router asks at least once a second.
+KEPT_LISTS = 64
+
+
+class ListChange(msgspec.Struct, frozen=True, array_like=True):
+    """What turns one list into a newer one.
+
+    Attributes:
+        base: Term and sequence of the older list.
+        order: Term and sequence of the newer list.
+        changed: Endpoints that are new or differ.
+        removed: Ids of endpoints that have left.
+    """
+
+    base: tuple[int, int]
+    order: tuple[int, int]
+    changed: tuple[ListedEndpoint, ...]
+    removed: tuple[str, ...]
+
+
+class ListHistory:
+    """Latest lists of one control host, from which changes are derived.
+
+    Examples:
+        >>> history = ListHistory()
+        >>> history.add(EndpointList(1, 1))
+        >>> history.add(EndpointList(1, 2))
+        >>> history.change_since((1, 1)).order
+        (1, 2)
+        >>> history.change_since((0, 0)) is None
+        True
+    """
+
+    def __init__(self) -> None:
+        self._lists: OrderedDict[tuple[int, int], EndpointList] = OrderedDict()
+
+    def add(self, listed: EndpointList) -> None:
+        """Remember a list that is newer than all before."""
+        self._lists[listed.order] = listed
+        if len(self._lists) > KEPT_LISTS:
+            self._lists.popitem(last=False)
+
+    def change_since(self, order: tuple[int, int]) -> ListChange | None:
+        """Return the change from a list to the newest, None if it is not known."""
+        base = self._lists.get(order)
+        if base is None:
+            return None
+        newest = next(reversed(self._lists.values()))
+        before = {endpoint.id: endpoint for endpoint in base.endpoints}
+        after = {endpoint.id for endpoint in newest.endpoints}
+        return ListChange(
+            base=order,
+            order=newest.order,
+            changed=tuple(
+                endpoint
+                for endpoint in newest.endpoints
+                if before.get(endpoint.id) != endpoint
+            ),
+            removed=tuple(one for one in before if one not in after),
+        )
+
+
+def apply_change(listed: EndpointList, change: ListChange) -> EndpointList | None:
+    """Return the newer list, None if the change starts from another list."""
+    if change.base != listed.order:
+        return None
+    endpoints = {endpoint.id: endpoint for endpoint in listed.endpoints}
+    for endpoint_id in change.removed:
+        endpoints.pop(endpoint_id, None)
+    endpoints.update({endpoint.id: endpoint for endpoint in change.changed})
+    term, sequence = change.order
+    return EndpointList(term, sequence, tuple(endpoints.values()))
--- /dev/null
+++ b/mustardtrack/membership/tests/test_listchanges.py
@@ -0,0 +1,65 @@
+"""Guards against routers whose endpoint list drifts from that of control."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardtrack.membership.endpointlist import EndpointList, ListedEndpoint
+from mustardtrack.membership.listchanges import (
+    KEPT_LISTS,
+    ListChange,
+    ListHistory,
+    apply_change,
+)
+
+
+def endpoint(number, version, is_loading):
+    return ListedEndpoint(
+        f"e{number}", 0, "s", "10.0.0.1:1", "a", 8, False, is_loading, {"m": version}
+    )
+
+
+ENDPOINTS = st.builds(
+    lambda chosen: tuple(endpoint(*one) for one in chosen),
+    st.lists(
+        st.tuples(st.integers(0, 9), st.integers(1, 3), st.booleans()),
+        unique_by=lambda one: one[0],
+    ),
+)
+
+
+@given(st.lists(ENDPOINTS, min_size=2, max_size=6), st.data())
+def test_change_yields_the_newest_list(contents, data):
+    history = ListHistory()
+    lists = [EndpointList(1, n, content) for n, content in enumerate(contents)]
+    for listed in lists:
+        history.add(listed)
+    known = data.draw(st.sampled_from(lists))
+    change = history.change_since(known.order)
+    found = apply_change(known, change)
+    assert found.order == lists[-1].order
+    assert set(one.id for one in found.endpoints) == set(
+        one.id for one in lists[-1].endpoints
+    )
+    assert sorted(found.endpoints, key=lambda one: one.id) == sorted(
+        lists[-1].endpoints, key=lambda one: one.id
+    )
+
+
+def test_change_from_another_list_is_not_applied():
+    """Guards against a change that arrives after another host's newer list."""
+    change = ListChange((1, 1), (1, 2), (), ())
+    assert apply_change(EndpointList(1, 3), change) is None
+
+
+def test_list_of_a_leader_that_is_not_known_gets_the_whole_list():
+    history = ListHistory()
+    history.add(EndpointList(2, 1))
+    assert history.change_since((1, 7)) is None
+
+
+def test_history_is_bounded():
+    history = ListHistory()
+    for sequence in range(KEPT_LISTS + 5):
+        history.add(EndpointList(1, sequence))
+    assert history.change_since((1, 4)) is None
+    assert history.change_since((1, 5)) is not None
--- a/mustardtrack/ports/synchronization.py
+++ b/mustardtrack/ports/synchronization.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from mustardtrack.membership.endpointlist import EndpointList
+from mustardtrack.membership.listchanges import ListChange
 
 
 class SyncRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -25,6 +26,8 @@
     ``stale_ms`` is the time since a majority confirmed the state of the sender.
     ``leader`` is the replica that leads, as far as the sender knows.
     ``refused`` holds fingerprints of requests that crash the endpoints they run on.
+    ``change`` leads from the router's list to the newest; ``endpoints`` is the whole
+    list if the sender does not remember the router's.
     ``content`` is the compressed document, empty if the router has it already.
     """
 
@@ -38,6 +41,7 @@
     router_count: int
     leader: str = ""
     refused: list[str] = []
+    change: ListChange | None = None
 
 
 class ReadReply(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardtrack/process/control_link.py
+++ b/mustardtrack/process/control_link.py
@@ -10,6 +10,7 @@
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
 from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.logs import define_event, log_event
+from mustardtrack.membership.listchanges import apply_change
 from mustardtrack.platform.manifests import read_manifest
 from mustardtrack.ports import Clock
 from mustardtrack.ports.synchronization import SyncReply, SyncRequest
@@ -182,8 +183,7 @@
             view.weights = reply.weights
             if reply.document_version <= self._version():
                 view.revision = reply.revision
-        if reply.endpoints is not None:
-            self._adopt_endpoints(reply)
+        self._adopt_endpoints(reply)
         if reply.leader:
             view.leader = reply.leader
         if name == view.leader:
@@ -198,17 +198,20 @@
         self._link(reply.controls)
 
     def _adopt_endpoints(self, reply: SyncReply) -> None:
-        assert reply.endpoints is not None
-        before = self.view.endpoints.order
-        for state in self.view.endpoints.update(reply.endpoints):
+        table = self.view.endpoints
+        listed = reply.endpoints
+        if reply.change is not None:
+            listed = apply_change(table.listed, reply.change)
+        if listed is None or listed.order <= table.order:
+            return
+        for state in table.update(listed):
             self._on_gone(state)
-        if self.view.endpoints.order != before:
-            log_event(
-                ENDPOINTS_ADOPTED,
-                term=reply.endpoints.term,
-                sequence=reply.endpoints.sequence,
-                endpoints=len(reply.endpoints.endpoints),
-            )
+        log_event(
+            ENDPOINTS_ADOPTED,
+            term=listed.term,
+            sequence=listed.sequence,
+            endpoints=len(listed.endpoints),
+        )
 
     def _version(self) -> int:
         return self.view.table.version if self.view.table else 0
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -38,6 +38,7 @@
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.directory import RouterDirectory, RouterEntry
 from mustardtrack.membership.endpointlist import EndpointList
+from mustardtrack.membership.listchanges import ListHistory
 from mustardtrack.platform.manifests import read_manifest
 from mustardtrack.ports import CommandReply, CommandRequest
 from mustardtrack.ports.synchronization import (
@@ -99,6 +100,7 @@
         self._crashes = CrashTally()
         self._table: RouteTable | None = None
         self._endpoints = EndpointList()
+        self._lists = ListHistory()
         self._controls: list[str] = settings.seed_names()
         self._controls_term = 0
         self._changed = asyncio.Event()
@@ -246,6 +248,7 @@
     def _adopt(self, endpoints: EndpointList) -> None:
         if endpoints.order > self._endpoints.order:
             self._endpoints = endpoints
+            self._lists.add(endpoints)
             self.placements.update(endpoints.endpoints)
             self._notify()
 
@@ -314,6 +317,7 @@
         has_older = request.document_version < document.version
         known = (request.list_term, request.list_sequence)
         is_newer_list = self._endpoints.order > known
+        change = self._lists.change_since(known) if is_newer_list else None
         status = self._task.status()
         leader = status.leader
         stale_ms = status.stale_ms if self.leads() else UNCONFIRMED_MS
@@ -323,11 +327,12 @@
             document_version=document.version,
             content=self._compress() if has_older else b"",
             weights=store.weights,
-            endpoints=self._endpoints if is_newer_list else None,
+            endpoints=self._endpoints if is_newer_list and not change else None,
             controls=self._controls,
             router_count=len(self.directory.live(self.now_ms())),
             leader=leader.name if leader else "",
             refused=self._crashes.refused(self.now_ms()),
+            change=change,
         )
 
     def _compress(self) -> bytes:
--- a/mustardtrack/routing/endpointstate.py
+++ b/mustardtrack/routing/endpointstate.py
@@ -112,10 +112,15 @@
     """
 
     def __init__(self) -> None:
-        self.order = (0, 0)
+        self.listed = EndpointList()
         self._states: dict[str, EndpointState] = {}
         self._services: dict[str, list[EndpointState]] = {}
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """Term and sequence of the list."""
+        return self.listed.order
+
     def update(self, listed: EndpointList) -> list[EndpointState]:
         """Adopt a newer list and return the endpoints that have gone.
 
@@ -123,7 +128,7 @@
         """
         if listed.order <= self.order:
             return []
-        self.order = listed.order
+        self.listed = listed
         states: dict[str, EndpointState] = {}
         gone = []
         for endpoint in listed.endpoints:
