Count the memory of engines by parts, so that openings in use are kept

Cause: the leader counted the prompt of each running request in full and its parts once more as cached, so that five long prompts seemed to fill an engine. Change: routing/enginestate.py counts each part once, keeps parts in use and evicts the others by last use; request lines name account and opening.

--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -308,8 +308,13 @@
         """Return the inputs of a choice with their age, for the log."""
         prompt = admitted.prompt
         weights = endpoint.listed.weights.get(prompt.model) if prompt else None
+        account = admitted.account
         return {
+            "account": account.name if account else None,
+            "is_isolated": bool(admitted.wall),
             "tokens": prompt.tokens if prompt else 0,
+            "opening": prompt.opening.rpartition(",")[2] if prompt else None,
+            "opening_tokens": prompt.opening_tokens if prompt else 0,
             "running": endpoint.running,
             "waiting": endpoint.waiting,
             "load_age_ms": now_ms - endpoint.load_ms,
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -13,14 +13,23 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 import msgspec
 from xxhash import xxh3_64_intdigest
 
 from mustardtrack.configuration.routes import Service
 from mustardtrack.membership.endpointlist import ListedEndpoint
+from mustardtrack.routing.enginestate import (
+    URGENCIES,
+    EngineState,
+    PartKey,
+    PartSizes,
+    PlacedWork,
+    TransferLink,
+    sum_leading,
+)
 from mustardtrack.routing.namedweights import NamedWeights
 from mustardtrack.routing.placement import rank_endpoints
 
@@ -71,8 +80,7 @@
 # Time before the limit on old weights at which an engine gets no more prompts; a
 # placed prompt may wait before it begins.
 WEIGHTS_MARGIN_MS = 2000
-# Urgencies that engines know, 0 to 9, and the steps between classes of work.
-URGENCIES = 10
+# Steps of urgency between classes of work.
 URGENCY_STEP = 2
 # Urgency of a prompt that would be late in its own class; there it would only make
 # the prompts behind it late as well.
@@ -87,10 +95,6 @@
 # the caller may come back.
 PATIENCE_SHARE = 0.9
 
-# Salt and digest of one part of a prompt, and such parts with their tokens.
-PartKey = tuple[str, str]
-PartSizes = list[tuple[PartKey, int]]
-
 
 def cache_salt(model: str, version: int | None, wall: str) -> str:
     """Return the text under which engines share cached parts.
@@ -160,34 +164,6 @@
     is_known: bool = False
 
 
-@dataclass
-class _Work:
-    """One placed prompt that has not ended."""
-
-    engine: str
-    read_tokens: int
-    memory_tokens: int
-    urgency: int
-    ends_ms: int
-    keys: tuple[PartKey, ...] = ()
-    is_read: bool = False
-
-
-@dataclass
-class _Link:
-    """Link of an engine or store, which carries one transfer after another."""
-
-    busy_until_ms: float = 0.0
-
-    def wait_ms(self, now_ms: int) -> float:
-        """Return the time until a new transfer starts."""
-        return max(0.0, self.busy_until_ms - now_ms)
-
-    def add(self, duration_ms: float, now_ms: int) -> None:
-        """Count a transfer."""
-        self.busy_until_ms = max(self.busy_until_ms, now_ms) + duration_ms
-
-
 @dataclass(frozen=True)
 class _Source:
     """Where parts of a prompt can be fetched from."""
@@ -195,91 +171,12 @@
     address: str = ""
     held_tokens: int = 0
     move_ms: float = 0.0
-    link: _Link | None = None
+    link: TransferLink | None = None
 
 
 NO_SOURCE = _Source()
 
 
-@dataclass
-class _Engine:
-    """Estimated state of one engine."""
-
-    listed: ListedEndpoint
-    work: dict[str, _Work] = field(default_factory=dict)
-    unread_tokens: list[int] = field(default_factory=lambda: [0] * URGENCIES)
-    memory_tokens: int = 0
-    cache: OrderedDict[PartKey, int] = field(default_factory=OrderedDict)
-    unread: set[PartKey] = field(default_factory=set)
-    cached_tokens: int = 0
-    resting_until_ms: int = 0
-    link: _Link = field(default_factory=_Link)
-
-    def unread_before(self, urgency: int) -> int:
-        """Tokens to be read before a prompt of this urgency."""
-        return sum(self.unread_tokens[: urgency + 1])
-
-    def add(self, request_id: str, work: _Work) -> None:
-        """Count a prompt as placed."""
-        self.work[request_id] = work
-        self.memory_tokens += work.memory_tokens
-        self.unread_tokens[work.urgency] += work.read_tokens
-
-    def mark_read(self, work: _Work) -> None:
-        """Count a prompt as read; others can fetch its parts."""
-        if not work.is_read:
-            work.is_read = True
-            self.unread_tokens[work.urgency] -= work.read_tokens
-            self.unread.difference_update(work.keys)
-
-    def remove(self, request_id: str) -> None:
-        """Count a request as ended."""
-        work = self.work.pop(request_id, None)
-        if work is not None:
-            self.memory_tokens -= work.memory_tokens
-            if not work.is_read:
-                self.unread_tokens[work.urgency] -= work.read_tokens
-
-    def cached_prefix(self, keys: PartSizes) -> int:
-        """Return the tokens of the leading parts that are cached."""
-        return _leading(keys, self.cache, ())
-
-    def readable_prefix(self, keys: PartSizes) -> int:
-        """Return the tokens of the leading parts that others can fetch."""
-        return _leading(keys, self.cache, self.unread)
-
-    def keep(self, keys: PartSizes, capacity_tokens: int) -> None:
-        """Record parts as used last, and evict what no longer fits."""
-        for key, size in keys:
-            before = self.cache.pop(key, 0)
-            if not before:
-                self.unread.add(key)
-            self.cache[key] = size
-            self.cached_tokens += size - before
-        room = max(0, capacity_tokens - self.memory_tokens)
-        while self.cached_tokens > room and self.cache:
-            key, size = self.cache.popitem(last=False)
-            self.unread.discard(key)
-            self.cached_tokens -= size
-
-    def correct(self, key: PartKey, tokens: int) -> None:
-        """Store what the engine reports about one part."""
-        if tokens <= 0:
-            # A part of a prompt that is being read may be reported as removed late.
-            if key not in self.unread:
-                self.cached_tokens -= self.cache.pop(key, 0)
-            return
-        self.cached_tokens += tokens - self.cache.get(key, 0)
-        self.cache[key] = tokens
-        self.unread.discard(key)
-
-    def clear(self) -> None:
-        """Forget the cache, which a restart or other weights have emptied."""
-        self.cache.clear()
-        self.unread.clear()
-        self.cached_tokens = 0
-
-
 class PlacementTable:
     """Engines of a deployment with their estimated load and caches.
 
@@ -292,24 +189,24 @@
 
     def __init__(self, weights_limit_ms: int) -> None:
         self._weights_limit_ms = weights_limit_ms - WEIGHTS_MARGIN_MS
-        self._engines: dict[str, _Engine] = {}
-        self._work: dict[str, _Work] = {}
+        self._engines: dict[str, EngineState] = {}
+        self._work: dict[str, PlacedWork] = {}
         self._stored: OrderedDict[PartKey, int] = OrderedDict()
         self._unsaved: set[PartKey] = set()
         self._stored_tokens = 0
-        self._store_link = _Link()
+        self._store_link = TransferLink()
         self._named = NamedWeights()
         self._next_expiry_ms = 0
 
     def update(self, endpoints: Iterable[ListedEndpoint]) -> None:
         """Adopt the endpoint list."""
-        engines: dict[str, _Engine] = {}
+        engines: dict[str, EngineState] = {}
         for listed in endpoints:
             if not listed.weights:
                 continue
             engine = self._engines.pop(listed.id, None)
             if engine is None or engine.listed.started_ms != listed.started_ms:
-                engine = _Engine(listed)
+                engine = EngineState(listed)
             elif engine.listed.weights != listed.weights:
                 engine.clear()
             engine.listed = listed
@@ -431,7 +328,7 @@
         unread = sum(sum(engine.unread_tokens) for engine in engines)
         return unread / TOKENS_PER_MS / max(1, len(engines))
 
-    def _usable(self, request: PlacementRequest, now_ms: int) -> list[_Engine]:
+    def _usable(self, request: PlacementRequest, now_ms: int) -> list[EngineState]:
         candidates = [
             engine
             for engine in self._engines.values()
@@ -448,14 +345,14 @@
         engines = self._engines.values()
         return any(engine.listed.service == service for engine in engines)
 
-    def _is_overdue(self, engine: _Engine, model: str, now_ms: int) -> bool:
+    def _is_overdue(self, engine: EngineState, model: str, now_ms: int) -> bool:
         """Return whether no request may begin on the weights of an engine any more."""
         version = engine.listed.weights.get(model, 0)
         replaced_ms = self._named.replaced_ms(model, version, now_ms)
         return replaced_ms is not None and replaced_ms >= self._weights_limit_ms
 
     def _find_best(
-        self, question: "_Question", usable: list[_Engine], urgency: int
+        self, question: "_Question", usable: list[EngineState], urgency: int
     ) -> "_Estimate":
         return min(
             (self._estimate(engine, question, urgency) for engine in usable),
@@ -463,7 +360,7 @@
         )
 
     def _estimate(
-        self, engine: _Engine, question: "_Question", urgency: int
+        self, engine: EngineState, question: "_Question", urgency: int
     ) -> "_Estimate":
         request, service = question.request, question.service
         newest = question.newest
@@ -490,12 +387,16 @@
         if service.engine is not None and service.engine.memory_tokens:
             room = MEMORY_SHARE * service.engine.memory_tokens
             needed = engine.memory_tokens + request.tokens + request.output_tokens
+            if needed > room:
+                # The opening may be in memory for a running request already.
+                parts = part_keys(request, version)
+                needed = engine.needed_tokens(parts, request.output_tokens)
             if needed > room:
                 cost_ms += MEMORY_MS * needed / room
         return _Estimate(cost_ms, first_ms, engine, source, read, version)
 
     def _find_source(
-        self, engine: _Engine, question: "_Question", version: int, cached: int
+        self, engine: EngineState, question: "_Question", version: int, cached: int
     ) -> _Source:
         """Return the engine, or else the store, that holds most of the parts."""
         limits = question.service.engine
@@ -521,7 +422,7 @@
 
     def _holders(
         self, question: "_Question", version: int
-    ) -> list[tuple[int, _Engine]]:
+    ) -> list[tuple[int, EngineState]]:
         """Return the engines that hold parts to fetch, the most tokens first."""
         holders = question.holders.get(version)
         if holders is None:
@@ -537,14 +438,14 @@
         return holders
 
     def _find_in_store(
-        self, engine: _Engine, question: "_Question", version: int, cached: int
+        self, engine: EngineState, question: "_Question", version: int, cached: int
     ) -> _Source:
         store, limits = question.store, question.service.engine
         if store is None or limits is None:
             return NO_SOURCE
         if question.shared_tokens < MIN_STORE_TOKENS:
             return NO_SOURCE
-        held = _leading(question.shared(version), self._stored, self._unsaved)
+        held = sum_leading(question.shared(version), self._stored, self._unsaved)
         if held < cached + MIN_STORE_TOKENS:
             return NO_SOURCE
         found = _plan_move(
@@ -564,20 +465,19 @@
         request, now_ms = question.request, question.now_ms
         engine, source = estimate.engine, estimate.source
         self._remove(request.request_id)
-        keys = _part_keys(request, estimate.version)
-        work = _Work(
+        keys = part_keys(request, estimate.version)
+        work = PlacedWork(
             engine=engine.listed.id,
             read_tokens=estimate.read_tokens,
-            memory_tokens=request.tokens + request.output_tokens,
+            output_tokens=request.output_tokens,
             urgency=urgency,
             ends_ms=now_ms + request.time_left_ms,
             keys=tuple(key for key, _ in keys),
         )
-        engine.add(request.request_id, work)
         self._work[request.request_id] = work
         limits = question.service.engine
-        if limits is not None:
-            engine.keep(keys, limits.memory_tokens)
+        capacity_tokens = limits.memory_tokens if limits is not None else 0
+        engine.add(request.request_id, work, keys, capacity_tokens)
         if source.link is not None:
             source.link.add(source.move_ms, now_ms)
             engine.link.add(source.move_ms, now_ms)
@@ -600,13 +500,13 @@
         store = question.store
         if store is None or question.shared_tokens < MIN_STORE_TOKENS:
             return ""
-        held = _leading(question.shared(version), self._stored, self._unsaved)
+        held = sum_leading(question.shared(version), self._stored, self._unsaved)
         return (store.store_address or "") if held >= MIN_STORE_TOKENS else ""
 
     def _plan_save(
         self,
         keys: PartSizes,
-        engine: _Engine,
+        engine: EngineState,
         question: "_Question",
     ) -> str:
         """Return the store if it lacks the opening and its link has room."""
@@ -655,7 +555,7 @@
 class _Estimate:
     cost_ms: float
     first_ms: float
-    engine: _Engine
+    engine: EngineState
     source: _Source
     read_tokens: int
     version: int
@@ -679,19 +579,19 @@
         self.now_ms = now_ms
         self.home = ""
         self.shared_tokens = sum(tokens for _, tokens in request.parts[:-1])
-        self.holders: dict[int, list[tuple[int, _Engine]]] = {}
+        self.holders: dict[int, list[tuple[int, EngineState]]] = {}
         self._shared: dict[int, PartSizes] = {}
 
     def shared(self, version: int) -> PartSizes:
         """Return the shared parts as they are cached under a weights version."""
         shared = self._shared.get(version)
         if shared is None:
-            shared = _part_keys(self.request, version)[:-1]
+            shared = part_keys(self.request, version)[:-1]
             self._shared[version] = shared
         return shared
 
 
-def _find_home(request: PlacementRequest, engines: list[_Engine]) -> str:
+def _find_home(request: PlacementRequest, engines: list[EngineState]) -> str:
     """Return the engine that rendezvous hashing prefers for a long opening."""
     shared = request.parts[:-1]
     if sum(tokens for _, tokens in shared) < MIN_STORE_TOKENS:
@@ -713,7 +613,7 @@
     size_bytes: int,
     link_mbps: float,
     is_near: bool,
-    links: tuple[_Link, _Link],
+    links: tuple[TransferLink, TransferLink],
     now_ms: int,
 ) -> _Source | None:
     """Return a source with its delay, None if a link is busy for too long."""
@@ -724,18 +624,7 @@
     return _Source(address, held_tokens, move_ms, links[0])
 
 
-def _part_keys(request: PlacementRequest, version: int) -> PartSizes:
+def part_keys(request: PlacementRequest, version: int) -> PartSizes:
+    """Return the parts of a prompt as engines cache them under a version."""
     salt = cache_salt(request.model, version, request.wall)
     return [((salt, digest), tokens) for digest, tokens in request.parts]
-
-
-def _leading(
-    parts: PartSizes, held: Mapping[PartKey, int], pending: Collection[PartKey]
-) -> int:
-    """Return the tokens of the leading parts that are held and complete."""
-    tokens = 0
-    for key, size in parts:
-        if key not in held or key in pending:
-            break
-        tokens += size
-    return tokens
--- /dev/null
+++ b/mustardtrack/routing/tests/test_enginestate.py
@@ -0,0 +1,87 @@
+"""Guards against an estimated cache that forgets what an engine holds."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardtrack.membership.endpointlist import ListedEndpoint
+from mustardtrack.routing.enginestate import EngineState, PlacedWork
+
+LISTED = ListedEndpoint("e", 0, "s", "10.0.0.1:1", "a", 8, False, False, {"m": 1})
+CAPACITY = 1000
+
+
+def key(number):
+    return ("salt", str(number))
+
+
+def add(engine, name, parts, output_tokens=0):
+    keys = tuple(one for one, _ in parts)
+    work = PlacedWork("e", 10, output_tokens, 0, 10_000, keys)
+    engine.add(name, work, parts, CAPACITY)
+    return work
+
+
+def test_part_in_use_is_counted_once_and_does_not_yield():
+    engine = EngineState(LISTED)
+    for number in range(5):
+        add(engine, str(number), [(key("o"), 400), (key(number), 100)], 20)
+    assert engine.memory_tokens == 400 + 5 * 100 + 5 * 20
+    assert engine.cached_prefix([(key("o"), 400)]) == 400
+
+
+def test_part_used_longest_ago_yields_first():
+    engine = EngineState(LISTED)
+    for number in range(3):
+        add(engine, str(number), [(key(number), 400)])
+        engine.remove(str(number))
+    assert [one for one in engine.cache] == [key(1), key(2)]
+
+
+def test_late_report_does_not_remove_a_part_in_use():
+    engine = EngineState(LISTED)
+    add(engine, "a", [(key(1), 400)])
+    engine.correct(key(1), 0)
+    assert engine.cached_prefix([(key(1), 400)]) == 400
+    engine.remove("a")
+    engine.correct(key(1), 0)
+    assert engine.cached_prefix([(key(1), 400)]) == 0
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just("add"),
+            st.integers(0, 5),
+            st.lists(st.integers(0, 6), max_size=3, unique=True),
+            st.integers(0, 300),
+        ),
+        st.tuples(st.just("remove"), st.integers(0, 5)),
+        st.tuples(st.just("correct"), st.integers(0, 6), st.integers(0, 300)),
+        st.tuples(st.just("clear")),
+    )
+)
+
+
+@given(STEPS)
+def test_sums_follow_the_parts(steps):
+    engine = EngineState(LISTED)
+    for step in steps:
+        if step[0] == "add" and str(step[1]) not in engine.work:
+            parts = [(key(number), 100 + 50 * number) for number in step[2]]
+            add(engine, str(step[1]), parts, step[3])
+        elif step[0] == "remove":
+            engine.remove(str(step[1]))
+        elif step[0] == "correct":
+            engine.correct(key(step[1]), step[2])
+        elif step[0] == "clear":
+            engine.clear()
+        used = {one for work in engine.work.values() for one in work.keys}
+        assert engine.kept_tokens == sum(engine.cache.values())
+        assert engine.pinned_tokens == sum(engine.cache[one] for one in used)
+        outputs = sum(work.output_tokens for work in engine.work.values())
+        assert engine.output_tokens == outputs
+        fits = engine.kept_tokens + engine.output_tokens <= CAPACITY
+        assert fits or step[0] != "add" or set(engine.cache) == used
+    for name in list(engine.work):
+        engine.remove(name)
+    assert engine.memory_tokens == 0 and not engine.pins
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -253,3 +253,18 @@
     late = prompt("z", tokens=400, rank=2)
     assert place(table, late, 11_900, weights={"m": 2}).endpoint == ""
     assert place(table, late, 9000, weights={"m": 2}).endpoint == "1"
+
+
+def test_running_prompts_that_share_an_opening_leave_room_for_others():
+    """Guards against openings that are read again although an engine holds them."""
+    table = make("1", "2")
+    first = place(table, prompt("a")).endpoint
+    table.record_read(["a"])
+    table.record_end(["a"])
+    other = {"1": "2", "2": "1"}[first]
+    # Eight prompts of 17,000 tokens that share 12,750 take 46,750 of 160,000.
+    for number in range(8):
+        name = f"s{number}"
+        assert place(table, prompt(name, "shared", tried=[other])).endpoint == first
+        table.record_read([name])
+    assert place(table, prompt("b", tried=[first])).fetch_from == f"10.0.0.{first}:1"
