Repeat open questions for votes, open connections between replicas at start

Ruled out: the promise to the last leader (over at 35.90 s), disk syncs. Change: open questions are repeated every heartbeat; replicas connect at start; connection attempts end after 500 ms and are repeated within 200 ms; election times spread over half a timeout instead of a whole one.

--- a/mustardtrack/adapters/zeromq.py
+++ b/mustardtrack/adapters/zeromq.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import cast
 
 import msgspec
@@ -18,6 +18,12 @@
 
 HEARTBEAT_INTERVAL_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
+# Peers that start together listen within a few hundred milliseconds of each other.
+RECONNECT_SHORTEST_MS = 50
+RECONNECT_LONGEST_MS = 200
+# A host without power answers nothing, and the operating system would repeat the
+# opening packet only after seconds.
+CONNECT_TIMEOUT_MS = 500
 SEND_QUEUE_MESSAGES = 2000
 MAX_FRAME_BYTES = 8_388_608
 MAX_OPEN_HANDLERS = 2000
@@ -75,6 +81,12 @@
         self._listener.bind(f"tcp://{self._address}")
         self._spawn(self._receive_requests(self._listener))
 
+    def connect(self, addresses: Iterable[str]) -> None:
+        """Open connections to peers, so that the first message finds one open."""
+        for address in addresses:
+            if address != self._address:
+                self._peer(address)
+
     async def stop(self) -> None:
         """Close all sockets; unanswered requests time out at their senders."""
         tasks = list(self._tasks)
@@ -253,6 +265,7 @@
     socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
     socket.setsockopt(zmq.RCVHWM, SEND_QUEUE_MESSAGES)
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
-    socket.setsockopt(zmq.RECONNECT_IVL, 50)
-    socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+    socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_SHORTEST_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_LONGEST_MS)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
     socket.setsockopt(zmq.LINGER, 0)
--- a/mustardtrack/agreement/core.py
+++ b/mustardtrack/agreement/core.py
@@ -38,7 +38,7 @@
     Attributes:
         heartbeat_ms: Period of the leader's messages to each replica.
         election_timeout_ms: Shortest time without a leader before an election;
-            the longest is twice this value.
+            the longest is half as much again.
         append_bytes: Payload bytes in one append request, at least one entry.
         in_flight_entries: Entries sent to one replica and not yet acknowledged.
         piece_bytes: State bytes in one piece of a snapshot.
@@ -118,9 +118,14 @@
         return self.role == LEADER or elapsed_ms < self.timing.election_timeout_ms
 
     def restart_election_timer(self, now_ms: int) -> None:
-        """Choose the next election time at random, one to two timeouts away."""
+        """Choose the next election time at random, up to half a timeout late.
+
+        The spread is wide against a round trip and a sync, so that replicas seldom
+        ask for votes at the same moment.
+        """
         timeout_ms = self.timing.election_timeout_ms
-        self.election_at_ms = now_ms + timeout_ms + self.rng.randrange(timeout_ms)
+        spread_ms = self.rng.randrange(max(1, timeout_ms // 2))
+        self.election_at_ms = now_ms + timeout_ms + spread_ms
 
     def take_effects(self) -> Effects:
         """Return the collected effects and start a new collection."""
--- a/mustardtrack/agreement/election.py
+++ b/mustardtrack/agreement/election.py
@@ -22,15 +22,24 @@
     def __init__(self, core: ReplicaCore):
         self._core = core
         self._granted: set[ReplicaId] = set()
+        self._ask_again_ms = 0
 
     def tick(self, now_ms: int) -> bool:
-        """Start a pre-vote when the election time has come.
+        """Start a pre-vote when the election time has come, repeat open questions.
+
+        The first question is lost while connections are still being opened, as they
+        are when all replicas start at once, and a replica may have refused it because
+        its promise to the last leader had a moment to run.
 
         Returns:
             True if this replica has won an election.
         """
         core = self._core
-        if core.role == LEADER or now_ms < core.election_at_ms:
+        if core.role == LEADER:
+            return False
+        if now_ms < core.election_at_ms:
+            if now_ms >= self._ask_again_ms:
+                self._repeat(now_ms)
             return False
         core.restart_election_timer(now_ms)
         if not core.is_voter:
@@ -38,7 +47,7 @@
             return False
         core.set_role(PRE_CANDIDATE, None)
         self._granted = {core.me}
-        self._ask(PreVoteRequest)
+        self._ask(PreVoteRequest, now_ms)
         return self._continue_if_majority(now_ms)
 
     def on_pre_vote_request(
@@ -107,19 +116,29 @@
         core.set_role(CANDIDATE, None)
         core.restart_election_timer(now_ms)
         self._granted = {core.me}
-        self._ask(VoteRequest)
+        self._ask(VoteRequest, now_ms)
         return self._has_majority()
 
     def _has_majority(self) -> bool:
         voters = set(self._core.log.voters)
         return len(self._granted & voters) >= self._core.quorum()
 
-    def _ask(self, kind: type[PreVoteRequest] | type[VoteRequest]) -> None:
+    def _repeat(self, now_ms: int) -> None:
+        kinds: dict[str, type[PreVoteRequest] | type[VoteRequest]] = {
+            PRE_CANDIDATE: PreVoteRequest,
+            CANDIDATE: VoteRequest,
+        }
+        kind = kinds.get(self._core.role)
+        if kind is not None:
+            self._ask(kind, now_ms)
+
+    def _ask(self, kind: type[PreVoteRequest] | type[VoteRequest], now_ms: int) -> None:
         core = self._core
+        self._ask_again_ms = now_ms + core.timing.heartbeat_ms
         term = core.term + 1 if kind is PreVoteRequest else core.term
         request = kind(term, core.log.last_index, core.log.last_term)
         for voter in core.log.voters:
-            if voter != core.me:
+            if voter not in self._granted:
                 core.send(voter, request)
 
     def _is_current(self, message: PreVoteRequest | VoteRequest) -> bool:
--- a/mustardtrack/agreement/tests/test_replica.py
+++ b/mustardtrack/agreement/tests/test_replica.py
@@ -29,6 +29,7 @@
     AppendRequest,
     JoinRequest,
     PreVoteReply,
+    PreVoteRequest,
     SnapshotPiece,
     VoteReply,
     VoteRequest,
@@ -283,3 +284,33 @@
     assert not replica.form(voters, 0).persist
     with pytest.raises(FormationRefusedError, match="another formation"):
         replica.form((voters[0],), 0)
+
+
+def test_lost_question_for_votes_is_repeated_before_the_next_election():
+    """Guards against a second without a leader when all replicas start at once."""
+    timing = Timing()
+    stored = StoredState(A.disk, term=5)
+    replica = Replica(A, stored, timing, random.Random(1), 0)
+    replica.form((A, B, C), 0)
+    now_ms = 0
+    asked_ms = []
+    while len(asked_ms) < 4:
+        now_ms += 10
+        effects = replica.tick(now_ms)
+        if any(isinstance(one, PreVoteRequest) for _, one in effects.send):
+            asked_ms.append(now_ms)
+    assert asked_ms[0] <= 1.5 * timing.election_timeout_ms
+    assert asked_ms[3] - asked_ms[0] <= 3 * timing.heartbeat_ms + 10
+
+
+def test_replica_that_granted_is_not_asked_again():
+    timing = Timing()
+    replica = Replica(A, StoredState(A.disk, term=5), timing, random.Random(1), 0)
+    five = (A, B, C, ReplicaId("d", "disk-d"), ReplicaId("e", "disk-e"))
+    replica.form(five, 0)
+    now_ms = 2 * timing.election_timeout_ms
+    replica.tick(now_ms)
+    replica.receive(B, PreVoteReply(6, True), now_ms)
+    effects = replica.tick(now_ms + timing.heartbeat_ms)
+    assert B not in [receiver for receiver, _ in effects.send]
+    assert len(effects.send) == 3
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -123,6 +123,8 @@
         ):
             self._bus.handle(topic, handler)
         self._bus.start()
+        voters = [voter.name for voter in self._task.status().voters]
+        self._bus.connect({*voters, *self._settings.seed_names()})
         calls = ControlCalls(self, self._settings.bounds)
         self._watch = EndpointWatch(self, self._settings)
         self._listen(calls)
