Add the command explain, which tells the story of a request from logs

Cause: an operator had to join the lines of a request with what its router and the leader believed by hand; refusals did not say how long the wait would have been. Change: mustardtrack explain REQUEST-ID LOG...; refusals log route, sends, expected wait and time left.

--- a/mustardtrack/command/application.py
+++ b/mustardtrack/command/application.py
@@ -242,6 +242,41 @@
         return code
 
 
+class ExplainCommand(Command):
+    """Tells the story of one request from logs."""
+
+    name = "explain"
+    description = "tell what happened to a request, from the logs of all processes"
+    arguments = [
+        argument("request", description="id that the caller sent"),
+        argument("logs", description="log files", multiple=True),
+    ]
+
+    def handle(self) -> int:
+        """Print the lines of the request; exit 1 if no log names it."""
+        from mustardtrack.command.explanation import explain_request, read_log
+
+        lines = []
+        for path in self.argument("logs"):
+            try:
+                content = Path(path).read_text(encoding="utf-8", errors="replace")
+            except OSError as error:
+                self.line_error(f"<error>{path}: {error.strerror}</error>")
+                return EXIT_USAGE
+            lines += read_log(Path(path).stem, content.splitlines())
+        request_id = self.argument("request")
+        story = explain_request(request_id, lines)
+        if not story:
+            self.line_error(
+                f"<error>no log names {request_id}: give the logs of the routers "
+                "of that time, and look for the event 'log lines left out'</error>"
+            )
+            return EXIT_REFUSED
+        for text in story:
+            self.line(text, style=None)
+        return EXIT_OK
+
+
 class VersionCommand(Command):
     """Prints the version."""
 
@@ -278,6 +313,7 @@
         FormCommand(),
         ReportCommand(),
         CheckConfigCommand(),
+        ExplainCommand(),
         VersionCommand(),
     ):
         application.add(command)
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -186,6 +186,7 @@
         tried: list[str] = []
         step = NextStep.RETRY
         reason = "not_run"
+        expected_ms: float | None = None
         while step is NextStep.RETRY:
             now_ms = self.clock.now_ms()
             endpoint, placement = None, None
@@ -195,6 +196,7 @@
             count = self._links.view.router_count
             if placement is not None and placement.is_hopeless:
                 reason, step = "hopeless", progress.give_up()
+                expected_ms = placement.expected_ms
                 break
             if endpoint is None or (is_repeat and not budget.allow(now_ms, count)):
                 reason = self._describe_lack(admitted, endpoint)
@@ -217,7 +219,7 @@
             step = progress.decide(outcome.end)
             self._log_attempt(admitted, endpoint, outcome, step)
         self._placements.record_end(_request_id(admitted))
-        self._give_up(admitted, progress, step, reason)
+        self._give_up(admitted, progress, step, reason, expected_ms)
 
     def _describe_lack(self, admitted: Admitted, endpoint: EndpointState | None) -> str:
         """Return why a request is not sent, for the log and the caller."""
@@ -344,13 +346,22 @@
         progress: ForwardedRequest,
         step: NextStep,
         reason: str,
+        expected_ms: float | None,
     ) -> None:
         exchange = admitted.exchange
         if exchange.is_gone:
             return
         if step is NextStep.REFUSE:
             progress.check_refusal()
-            self._refuse(exchange, admitted.metadata, reason)
+            self._refuse(
+                exchange,
+                admitted.metadata,
+                reason,
+                route=admitted.route.name,
+                sends=progress.sends,
+                expected_ms=expected_ms,
+                left_ms=admitted.deadline_ms - self.clock.now_ms(),
+            )
             return
         is_late = self.clock.now_ms() >= admitted.deadline_ms - MIN_SEND_MS
         status = 504 if is_late else 502
@@ -367,7 +378,11 @@
         exchange.respond(status, [JSON], encode_error("no endpoint answered"))
 
     def _refuse(
-        self, exchange: Exchange, metadata: RequestMetadata, reason: str
+        self,
+        exchange: Exchange,
+        metadata: RequestMetadata,
+        reason: str,
+        **inputs: object,
     ) -> None:
         self.metrics.count(f"refusal.{reason}")
         log_event(
@@ -377,6 +392,7 @@
             reason=reason,
             confirmed_age_ms=self._links.view.age_ms(self.clock.now_ms()),
             list=self._links.view.endpoints.order,
+            **inputs,
         )
         after_s = RETRY_AFTER_S.get(reason, DEFAULT_RETRY_AFTER_S)
         after_s *= 1 + self._rng.uniform(-RETRY_AFTER_SPREAD, RETRY_AFTER_SPREAD)
