--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -190,12 +190,7 @@
         weights = self._control.store.weights
         placements = self._control.placements
         orders = self._rollout.plan(
-            self._listed,
-            weights,
-            placements.unread,
-            placements.outstanding,
-            placements.queue_ms(),
-            now_ms,
+            self._listed, weights, placements.unread, placements.queue_ms(), now_ms
         )
         for order in orders:
             self._last_order_ms = now_ms
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -27,8 +27,6 @@
 # An engine refuses requests that have not started when the order arrives, so that it
 # gets no new ones for up to this time before.
 LONGEST_DRAIN_MS = 700
-# Endpoints that finish their requests ahead of their load while the others load.
-FINISHING_AHEAD = 1
 # An order without an effect in the list after this time is given again. A load
 # takes about 2 s after the running requests have ended.
 ORDER_LIFETIME_MS = 8000
@@ -84,7 +82,6 @@
         endpoints: Sequence[ListedEndpoint],
         named: Mapping[str, int],
         unread: Callable[[str], int],
-        outstanding: Callable[[str], int],
         queue_ms: float,
         now_ms: int,
     ) -> list[WeightsOrder]:
@@ -95,7 +92,6 @@
             named: Newest version of each model.
             unread: Returns the number of requests that have not started at an
                 endpoint.
-            outstanding: Returns the number of requests that have not ended there.
             queue_ms: Average time to read what is placed on an engine.
             now_ms: Monotonic time.
         """
@@ -107,17 +103,12 @@
             if endpoint.weights.get(model, version) < version
         ]
         # The oldest weights first: while versions follow each other quickly, an
-        # engine late in a fixed order would never be reached. Among equal ones the
-        # emptiest, since an engine loads only when its requests have ended.
-        behind.sort(
-            key=lambda item: (item[0].weights[item[1]], outstanding(item[0].id))
-        )
+        # engine late in a fixed order would never be reached.
+        behind.sort(key=lambda item: item[0].weights[item[1]])
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL, int(engines * PARALLEL_SHARE))
         self._named.update(named, now_ms)
-        if queue_ms <= BUSY_QUEUE_MS:
-            limit += self._finishing(outstanding)
-        elif self._has_slack(behind, limit, now_ms):
+        if queue_ms > BUSY_QUEUE_MS and self._has_slack(behind, limit, now_ms):
             limit = 1
         for endpoint, _, version in behind:
             if len(self._open) >= limit:
@@ -135,15 +126,6 @@
                 orders.append(WeightsOrder(endpoint, model, version))
         return orders
 
-    def _finishing(self, outstanding: Callable[[str], int]) -> int:
-        """Return the endpoints beyond the limit that may finish their requests.
-
-        An endpoint that still runs requests does not load yet, so that the next one
-        can be ready when another ends its load.
-        """
-        waiting = sum(1 for endpoint_id in self._open if outstanding(endpoint_id))
-        return min(FINISHING_AHEAD, waiting)
-
     def _has_slack(
         self,
         behind: Sequence[tuple[ListedEndpoint, str, int]],
