Load half the usual number of engines while queues are long, not one

Cause: while queues were long one engine loaded at a time, whatever their number; 30 engines waited and then loaded twelve at once near the limit. Change: half of the allowed number, at least one; 6 of 30 engines, 1 of 5 or 9 as before.

--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -17,8 +17,11 @@
 PARALLEL_SHARE = 0.4
 MIN_PARALLEL = 2
 # Average time to read what is placed on an engine above which the engines are needed
-# for traffic, so that no more of them load than the time limit requires.
+# for traffic, so that fewer of them load unless the time limit requires more.
 BUSY_QUEUE_MS = 150.0
+# Part of the usual number that loads at once then. Answers on replaced weights lose
+# worth as well, so that a rollout must not wait for a calm moment.
+BUSY_SHARE = 0.5
 # Time of one load at a busy engine, with the requests that run before it.
 BUSY_LOAD_MS = 3300
 # Part of the time limit by which the plan brings an engine to new weights; loads at
@@ -109,7 +112,7 @@
         limit = max(MIN_PARALLEL, int(engines * PARALLEL_SHARE))
         self._named.update(named, now_ms)
         if queue_ms > BUSY_QUEUE_MS and self._has_slack(behind, limit, now_ms):
-            limit = 1
+            limit = max(1, int(BUSY_SHARE * limit))
         for endpoint, _, version in behind:
             if len(self._open) >= limit:
                 break
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -82,3 +82,11 @@
     busy_ms = BUSY_QUEUE_MS + 1
     assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, 0)) == 1
     assert len(rollout.plan(engines, {"m": 3}, idle, busy_ms, LIMIT_MS // 2)) == 2
+
+
+def test_many_busy_engines_load_several_at_a_time():
+    """Guards against 30 engines that wait one by one and then load all at once."""
+    engines = [engine(f"e{n}", 1) for n in range(30)]
+    rollout = Rollout(LIMIT_MS)
+    busy_ms = BUSY_QUEUE_MS + 1
+    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, 0)) == 6
