Add a soak of real seeded daemons under faults from outside

Change: bin/fault-soak plays seeds: daemons are stopped, paused, killed and restarted by signals, disks are lost or end in a torn write, connections to endpoints are delayed, cut one way, reset and silenced, endpoints refuse and lose answers, configurations change, a key is revoked, in overlapping series. Callers keep their connections. Checked: bookings run once, answers are the caller's own and whole, refused requests did not run, planned stops cut nothing, configurations do not revert, revoked keys do not run. test_seeded.py uses the same hosts module.

--- a/mustardtrack/process/tests/test_seeded.py
+++ b/mustardtrack/process/tests/test_seeded.py
@@ -4,22 +4,27 @@
 configuration or loses it with its processes.
 """
 
-import http.client
 import json
 import signal
 import socket
-import subprocess
-import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
-import yaml
+
+from mustardtrack.testing.seededhosts import (
+    CALLER_PORT,
+    READY_PORT,
+    SeededHosts,
+    call,
+    look_up,
+    put_document,
+    read_document,
+)
 
 CONTROLS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 ROUTER = "127.0.0.21"
-OPERATOR_PORT, CALLER_PORT, READY_PORT, BUS_PORT = 18783, 18782, 18789, 17340
 LONGEST_WAIT_S = 20.0
 # A router reports to every control host at least every 0.4 s; a busy machine delays it.
 SYNC_WAIT_S = 2.0
@@ -92,16 +97,6 @@
     }
 
 
-def call(host, port, method, path, body=None, headers=None):
-    connection = http.client.HTTPConnection(host, port, timeout=5)
-    try:
-        connection.request(method, path, body, headers or {})
-        answer = connection.getresponse()
-        return answer.status, answer.read()
-    finally:
-        connection.close()
-
-
 def request(body, number, path="/x/1", key="k1"):
     headers = {
         "Host": "a.example",
@@ -133,85 +128,27 @@
     raise AssertionError("condition not reached")
 
 
-class Hosts:
-    """The daemons of one deployment."""
-
-    def __init__(self, folder):
-        self._folder = folder
-        self.running = {}
-
-    def start(self, host, bootstrap=True):
-        """Start the daemon of a host."""
-        settings = {
-            "role": "router" if host == ROUTER else "control",
-            "name": host,
-            "zone": "a",
-            "host": host,
-            "seeds": [f"{control}:{OPERATOR_PORT}" for control in CONTROLS],
-            "bootstrap": bootstrap,
-            "internal_ports": [BUS_PORT, BUS_PORT + 9],
-            "host_list": Endpoint.address,
-            "listen": {"operators": f"{host}:{OPERATOR_PORT}"},
-        }
-        if host == ROUTER:
-            settings["listen"] = {
-                "callers": f"{host}:{CALLER_PORT}",
-                "readiness": f"{host}:{READY_PORT}",
-            }
-        else:
-            settings["data_folder"] = str(self._folder / host)
-        path = self._folder / f"{host}.yaml"
-        path.write_text(yaml.safe_dump(settings))
-        arguments = ["-m", "mustardtrack.process.daemon", "--config", str(path)]
-        log = (self._folder / f"{host}.log").open("ab")
-        self.running[host] = subprocess.Popen(
-            [sys.executable, *arguments], stdout=log, stderr=log
-        )
-
-    def stop(self, host, number):
-        """Send a signal and return the exit code."""
-        process = self.running.pop(host)
-        process.send_signal(number)
-        return process.wait(timeout=20)
-
-
 @pytest.fixture
 def hosts(tmp_path):
     server = ThreadingHTTPServer(("127.0.0.31", 0), Endpoint)
     Endpoint.address = f"127.0.0.31:{server.server_address[1]}"
     Endpoint.ran = []
     threading.Thread(target=server.serve_forever, daemon=True).start()
-    deployment = Hosts(tmp_path)
+    deployment = SeededHosts(tmp_path, CONTROLS, (ROUTER,), Endpoint.address)
     for host in (*CONTROLS, ROUTER):
         deployment.start(host)
     yield deployment
-    for host in list(deployment.running):
-        deployment.stop(host, signal.SIGKILL)
+    deployment.end()
     server.shutdown()
     server.server_close()
 
 
-def put(host, content):
-    path = "/v1/config/put"
-    return call(host, OPERATOR_PORT, "POST", path, json.dumps(content).encode())[0]
-
-
-def read(host):
-    status, body = call(host, OPERATOR_PORT, "GET", "/v1/config/get")
-    return json.loads(body) if status == 200 else None
-
-
-def look_up(host):
-    body = call(host, OPERATOR_PORT, "GET", "/v1/lookup?zone=a")[1]
-    return json.loads(body).get("addresses")
-
-
 def is_ready():
     return call(ROUTER, READY_PORT, "GET", "/v1/ready")[0] == 200
 
 
 def test_deployment_forms_serves_and_keeps_its_configuration(hosts):
-    wait_until(lambda: put(CONTROLS[0], document(3)) == 200)
+    wait_until(lambda: put_document(CONTROLS[0], document(3)) == 200)
     wait_until(is_ready)
     status, body = request(b"hello", 1)
     assert (status, body) == (200, b"echo hello")
@@ -234,10 +171,10 @@
     # The router tells the other control hosts with its next message to them.
     wait_until(lambda: look_up(CONTROLS[1]) == [f"{ROUTER}:{CALLER_PORT}"], SYNC_WAIT_S)
 
-    assert put(CONTROLS[2], document(2, "/old/")) == 200
-    assert put(CONTROLS[2], {"version": 9}) == 400
-    assert put(CONTROLS[1], document(5, "/y/")) == 200
-    assert read(CONTROLS[0])["version"] == 5
+    assert put_document(CONTROLS[2], document(2, "/old/")) == 200
+    assert put_document(CONTROLS[2], {"version": 9}) == 400
+    assert put_document(CONTROLS[1], document(5, "/y/")) == 200
+    assert read_document(CONTROLS[0])["version"] == 5
     wait_until(lambda: request(b"new", 6, path="/y/1")[0] == 200)
     assert request(b"old", 7)[0] == 404
 
@@ -246,13 +183,13 @@
     assert request(b"alone", 8, path="/y/1")[0] == 200
     for host in CONTROLS:
         hosts.start(host, bootstrap=False)
-    wait_until(lambda: (read(CONTROLS[1]) or {}).get("version") == 5)
+    wait_until(lambda: (read_document(CONTROLS[1]) or {}).get("version") == 5)
     assert hosts.stop(ROUTER, signal.SIGTERM) == 0
 
 
 def test_router_without_control_refuses_keyed_requests_in_time(hosts):
     """Guards against keys that work on a router that is cut off."""
-    wait_until(lambda: put(CONTROLS[0], document(3)) == 200)
+    wait_until(lambda: put_document(CONTROLS[0], document(3)) == 200)
     wait_until(is_ready)
     for host in CONTROLS:
         hosts.stop(host, signal.SIGKILL)
