Read whole caches when events were lost, as they are for a new leader

Cause: sources keep only their newest events, and the flag that says so was decoded and not used. Change: after lost events the whole cache is listed, at most once in 5 s for a source; parts of running requests are kept.

--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -117,6 +117,30 @@
     )
 
 
+CACHE_LIST_TARGET = b"/v1/kv-list"
+
+
+def read_cache_list(body: bytes) -> CacheEvents:
+    """Decode everything that a cache holds, as events that lead to it.
+
+    Raises:
+        ValueError: If the answer as a whole cannot be read.
+    """
+    data = json.loads(body)
+    if not isinstance(data, dict) or not isinstance(data.get("next-token"), int):
+        raise ValueError("the answer names no next event")
+    changes = []
+    for item in data.get("held") or []:
+        if isinstance(item, list) and len(item) >= 3 and isinstance(item[2], int):
+            changes.append((str(item[0]), str(item[1]), item[2]))
+    return CacheEvents(
+        epoch=str(data.get("boot-epoch")),
+        following=data["next-token"],
+        has_gap=False,
+        changes=changes,
+    )
+
+
 ORDER_TARGET = b"/v1/order"
 REPORT_TARGET = b"/v1/report"
 
--- a/mustardtrack/platform/tests/test_endpoints.py
+++ b/mustardtrack/platform/tests/test_endpoints.py
@@ -10,6 +10,7 @@
     encode_weights_order,
     list_target,
     read_cache_events,
+    read_cache_list,
     read_list_page,
     read_weights_request,
 )
@@ -105,3 +106,12 @@
     for bad in (b"", b"[]", b"{}"):
         with pytest.raises(ValueError):
             read_cache_events(bad)
+
+
+def test_cache_list_leads_to_what_is_held():
+    body = b'{"boot-epoch":7,"next-token":12,"held":[["s","d",80,"m"],"x",["s"]]}'
+    held = read_cache_list(body)
+    assert (held.epoch, held.following) == ("7", 12)
+    assert held.changes == [("s", "d", 80)]
+    with pytest.raises(ValueError):
+        read_cache_list(b"[]")
--- a/mustardtrack/process/cache_watch.py
+++ b/mustardtrack/process/cache_watch.py
@@ -11,9 +11,11 @@
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpointlist import CacheEvents
 from mustardtrack.platform.endpoints import (
+    CACHE_LIST_TARGET,
     EVENTS_WAIT_HEADER,
     events_target,
     read_cache_events,
+    read_cache_list,
 )
 
 if TYPE_CHECKING:
@@ -22,7 +24,11 @@
 EVENTS_LOST = define_event(8971, "WARNING", "cache events cannot be read")
 EVENTS_REGAINED = define_event(8972, "INFO", "cache events are read")
 CACHE_RESTARTED = define_event(8973, "INFO", "cache has started again empty")
+CACHE_LISTED = define_event(8974, "INFO", "whole cache was read after lost events")
+CACHE_NOT_LISTED = define_event(8975, "WARNING", "whole cache could not be read")
 
+# The list delays the engine's work, so that it is not asked for at every lost event.
+LIST_PERIOD_S = 5.0
 # A call is held for up to this time until there are events; shorter ones are priced.
 WAIT_MS = 1000
 CALL_TIMEOUT_S = 1.6
@@ -74,6 +80,8 @@
     async def _follow(self, source: str, address: str) -> None:
         """Follow one engine, or the store if ``source`` is empty."""
         following, epoch, is_lost = 0, "", False
+        clock = asyncio.get_running_loop().time
+        list_at_s = clock()
         while True:
             try:
                 events = await self._ask(address, following)
@@ -92,9 +100,32 @@
                 self._forget(source)
             epoch, following = events.epoch, events.following
             self._apply(source, events)
+            if events.has_gap and clock() >= list_at_s:
+                list_at_s = clock() + LIST_PERIOD_S
+                following = await self._list(source, address, following)
             self._note_store(source, True)
             await asyncio.sleep(PAUSE_S)
 
+    async def _list(self, source: str, address: str, following: int) -> int:
+        """Read the whole cache, and return the number after which events follow.
+
+        A new leader misses most events, since sources keep only the newest.
+        """
+        try:
+            status, body = await self._call(address, CACHE_LIST_TARGET, [])
+            if status != 200:
+                raise ValueError(f"status {status}")
+            held = read_cache_list(body)
+        except (ConnectError, ConnectionBrokenError, ValueError) as error:
+            log_event(CACHE_NOT_LISTED, endpoint=source, error=str(error))
+            return following
+        log_event(CACHE_LISTED, endpoint=source, parts=len(held.changes))
+        if source:
+            self._control.placements.replace_cache(source, held.changes)
+        else:
+            self._control.placements.replace_store(held.changes)
+        return held.following
+
     def _note_store(self, source: str, is_up: bool) -> None:
         if source == "":
             self.store_is_up = is_up
@@ -119,15 +150,15 @@
             ConnectionBrokenError: If there is no answer.
             ValueError: If the answer cannot be read.
         """
-        status, body = await self._pool.call(
-            address,
-            b"GET",
-            events_target(since),
-            [(EVENTS_WAIT_HEADER, b"%d" % WAIT_MS)],
-            b"",
-            CONNECT_TIMEOUT_S,
-            CALL_TIMEOUT_S,
-        )
+        headers = [(EVENTS_WAIT_HEADER, b"%d" % WAIT_MS)]
+        status, body = await self._call(address, events_target(since), headers)
         if status != 200:
             raise ValueError(f"status {status}")
         return read_cache_events(body)
+
+    async def _call(
+        self, address: str, target: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> tuple[int, bytes]:
+        return await self._pool.call(
+            address, b"GET", target, headers, b"", CONNECT_TIMEOUT_S, CALL_TIMEOUT_S
+        )
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from mustardtrack.membership.endpointlist import ListedEndpoint
@@ -171,6 +171,16 @@
         self.cache[key] = tokens
         self.unread.discard(key)
 
+    def replace(self, held: Iterable[tuple[PartKey, int]]) -> None:
+        """Adopt the whole content of the cache as the engine lists it.
+
+        Parts of running requests stay, since the list may be older than they are.
+        """
+        for key in [one for one in self.cache if not self.pins.get(one)]:
+            self._drop(key)
+        for key, tokens in held:
+            self.correct(key, tokens)
+
     def clear(self) -> None:
         """Forget the cache, which a restart or other weights have emptied."""
         for work in self.work.values():
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -290,6 +290,19 @@
         for salt, digest, tokens in changes:
             engine.correct((salt, digest), tokens)
 
+    def replace_cache(
+        self, endpoint_id: str, held: Iterable[tuple[str, str, int]]
+    ) -> None:
+        """Adopt everything that an engine lists as cached."""
+        engine = self._engines.get(endpoint_id)
+        if engine is not None:
+            engine.replace(((salt, digest), tokens) for salt, digest, tokens in held)
+
+    def replace_store(self, held: Iterable[tuple[str, str, int]]) -> None:
+        """Adopt everything that the store lists."""
+        self.forget_store()
+        self.apply_store_events(held)
+
     def apply_store_events(self, changes: Iterable[tuple[str, str, int]]) -> None:
         """Correct what the store is believed to hold."""
         for salt, digest, tokens in changes:
--- a/mustardtrack/routing/tests/test_enginestate.py
+++ b/mustardtrack/routing/tests/test_enginestate.py
@@ -85,3 +85,14 @@
     for name in list(engine.work):
         engine.remove(name)
     assert engine.memory_tokens == 0 and not engine.pins
+
+
+def test_list_of_the_engine_replaces_what_is_not_in_use():
+    engine = EngineState(LISTED)
+    add(engine, "a", [(key(1), 100)])
+    add(engine, "b", [(key(2), 200)])
+    engine.remove("b")
+    engine.replace([(key(3), 300)])
+    assert set(engine.cache) == {key(1), key(3)}
+    assert engine.kept_tokens == 400
+    assert engine.readable_prefix([(key(3), 300)]) == 300
