--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -288,6 +288,7 @@
             time_left_ms=admitted.deadline_ms - self.clock.now_ms(),
             zone=self._settings.zone,
             tried=tried,
+            router=self._settings.name,
         )
 
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -55,8 +55,8 @@
 # Delay charged for an engine other than the one that rendezvous hashing prefers for an
 # opening. A new leader then finds openings where the one before it left them.
 AWAY_MS = 40.0
-# Reading a long opening again is priced at most of the worth of its request, which
-# is as bad as half a second of delay.
+# Reading a long opening again costs most of the worth of its request, which is as bad
+# as half a second of delay.
 READ_AGAIN_MS_PER_TOKEN = 0.04
 # Part of an objective after which an estimate counts as late, since it is rough.
 LATE_SHARE = 0.7
@@ -70,6 +70,12 @@
 # Delay charged when an engine's memory would be exceeded, so that it must evict
 # running requests.
 MEMORY_MS = 1500.0
+# Engines that a router prefers for prompts without a long opening, so that it finds
+# an open connection: it sends a few of them a second, and connections rest for seconds.
+PREFERRED_ENGINES = 3
+# Delay charged for other engines; such a prompt is on time for seconds, and a new
+# connection costs an endpoint about as much as reading this long.
+OTHER_ENGINE_MS = 40.0
 # Bytes between zones are paid for.
 ZONE_MS = 8.0
 # Time without placements on an engine that a router could not reach.
@@ -124,6 +130,7 @@
         rank: Class of work, 0 is the most urgent.
         time_left_ms: Time after which the request has ended in any case.
         tried: Engines that did not run it.
+        router: Router that sends it.
     """
 
     request_id: str
@@ -138,6 +145,7 @@
     time_left_ms: int
     zone: str
     tried: list[str]
+    router: str = ""
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -240,6 +248,8 @@
             return Placement(is_known=self._knows(request.service))
         question = _Question(request, service, store, weights, now_ms)
         question.home = _find_home(request, usable)
+        if not question.home and request.router:
+            question.preferred = _find_preferred(request, usable)
         urgency = rank_urgency(request.rank)
         estimate = self._find_best(question, usable, urgency)
         is_late = estimate.first_ms > LATE_CERTAIN * request.objective_ms
@@ -387,7 +397,8 @@
         first_ms += source.move_ms + RUNNING_MS * len(engine.work)
         late_ms = first_ms - LATE_SHARE * request.objective_ms
         cost_ms = first_ms + LATE_FACTOR * max(0.0, late_ms)
-        cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, question.shared_tokens - held)
+        again_tokens = max(0, self._known_tokens(question, version) - held)
+        cost_ms += READ_AGAIN_MS_PER_TOKEN * again_tokens
         replaced_ms = self._named.replaced_ms(request.model, version, question.now_ms)
         if replaced_ms is not None and replaced_ms >= OLD_WEIGHTS_GRACE_MS:
             cost_ms += OLD_WEIGHTS_MS
@@ -397,6 +408,8 @@
             cost_ms += ZONE_MS
         if question.home and engine.listed.id != question.home:
             cost_ms += AWAY_MS
+        if question.preferred and engine.listed.id not in question.preferred:
+            cost_ms += OTHER_ENGINE_MS
         if service.engine is not None and service.engine.memory_tokens:
             room = MEMORY_SHARE * service.engine.memory_tokens
             needed = engine.memory_tokens + request.tokens + request.output_tokens
@@ -433,6 +446,20 @@
                 return found
         return self._find_in_store(engine, question, version, cached)
 
+    def _known_tokens(self, question: "_Question", version: int) -> int:
+        """Return the shared tokens that were read already under a weights version.
+
+        The first reading of an opening under new weights is due in any case, so that
+        only what lies within these tokens counts as read again.
+        """
+        known = question.known.get(version)
+        if known is None:
+            shared = question.shared(version)
+            caches = [engine.cache for engine in self._engines.values()]
+            known = max(sum_leading(shared, one, ()) for one in (*caches, self._stored))
+            question.known[version] = known
+        return known
+
     def _holders(
         self, question: "_Question", version: int
     ) -> list[tuple[int, EngineState]]:
@@ -591,8 +618,10 @@
         self.newest = weights.get(request.model, 1)
         self.now_ms = now_ms
         self.home = ""
+        self.preferred: frozenset[str] = frozenset()
         self.shared_tokens = sum(tokens for _, tokens in request.parts[:-1])
         self.holders: dict[int, list[tuple[int, EngineState]]] = {}
+        self.known: dict[int, int] = {}
         self._shared: dict[int, PartSizes] = {}
 
     def shared(self, version: int) -> PartSizes:
@@ -613,6 +642,16 @@
     return rank_endpoints(digest, [engine.listed.id for engine in engines])[0]
 
 
+def _find_preferred(
+    request: PlacementRequest, engines: list[EngineState]
+) -> frozenset[str]:
+    """Return the engines to which a router keeps connections, in its zone if any."""
+    names = [one.listed.id for one in engines if one.listed.zone == request.zone]
+    names = names or [one.listed.id for one in engines]
+    digest = xxh3_64_intdigest(request.router.encode())
+    return frozenset(rank_endpoints(digest, names)[:PREFERRED_ENGINES])
+
+
 def _move_ms(size_bytes: int, link_mbps: float, is_near: bool) -> float:
     if link_mbps <= 0:
         return 0.0
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -1,5 +1,7 @@
 """Loads that prompt placement answers, built by hand."""
 
+from collections import Counter, deque
+
 from mustardtrack.configuration.routes import EngineLimits, Service
 from mustardtrack.membership.endpointlist import ListedEndpoint
 from mustardtrack.routing.placements import PlacementRequest, PlacementTable
@@ -42,8 +44,9 @@
         rank=rank,
         objective_ms=1000,
         time_left_ms=12_000,
-        zone="a",
+        zone=fields.get("zone", "a"),
         tried=fields.get("tried", []),
+        router=fields.get("router", ""),
     )
 
 
@@ -268,3 +271,41 @@
         assert place(table, prompt(name, "shared", tried=[other])).endpoint == first
         table.record_read([name])
     assert place(table, prompt("b", tried=[first])).fetch_from == f"10.0.0.{first}:1"
+
+
+def test_first_reading_under_new_weights_is_not_avoided():
+    """Guards against prompts that stay on replaced weights because they are cached."""
+    table = PlacementTable(15_000)
+    table.update([engine("1", version=1), engine("2", version=1)])
+    first = place(table, prompt("a"), 0).endpoint
+    table.record_read(["a"])
+    table.record_end(["a"])
+    other = {"1": "2", "2": "1"}[first]
+    table.update([engine(first, version=1), engine(other, version=2)])
+    place(table, prompt("b", "o2"), 0, weights={"m": 2})
+    table.record_end(["b"])
+    # After some seconds an answer on old weights loses worth.
+    assert place(table, prompt("c"), 3000, weights={"m": 2}).endpoint == other
+
+
+def test_each_router_sends_short_prompts_to_few_engines():
+    """Guards against a new connection for nearly every prompt of a large fleet."""
+    table = PlacementTable(15_000)
+    table.update([engine(str(n), zone="abcd"[n % 4]) for n in range(32)])
+    pairs = Counter()
+    load = Counter()
+    running = deque()
+    for number in range(3000):
+        router, zone = f"router-{number % 40}", "abcd"[number % 4]
+        request = prompt(f"p{number}", tokens=400, rank=2, router=router, zone=zone)
+        chosen = place(table, request, number).endpoint
+        pairs[router, chosen] += 1
+        load[chosen] += 1
+        running.append(f"p{number}")
+        if len(running) > 100:
+            ended = running.popleft()
+            table.record_read([ended])
+            table.record_end([ended])
+    assert len(pairs) <= 40 * 4
+    in_zone = [load[name] for name in load]
+    assert max(in_zone) <= 3 * sum(in_zone) / len(in_zone)
--- a/mustardtrack/testing/seededendpoints.py
+++ b/mustardtrack/testing/seededendpoints.py
@@ -222,10 +222,17 @@
         self._loop.call_soon_threadsafe(function)
 
     def stop(self) -> None:
-        """End the loop."""
+        """End all connections and the loop."""
+        self.run(self._end_tasks())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
+    async def _end_tasks(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def _start(self) -> None:
         for endpoint in self.endpoints:
             await endpoint.start(self._host)
