--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -397,8 +397,7 @@
         first_ms += source.move_ms + RUNNING_MS * len(engine.work)
         late_ms = first_ms - LATE_SHARE * request.objective_ms
         cost_ms = first_ms + LATE_FACTOR * max(0.0, late_ms)
-        again_tokens = max(0, self._known_tokens(question, version) - held)
-        cost_ms += READ_AGAIN_MS_PER_TOKEN * again_tokens
+        cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, question.shared_tokens - held)
         replaced_ms = self._named.replaced_ms(request.model, version, question.now_ms)
         if replaced_ms is not None and replaced_ms >= OLD_WEIGHTS_GRACE_MS:
             cost_ms += OLD_WEIGHTS_MS
@@ -446,20 +445,6 @@
                 return found
         return self._find_in_store(engine, question, version, cached)
 
-    def _known_tokens(self, question: "_Question", version: int) -> int:
-        """Return the shared tokens that were read already under a weights version.
-
-        The first reading of an opening under new weights is due in any case, so that
-        only what lies within these tokens counts as read again.
-        """
-        known = question.known.get(version)
-        if known is None:
-            shared = question.shared(version)
-            caches = [engine.cache for engine in self._engines.values()]
-            known = max(sum_leading(shared, one, ()) for one in (*caches, self._stored))
-            question.known[version] = known
-        return known
-
     def _holders(
         self, question: "_Question", version: int
     ) -> list[tuple[int, EngineState]]:
@@ -621,7 +606,6 @@
         self.preferred: frozenset[str] = frozenset()
         self.shared_tokens = sum(tokens for _, tokens in request.parts[:-1])
         self.holders: dict[int, list[tuple[int, EngineState]]] = {}
-        self.known: dict[int, int] = {}
         self._shared: dict[int, PartSizes] = {}
 
     def shared(self, version: int) -> PartSizes:
