--- a/mustardtrack/ports/synchronization.py
+++ b/mustardtrack/ports/synchronization.py
@@ -65,10 +65,12 @@
 
     ``read`` and ``ended`` hold request ids, ``silent`` the engines that the router
     could not reach, ``broken`` the fingerprints of requests whose endpoint broke the
-    connection while it ran them.
+    connection while it ran them, ``refused`` an engine for each request that it did not
+    run.
     """
 
     read: list[str]
     ended: list[str]
     silent: list[str]
     broken: list[str] = []
+    refused: list[str] = []
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -213,6 +213,9 @@
             assert outcome.end is not None
             if outcome.end in (AttemptEnd.NOT_SENT, AttemptEnd.TIMED_OUT):
                 self._placements.record_silence(endpoint.id)
+            if outcome.end is AttemptEnd.NOT_RUN:
+                endpoint.record_answer(is_failure=True)
+                self._placements.record_refusal(endpoint.id)
             if outcome.end is AttemptEnd.BROKEN:
                 fingerprint = _fingerprint(exchange, admitted.account)
                 self._placements.record_broken(fingerprint)
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -23,6 +23,7 @@
 PAUSE_S = 0.5
 # Progress is sent in batches, since a message costs more than its content.
 PROGRESS_PERIOD_S = 0.03
+NO_PROGRESS = Progress([], [], [])
 
 
 class PlacementClient:
@@ -38,6 +39,7 @@
         self._ended: list[str] = []
         self._silent: set[str] = set()
         self._broken: list[str] = []
+        self._refused: list[str] = []
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -91,6 +93,10 @@
         """Report an endpoint that does not answer."""
         self._silent.add(endpoint_id)
 
+    def record_refusal(self, endpoint_id: str) -> None:
+        """Report an engine that did not run a request."""
+        self._refused.append(endpoint_id)
+
     def record_broken(self, fingerprint: str) -> None:
         """Report a request whose endpoint broke the connection."""
         self._broken.append(fingerprint)
@@ -98,13 +104,17 @@
     async def _send_progress(self) -> None:
         while True:
             await asyncio.sleep(PROGRESS_PERIOD_S)
-            if not (self._read or self._ended or self._silent or self._broken):
-                continue
             progress = Progress(
-                self._read, self._ended, sorted(self._silent), self._broken
+                self._read,
+                self._ended,
+                sorted(self._silent),
+                self._broken,
+                self._refused,
             )
+            if progress == NO_PROGRESS:
+                continue
             self._read, self._ended, self._silent = [], [], set()
-            self._broken = []
+            self._broken, self._refused = [], []
             leader = self._links.view.leader
             if leader:
                 self._bus.post(leader, "progress", msgspec.msgpack.encode(progress))
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -366,6 +366,7 @@
         self.placements.record_read(progress.read)
         self.placements.record_end(progress.ended)
         self.placements.record_silence(progress.silent, self.now_ms())
+        self.placements.record_refusal(progress.refused, self.now_ms())
         self._crashes.record(progress.broken, self.now_ms())
 
     def route_table(self) -> RouteTable | None:
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -15,6 +15,10 @@
 # Urgencies that engines know, 0 to 9.
 URGENCIES = 10
 
+# Time in which the weight of a refusal halves; faults of engines last some seconds, and
+# a rare trial shows that one has ended.
+REFUSAL_HALF_LIFE_MS = 1500.0
+
 # Salt and digest of one part of a prompt, and such parts with their tokens.
 PartKey = tuple[str, str]
 PartSizes = list[tuple[PartKey, int]]
@@ -66,6 +70,7 @@
         kept_tokens: Tokens of all parts in memory.
         output_tokens: Tokens that running requests may generate.
         resting_until_ms: Time before which nothing is placed on it.
+        refusals: Requests that it did not run, by weight at ``refused_ms``.
     """
 
     listed: ListedEndpoint
@@ -78,6 +83,8 @@
     pinned_tokens: int = 0
     output_tokens: int = 0
     resting_until_ms: int = 0
+    refusals: float = 0.0
+    refused_ms: int = 0
     link: TransferLink = field(default_factory=TransferLink)
 
     @property
@@ -85,6 +92,18 @@
         """Tokens of memory that cannot yield."""
         return self.pinned_tokens + self.output_tokens
 
+    def record_refusal(self, now_ms: int) -> None:
+        """Count a request that the engine did not run."""
+        self.refusals = self.recent_refusals(now_ms) + 1.0
+        self.refused_ms = now_ms
+
+    def recent_refusals(self, now_ms: int) -> float:
+        """Return the refusals of the last seconds, older ones with less weight."""
+        if not self.refusals:
+            return 0.0
+        age = (now_ms - self.refused_ms) / REFUSAL_HALF_LIFE_MS
+        return float(self.refusals * 0.5**age)
+
     def unread_before(self, urgency: int) -> int:
         """Tokens to be read before a prompt of this urgency."""
         return sum(self.unread_tokens[: urgency + 1])
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -80,6 +80,9 @@
 ZONE_MS = 8.0
 # Time without placements on an engine that a router could not reach.
 REST_MS = 1500
+# Delay charged for each request that an engine has just refused to run. An engine that
+# sheds a part of its work looks idle, and draws work that is refused again.
+REFUSAL_MS = 120.0
 # Memory of an engine that placements may fill; outputs are estimates.
 MEMORY_SHARE = 0.92
 EXPIRY_PERIOD_MS = 500
@@ -290,6 +293,13 @@
             if engine is not None:
                 engine.resting_until_ms = now_ms + REST_MS
 
+    def record_refusal(self, endpoint_ids: Iterable[str], now_ms: int) -> None:
+        """Count requests that engines did not run, one for each mention."""
+        for endpoint_id in endpoint_ids:
+            engine = self._engines.get(endpoint_id)
+            if engine is not None:
+                engine.record_refusal(now_ms)
+
     def apply_events(
         self, endpoint_id: str, changes: Iterable[tuple[str, str, int]]
     ) -> None:
@@ -403,6 +413,7 @@
             cost_ms += OLD_WEIGHTS_MS
         if replaced_ms is not None and replaced_ms + first_ms > self._weights_limit_ms:
             cost_ms = math.inf
+        cost_ms += REFUSAL_MS * engine.recent_refusals(question.now_ms)
         if engine.listed.zone != request.zone:
             cost_ms += ZONE_MS
         if question.home and engine.listed.id != question.home:
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -294,3 +294,29 @@
     assert len(pairs) <= 40 * 4
     in_zone = [load[name] for name in load]
     assert max(in_zone) <= 3 * sum(in_zone) / len(in_zone)
+
+
+def test_engine_that_sheds_work_draws_little_of_it():
+    """Guards against an engine that looks idle because it refuses requests."""
+    table = make("1", "2", "3")
+    refused = Counter()
+    placed = Counter()
+    running = deque()
+    for number in range(600):
+        now_ms = number * 10
+        name = f"p{number}"
+        chosen = place(table, prompt(name, tokens=400, rank=2), now_ms).endpoint
+        placed[chosen] += 1
+        if chosen == "1" and number % 5 < 2:
+            refused[chosen] += 1
+            table.record_refusal([chosen], now_ms)
+            table.record_end([name])
+            continue
+        running.append(name)
+        if len(running) > 20:
+            ended = running.popleft()
+            table.record_read([ended])
+            table.record_end([ended])
+    assert refused["1"] <= 15
+    # It is still tried, so that the end of the fault is noticed.
+    assert placed["1"] > refused["1"] > 0
