--- a/mustardtrack/testing/faultsoak.py
+++ b/mustardtrack/testing/faultsoak.py
@@ -415,6 +415,7 @@
             self._check_answers,
             self._check_refusals,
             self._check_stops,
+            self._check_keys,
             self._check_revocation,
         ):
             self.findings.violations += check(told)
@@ -462,6 +463,14 @@
             ]
         return found
 
+    def _check_keys(self, told: list[Told]) -> list[str]:
+        return [
+            f"{one.request_id} ({one.kind}) got {one.status} although its key and "
+            "route were in every configuration"
+            for one in told
+            if one.status in (401, 404) and not _uses_revoked_key(one)
+        ]
+
     def _check_revocation(self, told: list[Told]) -> list[str]:
         revoked_s = self.findings.revoked_s
         if revoked_s is None:
@@ -471,12 +480,17 @@
             f"{one.request_id} ran under a key revoked "
             f"{one.sent_s - revoked_s:.1f} s before"
             for one in told
-            if one.request_id.startswith(f"c{CALLERS - 1}-")
+            if _uses_revoked_key(one)
             and one.sent_s > revoked_s + REVOKE_S
             and runs[one.request_id]
         ]
 
 
+def _uses_revoked_key(one: Told) -> bool:
+    """Return whether the last caller sent a request; its key is removed once."""
+    return one.request_id.startswith(f"c{CALLERS - 1}-")
+
+
 def play_seed(
     seed: int,
     seconds: float,
--- a/mustardtrack/testing/tests/test_faultsoak.py
+++ b/mustardtrack/testing/tests/test_faultsoak.py
@@ -68,6 +68,11 @@
     assert not judge(soak, told(status=0, is_whole=False))
 
 
+def test_refused_key_that_is_in_force_is_found(soak):
+    assert judge(soak, told(status=401))
+    assert not judge(FaultSoak(1, 0.0, soak._folder), told("c7-1", status=401))
+
+
 def test_revoked_key_that_still_runs_is_found(soak):
     soak.findings.revoked_s = 0.0
     assert judge(soak, told("c7-1", sent_s=REVOKE_S + 1))
