--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -295,7 +295,8 @@
         """
         left_ms = min(limit_ms, self._left_ms())
         event = await connection.next_event(left_ms / 1000)
-        if event is None and not is_final and not self._may_move():
+        is_silent = event is None and not self._exchange.is_gone
+        if is_silent and not is_final and not self._may_move():
             event = await connection.next_event(self._left_ms() / 1000)
         if self._exchange.is_gone:
             connection.close()
--- a/mustardtrack/process/tests/test_attempt.py
+++ b/mustardtrack/process/tests/test_attempt.py
@@ -55,3 +55,15 @@
         assert event == Outcome(AttemptEnd.TIMED_OUT, note="no data in time")
     else:
         assert event == AnswerData(b"x")
+
+
+def test_attempt_ends_at_once_when_its_caller_leaves():
+    """Guards against endpoints that work on for callers that have gone."""
+    connection = Connection(silence_s=2 * STALL_MS / 1000)
+    attempt = make_attempt(may_move=False)
+    attempt._exchange.is_gone = True
+    event = asyncio.run(attempt._next(connection, STALL_MS))
+    assert event == Outcome(note="caller gone")
+    assert connection.closed
+    # One wait only, which the leaving caller ends.
+    assert connection._silence_s > 0
