Decode caches and headers once, ask once per version how old weights are

Cause: the decoders of cache events and of cache lists repeated each other, as did the reading of first header values and the look-up of what the store holds; a placement asked twice per engine since when its weights had been replaced; two decoded fields had no reader (last_event_id, instance). Change: one decoder with a reader for each kind of item, _first_values, _stored_prefix; the question of a placement knows whether its opening is long enough for the store and keeps the times by version. No behaviour changes.

--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -1,6 +1,7 @@
 """The platform's list of endpoints, and orders to them."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -91,33 +92,19 @@
 EVENTS_WAIT_HEADER = b"wait-ms"
 
 
+CACHE_LIST_TARGET = b"/v1/kv-list"
+
+# Salt, digest and remaining tokens of one part.
+PartChange = tuple[str, str, int]
+
+
 def read_cache_events(body: bytes) -> CacheEvents:
     """Decode cache events; an event that cannot be read is left out.
 
     Raises:
         ValueError: If the answer as a whole cannot be read.
     """
-    data = json.loads(body)
-    if not isinstance(data, dict) or not isinstance(data.get("next-token"), int):
-        raise ValueError("the answer names no next event")
-    changes = []
-    for item in data.get("events") or []:
-        if not isinstance(item, list) or len(item) < 5 or item[1] not in ("+", "-"):
-            continue
-        _, sign, salt, digest, tokens = item[:5]
-        if isinstance(tokens, int):
-            # A removal states the tokens that are left.
-            kept = tokens if sign == "+" else 0
-            changes.append((str(salt), str(digest), kept))
-    return CacheEvents(
-        epoch=str(data.get("boot-epoch")),
-        following=data["next-token"],
-        has_gap=data.get("lost") is True,
-        changes=changes,
-    )
-
-
-CACHE_LIST_TARGET = b"/v1/kv-list"
+    return _read_changes(body, "events", _read_event)
 
 
 def read_cache_list(body: bytes) -> CacheEvents:
@@ -126,21 +113,43 @@
     Raises:
         ValueError: If the answer as a whole cannot be read.
     """
+    return _read_changes(body, "held", _read_held)
+
+
+def _read_changes(
+    body: bytes, key: str, read: Callable[[list[Any]], PartChange | None]
+) -> CacheEvents:
     data = json.loads(body)
     if not isinstance(data, dict) or not isinstance(data.get("next-token"), int):
         raise ValueError("the answer names no next event")
-    changes = []
-    for item in data.get("held") or []:
-        if isinstance(item, list) and len(item) >= 3 and isinstance(item[2], int):
-            changes.append((str(item[0]), str(item[1]), item[2]))
+    items = (item for item in data.get(key) or [] if isinstance(item, list))
+    changes = (read(item) for item in items)
     return CacheEvents(
         epoch=str(data.get("boot-epoch")),
         following=data["next-token"],
-        has_gap=False,
-        changes=changes,
+        # A list of everything that is held names no lost events.
+        has_gap=data.get("lost") is True,
+        changes=[change for change in changes if change is not None],
     )
 
 
+def _read_event(item: list[Any]) -> PartChange | None:
+    if len(item) < 5 or item[1] not in ("+", "-"):
+        return None
+    part = _read_held(item[2:])
+    if part is None or item[1] == "+":
+        return part
+    # A removal states the tokens that are left, of which none are counted.
+    salt, digest, _ = part
+    return salt, digest, 0
+
+
+def _read_held(item: list[Any]) -> PartChange | None:
+    if len(item) < 3 or not isinstance(item[2], int):
+        return None
+    return str(item[0]), str(item[1]), item[2]
+
+
 ORDER_TARGET = b"/v1/order"
 REPORT_TARGET = b"/v1/report"
 
--- a/mustardtrack/platform/headers.py
+++ b/mustardtrack/platform/headers.py
@@ -67,7 +67,6 @@
         prompt_tokens: Tokens of the whole prompt, 0 if there is none.
         max_output_tokens: Limit of generated tokens.
         parts: Parts of the prompt in order; the last belongs to the request alone.
-        last_event_id: Event after which a stream is to go on.
     """
 
     request_id: bytes | None
@@ -79,7 +78,6 @@
     prompt_tokens: int
     max_output_tokens: int
     parts: tuple[PromptPart, ...]
-    last_event_id: bytes | None
 
 
 @dataclass(frozen=True)
@@ -109,14 +107,11 @@
     load: ReportedLoad | None
     idle_s: float | None
     weights_version: int | None
-    instance: str | None
 
 
 def read_request(target: bytes, headers: Headers) -> RequestMetadata:
     """Decode the headers of a caller's request."""
-    values: dict[bytes, bytes] = {}
-    for name, value in headers:
-        values.setdefault(name, value)
+    values = _first_values(headers)
     prompt, output = _read_pair(values.get(b"token-usage"))
     host = values.get(b"host", b"").decode("latin-1").lower()
     return RequestMetadata(
@@ -129,16 +124,12 @@
         prompt_tokens=prompt,
         max_output_tokens=output,
         parts=_read_parts(values.get(b"prefix-hash")),
-        last_event_id=values.get(LAST_EVENT_ID),
     )
 
 
 def read_answer(headers: Headers) -> AnswerMetadata:
     """Decode the headers of an endpoint's answer."""
-    values: dict[bytes, bytes] = {}
-    for name, value in headers:
-        values.setdefault(name, value)
-    instance = values.get(b"instance-id")
+    values = _first_values(headers)
     return AnswerMetadata(
         is_signed=SIGNATURE in values,
         did_not_run=NOT_EXECUTED in values,
@@ -146,7 +137,6 @@
         load=_read_load(values.get(b"instance-load")),
         idle_s=_read_idle(values.get(b"keep-alive")),
         weights_version=_read_int(values.get(b"weight-versions")),
-        instance=instance.decode("latin-1") if instance else None,
     )
 
 
@@ -219,6 +209,13 @@
     return b"retry-after", b"%.2f" % seconds
 
 
+def _first_values(headers: Headers) -> dict[bytes, bytes]:
+    values: dict[bytes, bytes] = {}
+    for name, value in headers:
+        values.setdefault(name, value)
+    return values
+
+
 def _read_int(value: bytes | None) -> int | None:
     if value is None or not value.strip().isdigit():
         return None
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -246,11 +246,11 @@
         """
         self._expire(now_ms)
         self._named.update(weights, now_ms)
-        usable = self._usable(request, now_ms)
+        question = _Question(request, service, store, weights, now_ms)
+        usable = self._usable(question)
         if not usable:
             return Placement(is_known=self._knows(request.service))
-        question = _Question(request, service, store, weights, now_ms)
-        question.home = _find_home(request, usable)
+        question.home = _find_home(question, usable)
         if not question.home and request.router:
             question.preferred = _find_preferred(request, usable)
         urgency = rank_urgency(request.rank)
@@ -361,7 +361,8 @@
         unread = sum(sum(engine.unread_tokens) for engine in engines)
         return unread / TOKENS_PER_MS / max(1, len(engines))
 
-    def _usable(self, request: PlacementRequest, now_ms: int) -> list[EngineState]:
+    def _usable(self, question: "_Question") -> list[EngineState]:
+        request = question.request
         candidates = [
             engine
             for engine in self._engines.values()
@@ -369,21 +370,29 @@
             and not engine.listed.is_draining
             and not engine.listed.is_loading
             and engine.listed.id not in request.tried
-            and not self._is_overdue(engine, request.model, now_ms)
+            and not self._is_overdue(engine, question)
         ]
-        rested = [one for one in candidates if one.resting_until_ms <= now_ms]
+        rested = [one for one in candidates if one.resting_until_ms <= question.now_ms]
         return rested or candidates
 
     def _knows(self, service: str) -> bool:
         engines = self._engines.values()
         return any(engine.listed.service == service for engine in engines)
 
-    def _is_overdue(self, engine: EngineState, model: str, now_ms: int) -> bool:
+    def _is_overdue(self, engine: EngineState, question: "_Question") -> bool:
         """Return whether no request may begin on the weights of an engine any more."""
-        version = engine.listed.weights.get(model, 0)
-        replaced_ms = self._named.replaced_ms(model, version, now_ms)
+        version = engine.listed.weights.get(question.request.model, 0)
+        replaced_ms = self._replaced_ms(question, version)
         return replaced_ms is not None and replaced_ms >= self._weights_limit_ms
 
+    def _replaced_ms(self, question: "_Question", version: int) -> int | None:
+        """Return for how long a version has been replaced, None if it is not."""
+        if version not in question.replaced_ms:
+            question.replaced_ms[version] = self._named.replaced_ms(
+                question.request.model, version, question.now_ms
+            )
+        return question.replaced_ms[version]
+
     def _find_best(
         self, question: "_Question", usable: list[EngineState], urgency: int
     ) -> "_Estimate":
@@ -408,7 +417,7 @@
         late_ms = first_ms - LATE_SHARE * request.objective_ms
         cost_ms = first_ms + LATE_FACTOR * max(0.0, late_ms)
         cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, question.shared_tokens - held)
-        replaced_ms = self._named.replaced_ms(request.model, version, question.now_ms)
+        replaced_ms = self._replaced_ms(question, version)
         if replaced_ms is not None and replaced_ms >= OLD_WEIGHTS_GRACE_MS:
             cost_ms += OLD_WEIGHTS_MS
         if replaced_ms is not None and replaced_ms + first_ms > self._weights_limit_ms:
@@ -479,9 +488,7 @@
         store, limits = question.store, question.service.engine
         if store is None or limits is None:
             return NO_SOURCE
-        if question.shared_tokens < MIN_STORE_TOKENS:
-            return NO_SOURCE
-        held = sum_leading(question.shared(version), self._stored, self._unsaved)
+        held = self._stored_prefix(question, version)
         if held < cached + MIN_STORE_TOKENS:
             return NO_SOURCE
         found = _plan_move(
@@ -534,11 +541,15 @@
         while they hold the parts themselves.
         """
         store = question.store
-        if store is None or question.shared_tokens < MIN_STORE_TOKENS:
+        if store is None:
             return ""
-        held = sum_leading(question.shared(version), self._stored, self._unsaved)
+        held = self._stored_prefix(question, version)
         return (store.store_address or "") if held >= MIN_STORE_TOKENS else ""
 
+    def _stored_prefix(self, question: "_Question", version: int) -> int:
+        """Return the tokens of the leading parts that the store gives back."""
+        return sum_leading(question.shared(version), self._stored, self._unsaved)
+
     def _plan_save(
         self,
         keys: PartSizes,
@@ -549,8 +560,6 @@
         store, limits = question.store, question.service.engine
         if store is None or limits is None:
             return ""
-        if question.shared_tokens < MIN_STORE_TOKENS:
-            return ""
         shared = keys[:-1]
         if all(key in self._stored for key, _ in shared):
             for key, _ in shared:
@@ -610,13 +619,17 @@
     ):
         self.request = request
         self.service = service
-        self.store = store if store is not None and store.store_address else None
+        self.shared_tokens = sum(tokens for _, tokens in request.parts[:-1])
+        # Short openings leave the store's link to long ones.
+        is_long = self.shared_tokens >= MIN_STORE_TOKENS
+        has_store = store is not None and bool(store.store_address)
+        self.store = store if has_store and is_long else None
         self.newest = weights.get(request.model, 1)
         self.now_ms = now_ms
         self.home = ""
         self.preferred: frozenset[str] = frozenset()
-        self.shared_tokens = sum(tokens for _, tokens in request.parts[:-1])
         self.holders: dict[int, list[tuple[int, EngineState]]] = {}
+        self.replaced_ms: dict[int, int | None] = {}
         self._shared: dict[int, PartSizes] = {}
 
     def shared(self, version: int) -> PartSizes:
@@ -628,12 +641,11 @@
         return shared
 
 
-def _find_home(request: PlacementRequest, engines: list[EngineState]) -> str:
+def _find_home(question: "_Question", engines: list[EngineState]) -> str:
     """Return the engine that rendezvous hashing prefers for a long opening."""
-    shared = request.parts[:-1]
-    if sum(tokens for _, tokens in shared) < MIN_STORE_TOKENS:
+    if question.shared_tokens < MIN_STORE_TOKENS:
         return ""
-    digest = xxh3_64_intdigest(shared[-1][0].encode())
+    digest = xxh3_64_intdigest(question.request.parts[-2][0].encode())
     return rank_endpoints(digest, [engine.listed.id for engine in engines])[0]
 
 
