Use the client of the stand-ins in the seeded tests, one commit answer, one load description

Cause: seededhosts.py wrote again the HTTP call of testing/client.py, the soak and test_seeded.py the same wait, the two writing calls of operators the same answer, and two log lines of the router the same load fields. Change: the existing client is called; holds_within takes the errors that are expected, so that the test still accepts connection errors only; ControlCalls._commit; _describe_load. No behaviour changes, all assertions stay.

--- a/mustardtrack/process/control_calls.py
+++ b/mustardtrack/process/control_calls.py
@@ -4,7 +4,11 @@
 from urllib.parse import parse_qs
 
 from mustardtrack.adapters.http_exchange import Exchange
-from mustardtrack.configuration.documents import NameWeights, PutDocument
+from mustardtrack.configuration.documents import (
+    DocumentCommand,
+    NameWeights,
+    PutDocument,
+)
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.platform.endpoints import (
     DOCUMENT_GET_TARGET,
@@ -70,11 +74,7 @@
             log_event(DOCUMENT_REFUSED, reason=str(error))
             exchange.respond(400, [JSON], encode_error(str(error)))
             return
-        outcome = await self._control.put(PutDocument(table.version, exchange.body))
-        if outcome is None:
-            self._refuse_unready(exchange, "no majority has confirmed the command")
-            return
-        exchange.respond(200, [JSON], b"{}")
+        await self._commit(exchange, PutDocument(table.version, exchange.body))
 
     async def _get_document(self, exchange: Exchange) -> None:
         reply = await self._control.read()
@@ -89,7 +89,11 @@
         except ValueError as error:
             exchange.respond(400, [JSON], encode_error(str(error)))
             return
-        outcome = await self._control.put(NameWeights(model, version))
+        await self._commit(exchange, NameWeights(model, version))
+
+    async def _commit(self, exchange: Exchange, command: DocumentCommand) -> None:
+        """Answer a call once its command is committed, or that it may not be."""
+        outcome = await self._control.put(command)
         if outcome is None:
             self._refuse_unready(exchange, "no majority has confirmed the command")
             return
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -327,10 +327,7 @@
             "tokens": prompt.tokens if prompt else 0,
             "opening": prompt.opening.rpartition(",")[2] if prompt else None,
             "opening_tokens": prompt.opening_tokens if prompt else 0,
-            "running": endpoint.running,
-            "waiting": endpoint.waiting,
-            "load_age_ms": now_ms - endpoint.load_ms,
-            "in_flight": endpoint.in_flight,
+            **_describe_load(endpoint, now_ms),
             "unread_tokens": endpoint.unread_tokens,
             "expected_ms": placement.expected_ms if placement else None,
             "read_tokens": placement.read_tokens if placement else None,
@@ -469,13 +466,20 @@
             note=outcome.note,
             next=step.value,
             elapsed_ms=now_ms - admitted.received_ms,
-            running=endpoint.running,
-            waiting=endpoint.waiting,
-            load_age_ms=now_ms - endpoint.load_ms,
-            in_flight=endpoint.in_flight,
+            **_describe_load(endpoint, now_ms),
         )
 
 
+def _describe_load(endpoint: EndpointState, now_ms: int) -> dict[str, object]:
+    """Return the load of an endpoint with its age, for the log."""
+    return {
+        "running": endpoint.running,
+        "waiting": endpoint.waiting,
+        "load_age_ms": now_ms - endpoint.load_ms,
+        "in_flight": endpoint.in_flight,
+    }
+
+
 def _request_id(admitted: Admitted) -> str:
     return _text(admitted.metadata.request_id)
 
--- a/mustardtrack/process/tests/test_seeded.py
+++ b/mustardtrack/process/tests/test_seeded.py
@@ -13,11 +13,12 @@
 
 import pytest
 
+from mustardtrack.testing.client import call
 from mustardtrack.testing.seededhosts import (
+    CALL_TIMEOUT_S,
     CALLER_PORT,
-    READY_PORT,
     SeededHosts,
-    call,
+    holds_within,
     look_up,
     put_document,
     read_document,
@@ -105,7 +106,8 @@
         "Authorization": f"Bearer {key}",
         "Tenant": "forged",
     }
-    return call(ROUTER, CALLER_PORT, "POST", path, body, headers)
+    address = f"{ROUTER}:{CALLER_PORT}"
+    return call(address, "POST", path, body, headers, timeout_s=CALL_TIMEOUT_S)[:2]
 
 
 def closes_after_idle_s():
@@ -117,15 +119,7 @@
 
 
 def wait_until(condition, longest_s=LONGEST_WAIT_S):
-    deadline_s = time.monotonic() + longest_s
-    while time.monotonic() < deadline_s:
-        try:
-            if condition():
-                return
-        except OSError:
-            pass  # The process does not listen yet.
-        time.sleep(0.1)
-    raise AssertionError("condition not reached")
+    assert holds_within(condition, longest_s), "condition not reached"
 
 
 @pytest.fixture
@@ -143,13 +137,9 @@
     server.server_close()
 
 
-def is_ready():
-    return call(ROUTER, READY_PORT, "GET", "/v1/ready")[0] == 200
-
-
 def test_deployment_forms_serves_and_keeps_its_configuration(hosts):
     wait_until(lambda: put_document(CONTROLS[0], document(3)) == 200)
-    wait_until(is_ready)
+    wait_until(lambda: hosts.is_ready(ROUTER))
     status, body = request(b"hello", 1)
     assert (status, body) == (200, b"echo hello")
     seen = {name.lower(): value for name, value in Endpoint.ran[-1].items()}
@@ -190,9 +180,9 @@
 def test_router_without_control_refuses_keyed_requests_in_time(hosts):
     """Guards against keys that work on a router that is cut off."""
     wait_until(lambda: put_document(CONTROLS[0], document(3)) == 200)
-    wait_until(is_ready)
+    wait_until(lambda: hosts.is_ready(ROUTER))
     for host in CONTROLS:
         hosts.stop(host, signal.SIGKILL)
     time.sleep(5.0)
     assert request(b"x", 1)[0] == 503
-    assert not is_ready()
+    assert not hosts.is_ready(ROUTER)
--- a/mustardtrack/testing/faultsoak.py
+++ b/mustardtrack/testing/faultsoak.py
@@ -25,7 +25,12 @@
 from typing import Any
 
 from mustardtrack.testing.seededendpoints import EndpointThread, FaultyEndpoint
-from mustardtrack.testing.seededhosts import SeededHosts, put_document, read_document
+from mustardtrack.testing.seededhosts import (
+    SeededHosts,
+    holds_within,
+    put_document,
+    read_document,
+)
 from mustardtrack.testing.soakcallers import HOST, KINDS, TIME_LEFT_MS, Caller, Told
 
 # Last numbers of the loopback addresses; the third one is an argument, so that several
@@ -153,15 +158,8 @@
         return self.findings
 
     def _wait(self, condition: Callable[[], bool]) -> None:
-        deadline_s = time.monotonic() + START_LIMIT_S
-        while time.monotonic() < deadline_s:
-            try:
-                if condition():
-                    return
-            except (OSError, HTTPException):
-                pass  # The process does not listen yet, or was killed meanwhile.
-            time.sleep(0.1)
-        self.findings.violations.append("the deployment does not serve after 30 s")
+        if not holds_within(condition, START_LIMIT_S, (OSError, HTTPException)):
+            self.findings.violations.append("the deployment does not serve after 30 s")
 
     # Faults
 
--- a/mustardtrack/testing/seededhosts.py
+++ b/mustardtrack/testing/seededhosts.py
@@ -1,22 +1,25 @@
 """Daemons of one seeded deployment on loopback, as separate processes."""
 
-import http.client
-import json
 import signal
 import subprocess
 import sys
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import yaml
 
+from mustardtrack.testing.client import call
+
 OPERATOR_PORT, CALLER_PORT, READY_PORT, BUS_PORT = 18783, 18782, 18789, 17340
 # Log line of a daemon that has opened its ports.
 STARTED_EVENT = b'"event": 8201'
 # A planned stop lasts at most its grace; a busy machine delays the exit.
 STOP_TIMEOUT_S = 20
 CALL_TIMEOUT_S = 5.0
+POLL_S = 0.1
 
 
 @dataclass
@@ -104,41 +107,51 @@
 
     def is_ready(self, router: str) -> bool:
         """Return whether a router says that it is ready."""
-        return call(router, READY_PORT, "GET", "/v1/ready")[0] == 200
-
-
-def call(
-    host: str,
-    port: int,
-    method: str,
-    path: str,
-    body: bytes | None = None,
-    headers: dict[str, str] | None = None,
-) -> tuple[int, bytes]:
-    """Send one call on a connection of its own and return status and body."""
-    connection = http.client.HTTPConnection(host, port, timeout=CALL_TIMEOUT_S)
-    try:
-        connection.request(method, path, body, headers or {})
-        answer = connection.getresponse()
-        return answer.status, answer.read()
-    finally:
-        connection.close()
+        address = f"{router}:{READY_PORT}"
+        return call(address, "GET", "/v1/ready", timeout_s=CALL_TIMEOUT_S)[0] == 200
+
+
+def holds_within(
+    condition: Callable[[], Any],
+    limit_s: float,
+    expected: tuple[type[Exception], ...] = (OSError,),
+) -> bool:
+    """Return whether a condition comes to hold while processes start or restart.
+
+    Args:
+        condition: Asked until it is true.
+        limit_s: Longest time to ask.
+        expected: Errors of processes that do not listen yet, or were killed.
+    """
+    deadline_s = time.monotonic() + limit_s
+    while time.monotonic() < deadline_s:
+        try:
+            if condition():
+                return True
+        except expected:
+            pass  # It is asked again until the limit.
+        time.sleep(POLL_S)
+    return False
 
 
 def put_document(host: str, content: dict[str, Any]) -> int:
     """Send a configuration document to a control host and return the status."""
-    path, body = "/v1/config/put", json.dumps(content).encode()
-    return call(host, OPERATOR_PORT, "POST", path, body)[0]
+    address = f"{host}:{OPERATOR_PORT}"
+    path = "/v1/config/put"
+    return call(address, "POST", path, content, timeout_s=CALL_TIMEOUT_S)[0]
 
 
 def read_document(host: str) -> Any:
     """Return the newest document, None if the host is not sure of it."""
-    status, body = call(host, OPERATOR_PORT, "GET", "/v1/config/get")
-    return json.loads(body) if status == 200 else None
+    address = f"{host}:{OPERATOR_PORT}"
+    path = "/v1/config/get"
+    status, document, _ = call(address, "GET", path, timeout_s=CALL_TIMEOUT_S)
+    return document if status == 200 else None
 
 
 def look_up(host: str) -> list[str] | None:
     """Return the addresses that a control host names to callers."""
-    addresses = json.loads(call(host, OPERATOR_PORT, "GET", "/v1/lookup?zone=a")[1])
-    found = addresses.get("addresses")
+    address = f"{host}:{OPERATOR_PORT}"
+    path = "/v1/lookup?zone=a"
+    found = call(address, "GET", path, timeout_s=CALL_TIMEOUT_S)[1].get("addresses")
     return found if isinstance(found, list) else None
