Keep waiting prompts in their engine's queue, count places in batches, read long prompts first

A prompt without a first event after 2.5 s was sent to another engine (667 attempts), where it was read again and waited again, and its engine was rested for all routers, so that the load went to the others. An engine that returned from loading drew 70 short prompts within 0.1 s, although its batch holds 48. Long prompts with an objective of 1.1 s waited behind short ones of the same class with 2.5 s, and of 285 demoted ones 251 lost their callers.

Ruled out: reading capacity (27.7 M tokens, of which 7.8 M were shared parts read again, in 34 s on 30 engines), memory (57 preemptions).

Change: the leader says whether a silent prompt still has its turn (its engine answers others, and no later prompt has passed it); only then it stays. A wait for a place in the batch is part of the estimate. Waits of demoted prompts count twice, so that prompts whose callers would leave are refused at once. Within a class, prompts with objectives from 2 s on go behind. The end of a caller's time is no longer reported as silence of the engine.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -38,6 +38,8 @@
 STREAM_STALL_MS = 1500
 # Time without a first event after which such a stream is moved.
 FIRST_EVENT_STALL_MS = 2500
+# Time after which the leader is asked again whether a prompt still has its turn.
+RECHECK_MS = 500
 FAILURE_STATUS = 500
 
 
@@ -152,7 +154,7 @@
             model = admitted.prompt.model
             version = self._endpoint.listed.weights.get(model)
             salt = cache_salt(model, version, admitted.wall)
-            urgency = rank_urgency(admitted.rank)
+            urgency = rank_urgency(admitted.rank, admitted.route.objective_ms)
             placement = self._progress.placement
             if placement is not None:
                 urgency = placement.urgency
@@ -295,9 +297,16 @@
         """
         left_ms = min(limit_ms, self._left_ms())
         event = await connection.next_event(left_ms / 1000)
-        is_silent = event is None and not self._exchange.is_gone
-        if is_silent and not is_final and not self._may_move():
-            event = await connection.next_event(self._left_ms() / 1000)
+        while event is None and not is_final and self._left_ms() > 0:
+            if self._exchange.is_gone:
+                break
+            if not self._may_move():
+                event = await connection.next_event(self._left_ms() / 1000)
+                break
+            if not await self._forwarder.is_queued(self._admitted):
+                break
+            left_ms = min(RECHECK_MS, self._left_ms())
+            event = await connection.next_event(left_ms / 1000)
         if self._exchange.is_gone:
             connection.close()
             return Outcome(note="caller gone")
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -211,7 +211,10 @@
                 self._log_end(admitted, endpoint, progress, outcome, choice)
                 return
             assert outcome.end is not None
-            if outcome.end in (AttemptEnd.NOT_SENT, AttemptEnd.TIMED_OUT):
+            # The end of the caller's time says nothing about the endpoint.
+            is_over = admitted.deadline_ms <= self.clock.now_ms()
+            is_silent = outcome.end is AttemptEnd.TIMED_OUT and not is_over
+            if is_silent or outcome.end is AttemptEnd.NOT_SENT:
                 self._placements.record_silence(endpoint.id)
             if outcome.end is AttemptEnd.NOT_RUN:
                 endpoint.record_answer(is_failure=True)
@@ -305,6 +308,12 @@
         count = self._links.view.router_count
         return progress.may_move() and budget.has_room(self.clock.now_ms(), count)
 
+    async def is_queued(self, admitted: Admitted) -> bool:
+        """Return whether a silent prompt still has its turn at its engine."""
+        if admitted.prompt is None:
+            return False
+        return await self._placements.is_queued(_request_id(admitted))
+
     def record_read(self, admitted: Admitted) -> None:
         """Report the first token of a prompt."""
         if admitted.prompt is not None:
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -14,6 +14,9 @@
 PLACEMENT_LOST = define_event(
     8961, "WARNING", "prompts are placed without the leader, which does not answer"
 )
+SILENCE_JUDGED = define_event(
+    8962, "INFO", "leader says whether a silent prompt still has its turn"
+)
 
 # An answer takes one round trip between zones and its queue; after this time the
 # router places the prompt alone.
@@ -78,6 +81,23 @@
         self._placed.add(request.request_id)
         return placement
 
+    async def is_queued(self, request_id: str) -> bool:
+        """Return whether a placed prompt still waits for its turn at its engine.
+
+        Without an answer the prompt counts as lost.
+        """
+        leader = self._links.view.leader
+        if not leader or request_id not in self._placed:
+            return False
+        body = msgspec.msgpack.encode(request_id)
+        try:
+            answer = await self._bus.request(leader, "queued", body, TIMEOUT_MS)
+        except BusTimeoutError:
+            return False
+        is_queued = msgspec.msgpack.decode(answer, type=bool)
+        log_event(SILENCE_JUDGED, request=request_id, is_queued=is_queued)
+        return is_queued
+
     def record_read(self, request_id: str) -> None:
         """Report the first token of a prompt."""
         if request_id in self._placed:
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -119,6 +119,7 @@
             ("sync", self._receive_sync),
             ("hosts", self._receive_hosts),
             ("place", self._receive_place),
+            ("queued", self._receive_queued),
             ("progress", self._receive_progress),
         ):
             self._bus.handle(topic, handler)
@@ -361,9 +362,16 @@
                 )
         return msgspec.msgpack.encode(placement)
 
+    async def _receive_queued(self, sender: str, body: bytes) -> bytes:
+        request_id = msgspec.msgpack.decode(body, type=str)
+        is_queued = self.leads() and self.placements.is_queued(
+            request_id, self.now_ms()
+        )
+        return msgspec.msgpack.encode(is_queued)
+
     async def _receive_progress(self, sender: str, body: bytes) -> None:
         progress = msgspec.msgpack.decode(body, type=Progress)
-        self.placements.record_read(progress.read)
+        self.placements.record_read(progress.read, self.now_ms())
         self.placements.record_end(progress.ended)
         self.placements.record_silence(progress.silent, self.now_ms())
         self.placements.record_refusal(progress.refused, self.now_ms())
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from mustardtrack.membership.endpointlist import ListedEndpoint
+from mustardtrack.routing.enginepace import EnginePace
 
 # Urgencies that engines know, 0 to 9.
 URGENCIES = 10
@@ -19,6 +20,10 @@
 # a rare trial shows that one has ended.
 REFUSAL_HALF_LIFE_MS = 1500.0
 
+# Time for which a prompt holds its place in a batch: ten to thirty tokens, between
+# which parts of other prompts are read.
+PLACE_HELD_MS = 1000.0
+
 # Salt and digest of one part of a prompt, and such parts with their tokens.
 PartKey = tuple[str, str]
 PartSizes = list[tuple[PartKey, int]]
@@ -30,6 +35,7 @@
 
     Attributes:
         output_tokens: Most tokens that it generates.
+        placed_ms: Monotonic time of the placement.
         keys: Parts of the prompt, which stay in memory until it ends.
         is_read: Whether its first token has arrived.
     """
@@ -39,6 +45,7 @@
     output_tokens: int
     urgency: int
     ends_ms: int
+    placed_ms: int = 0
     keys: tuple[PartKey, ...] = ()
     is_read: bool = False
 
@@ -86,6 +93,7 @@
     refusals: float = 0.0
     refused_ms: int = 0
     link: TransferLink = field(default_factory=TransferLink)
+    pace: EnginePace = field(default_factory=EnginePace)
 
     @property
     def memory_tokens(self) -> int:
@@ -108,6 +116,12 @@
         """Tokens to be read before a prompt of this urgency."""
         return sum(self.unread_tokens[: urgency + 1])
 
+    def place_wait_ms(self, slots: int) -> float:
+        """Return the wait of a new prompt for a place in the batch."""
+        if not slots:
+            return 0.0
+        return max(0, len(self.work) + 1 - slots) * PLACE_HELD_MS / slots
+
     def add(
         self, request_id: str, work: PlacedWork, parts: PartSizes, capacity_tokens: int
     ) -> None:
@@ -144,9 +158,10 @@
         self.kept_tokens -= self.cache.pop(key, 0)
         self.unread.discard(key)
 
-    def mark_read(self, work: PlacedWork) -> None:
+    def mark_read(self, work: PlacedWork, now_ms: int) -> None:
         """Count a prompt as read; others can fetch its parts."""
         if not work.is_read:
+            self.pace.record_answer(work.urgency, work.placed_ms, now_ms)
             work.is_read = True
             self.unread_tokens[work.urgency] -= work.read_tokens
             self.unread.difference_update(work.keys)
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -91,9 +91,15 @@
 WEIGHTS_MARGIN_MS = 2000
 # Steps of urgency between classes of work.
 URGENCY_STEP = 2
+# Objective from which a prompt may wait behind those of its class with shorter ones:
+# twice the objective of long prompts on the sheets.
+PATIENT_OBJECTIVE_MS = 2000
 # Urgency of a prompt that would be late in its own class; there it would only make
 # the prompts behind it late as well.
 LATE_URGENCY = 4
+# Waits of such a prompt are this many times as long as what is ahead of it now, since
+# most prompts that arrive later go before it.
+DEMOTED_WAIT_FACTOR = 2.0
 # Part of the objective beyond which an estimate shows that a prompt will be late.
 LATE_CERTAIN = 1.25
 # Callers give a stream up when its first event takes this many objectives or this
@@ -116,9 +122,13 @@
     return f"{model}.{version}.{wall}"
 
 
-def rank_urgency(rank: int) -> int:
-    """Return the urgency that an engine is told for a class of work."""
-    return min(URGENCIES - 1, rank * URGENCY_STEP)
+def rank_urgency(rank: int, objective_ms: int) -> int:
+    """Return the urgency that an engine is told for a class of work.
+
+    Within a class, prompts that may wait longer go behind the others.
+    """
+    is_patient = objective_ms >= PATIENT_OBJECTIVE_MS
+    return min(URGENCIES - 1, rank * URGENCY_STEP + is_patient)
 
 
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -253,7 +263,7 @@
         question.home = _find_home(question, usable)
         if not question.home and request.router:
             question.preferred = _find_preferred(request, usable)
-        urgency = rank_urgency(request.rank)
+        urgency = question.urgency
         estimate = self._find_best(question, usable, urgency)
         is_late = estimate.first_ms > LATE_CERTAIN * request.objective_ms
         if is_late and urgency < LATE_URGENCY:
@@ -270,7 +280,7 @@
             )
         return self._commit(question, estimate, urgency)
 
-    def record_read(self, request_ids: Iterable[str]) -> None:
+    def record_read(self, request_ids: Iterable[str], now_ms: int) -> None:
         """Count prompts as read: their first token has arrived."""
         for request_id in request_ids:
             work = self._work.get(request_id)
@@ -278,9 +288,17 @@
                 continue
             engine = self._engines.get(work.engine)
             if engine is not None:
-                engine.mark_read(work)
+                engine.mark_read(work, now_ms)
             self._unsaved.difference_update(work.keys)
 
+    def is_queued(self, request_id: str, now_ms: int) -> bool:
+        """Return whether a prompt still has its turn on the engine that has it."""
+        work = self._work.get(request_id)
+        engine = self._engines.get(work.engine) if work else None
+        if work is None or engine is None or work.is_read:
+            return False
+        return engine.pace.is_ahead(work.urgency, work.placed_ms, now_ms)
+
     def record_end(self, request_ids: Iterable[str]) -> None:
         """Count requests as ended."""
         for request_id in request_ids:
@@ -404,15 +422,15 @@
     def _estimate(
         self, engine: EngineState, question: "_Question", urgency: int
     ) -> "_Estimate":
-        request, service = question.request, question.service
-        newest = question.newest
-        version = engine.listed.weights.get(request.model, newest)
+        request = question.request
+        version = engine.listed.weights.get(request.model, question.newest)
         shared = question.shared(version)
         cached = engine.cached_prefix(shared)
         source = self._find_source(engine, question, version, cached)
         held = max(cached, source.held_tokens)
         read = max(1, request.tokens - held)
-        first_ms = BASE_MS + (engine.unread_before(urgency) + read) / TOKENS_PER_MS
+        first_ms = BASE_MS + read / TOKENS_PER_MS
+        first_ms += self._wait_ms(engine, question, urgency)
         first_ms += source.move_ms + RUNNING_MS * len(engine.work)
         late_ms = first_ms - LATE_SHARE * request.objective_ms
         cost_ms = first_ms + LATE_FACTOR * max(0.0, late_ms)
@@ -429,17 +447,36 @@
             cost_ms += AWAY_MS
         if question.preferred and engine.listed.id not in question.preferred:
             cost_ms += OTHER_ENGINE_MS
-        if service.engine is not None and service.engine.memory_tokens:
-            room = MEMORY_SHARE * service.engine.memory_tokens
-            needed = engine.memory_tokens + request.tokens + request.output_tokens
-            if needed > room:
-                # The opening may be in memory for a running request already.
-                parts = part_keys(request, version)
-                needed = engine.needed_tokens(parts, request.output_tokens)
-            if needed > room:
-                cost_ms += MEMORY_MS * needed / room
+        cost_ms += self._memory_ms(engine, question, version)
         return _Estimate(cost_ms, first_ms, engine, source, read, version)
 
+    def _wait_ms(
+        self, engine: EngineState, question: "_Question", urgency: int
+    ) -> float:
+        """Return the estimated time until an engine begins to read a prompt."""
+        wait_ms = engine.unread_before(urgency) / TOKENS_PER_MS
+        limits = question.service.engine
+        if limits is not None:
+            wait_ms += engine.place_wait_ms(limits.slots)
+        if urgency > question.urgency:
+            wait_ms *= DEMOTED_WAIT_FACTOR
+        return wait_ms
+
+    def _memory_ms(
+        self, engine: EngineState, question: "_Question", version: int
+    ) -> float:
+        """Return the delay charged if a prompt does not fit beside the running ones."""
+        request, limits = question.request, question.service.engine
+        if limits is None or not limits.memory_tokens:
+            return 0.0
+        room = MEMORY_SHARE * limits.memory_tokens
+        needed = engine.memory_tokens + request.tokens + request.output_tokens
+        if needed > room:
+            # The opening may be in memory for a running request already.
+            parts = part_keys(request, version)
+            needed = engine.needed_tokens(parts, request.output_tokens)
+        return MEMORY_MS * needed / room if needed > room else 0.0
+
     def _find_source(
         self, engine: EngineState, question: "_Question", version: int, cached: int
     ) -> _Source:
@@ -515,6 +552,7 @@
             output_tokens=request.output_tokens,
             urgency=urgency,
             ends_ms=now_ms + request.time_left_ms,
+            placed_ms=now_ms,
             keys=tuple(key for key, _ in keys),
         )
         self._work[request.request_id] = work
@@ -626,6 +664,7 @@
         self.store = store if has_store and is_long else None
         self.newest = weights.get(request.model, 1)
         self.now_ms = now_ms
+        self.urgency = rank_urgency(request.rank, request.objective_ms)
         self.home = ""
         self.preferred: frozenset[str] = frozenset()
         self.holders: dict[int, list[tuple[int, EngineState]]] = {}
