Spread short prompts by the places they take instead of by waits

Change: waits of prompts with objectives from 2 s on count a quarter, and the places of a batch that are taken have a price that grows with their square.

--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -94,6 +94,12 @@
 # Objective from which a prompt may wait behind those of its class with shorter ones:
 # twice the objective of long prompts on the sheets.
 PATIENT_OBJECTIVE_MS = 2000
+# Part of a wait that is charged for such a prompt. Engines without a queue would draw
+# all short prompts otherwise, which fill their batches.
+PATIENT_WAIT_SHARE = 0.25
+# Delay charged for an engine whose batch is full, less with the square of the part of
+# its places that are taken.
+FULL_BATCH_MS = 300.0
 # Urgency of a prompt that would be late in its own class; there it would only make
 # the prompts behind it late as well.
 LATE_URGENCY = 4
@@ -433,7 +439,9 @@
         first_ms += self._wait_ms(engine, question, urgency)
         first_ms += source.move_ms + RUNNING_MS * len(engine.work)
         late_ms = first_ms - LATE_SHARE * request.objective_ms
-        cost_ms = first_ms + LATE_FACTOR * max(0.0, late_ms)
+        is_patient = request.objective_ms >= PATIENT_OBJECTIVE_MS
+        cost_ms = first_ms * (PATIENT_WAIT_SHARE if is_patient else 1.0)
+        cost_ms += LATE_FACTOR * max(0.0, late_ms)
         cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, question.shared_tokens - held)
         replaced_ms = self._replaced_ms(question, version)
         if replaced_ms is not None and replaced_ms >= OLD_WEIGHTS_GRACE_MS:
@@ -447,6 +455,7 @@
             cost_ms += AWAY_MS
         if question.preferred and engine.listed.id not in question.preferred:
             cost_ms += OTHER_ENGINE_MS
+        cost_ms += _crowding_ms(engine, question)
         cost_ms += self._memory_ms(engine, question, version)
         return _Estimate(cost_ms, first_ms, engine, source, read, version)
 
@@ -680,6 +689,14 @@
         return shared
 
 
+def _crowding_ms(engine: EngineState, question: _Question) -> float:
+    """Return the delay charged for the places of a batch that are taken."""
+    limits = question.service.engine
+    if limits is None or not limits.slots:
+        return 0.0
+    return FULL_BATCH_MS * (len(engine.work) / limits.slots) ** 2
+
+
 def _find_home(question: "_Question", engines: list[EngineState]) -> str:
     """Return the engine that rendezvous hashing prefers for a long opening."""
     if question.shared_tokens < MIN_STORE_TOKENS:
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -215,6 +215,25 @@
     assert longer.urgency < urgencies[0] < urgencies[1]
 
 
+def test_short_prompts_spread_over_batches_while_long_ones_wait():
+    """Guards against a full batch on the only engine that has no long prompts.
+
+    Load pattern: a burst of short prompts while the other engines read long ones. The
+    short ones can wait, and in a full batch the long prompts that follow must wait.
+    """
+    names = ("1", "2", "3", "4")
+    table = make(*names)
+    for name in names[1:]:
+        others = [other for other in names if other != name]
+        place(table, prompt(f"long{name}", f"o{name}", tokens=20_000, tried=others))
+    for number in range(60):
+        request = prompt(f"s{number}", f"q{number}", tokens=400, objective_ms=2500)
+        place(table, request)
+        table.record_read([request.request_id], 0)
+    counts = [table.outstanding(name) for name in names]
+    assert max(counts) <= 45, counts
+
+
 def test_prompt_keeps_its_turn_at_an_engine_that_answers_others():
     """Guards against a backlog that grows since prompts are sent twice."""
     table = make("1")
