--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -95,6 +95,9 @@
         except BusTimeoutError:
             return False
         is_queued = msgspec.msgpack.decode(answer, type=bool)
+        self._metrics.count(
+            "placement.queued" if is_queued else "placement.passed_over"
+        )
         log_event(SILENCE_JUDGED, request=request_id, is_queued=is_queued)
         return is_queued
 
