--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -334,6 +334,7 @@
             "account": account.name if account else None,
             "is_isolated": bool(admitted.wall),
             "tokens": prompt.tokens if prompt else 0,
+            "output_tokens": admitted.metadata.max_output_tokens if prompt else 0,
             "opening": prompt.opening.rpartition(",")[2] if prompt else None,
             "opening_tokens": prompt.opening_tokens if prompt else 0,
             **_describe_load(endpoint, now_ms),
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -93,6 +93,8 @@
         try:
             answer = await self._bus.request(leader, "queued", body, TIMEOUT_MS)
         except BusTimeoutError:
+            self._metrics.count("placement.timeout")
+            log_event(PLACEMENT_LOST, leader=leader, request=request_id)
             return False
         is_queued = msgspec.msgpack.decode(answer, type=bool)
         self._metrics.count(
--- a/mustardtrack/routing/enginepace.py
+++ b/mustardtrack/routing/enginepace.py
@@ -36,8 +36,14 @@
         self.answered_ms = now_ms
         self.placed_ms[urgency] = max(placed_ms, self.placed_ms.get(urgency, placed_ms))
 
-    def is_ahead(self, urgency: int, placed_ms: int, now_ms: int) -> bool:
-        """Return whether a prompt without a first token is still in the queue."""
+    def has_turn_ahead(self, urgency: int, placed_ms: int, now_ms: int) -> bool:
+        """Return whether a prompt without a first token is still in the queue.
+
+        Args:
+            urgency: Urgency of the prompt.
+            placed_ms: Time of its placement.
+            now_ms: Monotonic time.
+        """
         if self.answered_ms is None or now_ms - self.answered_ms > SILENT_MS:
             return False
         return not any(
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -97,8 +97,8 @@
 # Part of a wait that is charged for such a prompt. Engines without a queue would draw
 # all short prompts otherwise, which fill their batches.
 PATIENT_WAIT_SHARE = 0.25
-# Delay charged for an engine whose batch is full, less with the square of the part of
-# its places that are taken.
+# Delay charged for an engine whose batch is full. It grows with the square of the part
+# of the places that are taken.
 FULL_BATCH_MS = 300.0
 # Urgency of a prompt that would be late in its own class; there it would only make
 # the prompts behind it late as well.
@@ -303,7 +303,7 @@
         engine = self._engines.get(work.engine) if work else None
         if work is None or engine is None or work.is_read:
             return False
-        return engine.pace.is_ahead(work.urgency, work.placed_ms, now_ms)
+        return engine.pace.has_turn_ahead(work.urgency, work.placed_ms, now_ms)
 
     def record_end(self, request_ids: Iterable[str]) -> None:
         """Count requests as ended."""
