Judge patience, batch places and part keys once per prompt, one question to the leader

Reading the change again showed the same things written or computed twice: the test for a patient objective in rank_urgency and, for every engine, in the estimate; the lookup of the batch's places; the keys of a prompt's parts, built again for each engine whose memory is short and once more at the commit; and two copies of the handling of a leader that does not answer in PlacementClient.

The question holds what is the same for all engines, the parts of the estimate are functions beside each other, and PlacementClient asks the leader in one place.

--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -63,12 +63,9 @@
             self._metrics.count("placement.local")
             return None
         body = msgspec.msgpack.encode(request)
-        try:
-            answer = await self._bus.request(leader, "place", body, TIMEOUT_MS)
-        except BusTimeoutError:
+        answer = await self._ask_leader(leader, "place", body, request.request_id)
+        if answer is None:
             self._paused_until_s = loop.time() + PAUSE_S
-            self._metrics.count("placement.timeout")
-            log_event(PLACEMENT_LOST, leader=leader, request=request.request_id)
             return None
         placement = msgspec.msgpack.decode(answer, type=Placement)
         if placement.is_hopeless:
@@ -90,11 +87,8 @@
         if not leader or request_id not in self._placed:
             return False
         body = msgspec.msgpack.encode(request_id)
-        try:
-            answer = await self._bus.request(leader, "queued", body, TIMEOUT_MS)
-        except BusTimeoutError:
-            self._metrics.count("placement.timeout")
-            log_event(PLACEMENT_LOST, leader=leader, request=request_id)
+        answer = await self._ask_leader(leader, "queued", body, request_id)
+        if answer is None:
             return False
         is_queued = msgspec.msgpack.decode(answer, type=bool)
         self._metrics.count(
@@ -103,6 +97,17 @@
         log_event(SILENCE_JUDGED, request=request_id, is_queued=is_queued)
         return is_queued
 
+    async def _ask_leader(
+        self, leader: str, topic: str, body: bytes, request_id: str
+    ) -> bytes | None:
+        """Return the leader's answer, None if there is none in time."""
+        try:
+            return await self._bus.request(leader, topic, body, TIMEOUT_MS)
+        except BusTimeoutError:
+            self._metrics.count("placement.timeout")
+            log_event(PLACEMENT_LOST, leader=leader, request=request_id)
+            return None
+
     def record_read(self, request_id: str) -> None:
         """Report the first token of a prompt."""
         if request_id in self._placed:
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -133,8 +133,11 @@
 
     Within a class, prompts that may wait longer go behind the others.
     """
-    is_patient = objective_ms >= PATIENT_OBJECTIVE_MS
-    return min(URGENCIES - 1, rank * URGENCY_STEP + is_patient)
+    return min(URGENCIES - 1, rank * URGENCY_STEP + _is_patient(objective_ms))
+
+
+def _is_patient(objective_ms: int) -> bool:
+    return objective_ms >= PATIENT_OBJECTIVE_MS
 
 
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -436,11 +439,10 @@
         held = max(cached, source.held_tokens)
         read = max(1, request.tokens - held)
         first_ms = BASE_MS + read / TOKENS_PER_MS
-        first_ms += self._wait_ms(engine, question, urgency)
+        first_ms += _wait_ms(engine, question, urgency)
         first_ms += source.move_ms + RUNNING_MS * len(engine.work)
         late_ms = first_ms - LATE_SHARE * request.objective_ms
-        is_patient = request.objective_ms >= PATIENT_OBJECTIVE_MS
-        cost_ms = first_ms * (PATIENT_WAIT_SHARE if is_patient else 1.0)
+        cost_ms = question.wait_share * first_ms
         cost_ms += LATE_FACTOR * max(0.0, late_ms)
         cost_ms += READ_AGAIN_MS_PER_TOKEN * max(0, question.shared_tokens - held)
         replaced_ms = self._replaced_ms(question, version)
@@ -456,36 +458,9 @@
         if question.preferred and engine.listed.id not in question.preferred:
             cost_ms += OTHER_ENGINE_MS
         cost_ms += _crowding_ms(engine, question)
-        cost_ms += self._memory_ms(engine, question, version)
+        cost_ms += _memory_ms(engine, question, version)
         return _Estimate(cost_ms, first_ms, engine, source, read, version)
 
-    def _wait_ms(
-        self, engine: EngineState, question: "_Question", urgency: int
-    ) -> float:
-        """Return the estimated time until an engine begins to read a prompt."""
-        wait_ms = engine.unread_before(urgency) / TOKENS_PER_MS
-        limits = question.service.engine
-        if limits is not None:
-            wait_ms += engine.place_wait_ms(limits.slots)
-        if urgency > question.urgency:
-            wait_ms *= DEMOTED_WAIT_FACTOR
-        return wait_ms
-
-    def _memory_ms(
-        self, engine: EngineState, question: "_Question", version: int
-    ) -> float:
-        """Return the delay charged if a prompt does not fit beside the running ones."""
-        request, limits = question.request, question.service.engine
-        if limits is None or not limits.memory_tokens:
-            return 0.0
-        room = MEMORY_SHARE * limits.memory_tokens
-        needed = engine.memory_tokens + request.tokens + request.output_tokens
-        if needed > room:
-            # The opening may be in memory for a running request already.
-            parts = part_keys(request, version)
-            needed = engine.needed_tokens(parts, request.output_tokens)
-        return MEMORY_MS * needed / room if needed > room else 0.0
-
     def _find_source(
         self, engine: EngineState, question: "_Question", version: int, cached: int
     ) -> _Source:
@@ -554,7 +529,7 @@
         request, now_ms = question.request, question.now_ms
         engine, source = estimate.engine, estimate.source
         self._remove(request.request_id)
-        keys = part_keys(request, estimate.version)
+        keys = question.parts(estimate.version)
         work = PlacedWork(
             engine=engine.listed.id,
             read_tokens=estimate.read_tokens,
@@ -673,28 +648,62 @@
         self.store = store if has_store and is_long else None
         self.newest = weights.get(request.model, 1)
         self.now_ms = now_ms
+        self.slots = service.engine.slots if service.engine is not None else 0
         self.urgency = rank_urgency(request.rank, request.objective_ms)
+        is_patient = _is_patient(request.objective_ms)
+        self.wait_share = PATIENT_WAIT_SHARE if is_patient else 1.0
         self.home = ""
         self.preferred: frozenset[str] = frozenset()
         self.holders: dict[int, list[tuple[int, EngineState]]] = {}
         self.replaced_ms: dict[int, int | None] = {}
+        self._parts: dict[int, PartSizes] = {}
         self._shared: dict[int, PartSizes] = {}
 
+    def parts(self, version: int) -> PartSizes:
+        """Return all parts as engines cache them under a weights version."""
+        parts = self._parts.get(version)
+        if parts is None:
+            parts = part_keys(self.request, version)
+            self._parts[version] = parts
+        return parts
+
     def shared(self, version: int) -> PartSizes:
         """Return the shared parts as they are cached under a weights version."""
         shared = self._shared.get(version)
         if shared is None:
-            shared = part_keys(self.request, version)[:-1]
+            shared = self.parts(version)[:-1]
             self._shared[version] = shared
         return shared
 
 
+def _wait_ms(engine: EngineState, question: _Question, urgency: int) -> float:
+    """Return the estimated time until an engine begins to read a prompt."""
+    wait_ms = engine.unread_before(urgency) / TOKENS_PER_MS
+    wait_ms += engine.place_wait_ms(question.slots)
+    if urgency > question.urgency:
+        wait_ms *= DEMOTED_WAIT_FACTOR
+    return wait_ms
+
+
 def _crowding_ms(engine: EngineState, question: _Question) -> float:
     """Return the delay charged for the places of a batch that are taken."""
-    limits = question.service.engine
-    if limits is None or not limits.slots:
+    if not question.slots:
+        return 0.0
+    return FULL_BATCH_MS * (len(engine.work) / question.slots) ** 2
+
+
+def _memory_ms(engine: EngineState, question: _Question, version: int) -> float:
+    """Return the delay charged if a prompt does not fit beside the running ones."""
+    request, limits = question.request, question.service.engine
+    if limits is None or not limits.memory_tokens:
         return 0.0
-    return FULL_BATCH_MS * (len(engine.work) / limits.slots) ** 2
+    room = MEMORY_SHARE * limits.memory_tokens
+    needed = engine.memory_tokens + request.tokens + request.output_tokens
+    if needed > room:
+        # The opening may be in memory for a running request already.
+        parts = question.parts(version)
+        needed = engine.needed_tokens(parts, request.output_tokens)
+    return MEMORY_MS * needed / room if needed > room else 0.0
 
 
 def _find_home(question: "_Question", engines: list[EngineState]) -> str:
