Draw the loopback subnet of soaks and process tests

Seen: two soaks at a time on one machine disturbed each other ("c0-1 ran 2 times", 448 such lines in two soaks of on one subnet), since all used 127.0.3.x, and test_seeded.py used 127.0.0.x.

--- a/mustardtrack/process/tests/test_seeded.py
+++ b/mustardtrack/process/tests/test_seeded.py
@@ -23,9 +23,12 @@
     put_document,
     read_document,
 )
+from mustardtrack.testing.subnets import Subnet
 
-CONTROLS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
-ROUTER = "127.0.0.21"
+SUBNET = Subnet()
+CONTROLS = tuple(SUBNET.address(number) for number in (11, 12, 13))
+ROUTER = SUBNET.address(21)
+ENDPOINT = SUBNET.address(31)
 LONGEST_WAIT_S = 20.0
 # Routers report to every control host at least every 0.4 s; a loaded machine is slower.
 SYNC_WAIT_S = 2.0
@@ -124,8 +127,8 @@
 
 @pytest.fixture
 def hosts(tmp_path):
-    server = ThreadingHTTPServer(("127.0.0.31", 0), Endpoint)
-    Endpoint.address = f"127.0.0.31:{server.server_address[1]}"
+    server = ThreadingHTTPServer((ENDPOINT, 0), Endpoint)
+    Endpoint.address = f"{ENDPOINT}:{server.server_address[1]}"
     Endpoint.ran = []
     threading.Thread(target=server.serve_forever, daemon=True).start()
     deployment = SeededHosts(tmp_path, CONTROLS, (ROUTER,), Endpoint.address)
--- a/mustardtrack/testing/faultsoak.py
+++ b/mustardtrack/testing/faultsoak.py
@@ -39,13 +39,12 @@
     Caller,
     RequestRecord,
 )
+from mustardtrack.testing.subnets import Subnet
 
-# Last octets of the loopback addresses. The third octet is an argument, so that several
-# soaks can run at once.
+# Last octets of the loopback addresses.
 CONTROL_LAST_OCTETS = (11, 12, 13)
 ROUTER_LAST_OCTETS = (21, 22, 23)
 ENDPOINT_LAST_OCTET = 31
-DEFAULT_SUBNET = 3
 # Number of endpoints of each service.
 SERVICES = {"s1": 2, "s2": 2}
 CALLERS = 8
@@ -126,19 +125,16 @@
         seed: Seed of faults, endpoints and callers.
         seconds: Time during which faults are injected.
         folder: Folder for settings, logs and data.
-        subnet: Third octet of the loopback addresses.
+        subnet: Loopback addresses of the daemons and endpoints.
     """
 
-    def __init__(
-        self, seed: int, seconds: float, folder: Path, subnet: int = DEFAULT_SUBNET
-    ):
+    def __init__(self, seed: int, seconds: float, folder: Path, subnet: Subnet):
         self._seed = seed
         self._seconds = seconds
         self._rng = random.Random(seed)
-        prefix = f"127.0.{subnet}."
-        self._controls = tuple(f"{prefix}{number}" for number in CONTROL_LAST_OCTETS)
-        self._routers = tuple(f"{prefix}{number}" for number in ROUTER_LAST_OCTETS)
-        endpoint_host = f"{prefix}{ENDPOINT_LAST_OCTET}"
+        self._controls = tuple(map(subnet.address, CONTROL_LAST_OCTETS))
+        self._routers = tuple(map(subnet.address, ROUTER_LAST_OCTETS))
+        endpoint_host = subnet.address(ENDPOINT_LAST_OCTET)
         self.endpoints = EndpointThread(endpoint_host, SERVICES, seed)
         self._folder = folder
         self.result = SoakResult()
@@ -533,7 +529,7 @@
     seed: int,
     seconds: float,
     keep: Path | None = None,
-    subnet: int = DEFAULT_SUBNET,
+    octet: int | None = None,
 ) -> SoakResult:
     """Run one seed in a temporary folder.
 
@@ -541,9 +537,12 @@
         seed: Seed of the run.
         seconds: Time during which faults are injected.
         keep: Folder that the logs are copied to after a violation.
-        subnet: Third octet of the loopback addresses.
+        octet: Third octet of the loopback addresses; None draws a free one.
     """
-    with tempfile.TemporaryDirectory(prefix="mustardtrack-soak-") as folder:
+    with (
+        Subnet(octet) as subnet,
+        tempfile.TemporaryDirectory(prefix="mustardtrack-soak-") as folder,
+    ):
         result = FaultSoak(seed, seconds, Path(folder), subnet).run()
         if result.violations and keep is not None:
             shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
@@ -562,7 +561,9 @@
         help="duration of fault injection for each seed",
     )
     parser.add_argument("--keep", type=Path, help="folder for the logs of failed seeds")
-    parser.add_argument("--subnet", type=int, default=DEFAULT_SUBNET)
+    parser.add_argument(
+        "--subnet", type=int, help="third octet of the addresses; default: a free one"
+    )
     arguments = parser.parse_args()
     has_failed = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
--- a/mustardtrack/testing/tests/test_faultsoak.py
+++ b/mustardtrack/testing/tests/test_faultsoak.py
@@ -7,6 +7,7 @@
 from mustardtrack.testing.faultsoak import REVOCATION_LIMIT_S, FaultSoak, run_seed
 from mustardtrack.testing.seeded_hosts import SeededHosts
 from mustardtrack.testing.soak_callers import RequestRecord
+from mustardtrack.testing.subnets import Subnet
 
 # Seeds that once failed, with the cause; CI runs each of them again.
 REGRESSION_SEEDS = {
@@ -15,19 +16,25 @@
 }
 REGRESSION_SECONDS = 15.0
 CI_SEED = 3
+ROUTER = "127.0.3.21"
 CI_SECONDS = 6.0
 
 
 # In request ids, c7 is the last caller, whose key is the one that is revoked.
 def make_record(request_id="c1-1", kind="booking", sent_s=0.0, **fields):
     values = {"status": 200, "is_complete": True, "matches_request": True, **fields}
-    router = "127.0.3.21"
-    return RequestRecord(request_id, kind, router, sent_s, sent_s + 0.1, **values)
+    return RequestRecord(request_id, kind, ROUTER, sent_s, sent_s + 0.1, **values)
 
 
 @pytest.fixture
-def soak(tmp_path):
-    return FaultSoak(1, 0.0, tmp_path)
+def subnet():
+    with Subnet() as reserved:
+        yield reserved
+
+
+@pytest.fixture
+def soak(tmp_path, subnet):
+    return FaultSoak(1, 0.0, tmp_path, subnet)
 
 
 def check_records(soak, *records, runs=1):
@@ -48,10 +55,10 @@
     assert soak.result.violations == []
 
 
-def test_booking_executed_twice_is_a_violation(soak):
+def test_booking_executed_twice_is_a_violation(soak, subnet):
     assert check_records(soak, make_record(), runs=2)
     assert not check_records(
-        FaultSoak(1, 0.0, soak._folder), make_record(kind="lookup"), runs=2
+        FaultSoak(1, 0.0, soak._folder, subnet), make_record(kind="lookup"), runs=2
     )
 
 
@@ -64,34 +71,34 @@
 
 
 def test_request_interrupted_by_a_graceful_shutdown_is_a_violation(soak):
-    soak.result.planned_stops.append(("127.0.3.21", 0.0, 4.0))
+    soak.result.planned_stops.append((ROUTER, 0.0, 4.0))
     interrupted = make_record(status=0, is_complete=False)
     assert check_records(soak, interrupted)
 
 
 def test_request_interrupted_during_another_fault_is_no_violation(soak):
-    soak.result.planned_stops.append(("127.0.3.21", 0.0, 4.0))
+    soak.result.planned_stops.append((ROUTER, 0.0, 4.0))
     soak.result.fault_times_s.append(1.0)
     assert not check_records(soak, make_record(status=0, is_complete=False))
 
 
-def test_rejection_of_a_valid_key_is_a_violation(soak):
+def test_rejection_of_a_valid_key_is_a_violation(soak, subnet):
     assert check_records(soak, make_record(status=401))
     assert not check_records(
-        FaultSoak(1, 0.0, soak._folder), make_record("c7-1", status=401)
+        FaultSoak(1, 0.0, soak._folder, subnet), make_record("c7-1", status=401)
     )
 
 
-def test_request_executed_with_a_revoked_key_is_a_violation(soak):
+def test_request_executed_with_a_revoked_key_is_a_violation(soak, subnet):
     soak.result.key_revoked_s = 0.0
     assert check_records(soak, make_record("c7-1", sent_s=REVOCATION_LIMIT_S + 1))
     assert not check_records(
-        FaultSoak(1, 0.0, soak._folder), make_record("c7-1", sent_s=1.0)
+        FaultSoak(1, 0.0, soak._folder, subnet), make_record("c7-1", sent_s=1.0)
     )
 
 
 def test_only_a_daemon_that_has_not_started_may_exit_by_sigterm(soak, tmp_path):
-    host = "127.0.3.21"
+    host = ROUTER
     soak._hosts = SeededHosts(tmp_path, (), (host,), "")
     soak._hosts.log_offsets[host] = 0
     log = tmp_path / f"{host}.log"
