Refuse bad input with typed errors in all decoders of the platform

What callers and operators saw: a manifest with `limits: 5`, `engine.models: 5`, NaN or Infinity was answered with 500; a deadline of 5,000 digits ended a request with 500; an entry of the platform's list with an integer above 64 bits or a lone surrogate could not be sent to the routers, which ends the leader's task and so its process; a port that is no number, an id or an account name that no header can carry failed each request sent. Cause: values were used as JSON gave them; only some types were checked. Change: platform/values.py holds the checks (objects, 64-bit integers, header text, addresses, counts of headers); entries of a list that name no usable endpoint are left out, the others hold; a second service of one name is refused.

--- a/conftest.py
+++ b/conftest.py
@@ -16,6 +16,7 @@
     suppress_health_check=list(HealthCheck),
 )
 settings.register_profile("explore", deadline=None)
+settings.register_profile("fuzz", deadline=None, database=None, max_examples=50_000)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -2,10 +2,16 @@
 
 import json
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeGuard
 from urllib.parse import urlencode
 
 from mustardtrack.membership.endpoint_list import CacheEvents, ListedEndpoint
+from mustardtrack.platform.values import (
+    is_header_text,
+    is_integer,
+    is_network_address,
+    load_object,
+)
 
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -24,8 +30,8 @@
     Raises:
         ValueError: If the page is not a JSON object with a list of instances.
     """
-    data = json.loads(body)
-    if not isinstance(data, dict) or not isinstance(data.get("instances"), list):
+    data = load_object(body, "endpoint list page")
+    if not isinstance(data.get("instances"), list):
         raise ValueError("endpoint list page has no 'instances' list")
     entries = (_decode_endpoint(item) for item in data["instances"])
     next_token = data.get("next-token")
@@ -38,27 +44,24 @@
 def _decode_endpoint(item: Any) -> ListedEndpoint | None:
     if not isinstance(item, dict):
         return None
-    texts = [item.get(key) for key in ("id", "service", "address", "zone")]
-    if not all(isinstance(text, str) and text for text in texts):
+    endpoint_id, address = item.get("id"), item.get("address")
+    service, zone = item.get("service"), item.get("zone")
+    if not is_header_text(endpoint_id) or not is_network_address(address):
+        return None
+    if not _is_encodable_text(service) or not _is_encodable_text(zone):
         return None
     state = item.get("state")
     slots = item.get("slots")
-    if (
-        not isinstance(state, str)
-        or state not in _DRAINING_BY_STATE
-        or not isinstance(slots, int)
-        or isinstance(slots, bool)
-    ):
+    if not isinstance(state, str) or state not in _DRAINING_BY_STATE:
         return None
-    if ":" not in item["address"]:
+    if not is_integer(slots):
         return None
-    endpoint_id, service, address, zone = texts
     return ListedEndpoint(
-        id=str(endpoint_id),
+        id=endpoint_id,
         started_ms=_decode_start_time(item),
-        service=str(service),
-        address=str(address),
-        zone=str(zone),
+        service=service,
+        address=address,
+        zone=zone,
         slots=slots,
         is_draining=_DRAINING_BY_STATE[state],
         is_loading=False,
@@ -70,9 +73,18 @@
     # An endpoint may restart with the same id; the start time identifies the
     # incarnation.
     start_ms = item.get("born")
-    return (
-        start_ms if isinstance(start_ms, int) and not isinstance(start_ms, bool) else 0
-    )
+    return start_ms if is_integer(start_ms) else 0
+
+
+def _is_encodable_text(value: object) -> TypeGuard[str]:
+    """Return whether a value is text that messages between processes can carry."""
+    if not isinstance(value, str) or not value:
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:  # A lone surrogate, written as an escape in JSON.
+        return False
+    return True
 
 
 def _decode_weights(models: Any) -> dict[str, int]:
@@ -82,8 +94,8 @@
         model["name"]: model["version"]
         for model in models
         if isinstance(model, dict)
-        and isinstance(model.get("name"), str)
-        and isinstance(model.get("version"), int)
+        and _is_encodable_text(model.get("name"))
+        and is_integer(model.get("version"))
     }
 
 
@@ -121,10 +133,13 @@
 def _decode_cache_changes(
     body: bytes, key: str, decode_item: Callable[[list[Any]], CacheChange | None]
 ) -> CacheEvents:
-    data = json.loads(body)
-    if not isinstance(data, dict) or not isinstance(data.get("next-token"), int):
+    data = load_object(body, "KV cache response")
+    if not is_integer(data.get("next-token")):
         raise ValueError("KV cache response has no integer 'next-token'")
-    items = (item for item in data.get(key) or [] if isinstance(item, list))
+    listed = [] if data.get(key) is None else data[key]
+    if not isinstance(listed, list):
+        raise ValueError(f"KV cache response has no list {key!r}")
+    items = (item for item in listed if isinstance(item, list))
     changes = (decode_item(item) for item in items)
     return CacheEvents(
         epoch=str(data.get("boot-epoch")),
@@ -148,7 +163,7 @@
 
 
 def _decode_cached_part(item: list[Any]) -> CacheChange | None:
-    if len(item) < 3 or not isinstance(item[2], int):
+    if len(item) < 3 or not is_integer(item[2]):
         return None
     return str(item[0]), str(item[1]), item[2]
 
@@ -163,9 +178,7 @@
     Raises:
         ValueError: If the report is not a JSON object.
     """
-    data = json.loads(body)
-    if not isinstance(data, dict):
-        raise ValueError("the engine report must be a JSON object")
+    data = load_object(body, "the engine report")
     return _decode_weights(data.get("models"))
 
 
@@ -191,13 +204,11 @@
     Raises:
         ValueError: If the body is not JSON or a field is missing or invalid.
     """
-    data = json.loads(body)
-    if not isinstance(data, dict):
-        raise ValueError("the body must be a JSON object")
+    data = load_object(body, "the body")
     model, version = data.get("model"), data.get("version")
-    if not isinstance(model, str) or not model:
+    if not _is_encodable_text(model):
         raise ValueError("model must be a non-empty string")
-    if not isinstance(version, int) or isinstance(version, bool) or version < 1:
+    if not is_integer(version, minimum=1):
         raise ValueError("version must be a positive integer")
     return model, version
 
--- a/mustardtrack/platform/headers.py
+++ b/mustardtrack/platform/headers.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from mustardtrack.platform.values import parse_count
+
 REQUEST_ID = b"request-id"
 DEADLINE = b"deadline-ms"
 AUTHORIZATION = b"authorization"
@@ -123,7 +125,7 @@
         request_id=values.get(REQUEST_ID),
         host=host.partition(":")[0],
         path=target.decode("latin-1").partition("?")[0],
-        time_left_ms=_parse_int(values.get(DEADLINE)),
+        time_left_ms=parse_count(values.get(DEADLINE)),
         key=_parse_bearer_token(values.get(AUTHORIZATION)),
         model=values.get(b"model", b"").decode("latin-1"),
         prompt_tokens=prompt_token_count,
@@ -141,7 +143,7 @@
         has_content_encoding=b"content-encoding" in values,
         load=_parse_load(values.get(b"instance-load")),
         keep_alive_s=_parse_keep_alive(values.get(b"keep-alive")),
-        weights_version=_parse_int(values.get(b"weight-versions")),
+        weights_version=parse_count(values.get(b"weight-versions")),
     )
 
 
@@ -224,15 +226,9 @@
     return values
 
 
-def _parse_int(value: bytes | None) -> int | None:
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value)
-
-
 def _parse_token_usage(value: bytes | None) -> tuple[int, int]:
     prompt, _, output = (value or b"").partition(b",")
-    return _parse_int(prompt) or 0, _parse_int(output) or 0
+    return parse_count(prompt) or 0, parse_count(output) or 0
 
 
 def _parse_bearer_token(value: bytes | None) -> str | None:
@@ -247,7 +243,7 @@
     parts = []
     for item in value.split(b","):
         digest, _, tokens = item.strip().partition(b":")
-        count = _parse_int(tokens)
+        count = parse_count(tokens)
         if not digest or count is None:
             # A malformed list is treated as a prompt without shared parts.
             return ()
@@ -256,7 +252,7 @@
 
 
 def _parse_load(value: bytes | None) -> ReportedLoad | None:
-    numbers = [_parse_int(item) for item in (value or b"").split(b",")]
+    numbers = [parse_count(item) for item in (value or b"").split(b",")]
     if len(numbers) != 3:
         return None
     running, waiting, slots = numbers
@@ -269,7 +265,7 @@
     for item in (value or b"").split(b","):
         name, _, seconds = item.strip().partition(b"=")
         if name.lower() == b"timeout":
-            return _parse_int(seconds)
+            return parse_count(seconds)
     return None
 
 
--- a/mustardtrack/platform/manifests.py
+++ b/mustardtrack/platform/manifests.py
@@ -1,6 +1,5 @@
 """Decoding and validation of the operator's configuration manifests."""
 
-import json
 from typing import Any
 
 from mustardtrack.configuration.routes import (
@@ -13,6 +12,7 @@
     Service,
     ServiceShare,
 )
+from mustardtrack.platform.values import MAX_INTEGER, is_integer, load_object
 
 _RETRY_SAFETY_BY_KIND = {
     "idempotent": RetrySafety.IDEMPOTENT,
@@ -35,6 +35,8 @@
     services = {}
     for item in _require_objects(data, "services"):
         service = _decode_service(item)
+        if service.name in services:
+            raise ManifestError(f"two services have the name {service.name!r}")
         services[service.name] = service
     routes: dict[str, list[Route]] = {}
     seen = set()
@@ -56,23 +58,20 @@
         routes=longest_first,
         services=services,
         accounts=_decode_accounts(data),
-        limits=_decode_limits(data.get("limits") or {}),
+        limits=_decode_limits(data.get("limits")),
     )
 
 
 def _decode_object(content: bytes) -> dict[str, Any]:
     try:
-        data = json.loads(content)
+        return load_object(content, "the manifest")
     except ValueError as error:
-        raise ManifestError(f"the manifest is not valid JSON: {error}") from error
-    if not isinstance(data, dict):
-        raise ManifestError("the manifest must be a JSON object")
-    return data
+        raise ManifestError(str(error)) from error
 
 
 def _require_version(data: dict[str, Any]) -> int:
     version = data.get("version")
-    if not isinstance(version, int) or isinstance(version, bool) or version < 1:
+    if not is_integer(version, minimum=1):
         raise ManifestError(f"version must be a positive integer, got {version!r}")
     return version
 
@@ -95,8 +94,10 @@
     value = item.get(key, default)
     if value is None:
         value = default
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-        raise ManifestError(f"{key} must be a non-negative number, got {value!r}")
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ManifestError(f"{key} must be a number")
+    if not 0 <= value <= MAX_INTEGER:
+        raise ManifestError(f"{key} must be between 0 and {MAX_INTEGER}")
     return value
 
 
@@ -151,7 +152,7 @@
     return Service(
         name=_require_string(item, "name"),
         max_connections=int(_decode_number(item, "max-connections", 100)),
-        engine=_decode_engine(engine) if isinstance(engine, dict) else None,
+        engine=None if engine is None else _decode_engine(engine),
         kv_store_address=kv_store_address
         if isinstance(kv_store_address, str)
         else None,
@@ -161,8 +162,10 @@
     )
 
 
-def _decode_engine(item: dict[str, Any]) -> EngineLimits:
-    models = item.get("models") or []
+def _decode_engine(item: Any) -> EngineLimits:
+    if not isinstance(item, dict):
+        raise ManifestError("engine must be an object")
+    models = [] if item.get("models") is None else _require_objects(item, "models")
     return EngineLimits(
         slots=int(_decode_number(item, "slots", 1)),
         memory_tokens=int(_decode_number(item, "kv-capacity-tokens")),
@@ -179,11 +182,11 @@
     for item in _require_objects(data, "tenants"):
         rank = item.get("priority")
         account = RouteAccount(
-            name=_require_string(item, "name"),
+            name=_require_account_name(item),
             rank=None if rank is None else int(_decode_number(item, "priority")),
             is_isolated=item.get("isolated") is True,
         )
-        keys = item.get("api-keys") or []
+        keys = [] if item.get("api-keys") is None else item["api-keys"]
         if not isinstance(keys, list):
             raise ManifestError(f"tenant {account.name}: api-keys must be a list")
         for key in keys:
@@ -198,8 +201,22 @@
     return accounts
 
 
-def _decode_limits(item: dict[str, Any]) -> CallerLimits:
+def _require_account_name(item: dict[str, Any]) -> str:
+    name = _require_string(item, "name")
+    # Endpoints receive the name in a header.
+    if not name.isprintable() or name != name.strip():
+        raise ManifestError(
+            "a tenant's name must be printable, without spaces at its ends"
+        )
+    return name
+
+
+def _decode_limits(item: Any) -> CallerLimits:
     defaults = CallerLimits()
+    if item is None:
+        return defaults
+    if not isinstance(item, dict):
+        raise ManifestError("limits must be an object")
     return CallerLimits(
         header_bytes=int(
             _decode_number(item, "max-header-bytes", defaults.header_bytes)
--- /dev/null
+++ b/mustardtrack/platform/tests/test_bad_input.py
@@ -0,0 +1,289 @@
+"""Guards against bad input that raises an untyped error or ends a process.
+
+An untyped error answers an operator with 500, leaves a caller without an answer, or
+ends the task that reads an endpoint's answers. More inputs: HYPOTHESIS_PROFILE=fuzz
+bin/test FILE --hypothesis-seed=N.
+"""
+
+import copy
+import json
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardtrack.platform.endpoints import (
+    decode_cache_events,
+    decode_cache_snapshot,
+    decode_endpoint_list_page,
+    decode_weights_report,
+    decode_weights_request,
+)
+from mustardtrack.platform.headers import (
+    EndpointInstructions,
+    decode_request_headers,
+    decode_response_headers,
+    encode_instructions,
+)
+from mustardtrack.platform.manifests import ManifestError, decode_manifest
+from mustardtrack.platform.tests.test_manifests import MANIFEST
+
+DEEP = b"[" * 100_000
+HUGE = 10**30
+ENTRY = {
+    "id": "i-1",
+    "service": "s1",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 6,
+    "state": "ready",
+    "born": 5,
+    "models": [{"name": "m", "version": 1}],
+}
+
+
+def changed(data, path, value):
+    """Return a copy of nested data with one value replaced."""
+    data = copy.deepcopy(data)
+    target = data
+    for step in path[:-1]:
+        target = target[step]
+    target[path[-1]] = value
+    return data
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (["limits"], 5),
+        (["limits"], [1]),
+        (["limits", "max-body-bytes"], float("nan")),
+        (["limits", "max-body-bytes"], float("inf")),
+        (["services", 0, "engine"], 5),
+        (["services", 0, "engine", "models"], 5),
+        (["services", 0, "engine", "models"], ["m"]),
+        (["services", 0, "engine", "slots"], HUGE),
+        (["services", 1, "name"], "s1"),
+        (["routes", 0, "timeout-ms"], float("inf")),
+        (["routes", 0, "priority"], HUGE),
+        (["routes", 0, "traffic-split", 0, "weight"], float("nan")),
+        (["tenants", 0, "api-keys"], 0),
+        (["tenants", 0, "name"], "a\r\nTenant: b"),
+        (["tenants", 0, "name"], "\ud800"),
+        (["version"], HUGE),
+        (["version"], True),
+    ],
+)
+def test_bad_value_of_a_manifest_is_refused_with_its_name(path, value):
+    content = json.dumps(changed(MANIFEST, path, value)).encode()
+    with pytest.raises(ManifestError) as error:
+        decode_manifest(content)
+    named = [step for step in path if isinstance(step, str)]
+    assert any(step.rstrip("s") in str(error.value) for step in [*named, "JSON"])
+
+
+def test_number_that_overflows_a_float_is_refused():
+    content = json.dumps(MANIFEST).replace("12000", "1e999").encode()
+    with pytest.raises(ManifestError, match="timeout-ms"):
+        decode_manifest(content)
+
+
+@pytest.mark.parametrize(
+    ("decode", "error"),
+    [
+        (decode_manifest, ManifestError),
+        (decode_endpoint_list_page, ValueError),
+        (decode_cache_events, ValueError),
+        (decode_cache_snapshot, ValueError),
+        (decode_weights_report, ValueError),
+        (decode_weights_request, ValueError),
+    ],
+)
+@pytest.mark.parametrize("body", [DEEP, b"", b"\xff", b"null", b"[]", b"9" * 5000])
+def test_unreadable_body_is_refused(decode, error, body):
+    with pytest.raises(error):
+        decode(body)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("id", "i-\u20ac"),
+        ("id", "i-1\r\nx: y"),
+        ("address", "10.0.0.1:http"),
+        ("address", "10.0.0.1:99999"),
+        ("address", ":80"),
+        ("service", "\ud800"),
+        ("zone", "\udfff"),
+        ("slots", HUGE),
+        ("slots", -1),
+    ],
+)
+def test_entry_that_names_no_usable_endpoint_is_left_out(key, value):
+    page = {"instances": [changed(ENTRY, [key], value), ENTRY], "next-token": None}
+    entries, _ = decode_endpoint_list_page(json.dumps(page).encode())
+    assert [entry.id for entry in entries] == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (["born"], HUGE),
+        (["born"], True),
+        (["models", 0, "version"], HUGE),
+        (["models", 0, "version"], True),
+        (["models", 0, "name"], "\ud800"),
+    ],
+)
+def test_bad_optional_value_does_not_prevent_replication_of_the_list(path, value):
+    page = {"instances": [changed(ENTRY, path, value)]}
+    entries, _ = decode_endpoint_list_page(json.dumps(page).encode())
+    assert msgspec.msgpack.encode(entries)
+    assert entries[0].started_ms in (0, 5) and entries[0].weights in ({}, {"m": 1})
+
+
+@pytest.mark.parametrize("key", ["events", "held"])
+@pytest.mark.parametrize("value", [5, "x", {"a": 1}, True])
+def test_cache_answer_without_a_list_is_refused(key, value):
+    body = json.dumps({"boot-epoch": 1, "next-token": 1, key: value}).encode()
+    decode = decode_cache_events if key == "events" else decode_cache_snapshot
+    with pytest.raises(ValueError, match=key):
+        decode(body)
+
+
+def test_cache_event_with_a_number_out_of_range_is_skipped():
+    events = [[1, "+", "s", "a", HUGE, "m"], [2, "+", "s", "b", 5, "m"]]
+    body = json.dumps({"boot-epoch": 1, "next-token": 3, "events": events}).encode()
+    assert decode_cache_events(body).changes == [("s", "b", 5)]
+
+
+def test_deadline_of_thousands_of_digits_is_a_long_deadline():
+    headers = [(b"deadline-ms", b"9" * 5000), (b"token-usage", b"9" * 5000 + b",1")]
+    metadata = decode_request_headers(b"/x", headers)
+    assert metadata.time_left_ms is not None and metadata.time_left_ms >= 10**9
+    assert msgspec.msgpack.encode(metadata.prompt_tokens * 1000)
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(st.characters(exclude_categories=()), max_size=5)
+    | st.sampled_from([HUGE, -HUGE, "m", "s1", "10.0.0.1:80", "ready"]),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(
+                [*MANIFEST, *ENTRY, "instances", "events", "held", "next-token"]
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def list_paths(data, path=()):
+    """Return the paths of all values in nested data."""
+    items = (
+        data.items()
+        if isinstance(data, dict)
+        else enumerate(data)
+        if isinstance(data, list)
+        else ()
+    )
+    found = [path] if path else []
+    for key, value in items:
+        found += list_paths(value, (*path, key))
+    return found
+
+
+ANSWERS = {
+    decode_endpoint_list_page: {"instances": [ENTRY, ENTRY], "next-token": "p"},
+    decode_cache_events: {
+        "boot-epoch": 1,
+        "next-token": 3,
+        "lost": False,
+        "events": [[1, "+", "s", "a", 5, "m"]],
+    },
+    decode_cache_snapshot: {
+        "boot-epoch": 1,
+        "next-token": 3,
+        "held": [["s", "a", 5, "m"]],
+    },
+    decode_weights_report: {"models": [{"name": "m", "version": 1}]},
+    decode_weights_request: {"model": "m", "version": 1},
+    decode_manifest: MANIFEST,
+}
+
+
+def bodies(answer):
+    """Return a strategy of bodies near a valid one, and of arbitrary bytes."""
+    paths = st.sampled_from(list_paths(answer))
+    near = st.builds(
+        lambda path, value: changed(answer, path, value), paths, JSON_VALUES
+    )
+    encoded = (near | JSON_VALUES).map(lambda data: json.dumps(data).encode())
+    cut = st.builds(lambda body, end: body[:end], encoded, st.integers(0, 400))
+    return encoded | cut | st.binary(max_size=60)
+
+
+DECODERS_AND_BODIES = st.sampled_from(list(ANSWERS)).flatmap(
+    lambda decode: st.tuples(st.just(decode), bodies(ANSWERS[decode]))
+)
+
+
+@given(DECODERS_AND_BODIES)
+def test_decoders_of_bodies_raise_only_typed_errors(decoder_and_body):
+    decode, body = decoder_and_body
+    try:
+        decoded = decode(body)
+    except ManifestError:
+        assert decode is decode_manifest
+    except ValueError:
+        assert decode is not decode_manifest
+    else:
+        if decode is not decode_manifest:
+            msgspec.msgpack.encode(decoded)
+
+
+HEADER_NAMES = st.sampled_from(
+    [
+        b"request-id",
+        b"deadline-ms",
+        b"authorization",
+        b"token-usage",
+        b"prefix-hash",
+        b"model",
+        b"host",
+        b"instance-load",
+        b"keep-alive",
+        b"weight-versions",
+        b"connection",
+    ]
+)
+HEADER_VALUES = st.binary(max_size=30) | st.sampled_from(
+    [b"9" * 5000, b"-1", b"a:1,b:2", b"timeout=9", b"timeout=" + b"9" * 99, b"1,2,3"]
+)
+
+
+@given(st.binary(max_size=30), st.lists(st.tuples(HEADER_NAMES, HEADER_VALUES)))
+def test_decoders_of_headers_never_raise(target, headers):
+    metadata = decode_request_headers(target, headers)
+    msgspec.msgpack.encode([metadata.prompt_tokens, metadata.time_left_ms])
+    decode_response_headers(headers)
+
+
+@given(st.sampled_from(list_paths(MANIFEST["tenants"])), JSON_VALUES)
+def test_accepted_account_name_is_a_valid_header(path, value):
+    manifest = {**MANIFEST, "tenants": changed(MANIFEST["tenants"], path, value)}
+    try:
+        table = decode_manifest(json.dumps(manifest).encode())
+    except ManifestError:
+        return
+    for account in (table.accounts or {}).values():
+        headers = encode_instructions(EndpointInstructions("i-1", 5, account.name))
+        assert not any(b"\n" in value or b"\r" in value for _, value in headers)
