Refuse late requests that a stopping router cannot answer

Cause: SeededRouterProcess.stop only withdraws the router from the directory. Nothing compares the deadline of a new request with the time at which the connections close. Change: ShutdownWindow, a function of the time since the stop began, the forced close and the request's deadline. While callers may hold a directory answer (2 s) every request is accepted, then only those whose deadline passes before the close; the others get 503 `stopping` with a Retry-After of about 0.1 s and `Connection: close`. Event 8953 marks the begin of refusals, and 8951 states `stopping_ms`. Why it works: what is accepted in the first 2 s has 5.2 s left, and what is accepted later ends by its own time limit before the close.

--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -24,6 +24,7 @@
 from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.requests.connection_reuse import IdleReuseLimit
 from mustardtrack.requests.forwarding import AttemptFailure, ForwardedRequest, NextStep
+from mustardtrack.requests.shutdown_window import ShutdownWindow
 from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import Prompt, choose_engine
@@ -32,6 +33,9 @@
 
 REQUEST_ENDED = define_event(8951, "INFO", "request ended")
 ATTEMPT_ENDED = define_event(8952, "INFO", "attempt ended without an answer")
+REFUSAL_STARTED = define_event(
+    8953, "INFO", "stopping router refuses requests that cannot end in time"
+)
 
 # An endpoint cannot answer in less time, so the request is not sent.
 MIN_TIME_LEFT_MS = 20
@@ -47,6 +51,8 @@
     "connections": 0.8,
     "hopeless": 2.0,
     "crashes_endpoints": 10.0,
+    # Other routers can take the request at once.
+    "stopping": 0.1,
 }
 DEFAULT_RETRY_AFTER_S = 0.8
 # Relative jitter that keeps callers refused together from retrying together.
@@ -103,6 +109,21 @@
         self.reuse_limit = IdleReuseLimit()
         self._rng = random.Random()
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
+        self._shutdown: ShutdownWindow | None = None
+
+    def begin_stop(self, window: ShutdownWindow) -> None:
+        """Refuse the requests that cannot end within the window."""
+        self._shutdown = window
+
+    def log_refusal_start(self) -> None:
+        """Log that the stopping router has begun to refuse requests."""
+        log_event(REFUSAL_STARTED, stopping_ms=self._stopping_ms())
+
+    def _stopping_ms(self) -> int | None:
+        """Return the time since the stop began, None if the router is not stopping."""
+        if self._shutdown is None:
+            return None
+        return self._shutdown.elapsed_ms(self.clock.now_ms())
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one caller request."""
@@ -133,7 +154,17 @@
         if refused and _fingerprint(exchange, account) in refused:
             self._refuse(exchange, metadata, "crashes_endpoints")
             return None
-        return self._build_request(exchange, metadata, table, route, account, now_ms)
+        admitted = self._build_request(
+            exchange, metadata, table, route, account, now_ms
+        )
+        window = self._shutdown
+        if window is not None and not window.accepts(now_ms, admitted.deadline_ms):
+            left_ms = admitted.deadline_ms - now_ms
+            self._refuse(
+                exchange, metadata, "stopping", route=route.name, left_ms=left_ms
+            )
+            return None
+        return admitted
 
     def _build_request(
         self,
@@ -408,8 +439,7 @@
         is_late = self.clock.now_ms() >= admitted.deadline_ms - MIN_TIME_LEFT_MS
         status = 504 if is_late else 502
         self.metrics.count(f"failure.{status}")
-        log_event(
-            REQUEST_ENDED,
+        self._log_end(
             request=_decode(admitted.metadata.request_id),
             route=admitted.route.name,
             status=status,
@@ -421,6 +451,9 @@
             status, [JSON_CONTENT_TYPE], encode_error("no endpoint answered")
         )
 
+    def _log_end(self, **fields: object) -> None:
+        log_event(REQUEST_ENDED, **fields, stopping_ms=self._stopping_ms())
+
     def _refuse(
         self,
         exchange: Exchange,
@@ -430,8 +463,7 @@
     ) -> None:
         """Respond with status 503 and the time after which to retry."""
         self.metrics.count(f"refusal.{reason}")
-        log_event(
-            REQUEST_ENDED,
+        self._log_end(
             request=_decode(metadata.request_id),
             status=503,
             reason=reason,
@@ -452,8 +484,7 @@
         """Respond with a 4xx status, without a time after which to retry."""
         self.metrics.count(f"refusal.{status}")
         table = self._control_sync.view.table
-        log_event(
-            REQUEST_ENDED,
+        self._log_end(
             request=_decode(metadata.request_id),
             status=status,
             reason=reason,
@@ -476,8 +507,7 @@
         elapsed_ms = now_ms - admitted.received_ms
         self.metrics.count(f"answer.{outcome.status}")
         self.metrics.timing(f"route_rank.{admitted.route.rank}", elapsed_ms)
-        log_event(
-            REQUEST_ENDED,
+        self._log_end(
             request=_decode(admitted.metadata.request_id),
             route=admitted.route.name,
             endpoint=endpoint.id,
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -11,12 +11,14 @@
 from mustardtrack.adapters.zeromq import Bus
 from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.platform.endpoints import READY_TARGET
+from mustardtrack.process.control_api import MAX_DIRECTORY_TTL_S
 from mustardtrack.process.control_sync import ControlSync
 from mustardtrack.process.forwarder import Forwarder
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import count_events
 from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.process.settings_watch import SettingsWatch
+from mustardtrack.requests.shutdown_window import ShutdownWindow
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.settings import SeededSettings, split_address
 
@@ -24,7 +26,7 @@
 # before it is killed.
 STOP_MARGIN_S = 0.8
 # Callers cache directory answers for some seconds and still reach a stopping router.
-MIN_DRAIN_S = 4.0
+MIN_DRAIN_MS = 4000
 STOP_POLL_S = 0.05
 
 
@@ -97,14 +99,17 @@
         """Withdraw from the directory, then drain the remaining requests."""
         self._stopping = True
         self._caller_server.is_stopping = True
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        deadline_s = started_s + self._settings.bounds.grace_s - STOP_MARGIN_S
+        window = self._shutdown_window()
+        self._forwarder.begin_stop(window)
         await self._control_sync.sync_now()
-        while loop.time() < deadline_s:
+        is_withdrawn = False
+        while not window.is_over(now_ms := self._clock.now_ms()):
+            if window.is_withdrawn(now_ms) and not is_withdrawn:
+                is_withdrawn = True
+                self._forwarder.log_refusal_start()
             has_open_work = bool(self._caller_server.open_exchanges())
             has_open_work = has_open_work or self._caller_server.has_partial_requests()
-            if loop.time() - started_s >= MIN_DRAIN_S and not has_open_work:
+            if window.elapsed_ms(now_ms) >= MIN_DRAIN_MS and not has_open_work:
                 break
             await asyncio.sleep(STOP_POLL_S)
         self._caller_server.stop_listening()
@@ -117,6 +122,16 @@
         await asyncio.sleep(STOP_POLL_S)
         return interrupted
 
+    def _shutdown_window(self) -> ShutdownWindow:
+        """Return the window of a planned stop that begins now."""
+        bounds = self._settings.bounds
+        ttl_s = min(MAX_DIRECTORY_TTL_S, bounds.directory_ttl_s)
+        return ShutdownWindow(
+            began_ms=self._clock.now_ms(),
+            withdrawal_ms=int(ttl_s * 1000),
+            limit_ms=int((bounds.grace_s - STOP_MARGIN_S) * 1000),
+        )
+
     def open_requests(self) -> list[str]:
         """Return the targets of the requests in flight."""
         open_now = self._caller_server.open_exchanges()
--- /dev/null
+++ b/mustardtrack/process/tests/test_planned_stop.py
@@ -0,0 +1,228 @@
+"""Process tests of a router that gets SIGTERM while callers send requests.
+
+Guards against requests that a stopping router accepts and then cuts.
+"""
+
+import http.client
+import json
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import pytest
+
+from mustardtrack.testing.seeded_hosts import (
+    CALLER_PORT,
+    STOP_TIMEOUT_S,
+    SeededHosts,
+    holds_within,
+    put_document,
+)
+from mustardtrack.testing.subnets import Subnet
+
+SUBNET = Subnet()
+CONTROL = SUBNET.address(11)
+ROUTER = SUBNET.address(21)
+ENDPOINT = SUBNET.address(31)
+START_LIMIT_S = 20.0
+STREAM_LIMIT_MS = 12_000
+EVENT_INTERVAL_S = 0.25
+
+
+class SlowEndpoint(BaseHTTPRequestHandler):
+    """Endpoint whose answers take the seconds given in the request body."""
+
+    protocol_version = "HTTP/1.1"
+    address = ""
+    ran: list[str] = []
+    disconnected: dict[str, float] = {}
+
+    def do_GET(self):  # noqa: N802
+        """Answer the list of endpoints."""
+        entry = {
+            "id": "i-1",
+            "service": "s1",
+            "address": self.address,
+            "zone": "a",
+            "slots": 20,
+            "state": "ready",
+        }
+        self._respond(json.dumps({"instances": [entry]}).encode())
+
+    def do_POST(self):  # noqa: N802
+        """Run a request."""
+        seconds = float(self.rfile.read(int(self.headers["content-length"])))
+        request_id = self.headers["Request-Id"]
+        self.ran.append(request_id)
+        if self.path.startswith("/stream/"):
+            self._stream(seconds)
+        else:
+            self._wait(seconds)
+            self._respond(b"done")
+
+    def _stream(self, seconds):
+        self.send_response(200)
+        self._send_identity()
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for number in range(1, int(seconds / EVENT_INTERVAL_S) + 1):
+            self._write_chunk(b"id: %d\ndata: x\n\n" % number)
+            self._wait(EVENT_INTERVAL_S)
+        self._write_chunk(b"")
+
+    def _wait(self, seconds):
+        """Wait for some time, or until the router closes the connection."""
+        self.connection.settimeout(max(seconds, 0.01))
+        try:
+            self.connection.recv(1)
+        except TimeoutError:
+            self.connection.settimeout(None)
+            return
+        except OSError:
+            pass  # The router reset the connection.
+        self.disconnected[self.headers["Request-Id"]] = time.monotonic()
+        raise ConnectionAbortedError
+
+    def _write_chunk(self, data):
+        self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def _send_identity(self):
+        self.send_header("Request-Id", self.headers["Request-Id"] or "")
+        self.send_header("Response-Seal", "x")
+
+    def _respond(self, body):
+        self.send_response(200)
+        self._send_identity()
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments):
+        """Suppress the request log of the server."""
+
+
+class QuietServer(ThreadingHTTPServer):
+    """Server that does not report closed connections."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        """Ignore the error."""
+
+
+class Caller:
+    """Caller with one kept connection to the router."""
+
+    def __init__(self):
+        self._connection = http.client.HTTPConnection(ROUTER, CALLER_PORT, timeout=20)
+
+    def send(self, request_id, path, seconds, deadline_ms=STREAM_LIMIT_MS):
+        """Send a request; return status, body and headers, or the error."""
+        headers = {
+            "Host": "a.example",
+            "Request-Id": request_id,
+            "Deadline-Ms": str(deadline_ms),
+            "Authorization": "Bearer k1",
+        }
+        try:
+            body = str(seconds).encode()
+            self._connection.request("POST", path, body, headers)
+            response = self._connection.getresponse()
+            return response.status, response.read(), dict(response.headers)
+        except (OSError, http.client.HTTPException) as error:
+            return None, repr(error), {}
+
+
+def document():
+    kinds = {"/stream/": "streaming", "/call/": "non_idempotent"}
+    routes = [
+        {
+            "name": f"r{prefix.strip('/')}",
+            "host": "a.example",
+            "path-prefix": prefix,
+            "kind": kind,
+            "timeout-ms": STREAM_LIMIT_MS,
+            "service": "s1",
+            "max-attempts": 1,
+        }
+        for prefix, kind in kinds.items()
+    ]
+    return {
+        "version": 1,
+        "routes": routes,
+        "services": [{"name": "s1", "max-connections": 50}],
+        "tenants": [{"name": "t1", "api-keys": ["k1"]}],
+    }
+
+
+def stream(seconds):
+    """Return the body of a whole stream."""
+    count = int(seconds / EVENT_INTERVAL_S)
+    return b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, count + 1))
+
+
+def log_lines(hosts, event):
+    """Return the router's log lines of an event."""
+    text = (hosts.folder / f"{ROUTER}.log").read_text()
+    return [json.loads(line) for line in text.splitlines() if f": {event}," in line]
+
+
+@pytest.fixture
+def hosts(tmp_path):
+    server = QuietServer((ENDPOINT, 0), SlowEndpoint)
+    SlowEndpoint.address = f"{ENDPOINT}:{server.server_address[1]}"
+    SlowEndpoint.ran = []
+    SlowEndpoint.disconnected = {}
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    deployment = SeededHosts(tmp_path, (CONTROL,), (ROUTER,), SlowEndpoint.address)
+    for host in (CONTROL, ROUTER):
+        deployment.start(host)
+    try:
+        assert holds_within(
+            lambda: put_document(CONTROL, document()) == 200, START_LIMIT_S
+        )
+        assert holds_within(lambda: deployment.is_ready(ROUTER), START_LIMIT_S)
+        yield deployment
+    finally:
+        deployment.end()
+        server.shutdown()
+        server.server_close()
+
+
+@pytest.fixture
+def pool():
+    with ThreadPoolExecutor(10) as executor:
+        yield executor
+
+
+def test_late_request_that_cannot_end_in_time_is_refused(hosts, pool):
+    """Guards against streams that begin late in a planned stop and are cut by it."""
+    kept = Caller()
+    assert kept.send("warm", "/call/1", 0)[0] == 200
+    hosts.send_signal(ROUTER, signal.SIGTERM)
+    time.sleep(1.0)
+    early = pool.submit(Caller().send, "early", "/stream/1", 5.0)
+    time.sleep(3.0)
+    late = [
+        pool.submit(kept.send, "late-kept", "/stream/1", 5.0),
+        pool.submit(Caller().send, "late-new", "/stream/1", 5.0),
+    ]
+    short = pool.submit(Caller().send, "short", "/call/1", 1.0, 1800)
+    for answer in late:
+        status, _, headers = answer.result()
+        assert status == 503
+        assert headers["connection"].lower() == "close"
+        assert float(headers["retry-after"]) < 1
+    assert short.result()[:2] == (200, b"done")
+    assert early.result()[:2] == (200, stream(5.0))
+    assert hosts.running[ROUTER].wait(timeout=STOP_TIMEOUT_S) == 0
+    assert sorted(SlowEndpoint.ran) == ["early", "short", "warm"]
+    ended = {line["request"]: line for line in log_lines(hosts, 8951)}
+    assert ended["late-new"]["reason"] == "stopping"
+    assert ended["late-new"]["stopping_ms"] >= 3900
+    assert ended["early"]["stopping_ms"] >= 5900
+    assert ended["warm"]["stopping_ms"] is None
+    assert len(log_lines(hosts, 8953)) == 1
--- /dev/null
+++ b/mustardtrack/requests/shutdown_window.py
@@ -0,0 +1,50 @@
+"""Time window in which a stopping router accepts requests."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class ShutdownWindow:
+    """Time limits of a planned stop, on the clock of the request deadlines.
+
+    Callers that hold a directory response with this router keep sending requests for
+    a while after it has withdrawn, and these are all accepted. A later request is
+    accepted only if its deadline passes before the connections are closed; refused, it
+    can still run on another router.
+
+    Attributes:
+        began_ms: Time at which the stop began.
+        withdrawal_ms: Duration from the begin in which every request is accepted.
+        limit_ms: Duration after which the remaining connections are closed.
+
+    Examples:
+        >>> window = ShutdownWindow(began_ms=0, withdrawal_ms=2000, limit_ms=7000)
+        >>> window.accepts(now_ms=1999, deadline_ms=9000)
+        True
+        >>> window.accepts(now_ms=2000, deadline_ms=7000)
+        False
+        >>> window.accepts(now_ms=2000, deadline_ms=6999)
+        True
+    """
+
+    began_ms: int
+    withdrawal_ms: int
+    limit_ms: int
+
+    def elapsed_ms(self, now_ms: int) -> int:
+        """Return the time since the stop began."""
+        return now_ms - self.began_ms
+
+    def is_withdrawn(self, now_ms: int) -> bool:
+        """Return whether callers have stopped using old directory responses."""
+        return self.elapsed_ms(now_ms) >= min(self.withdrawal_ms, self.limit_ms)
+
+    def is_over(self, now_ms: int) -> bool:
+        """Return whether the remaining connections must be closed."""
+        return self.elapsed_ms(now_ms) >= self.limit_ms
+
+    def accepts(self, now_ms: int, deadline_ms: int) -> bool:
+        """Return whether a request with this deadline can be accepted."""
+        if not self.is_withdrawn(now_ms):
+            return True
+        return self.elapsed_ms(deadline_ms) < self.limit_ms
