Log which time limit ended an attempt and what was relayed before

Change: 8951 and 8952 have `limit` (caller, route, first_event, event_gap, connect) and `limit_ms` of the attempt, `silent_ms` since the last byte, `events` relayed, `first_ms`, and `request_limit` and `request_limit_ms`, with which the request was admitted. An aborted stream logs the status that the caller received and `is_cut`, and counts as answer.cut in place of answer.0. The first_ms of a resumed stream is now that of its first attempt, as its description says.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -1,7 +1,7 @@
 """One attempt to get the response of an endpoint to a request."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from mustardtrack.adapters.upstream import (
@@ -24,6 +24,7 @@
 )
 from mustardtrack.requests.event_stream import EventStreamSplitter
 from mustardtrack.requests.forwarding import AttemptFailure, ForwardedRequest
+from mustardtrack.requests.time_limits import TimeLimit
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.placements import cache_salt, engine_urgency
 
@@ -42,6 +43,7 @@
 # Interval at which the leader is asked whether a prompt is still queued.
 QUEUE_RECHECK_MS = 500
 MIN_FAILURE_STATUS = 500
+EVENT_DELIMITER = b"\n\n"
 
 
 @dataclass
@@ -50,15 +52,21 @@
 
     Attributes:
         end: How the attempt failed, None if the request needs no further attempt.
-        status: HTTP status sent to the caller, 0 if none was completed.
-        first_ms: Time from arrival of the request to the first byte of the response.
+        status: HTTP status sent to the caller, 0 if none was sent.
         note: Detail for the log.
+        is_cut: Whether the response to the caller was aborted.
+        limit: Time limit that ended the attempt, None if none did.
+        limit_ms: Length of this limit.
+        silent_ms: Time since the last byte from the endpoint, or since the send.
     """
 
     end: AttemptFailure | None = None
     status: int = 0
-    first_ms: int | None = None
     note: str = ""
+    is_cut: bool = False
+    limit: TimeLimit | None = None
+    limit_ms: int | None = None
+    silent_ms: int | None = None
 
     @property
     def is_final(self) -> bool:
@@ -84,35 +92,49 @@
         self._clock = forwarder.clock
         self._prompt_tokens = admitted.prompt.tokens if admitted.prompt else 0
         self._is_first_byte_pending = False
+        self._last_byte_ms = 0
 
     async def run(self) -> Outcome:
         """Run the attempt and record its result in the endpoint state."""
         endpoint = self._endpoint
+        started_ms = self._clock.now_ms()
+        connect_limit, connect_limit_ms = self._connect_limit()
         try:
-            connection = await self._connect()
+            connection = await self._connect(connect_limit_ms)
         except ConnectError as error:
-            endpoint.record_unreachable(self._clock.now_ms())
-            return Outcome(AttemptFailure.NOT_SENT, note=str(error))
+            now_ms = self._clock.now_ms()
+            endpoint.record_unreachable(now_ms)
+            outcome = Outcome(AttemptFailure.NOT_SENT, note=str(error))
+            if now_ms - started_ms >= connect_limit_ms:
+                outcome.limit, outcome.limit_ms = connect_limit, connect_limit_ms
+            return outcome
         if self._exchange.is_disconnected:
             self._forwarder.pool.put(endpoint.id, connection)
             return Outcome(note="caller disconnected before the request was sent")
         self._send(connection)
         self._exchange.on_disconnect = connection.wake
         try:
-            return await self._receive(connection)
+            outcome = await self._receive(connection)
         finally:
             self._exchange.on_disconnect = None
             self._record_first_byte()
             endpoint.record_end()
+        outcome.silent_ms = self._clock.now_ms() - self._last_byte_ms
+        return outcome
+
+    def _connect_limit(self) -> tuple[TimeLimit, int]:
+        left_ms = self._time_left_ms()
+        if left_ms < CONNECT_TIMEOUT_MS:
+            return self._admitted.time_limit.kind, max(0, left_ms)
+        return TimeLimit.CONNECT, CONNECT_TIMEOUT_MS
 
-    async def _connect(self) -> UpstreamConnection:
+    async def _connect(self, timeout_ms: int) -> UpstreamConnection:
         pool = self._forwarder.pool
         is_repeatable = self._admitted.route.may_retry
         reuse_limit_s = self._forwarder.reuse_limit.max_idle_s(self._clock.now_ms())
         max_idle_s = math.inf if is_repeatable else reuse_limit_s
         connection = pool.take(self._endpoint.id, max_idle_s)
         if connection is None:
-            timeout_ms = min(CONNECT_TIMEOUT_MS, self._time_left_ms())
             address = self._endpoint.listed.address
             limit = self._forwarder.connection_limit(self._admitted.service)
             if pool.open_count(address) >= limit:
@@ -140,6 +162,7 @@
         self._progress.record_send()
         self._endpoint.record_send(self._prompt_tokens)
         self._is_first_byte_pending = True
+        self._last_byte_ms = self._clock.now_ms()
         connection.send(
             exchange.method,
             exchange.target,
@@ -175,7 +198,9 @@
         )
 
     async def _receive(self, connection: UpstreamConnection) -> Outcome:
-        event = await self._next_event(connection, self._first_event_timeout_ms())
+        event = await self._next_event(
+            connection, self._first_event_timeout_ms(), TimeLimit.FIRST_EVENT
+        )
         if isinstance(event, Outcome):
             return event
         if not isinstance(event, ResponseHead):
@@ -209,7 +234,10 @@
     ) -> Outcome:
         while True:
             event = await self._next_event(
-                connection, CONNECT_TIMEOUT_MS, ends_at_limit=True
+                connection,
+                CONNECT_TIMEOUT_MS,
+                TimeLimit.EVENT_GAP,
+                ends_at_limit=True,
             )
             if isinstance(event, ResponseData):
                 continue
@@ -224,7 +252,9 @@
     ) -> Outcome:
         parts: list[bytes] = []
         while True:
-            event = await self._next_event(connection, self._time_left_ms())
+            event = await self._next_event(
+                connection, self._time_left_ms(), TimeLimit.EVENT_GAP
+            )
             if isinstance(event, ResponseData):
                 parts.append(event.data)
                 continue
@@ -242,7 +272,8 @@
             if header[0] != b"content-length"
         ]
         self._exchange.respond(head.status, headers, b"".join(parts))
-        return Outcome(status=head.status, first_ms=self._elapsed_ms())
+        self._progress.record_relayed(head.status, self._elapsed_ms())
+        return Outcome(status=head.status)
 
     def _may_retry_failure(self) -> bool:
         progress = self._progress
@@ -254,19 +285,23 @@
     ) -> Outcome:
         progress = self._progress
         splitter = EventStreamSplitter(progress.resume_after)
-        first_ms = None
         while True:
-            is_first = not self._exchange.is_started
-            limit_ms = FIRST_EVENT_TIMEOUT_MS if is_first else STREAM_IDLE_TIMEOUT_MS
-            event = await self._next_event(connection, limit_ms)
+            if self._exchange.is_started:
+                limit, limit_ms = TimeLimit.EVENT_GAP, STREAM_IDLE_TIMEOUT_MS
+            else:
+                limit, limit_ms = TimeLimit.FIRST_EVENT, FIRST_EVENT_TIMEOUT_MS
+            event = await self._next_event(connection, limit_ms, limit)
             if isinstance(event, ResponseData):
                 complete_events = splitter.feed(event.data)
                 if complete_events:
                     self._record_first_byte()
-                    if first_ms is None:
-                        first_ms = self._elapsed_ms()
                     self._start_response(head)
                     self._exchange.write(complete_events)
+                    progress.record_relayed(
+                        head.status,
+                        self._elapsed_ms(),
+                        complete_events.count(EVENT_DELIMITER),
+                    )
                     progress.resume_after = splitter.last_event_id
                 continue
             if isinstance(event, ResponseEnd):
@@ -276,7 +311,7 @@
         self._exchange.write(splitter.rest)
         self._exchange.finish()
         self._forwarder.pool.put(self._endpoint.id, connection)
-        return Outcome(status=head.status, first_ms=first_ms)
+        return Outcome(status=head.status)
 
     def _start_response(self, head: ResponseHead) -> None:
         if not self._exchange.is_started:
@@ -293,12 +328,19 @@
         if self._admitted.route.is_resumable and self._time_left_ms() > 0:
             return outcome
         self._exchange.abort()
-        return Outcome(status=0, note=f"stream aborted: {outcome.note}")
+        return replace(
+            outcome,
+            end=None,
+            status=self._progress.status,
+            note=f"stream aborted: {outcome.note}",
+            is_cut=True,
+        )
 
     async def _next_event(
         self,
         connection: UpstreamConnection,
         limit_ms: float,
+        limit: TimeLimit,
         ends_at_limit: bool = False,
     ) -> ResponseEvent | Outcome:
         """Return the next response event, or the outcome if there is none.
@@ -306,6 +348,7 @@
         Args:
             connection: Connection of the attempt.
             limit_ms: Time without an event after which the request is retried.
+            limit: Kind of this limit.
             ends_at_limit: Whether the attempt ends after ``limit_ms`` even if no retry
                 is allowed.
         """
@@ -326,9 +369,20 @@
             return Outcome(note="caller disconnected")
         if event is None:
             connection.abort()
+            outcome = Outcome(
+                AttemptFailure.TIMED_OUT,
+                note="no data before the time-out",
+                limit=limit,
+                limit_ms=round(limit_ms),
+            )
             if self._time_left_ms() > 0:
                 self._endpoint.record_unreachable(self._clock.now_ms())
-            return Outcome(AttemptFailure.TIMED_OUT, note="no data before the time-out")
+            else:
+                outcome.limit = self._admitted.time_limit.kind
+                outcome.limit_ms = self._admitted.time_limit.limit_ms
+            return outcome
+        if isinstance(event, ResponseHead | ResponseData):
+            self._last_byte_ms = self._clock.now_ms()
         return event
 
     def _fail_without_head(self, connection: UpstreamConnection) -> Outcome:
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -24,6 +24,7 @@
 from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.requests.connection_reuse import IdleReuseLimit
 from mustardtrack.requests.forwarding import AttemptFailure, ForwardedRequest, NextStep
+from mustardtrack.requests.time_limits import RequestTimeLimit
 from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import Prompt, choose_engine
@@ -58,7 +59,7 @@
     """A request that matched a route, with the inputs of its attempts.
 
     Attributes:
-        deadline_ms: Monotonic time by which it must be answered.
+        time_limit: Time that it has from its arrival.
         weights_version: Newest weights version of its model.
         rank: Priority class; the rank of the account overrides that of the route.
     """
@@ -71,10 +72,15 @@
     service: Service
     prompt: Prompt | None
     received_ms: int
-    deadline_ms: int
+    time_limit: RequestTimeLimit
     weights_version: int
     rank: int
 
+    @property
+    def deadline_ms(self) -> int:
+        """Monotonic time by which it must be answered."""
+        return self.received_ms + self.time_limit.limit_ms
+
     @property
     def isolated_account(self) -> str:
         """Account with a private prefix cache, empty if its cache is shared."""
@@ -144,9 +150,6 @@
         account: RouteAccount | None,
         now_ms: int,
     ) -> AdmittedRequest:
-        limit_ms = route.timeout_ms
-        if metadata.time_left_ms is not None:
-            limit_ms = min(limit_ms, metadata.time_left_ms)
         service = table.services[self._pick_service(route)]
         prompt = None
         version = 1
@@ -171,7 +174,7 @@
             service=service,
             prompt=prompt,
             received_ms=now_ms,
-            deadline_ms=now_ms + limit_ms,
+            time_limit=RequestTimeLimit.of(route.timeout_ms, metadata.time_left_ms),
             weights_version=version,
             rank=rank,
         )
@@ -191,6 +194,7 @@
         step = NextStep.RETRY
         reason = "not_run"
         expected_ms: float | None = None
+        outcome = Outcome()
         while step is NextStep.RETRY:
             now_ms = self.clock.now_ms()
             endpoint, placement = None, None
@@ -236,9 +240,9 @@
                 fingerprint = _fingerprint(exchange, admitted.account)
                 self._placements.record_broken_connection(fingerprint)
             step = progress.step_after(outcome.end)
-            self._log_failed_attempt(admitted, endpoint, outcome, step)
+            self._log_failed_attempt(admitted, endpoint, progress, outcome, step)
         self._placements.record_end(_request_id(admitted))
-        self._answer_failure(admitted, progress, step, reason, expected_ms)
+        self._answer_failure(admitted, progress, step, reason, expected_ms, outcome)
 
     def _no_send_reason(
         self, admitted: AdmittedRequest, endpoint: EndpointState | None
@@ -389,6 +393,7 @@
         step: NextStep,
         reason: str,
         expected_ms: float | None,
+        outcome: Outcome,
     ) -> None:
         exchange = admitted.exchange
         if exchange.is_disconnected:
@@ -416,6 +421,8 @@
             sends=progress.sends,
             elapsed_ms=self.clock.now_ms() - admitted.received_ms,
             left_ms=admitted.deadline_ms - self.clock.now_ms(),
+            first_ms=progress.first_ms,
+            **_limit_log_fields(admitted, progress, outcome),
         )
         exchange.respond(
             status, [JSON_CONTENT_TYPE], encode_error("no endpoint answered")
@@ -474,7 +481,7 @@
     ) -> None:
         now_ms = self.clock.now_ms()
         elapsed_ms = now_ms - admitted.received_ms
-        self.metrics.count(f"answer.{outcome.status}")
+        self.metrics.count(f"answer.{'cut' if outcome.is_cut else outcome.status}")
         self.metrics.timing(f"route_rank.{admitted.route.rank}", elapsed_ms)
         log_event(
             REQUEST_ENDED,
@@ -484,9 +491,11 @@
             status=outcome.status,
             sends=progress.sends,
             elapsed_ms=elapsed_ms,
-            first_ms=outcome.first_ms,
+            first_ms=progress.first_ms,
+            is_cut=outcome.is_cut,
             table_version=admitted.table.version,
             note=outcome.note,
+            **_limit_log_fields(admitted, progress, outcome),
             **choice_fields,
         )
 
@@ -494,6 +503,7 @@
         self,
         admitted: AdmittedRequest,
         endpoint: EndpointState,
+        progress: ForwardedRequest,
         outcome: Outcome,
         step: NextStep,
     ) -> None:
@@ -509,6 +519,8 @@
             note=outcome.note,
             next=step.value,
             elapsed_ms=now_ms - admitted.received_ms,
+            first_ms=progress.first_ms,
+            **_limit_log_fields(admitted, progress, outcome),
             **_load_log_fields(endpoint, now_ms),
         )
 
@@ -523,6 +535,20 @@
     }
 
 
+def _limit_log_fields(
+    admitted: AdmittedRequest, progress: ForwardedRequest, outcome: Outcome
+) -> dict[str, object]:
+    """Return how far an answer came and which time limit ended its last attempt."""
+    return {
+        "events": progress.events,
+        "limit": outcome.limit.value if outcome.limit else None,
+        "limit_ms": outcome.limit_ms,
+        "silent_ms": outcome.silent_ms,
+        "request_limit": admitted.time_limit.kind.value,
+        "request_limit_ms": admitted.time_limit.limit_ms,
+    }
+
+
 def _request_id(admitted: AdmittedRequest) -> str:
     return _decode(admitted.metadata.request_id)
 
--- a/mustardtrack/process/tests/test_attempt.py
+++ b/mustardtrack/process/tests/test_attempt.py
@@ -8,6 +8,7 @@
 from mustardtrack.adapters.upstream import ResponseData
 from mustardtrack.process.attempt import QUEUE_RECHECK_MS, Attempt, Outcome
 from mustardtrack.requests.forwarding import AttemptFailure
+from mustardtrack.requests.time_limits import TimeLimit
 
 TIME_LEFT_MS = 5000
 EVENT_TIMEOUT_MS = 1500
@@ -62,12 +63,17 @@
     connection = FakeConnection(delay_s=2 * EVENT_TIMEOUT_MS / 1000)
     attempt = make_attempt(may_retry)
     event = asyncio.run(
-        attempt._next_event(connection, EVENT_TIMEOUT_MS, ends_at_limit)
+        attempt._next_event(
+            connection, EVENT_TIMEOUT_MS, TimeLimit.EVENT_GAP, ends_at_limit
+        )
     )
     assert connection.closed is is_abandoned
     if is_abandoned:
         assert event == Outcome(
-            AttemptFailure.TIMED_OUT, note="no data before the time-out"
+            AttemptFailure.TIMED_OUT,
+            note="no data before the time-out",
+            limit=TimeLimit.EVENT_GAP,
+            limit_ms=EVENT_TIMEOUT_MS,
         )
     else:
         assert event == ResponseData(b"x")
@@ -82,7 +88,9 @@
         delay_s=(EVENT_TIMEOUT_MS + 3 * QUEUE_RECHECK_MS) / 1000
     )
     attempt = make_attempt(may_retry=True, queue_answers=queue_answers)
-    event = asyncio.run(attempt._next_event(connection, EVENT_TIMEOUT_MS))
+    event = asyncio.run(
+        attempt._next_event(connection, EVENT_TIMEOUT_MS, TimeLimit.EVENT_GAP)
+    )
     assert connection.closed is is_abandoned
     assert isinstance(event, Outcome) is is_abandoned
 
@@ -92,7 +100,9 @@
     connection = FakeConnection(delay_s=2 * EVENT_TIMEOUT_MS / 1000)
     attempt = make_attempt(may_retry=False)
     attempt._exchange.is_disconnected = True
-    event = asyncio.run(attempt._next_event(connection, EVENT_TIMEOUT_MS))
+    event = asyncio.run(
+        attempt._next_event(connection, EVENT_TIMEOUT_MS, TimeLimit.EVENT_GAP)
+    )
     assert event == Outcome(note="caller disconnected")
     assert connection.closed
     # A single wait, ended by the disconnect.
--- /dev/null
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -0,0 +1,430 @@
+"""Guards against answers that end although an endpoint still works on them.
+
+The forwarder and both HTTP protocols are real; transports, endpoints and the leader are
+stand-ins, and an event loop with virtual time runs them without waiting.
+"""
+
+import asyncio
+import re
+from types import SimpleNamespace
+
+import pytest
+
+from mustardtrack.adapters.h11_server import HttpServer
+from mustardtrack.adapters.metrics import InMemoryMetrics
+from mustardtrack.adapters.upstream import ConnectError, UpstreamConnection
+from mustardtrack.configuration.routes import (
+    RetrySafety,
+    Route,
+    RouteTable,
+    Service,
+    ServiceShare,
+)
+from mustardtrack.membership.endpoint_list import EndpointList, ListedEndpoint
+from mustardtrack.process import attempt, forwarder
+from mustardtrack.process.forwarder import Forwarder
+from mustardtrack.routing.endpointstate import EndpointTable
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\ntransfer-encoding: chunked\r\n"
+    b"content-type: text/event-stream\r\n\r\n"
+)
+END = b"0\r\n\r\n"
+CLOSE = b""
+ROUTE_TIMEOUT_MS = 12_000
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Event loop whose clock jumps to the next timer when nothing is ready."""
+
+    def __init__(self):
+        super().__init__()
+        self._now_s = 0.0
+        self._wait = self._selector.select
+        self._selector.select = self._skip
+
+    def time(self):
+        """Return the virtual time in seconds."""
+        return self._now_s
+
+    def _skip(self, timeout_s=None):
+        if timeout_s is None:
+            raise AssertionError("the scenario waits without a timer")
+        # The loop runs a timer that is due within the resolution of its clock.
+        self._now_s += max(0.0, timeout_s)
+        return self._wait(0)
+
+
+class StandInSocket:
+    """Socket that accepts every option."""
+
+    def setsockopt(self, *arguments):
+        """Ignore the option."""
+
+
+class StandInTransport:
+    """Transport that passes written bytes on and reports its end."""
+
+    def __init__(self, on_write):
+        self.written = b""
+        self.end = ""
+        self.ended_s = None
+        self.protocol = None
+        self._on_write = on_write
+
+    def getHandle(self):  # noqa: N802
+        """Return the socket."""
+        return StandInSocket()
+
+    def write(self, data):
+        """Pass the data on."""
+        self.written += data
+        self._on_write(data)
+
+    def loseConnection(self):  # noqa: N802
+        """Close the connection."""
+        self._close("closed")
+
+    def abortConnection(self):  # noqa: N802
+        """Reset the connection."""
+        self._close("reset")
+
+    def _close(self, end):
+        if not self.end:
+            loop = asyncio.get_running_loop()
+            self.end, self.ended_s = end, loop.time()
+            loop.call_soon(self.lose, self.protocol)
+
+    def lose(self, protocol):
+        """Report the end of the connection."""
+        reason = SimpleNamespace(
+            check=lambda *kinds: False, getErrorMessage=lambda: "connection lost"
+        )
+        protocol.connectionLost(reason)
+
+
+class Run:
+    """A request as one endpoint received it."""
+
+    def __init__(self, endpoint, head, transport):
+        self.endpoint = endpoint
+        self.head = head
+        self.begun_s = asyncio.get_running_loop().time()
+        self.transport = transport
+
+
+class StandInPool:
+    """Connection pool that opens connections to scripted endpoints.
+
+    Args:
+        scripts: Steps of each endpoint after it received a request, as pairs of
+            milliseconds and bytes. ``CLOSE`` ends the connection.
+        unreachable: Endpoints to which no connection can be opened.
+        connect_ms: Time to open a connection, by endpoint.
+    """
+
+    def __init__(self, scripts, unreachable=(), connect_ms=None):
+        self._scripts = scripts
+        self._unreachable = unreachable
+        self._connect_ms = connect_ms or {}
+        self.runs = []
+        self.kept = []
+        self.opened = []
+
+    def take(self, key, max_idle_s):
+        """Return no idle connection."""
+        return None
+
+    def open_count(self, address):
+        """Return the number of open connections."""
+        return 0
+
+    def has_idle(self, key):
+        """Return whether there is an idle connection."""
+        return False
+
+    def put(self, key, connection):
+        """Record a connection that was returned."""
+        self.kept.append(key)
+
+    async def open(self, address, timeout_s):
+        """Open a connection to the endpoint with this address."""
+        name = address.partition(":")[0]
+        connect_s = self._connect_ms.get(name, 1) / 1000
+        await asyncio.sleep(min(connect_s, timeout_s))
+        if connect_s > timeout_s or name in self._unreachable:
+            raise ConnectError("refused")
+        connection = UpstreamConnection()
+        transport = StandInTransport(
+            lambda data: self._receive(name, connection, transport, data)
+        )
+        transport.protocol = connection
+        connection.makeConnection(transport)
+        self.opened.append(name)
+        return connection
+
+    def _receive(self, name, connection, transport, data):
+        self.runs.append(Run(name, data, transport))
+        loop = asyncio.get_running_loop()
+        for after_ms, step in self._scripts.get(name, ()):
+            loop.call_later(after_ms / 1000, self._play, connection, transport, step)
+
+    @staticmethod
+    def _play(connection, transport, step):
+        if transport.end:
+            return
+        if step == CLOSE:
+            transport.end = "closed by the endpoint"
+            transport.lose(connection)
+        else:
+            connection.dataReceived(step)
+
+
+class StandInLeader:
+    """Placement client that answers from given functions."""
+
+    def __init__(self, place=None, is_queued=False, delay_ms=0):
+        self._place = place
+        self._is_queued = is_queued
+        self._delay_ms = delay_ms
+        self.ended = []
+        self.unresponsive = []
+        self.first_tokens = []
+
+    async def request_placement(self, request):
+        """Return a placement, None if the router must place the prompt."""
+        await asyncio.sleep(self._delay_ms / 1000)
+        return self._place(request) if self._place else None
+
+    async def is_queued(self, request_id):
+        """Return whether the prompt is queued."""
+        return self._is_queued
+
+    def record_first_token(self, request_id):
+        """Record a first token."""
+        self.first_tokens.append(request_id)
+
+    def record_end(self, request_id):
+        """Record the end of a request."""
+        self.ended.append(request_id)
+
+    def record_unresponsive(self, endpoint_id):
+        """Record an endpoint that did not answer."""
+        self.unresponsive.append(endpoint_id)
+
+    def record_not_run(self, endpoint_id):
+        """Ignore a request that did not run."""
+
+    def record_broken_connection(self, fingerprint):
+        """Ignore a broken connection."""
+
+
+def event(number):
+    data = b"id: %d\ndata: x\n\n" % number
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def build_route(kind, max_attempts):
+    return Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        retry_safety=kind,
+        timeout_ms=ROUTE_TIMEOUT_MS,
+        objective_ms=1000,
+        objective_gap_ms=0,
+        rank=0,
+        shares=(ServiceShare("s", 1.0),),
+        max_attempts=max_attempts,
+        is_resumable=kind is RetrySafety.STREAM,
+    )
+
+
+class Scenario:
+    """One caller, a router and scripted endpoints; ``play`` runs it to its end."""
+
+    def __init__(
+        self,
+        scripts,
+        *,
+        endpoints=None,
+        kind=RetrySafety.STREAM,
+        max_attempts=3,
+        extra_retries=10,
+        budget_ms=None,
+        leader=None,
+        monkeypatch=None,
+        **pool_options,
+    ):
+        self.scripts = scripts
+        self.endpoints = endpoints or list(scripts)
+        self.route = build_route(kind, max_attempts)
+        self.extra_retries = extra_retries
+        self.budget_ms = budget_ms
+        self.leader = leader or StandInLeader()
+        self.pool_options = pool_options
+        self.log = []
+        self.monkeypatch = monkeypatch
+
+    def play(self, for_ms=15_000, leave_ms=None):
+        """Send the request and run everything that follows."""
+        for module in (attempt, forwarder):
+            self.monkeypatch.setattr(module, "log_event", self._log, raising=False)
+        loop = VirtualTimeLoop()
+        asyncio.set_event_loop(loop)
+        try:
+            loop.run_until_complete(self._run(for_ms, leave_ms))
+        finally:
+            loop.close()
+            asyncio.set_event_loop(None)
+        return self
+
+    def _log(self, event, **fields):
+        self.log.append((event.number, fields))
+
+    def lines(self, number):
+        """Return the fields of the log lines with this event number."""
+        return [fields for event, fields in self.log if event == number]
+
+    async def _run(self, for_ms, leave_ms):
+        loop = asyncio.get_running_loop()
+        self.pool = StandInPool(self.scripts, **self.pool_options)
+        handler = self._build_forwarder(loop)
+        self.errors = []
+        server = HttpServer(handler.handle)
+        self.caller = StandInTransport(lambda data: None)
+        connection = server.buildProtocol(None)
+        self.caller.protocol = connection
+        connection.makeConnection(self.caller)
+        self.monkeypatch.setattr(
+            type(connection),
+            "_handle_failure",
+            self._record_failure(type(connection)._handle_failure),
+        )
+        budget = b""
+        if self.budget_ms is not None:
+            budget = b"deadline-ms: %d\r\n" % self.budget_ms
+        connection.dataReceived(
+            b"POST /x HTTP/1.1\r\nhost: h\r\nrequest-id: q\r\nmodel: m\r\n"
+            b"content-length: 0\r\n" + budget + b"\r\n"
+        )
+        if leave_ms is not None:
+            loop.call_later(leave_ms / 1000, self.caller.lose, connection)
+        await asyncio.sleep(for_ms / 1000)
+        self.is_pending = bool(server._tasks)
+        for task in server._tasks:
+            task.cancel()
+
+    def _record_failure(self, handle):
+        def record(connection, exchange, error):
+            self.errors.append(error)
+            handle(connection, exchange, error)
+
+        return record
+
+    def _build_forwarder(self, loop):
+        states = EndpointTable()
+        listed = [
+            ListedEndpoint(name, 0, "s", f"{name}:1", "a", 6, False, False, {"m": 1})
+            for name in self.endpoints
+        ]
+        states.update(EndpointList(1, 1, tuple(listed)))
+        engine = SimpleNamespace() if self.leader else None
+        service = Service("s", 100, engine=engine)
+        table = RouteTable(1, {"h": (self.route,)}, {"s": service}, None)
+        view = SimpleNamespace(
+            table=table,
+            refused=(),
+            weights={"m": 1},
+            router_count=1,
+            endpoints=states,
+            confirmation_age_ms=lambda now_ms: 0,
+        )
+        control_sync = SimpleNamespace(view=view, is_confirmed=lambda: True)
+        retries = SimpleNamespace(ratio=0.0, window_s=10.0, floor=self.extra_retries)
+        settings = SimpleNamespace(zone="a", name="r1", retries=retries)
+        clock = SimpleNamespace(now_ms=lambda: round(loop.time() * 1000))
+        built = Forwarder(
+            settings, control_sync, self.pool, clock, InMemoryMetrics(), self.leader
+        )
+        # The first endpoint is chosen unless the leader places the request.
+        built._rng = SimpleNamespace(random=lambda: 0.0, uniform=lambda low, high: 0.0)
+        return built
+
+    @property
+    def relayed(self):
+        """Numbers of the events that the caller received."""
+        return [
+            int(number) for number in re.findall(rb"id: (\d+)", self.caller.written)
+        ]
+
+    @property
+    def status(self):
+        """Status that the caller received, None without an answer."""
+        found = re.match(rb"HTTP/1.1 (\d+)", self.caller.written)
+        return int(found[1]) if found else None
+
+    @property
+    def is_whole(self):
+        """Whether the answer to the caller is complete."""
+        return self.caller.written.endswith(END) and self.caller.end != "reset"
+
+    def run_of(self, endpoint):
+        """Return the only run at an endpoint."""
+        (run,) = [run for run in self.pool.runs if run.endpoint == endpoint]
+        return run
+
+
+# A stream that stops after its first event.
+STALLED = [(100, HEAD + event(1))]
+COMPLETE = [(50, HEAD + event(2) + END)]
+
+
+def test_stream_cut_at_the_deadline_logs_its_limit_and_what_was_relayed(monkeypatch):
+    """Guards against log lines that hide why a stream was cut, and its first event."""
+    scenario = Scenario(
+        {"e1": STALLED}, max_attempts=1, budget_ms=3000, monkeypatch=monkeypatch
+    ).play()
+    (line,) = scenario.lines(8951)
+    expected = {
+        "status": 200,
+        "is_cut": True,
+        "first_ms": 101,
+        "events": 1,
+        "limit": "caller",
+        "limit_ms": 3000,
+        "silent_ms": 2899,
+        "request_limit": "caller",
+        "request_limit_ms": 3000,
+    }
+    assert {name: line[name] for name in expected} == expected
+
+
+@pytest.mark.parametrize(
+    ("script", "options", "expected"),
+    [
+        (STALLED, {}, ("event_gap", 1500, 1500, 101, 1)),
+        ([], {}, ("first_event", 2500, 2500, None, 0)),
+        ([], {"connect_ms": {"e1": 400}}, ("connect", 300, None, None, 0)),
+    ],
+)
+def test_retried_attempt_logs_the_limit_that_ended_it(
+    monkeypatch, script, options, expected
+):
+    """Guards against log lines that do not tell one time limit from another."""
+    scenario = Scenario(
+        {"e1": script, "e2": COMPLETE}, monkeypatch=monkeypatch, **options
+    ).play()
+    assert scenario.is_whole
+    (line,) = scenario.lines(8952)
+    fields = ("limit", "limit_ms", "silent_ms", "first_ms", "events")
+    assert tuple(line[name] for name in fields) == expected
+    assert (line["request_limit"], line["request_limit_ms"]) == ("route", 12_000)
+
+
+def test_failed_request_logs_the_limit_that_ended_it(monkeypatch):
+    scenario = Scenario({"e1": []}, max_attempts=1, monkeypatch=monkeypatch).play()
+    (line,) = scenario.lines(8951)
+    assert (line["status"], scenario.status) == (504, 504)
+    assert (line["limit"], line["limit_ms"]) == ("route", 12_000)
+    assert (line["first_ms"], line["events"]) == (None, 0)
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -63,6 +63,10 @@
             first.
         placement: Placement advice for the current attempt, None if the router
             selected the endpoint itself.
+        status: Status that the caller received, 0 before the response.
+        first_ms: Time from arrival of the request to the first relayed byte of the
+            response, None before it.
+        events: Events of a stream that were relayed.
     """
 
     route: Route
@@ -71,6 +75,15 @@
     possible_runs: int = 0
     resume_after: bytes | None = None
     placement: Placement | None = None
+    status: int = 0
+    first_ms: int | None = None
+    events: int = 0
+
+    def record_relayed(self, status: int, elapsed_ms: int, events: int = 0) -> None:
+        """Record that a part of the response was relayed to the caller."""
+        if self.first_ms is None:
+            self.status, self.first_ms = status, elapsed_ms
+        self.events += events
 
     def record_send(self) -> None:
         """Count a send.
