Abandon a stalled attempt only for one that can begin at once

Seen by callers: a stream whose engine paused was reset in the middle of its answer, far from its deadline. Cause: after 1.5 s without an event (2.5 s before the first) the attempt was aborted if the route and the retry budget would allow another one. Only then an endpoint was chosen and connected. Without an endpoint, with a placement that exceeds the caller's time-out, with a budget used up meanwhile by another request or without a connection, nothing could follow: _answer_failure called respond(502) on the started response, h11 raised, and 8902 reset the connection. A call without a started response got 502 at once. Change: Forwarder.prepare_retry chooses the endpoint and opens its connection while the stalled attempt goes on, and wakes it when ready; Forwarder.take_retry takes the retry budget without a wait in between. Only then the old connection is aborted, before the new send, so that no endpoint works on the request beside the next. Otherwise the attempt goes on to its deadline and a retry is considered again every 500 ms; 8953 states the obstacle. An event that arrives meanwhile is relayed at once, and what was prepared is released. The first token of an abandoned attempt is not reported to the leader any more, which would take it for that of the new placement. Tests: test_attempt.py stated that a stalled attempt is abandoned if a retry is allowed, which is the fault; it now states that it is abandoned only for a prepared one, with a row for each obstacle. silent_ms in test_forwarder.py now includes the 1 ms of the connect.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -1,5 +1,6 @@
 """One attempt to get the response of an endpoint to a request."""
 
+import asyncio
 import math
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
@@ -12,6 +13,7 @@
     ResponseHead,
     UpstreamConnection,
 )
+from mustardtrack.logs import define_event, log_event
 from mustardtrack.platform.headers import (
     REQUEST_ID,
     EndpointInstructions,
@@ -23,14 +25,22 @@
     filter_response_headers,
 )
 from mustardtrack.requests.event_stream import EventStreamSplitter
-from mustardtrack.requests.forwarding import AttemptFailure, ForwardedRequest
+from mustardtrack.requests.forwarding import (
+    AttemptFailure,
+    ForwardedRequest,
+    RetryObstacle,
+)
 from mustardtrack.requests.time_limits import TimeLimit
 from mustardtrack.routing.endpointstate import EndpointState
-from mustardtrack.routing.placements import cache_salt, engine_urgency
+from mustardtrack.routing.placements import Placement, cache_salt, engine_urgency
 
 if TYPE_CHECKING:
     from mustardtrack.process.forwarder import AdmittedRequest, Forwarder
 
+STALLED_ATTEMPT_CONTINUED = define_event(
+    8953, "INFO", "stalled attempt continues; no other attempt could be prepared"
+)
+
 # Allows two round trips between availability zones and one retransmission.
 CONNECT_TIMEOUT_MS = 300
 # Multiple of the latency objective after which a repeatable call that is not a stream
@@ -40,12 +50,28 @@
 STREAM_IDLE_TIMEOUT_MS = 1500
 # Longest wait for the headers or first event before a stream is retried elsewhere.
 FIRST_EVENT_TIMEOUT_MS = 2500
-# Interval at which the leader is asked whether a prompt is still queued.
-QUEUE_RECHECK_MS = 500
+# Interval at which a retry of a stalled attempt is considered again.
+STALL_RECHECK_MS = 500
 MIN_FAILURE_STATUS = 500
 EVENT_DELIMITER = b"\n\n"
 
 
+@dataclass
+class PlannedAttempt:
+    """Endpoint of an attempt that has not begun.
+
+    Attributes:
+        placement: Placement advice, None if the router selected the endpoint itself.
+        choice_fields: Inputs of the choice for the log.
+        connection: Open connection to the endpoint, None if it is not open yet.
+    """
+
+    endpoint: EndpointState
+    placement: Placement | None
+    choice_fields: dict[str, object]
+    connection: UpstreamConnection | None = None
+
+
 @dataclass
 class Outcome:
     """Result of an attempt.
@@ -58,6 +84,7 @@
         limit: Time limit that ended the attempt, None if none did.
         limit_ms: Length of this limit.
         silent_ms: Time since the last byte from the endpoint, or since the send.
+        replacement: Next attempt, for which a stalled one was abandoned.
     """
 
     end: AttemptFailure | None = None
@@ -67,6 +94,7 @@
     limit: TimeLimit | None = None
     limit_ms: int | None = None
     silent_ms: int | None = None
+    replacement: PlannedAttempt | None = None
 
     @property
     def is_final(self) -> bool:
@@ -74,6 +102,35 @@
         return self.end is None
 
 
+async def open_attempt_connection(
+    forwarder: "Forwarder",
+    admitted: "AdmittedRequest",
+    endpoint: EndpointState,
+    timeout_ms: int,
+) -> UpstreamConnection:
+    """Return an idle or new connection to the endpoint of an attempt.
+
+    Raises:
+        ConnectError: If a new connection is not open within the timeout.
+    """
+    pool = forwarder.pool
+    is_repeatable = admitted.route.may_retry
+    reuse_limit_s = forwarder.reuse_limit.max_idle_s(forwarder.clock.now_ms())
+    max_idle_s = math.inf if is_repeatable else reuse_limit_s
+    connection = pool.take(endpoint.id, max_idle_s)
+    if connection is None:
+        address = endpoint.listed.address
+        limit = forwarder.connection_limit(admitted.service)
+        if pool.open_count(address) >= limit:
+            # Any idle connections are too old to be reused for a request that must
+            # run at most once; closing one makes room.
+            pool.close_longest_idle(endpoint.id)
+        forwarder.metrics.count("upstream.connection")
+        connection = await pool.open(address, timeout_ms / 1000)
+        connection.is_reusable = True
+    return connection
+
+
 class Attempt:
     """Sends a request to one endpoint and relays its response."""
 
@@ -81,18 +138,20 @@
         self,
         forwarder: "Forwarder",
         admitted: "AdmittedRequest",
-        endpoint: EndpointState,
+        planned: PlannedAttempt,
         progress: ForwardedRequest,
     ):
         self._forwarder = forwarder
         self._admitted = admitted
-        self._endpoint = endpoint
+        self._endpoint = planned.endpoint
+        self._open_connection = planned.connection
         self._progress = progress
         self._exchange = admitted.exchange
         self._clock = forwarder.clock
         self._prompt_tokens = admitted.prompt.tokens if admitted.prompt else 0
         self._is_first_byte_pending = False
         self._last_byte_ms = 0
+        self._obstacle: RetryObstacle | None = None
 
     async def run(self) -> Outcome:
         """Run the attempt and record its result in the endpoint state."""
@@ -100,7 +159,9 @@
         started_ms = self._clock.now_ms()
         connect_limit, connect_limit_ms = self._connect_limit()
         try:
-            connection = await self._connect(connect_limit_ms)
+            connection = self._open_connection or await open_attempt_connection(
+                self._forwarder, self._admitted, endpoint, connect_limit_ms
+            )
         except ConnectError as error:
             now_ms = self._clock.now_ms()
             endpoint.record_unreachable(now_ms)
@@ -115,9 +176,12 @@
         self._exchange.on_disconnect = connection.wake
         try:
             outcome = await self._receive(connection)
+            # The leader already knows of the placement that replaces this one.
+            if outcome.replacement is None:
+                self._record_first_byte()
         finally:
             self._exchange.on_disconnect = None
-            self._record_first_byte()
+            self._record_prefill_end()
             endpoint.record_end()
         outcome.silent_ms = self._clock.now_ms() - self._last_byte_ms
         return outcome
@@ -128,24 +192,6 @@
             return self._admitted.time_limit.kind, max(0, left_ms)
         return TimeLimit.CONNECT, CONNECT_TIMEOUT_MS
 
-    async def _connect(self, timeout_ms: int) -> UpstreamConnection:
-        pool = self._forwarder.pool
-        is_repeatable = self._admitted.route.may_retry
-        reuse_limit_s = self._forwarder.reuse_limit.max_idle_s(self._clock.now_ms())
-        max_idle_s = math.inf if is_repeatable else reuse_limit_s
-        connection = pool.take(self._endpoint.id, max_idle_s)
-        if connection is None:
-            address = self._endpoint.listed.address
-            limit = self._forwarder.connection_limit(self._admitted.service)
-            if pool.open_count(address) >= limit:
-                # Any idle connections are too old to be reused for a request that must
-                # run at most once; closing one makes room.
-                pool.close_longest_idle(self._endpoint.id)
-            self._forwarder.metrics.count("upstream.connection")
-            connection = await pool.open(address, timeout_ms / 1000)
-            connection.is_reusable = True
-        return connection
-
     def _send(self, connection: UpstreamConnection) -> None:
         admitted = self._admitted
         metadata = admitted.metadata
@@ -347,23 +393,24 @@
 
         Args:
             connection: Connection of the attempt.
-            limit_ms: Time without an event after which the request is retried.
+            limit_ms: Time without an event after which the request is retried if
+                another attempt can begin at once.
             limit: Kind of this limit.
-            ends_at_limit: Whether the attempt ends after ``limit_ms`` even if no retry
-                is allowed.
+            ends_at_limit: Whether the attempt ends after ``limit_ms`` in any case.
         """
         left_ms = min(limit_ms, self._time_left_ms())
         event = await connection.next_event(left_ms / 1000)
-        while event is None and not ends_at_limit and self._time_left_ms() > 0:
-            if self._exchange.is_disconnected:
-                break
-            if not self._may_retry_elsewhere():
+        replacement = None
+        while event is None and not ends_at_limit and self._is_awaited():
+            if not self._progress.may_abandon_attempt():
                 event = await connection.next_event(self._time_left_ms() / 1000)
                 break
-            if not await self._forwarder.is_queued(self._admitted):
+            event, replacement = await self._prepare_replacement(connection)
+            if replacement is not None:
                 break
-            left_ms = min(QUEUE_RECHECK_MS, self._time_left_ms())
-            event = await connection.next_event(left_ms / 1000)
+            if event is None and self._is_awaited():
+                left_ms = min(STALL_RECHECK_MS, self._time_left_ms())
+                event = await connection.next_event(left_ms / 1000)
         if self._exchange.is_disconnected:
             connection.abort()
             return Outcome(note="caller disconnected")
@@ -374,10 +421,11 @@
                 note="no data before the time-out",
                 limit=limit,
                 limit_ms=round(limit_ms),
+                replacement=replacement,
             )
-            if self._time_left_ms() > 0:
+            if replacement is not None:
                 self._endpoint.record_unreachable(self._clock.now_ms())
-            else:
+            elif not ends_at_limit or self._time_left_ms() <= 0:
                 outcome.limit = self._admitted.time_limit.kind
                 outcome.limit_ms = self._admitted.time_limit.limit_ms
             return outcome
@@ -385,6 +433,51 @@
             self._last_byte_ms = self._clock.now_ms()
         return event
 
+    def _is_awaited(self) -> bool:
+        return self._time_left_ms() > 0 and not self._exchange.is_disconnected
+
+    async def _prepare_replacement(
+        self, connection: UpstreamConnection
+    ) -> tuple[ResponseEvent | None, PlannedAttempt | None]:
+        """Prepare another attempt while the stalled one goes on.
+
+        Returns:
+            The next event of the stalled attempt if one arrived meanwhile, and the
+            other attempt if the stalled one is to be abandoned for it.
+        """
+        preparation = asyncio.ensure_future(
+            self._forwarder.prepare_retry(self._admitted, self._progress)
+        )
+
+        is_waiting = True
+
+        def wake(_: object) -> None:
+            if is_waiting:
+                connection.wake()
+
+        preparation.add_done_callback(wake)
+        event = await connection.next_event(self._time_left_ms() / 1000)
+        is_waiting = False
+        if event is not None or not preparation.done() or not self._is_awaited():
+            self._forwarder.discard_preparation(self._admitted, preparation)
+            return event, None
+        prepared = preparation.result()
+        if isinstance(prepared, PlannedAttempt):
+            if self._forwarder.take_retry(self._admitted, prepared):
+                return None, prepared
+            prepared = RetryObstacle.RETRY_BUDGET
+        if prepared is not self._obstacle:
+            self._obstacle = prepared
+            log_event(
+                STALLED_ATTEMPT_CONTINUED,
+                request=self._admitted.request_id,
+                endpoint=self._endpoint.id,
+                obstacle=prepared.value,
+                elapsed_ms=self._elapsed_ms(),
+                left_ms=self._time_left_ms(),
+            )
+        return None, None
+
     def _fail_without_head(self, connection: UpstreamConnection) -> Outcome:
         idle_before_request_s = connection.idle_before_request_s
         if idle_before_request_s > 0:
@@ -402,9 +495,6 @@
         self._endpoint.record_response(is_failure=True)
         return Outcome(AttemptFailure.CONNECTION_LOST, note=note)
 
-    def _may_retry_elsewhere(self) -> bool:
-        return self._forwarder.may_retry_elsewhere(self._admitted, self._progress)
-
     def _first_event_timeout_ms(self) -> float:
         route = self._admitted.route
         if route.is_stream:
@@ -412,10 +502,14 @@
         return route.objective_ms * OBJECTIVE_TIMEOUT_FACTOR
 
     def _record_first_byte(self) -> None:
+        if self._is_first_byte_pending:
+            self._record_prefill_end()
+            self._forwarder.record_first_token(self._admitted)
+
+    def _record_prefill_end(self) -> None:
         if self._is_first_byte_pending:
             self._is_first_byte_pending = False
             self._endpoint.record_first_byte(self._prompt_tokens)
-            self._forwarder.record_first_token(self._admitted)
 
     def _time_left_ms(self) -> int:
         return self._admitted.deadline_ms - self._clock.now_ms()
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -1,5 +1,6 @@
 """Forwarding of caller requests to endpoints."""
 
+import asyncio
 import random
 from dataclasses import dataclass
 
@@ -7,7 +8,7 @@
 
 from mustardtrack.adapters.h11_server import Exchange
 from mustardtrack.adapters.metrics import InMemoryMetrics
-from mustardtrack.adapters.upstream import ConnectionPool
+from mustardtrack.adapters.upstream import ConnectError, ConnectionPool
 from mustardtrack.admission.connections import connections_per_router
 from mustardtrack.admission.sharedretries import SharedRetryBudget
 from mustardtrack.configuration.routes import Route, RouteAccount, RouteTable, Service
@@ -19,11 +20,22 @@
     retry_after_header,
 )
 from mustardtrack.ports import Clock
-from mustardtrack.process.attempt import Attempt, Outcome
+from mustardtrack.process.attempt import (
+    CONNECT_TIMEOUT_MS,
+    Attempt,
+    Outcome,
+    PlannedAttempt,
+    open_attempt_connection,
+)
 from mustardtrack.process.control_sync import ControlSync
 from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.requests.connection_reuse import IdleReuseLimit
-from mustardtrack.requests.forwarding import AttemptFailure, ForwardedRequest, NextStep
+from mustardtrack.requests.forwarding import (
+    AttemptFailure,
+    ForwardedRequest,
+    NextStep,
+    RetryObstacle,
+)
 from mustardtrack.requests.time_limits import RequestTimeLimit
 from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.endpointstate import EndpointState
@@ -76,6 +88,11 @@
     weights_version: int
     rank: int
 
+    @property
+    def request_id(self) -> str:
+        """Id of this attempt of the caller, empty if not stated."""
+        return _decode(self.metadata.request_id)
+
     @property
     def deadline_ms(self) -> int:
         """Monotonic time by which it must be answered."""
@@ -88,6 +105,14 @@
         return account.name if account and account.is_isolated else ""
 
 
+@dataclass(frozen=True)
+class _NoAttempt:
+    """Why no further attempt is made."""
+
+    reason: str
+    expected_ms: float | None = None
+
+
 class Forwarder:
     """Routes, admits, places and sends the requests of one router."""
 
@@ -109,6 +134,8 @@
         self.reuse_limit = IdleReuseLimit()
         self._rng = random.Random()
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
+        # References protect the tasks from garbage collection.
+        self._discarded: set[asyncio.Future[PlannedAttempt | RetryObstacle]] = set()
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one caller request."""
@@ -190,48 +217,30 @@
         budget = self._retry_budget(admitted.service.name)
         budget.record_request(admitted.received_ms)
         progress = ForwardedRequest(admitted.route)
-        tried: list[str] = []
         step = NextStep.RETRY
         reason = "not_run"
         expected_ms: float | None = None
         outcome = Outcome()
         while step is NextStep.RETRY:
-            now_ms = self.clock.now_ms()
-            endpoint, placement = None, None
-            if (
-                admitted.deadline_ms - now_ms >= MIN_TIME_LEFT_MS
-                and len(tried) < MAX_ENDPOINTS_TRIED
-            ):
-                endpoint, placement = await self._choose_endpoint(
-                    admitted, tried, now_ms
-                )
-            is_retry = progress.sends > 0
-            count = self._control_sync.view.router_count
-            if placement is not None and placement.exceeds_caller_timeout:
-                reason, step = "hopeless", progress.final_step()
-                expected_ms = placement.expected_ms
-                break
-            if endpoint is None or (is_retry and not budget.allow_retry(now_ms, count)):
-                reason = self._no_send_reason(admitted, endpoint)
+            planned = outcome.replacement or await self._plan_attempt(
+                admitted, progress
+            )
+            if isinstance(planned, _NoAttempt):
+                reason, expected_ms = planned.reason, planned.expected_ms
                 step = progress.final_step()
                 break
-            tried.append(endpoint.id)
-            progress.placement = placement
-            choice_fields = self._choice_log_fields(
-                admitted, endpoint, placement, now_ms
-            )
-            outcome = await Attempt(self, admitted, endpoint, progress).run()
+            endpoint = planned.endpoint
+            progress.tried.append(endpoint.id)
+            progress.placement = planned.placement
+            outcome = await Attempt(self, admitted, planned, progress).run()
             if outcome.is_final:
-                self._placements.record_end(_request_id(admitted))
-                self._log_answer(admitted, endpoint, progress, outcome, choice_fields)
+                self._placements.record_end(admitted.request_id)
+                self._log_answer(admitted, planned, progress, outcome)
                 return
             assert outcome.end is not None
             # A time-out at the caller's deadline does not indicate an endpoint fault.
-            is_deadline_over = admitted.deadline_ms <= self.clock.now_ms()
-            timed_out_early = (
-                outcome.end is AttemptFailure.TIMED_OUT and not is_deadline_over
-            )
-            if timed_out_early or outcome.end is AttemptFailure.NOT_SENT:
+            was_abandoned = outcome.replacement is not None
+            if was_abandoned or outcome.end is AttemptFailure.NOT_SENT:
                 self._placements.record_unresponsive(endpoint.id)
             if outcome.end is AttemptFailure.NOT_RUN:
                 endpoint.record_response(is_failure=True)
@@ -241,9 +250,25 @@
                 self._placements.record_broken_connection(fingerprint)
             step = progress.step_after(outcome.end)
             self._log_failed_attempt(admitted, endpoint, progress, outcome, step)
-        self._placements.record_end(_request_id(admitted))
+        self._placements.record_end(admitted.request_id)
         self._answer_failure(admitted, progress, step, reason, expected_ms, outcome)
 
+    async def _plan_attempt(
+        self, admitted: AdmittedRequest, progress: ForwardedRequest
+    ) -> "PlannedAttempt | _NoAttempt":
+        """Choose the endpoint of the next attempt and take a retry if it is one."""
+        now_ms = self.clock.now_ms()
+        endpoint, placement = await self._choose_untried(admitted, progress)
+        if placement is not None and placement.exceeds_caller_timeout:
+            return _NoAttempt("hopeless", placement.expected_ms)
+        budget = self._retry_budget(admitted.service.name)
+        count = self._control_sync.view.router_count
+        is_retry = progress.sends > 0
+        if endpoint is None or (is_retry and not budget.allow_retry(now_ms, count)):
+            return _NoAttempt(self._no_send_reason(admitted, endpoint))
+        fields = self._choice_log_fields(admitted, endpoint, placement, now_ms)
+        return PlannedAttempt(endpoint, placement, fields)
+
     def _no_send_reason(
         self, admitted: AdmittedRequest, endpoint: EndpointState | None
     ) -> str:
@@ -256,6 +281,16 @@
         is_full = listed and not self._connectable_endpoints(admitted.service, listed)
         return "connections" if is_full else "no_endpoint"
 
+    async def _choose_untried(
+        self, admitted: AdmittedRequest, progress: ForwardedRequest
+    ) -> tuple[EndpointState | None, Placement | None]:
+        """Choose an endpoint unless the time or the number of attempts is used up."""
+        now_ms = self.clock.now_ms()
+        has_time = admitted.deadline_ms - now_ms >= MIN_TIME_LEFT_MS
+        if not has_time or len(progress.tried) >= MAX_ENDPOINTS_TRIED:
+            return None, None
+        return await self._choose_endpoint(admitted, progress.tried, now_ms)
+
     async def _choose_endpoint(
         self, admitted: AdmittedRequest, tried: list[str], now_ms: int
     ) -> tuple[EndpointState | None, Placement | None]:
@@ -327,26 +362,82 @@
         count = self._control_sync.view.router_count
         return connections_per_router(service.max_connections, count)
 
-    def may_retry_elsewhere(
+    async def prepare_retry(
         self, admitted: AdmittedRequest, progress: ForwardedRequest
-    ) -> bool:
-        """Return whether a stalled attempt may be abandoned for a retry."""
+    ) -> PlannedAttempt | RetryObstacle:
+        """Prepare another attempt for a stalled one, or return what prevents it.
+
+        The stalled attempt may end only after :meth:`take_retry` returned true.
+        """
+        now_ms = self.clock.now_ms()
+        count = self._control_sync.view.router_count
+        if not self._retry_budget(admitted.service.name).can_retry(now_ms, count):
+            return RetryObstacle.RETRY_BUDGET
+        if await self._is_queued(admitted):
+            return RetryObstacle.QUEUED
+        endpoint, placement = await self._choose_untried(admitted, progress)
+        if placement is not None and placement.exceeds_caller_timeout:
+            return RetryObstacle.HOPELESS
+        if endpoint is None:
+            return RetryObstacle.NO_ENDPOINT
+        now_ms = self.clock.now_ms()
+        fields = self._choice_log_fields(admitted, endpoint, placement, now_ms)
+        timeout_ms = max(0, min(CONNECT_TIMEOUT_MS, admitted.deadline_ms - now_ms))
+        try:
+            connection = await open_attempt_connection(
+                self, admitted, endpoint, timeout_ms
+            )
+        except ConnectError:
+            endpoint.record_unreachable(self.clock.now_ms())
+            self._placements.record_unresponsive(endpoint.id)
+            self._placements.record_end(admitted.request_id)
+            progress.tried.append(endpoint.id)
+            return RetryObstacle.NOT_CONNECTED
+        return PlannedAttempt(endpoint, placement, fields, connection)
+
+    def take_retry(self, admitted: AdmittedRequest, planned: PlannedAttempt) -> bool:
+        """Take the retry of a prepared attempt, or release it if it cannot begin."""
         budget = self._retry_budget(admitted.service.name)
         count = self._control_sync.view.router_count
-        return progress.may_abandon_attempt() and budget.can_retry(
-            self.clock.now_ms(), count
-        )
+        is_open = planned.connection is not None and not planned.connection.is_lost
+        if is_open and budget.allow_retry(self.clock.now_ms(), count):
+            return True
+        self._release(admitted, planned)
+        return False
+
+    def discard_preparation(
+        self,
+        admitted: AdmittedRequest,
+        preparation: "asyncio.Future[PlannedAttempt | RetryObstacle]",
+    ) -> None:
+        """Release a prepared attempt that is not needed, once it is complete."""
+
+        def release(
+            completed: "asyncio.Future[PlannedAttempt | RetryObstacle]",
+        ) -> None:
+            self._discarded.discard(completed)
+            prepared = completed.result()
+            if isinstance(prepared, PlannedAttempt):
+                self._release(admitted, prepared)
+
+        self._discarded.add(preparation)
+        preparation.add_done_callback(release)
+
+    def _release(self, admitted: AdmittedRequest, planned: PlannedAttempt) -> None:
+        if planned.connection is not None:
+            self.pool.put(planned.endpoint.id, planned.connection)
+        self._placements.record_end(admitted.request_id)
 
-    async def is_queued(self, admitted: AdmittedRequest) -> bool:
+    async def _is_queued(self, admitted: AdmittedRequest) -> bool:
         """Return whether a prompt without output is still queued at its engine."""
         if admitted.prompt is None:
             return False
-        return await self._placements.is_queued(_request_id(admitted))
+        return await self._placements.is_queued(admitted.request_id)
 
     def record_first_token(self, admitted: AdmittedRequest) -> None:
         """Report the first token of a prompt to the placement client."""
         if admitted.prompt is not None:
-            self._placements.record_first_token(_request_id(admitted))
+            self._placements.record_first_token(admitted.request_id)
 
     def _choice_log_fields(
         self,
@@ -474,10 +565,9 @@
     def _log_answer(
         self,
         admitted: AdmittedRequest,
-        endpoint: EndpointState,
+        planned: PlannedAttempt,
         progress: ForwardedRequest,
         outcome: Outcome,
-        choice_fields: dict[str, object],
     ) -> None:
         now_ms = self.clock.now_ms()
         elapsed_ms = now_ms - admitted.received_ms
@@ -487,7 +577,7 @@
             REQUEST_ENDED,
             request=_decode(admitted.metadata.request_id),
             route=admitted.route.name,
-            endpoint=endpoint.id,
+            endpoint=planned.endpoint.id,
             status=outcome.status,
             sends=progress.sends,
             elapsed_ms=elapsed_ms,
@@ -496,7 +586,7 @@
             table_version=admitted.table.version,
             note=outcome.note,
             **_limit_log_fields(admitted, progress, outcome),
-            **choice_fields,
+            **planned.choice_fields,
         )
 
     def _log_failed_attempt(
@@ -549,10 +639,6 @@
     }
 
 
-def _request_id(admitted: AdmittedRequest) -> str:
-    return _decode(admitted.metadata.request_id)
-
-
 def _fingerprint(exchange: Exchange, account: RouteAccount | None) -> str:
     """Return a digest of the account, method, target and body."""
     name = account.name.encode() if account else b""
--- a/mustardtrack/process/tests/test_attempt.py
+++ b/mustardtrack/process/tests/test_attempt.py
@@ -6,12 +6,20 @@
 import pytest
 
 from mustardtrack.adapters.upstream import ResponseData
-from mustardtrack.process.attempt import QUEUE_RECHECK_MS, Attempt, Outcome
-from mustardtrack.requests.forwarding import AttemptFailure
-from mustardtrack.requests.time_limits import TimeLimit
+from mustardtrack.process.attempt import (
+    STALL_RECHECK_MS,
+    Attempt,
+    Outcome,
+    PlannedAttempt,
+)
+from mustardtrack.requests.forwarding import AttemptFailure, RetryObstacle
+from mustardtrack.requests.time_limits import RequestTimeLimit, TimeLimit
 
 TIME_LEFT_MS = 5000
 EVENT_TIMEOUT_MS = 1500
+# Cycles of the event loop in which a preparation without waits completes.
+WAKE_CYCLES = 5
+REPLACEMENT = PlannedAttempt(SimpleNamespace(id="e2"), None, {})
 
 
 class FakeConnection:
@@ -20,48 +28,69 @@
     def __init__(self, delay_s):
         self.closed = False
         self._delay_s = delay_s
+        self._is_woken = False
 
     async def next_event(self, timeout_s):
-        """Return the event if it arrives within the time-out."""
+        """Return the event if it arrives within the time-out, None if woken before."""
+        self._is_woken = False
+        for _ in range(WAKE_CYCLES):
+            await asyncio.sleep(0)
+        if self._is_woken:
+            return None
         self._delay_s -= timeout_s
         return ResponseData(b"x") if self._delay_s <= 0 else None
 
+    def wake(self):
+        """End the wait."""
+        self._is_woken = True
+
     def abort(self):
         """Record the close."""
         self.closed = True
 
 
-def make_attempt(may_retry, queue_answers=()):
-    """Return an attempt whose leader gives these answers about its queue state."""
-    answers = iter(queue_answers)
+def make_attempt(preparations, may_abandon=True):
+    """Return an attempt for which these retries are prepared, one after another."""
+    results = iter(preparations)
 
-    async def is_queued(admitted):
-        return next(answers, False)
+    async def prepare_retry(admitted, progress):
+        return next(results)
 
     clock = SimpleNamespace(now_ms=lambda: 0)
     forwarder = SimpleNamespace(
         clock=clock,
-        may_retry_elsewhere=lambda *arguments: may_retry,
-        is_queued=is_queued,
+        prepare_retry=prepare_retry,
+        take_retry=lambda admitted, planned: True,
     )
+    limit = RequestTimeLimit(TimeLimit.ROUTE, TIME_LEFT_MS)
     admitted = SimpleNamespace(
         exchange=SimpleNamespace(is_disconnected=False),
         prompt=None,
+        request_id="q",
+        received_ms=0,
+        time_limit=limit,
         deadline_ms=TIME_LEFT_MS,
     )
-    endpoint = SimpleNamespace(record_unreachable=lambda now_ms: None)
-    return Attempt(forwarder, admitted, endpoint, SimpleNamespace())
+    endpoint = SimpleNamespace(id="e1", record_unreachable=lambda now_ms: None)
+    progress = SimpleNamespace(may_abandon_attempt=lambda: may_abandon)
+    planned = PlannedAttempt(endpoint, None, {})
+    return Attempt(forwarder, admitted, planned, progress)
 
 
 @pytest.mark.parametrize(
-    ("may_retry", "ends_at_limit", "is_abandoned"),
-    [(True, False, True), (False, False, False), (False, True, True)],
+    ("preparations", "may_abandon", "ends_at_limit", "is_abandoned"),
+    [
+        ([REPLACEMENT], True, False, True),
+        ([], False, False, False),
+        *([[obstacle] * 5, True, False, False] for obstacle in RetryObstacle),
+        ([], False, True, True),
+    ],
 )
-def test_stalled_attempt_is_abandoned_only_if_a_retry_is_allowed(
-    may_retry, ends_at_limit, is_abandoned
+def test_stalled_attempt_is_abandoned_only_for_a_prepared_one(
+    preparations, may_abandon, ends_at_limit, is_abandoned
 ):
     connection = FakeConnection(delay_s=2 * EVENT_TIMEOUT_MS / 1000)
-    attempt = make_attempt(may_retry)
+    attempt = make_attempt(preparations, may_abandon)
     event = asyncio.run(
         attempt._next_event(
             connection, EVENT_TIMEOUT_MS, TimeLimit.EVENT_GAP, ends_at_limit
@@ -74,20 +103,22 @@
             note="no data before the time-out",
             limit=TimeLimit.EVENT_GAP,
             limit_ms=EVENT_TIMEOUT_MS,
+            replacement=preparations[0] if preparations else None,
         )
     else:
         assert event == ResponseData(b"x")
 
 
 @pytest.mark.parametrize(
-    ("queue_answers", "is_abandoned"), [([True] * 5, False), ([True], True)]
+    ("preparations", "is_abandoned"),
+    [([RetryObstacle.QUEUED] * 5, False), ([RetryObstacle.QUEUED, REPLACEMENT], True)],
 )
-def test_queued_prompt_is_not_moved_to_another_engine(queue_answers, is_abandoned):
+def test_queued_prompt_is_not_moved_to_another_engine(preparations, is_abandoned):
     """Guards against a second prefill of a prompt that is queued at its engine."""
     connection = FakeConnection(
-        delay_s=(EVENT_TIMEOUT_MS + 3 * QUEUE_RECHECK_MS) / 1000
+        delay_s=(EVENT_TIMEOUT_MS + 3 * STALL_RECHECK_MS) / 1000
     )
-    attempt = make_attempt(may_retry=True, queue_answers=queue_answers)
+    attempt = make_attempt(preparations)
     event = asyncio.run(
         attempt._next_event(connection, EVENT_TIMEOUT_MS, TimeLimit.EVENT_GAP)
     )
@@ -98,7 +129,7 @@
 def test_attempt_ends_when_its_caller_disconnects():
     """Guards against endpoints that work for callers that have disconnected."""
     connection = FakeConnection(delay_s=2 * EVENT_TIMEOUT_MS / 1000)
-    attempt = make_attempt(may_retry=False)
+    attempt = make_attempt([], may_abandon=False)
     attempt._exchange.is_disconnected = True
     event = asyncio.run(
         attempt._next_event(connection, EVENT_TIMEOUT_MS, TimeLimit.EVENT_GAP)
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -24,6 +24,7 @@
 from mustardtrack.process import attempt, forwarder
 from mustardtrack.process.forwarder import Forwarder
 from mustardtrack.routing.endpointstate import EndpointTable
+from mustardtrack.routing.placements import Placement
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\ntransfer-encoding: chunked\r\n"
@@ -153,7 +154,7 @@
         connect_s = self._connect_ms.get(name, 1) / 1000
         await asyncio.sleep(min(connect_s, timeout_s))
         if connect_s > timeout_s or name in self._unreachable:
-            raise ConnectError("refused")
+            raise ConnectError("not connected")
         connection = UpstreamConnection()
         transport = StandInTransport(
             lambda data: self._receive(name, connection, transport, data)
@@ -266,14 +267,20 @@
         self.log = []
         self.monkeypatch = monkeypatch
 
-    def play(self, for_ms=15_000, leave_ms=None):
-        """Send the request and run everything that follows."""
+    def play(self, for_ms=15_000, leave_ms=None, actions=()):
+        """Send the request and run everything that follows.
+
+        Args:
+            for_ms: Length of the scenario.
+            leave_ms: Time at which the caller disconnects.
+            actions: Pairs of a time and a function that is called with the forwarder.
+        """
         for module in (attempt, forwarder):
             self.monkeypatch.setattr(module, "log_event", self._log, raising=False)
         loop = VirtualTimeLoop()
         asyncio.set_event_loop(loop)
         try:
-            loop.run_until_complete(self._run(for_ms, leave_ms))
+            loop.run_until_complete(self._run(for_ms, leave_ms, actions))
         finally:
             loop.close()
             asyncio.set_event_loop(None)
@@ -286,13 +293,16 @@
         """Return the fields of the log lines with this event number."""
         return [fields for event, fields in self.log if event == number]
 
-    async def _run(self, for_ms, leave_ms):
+    async def _run(self, for_ms, leave_ms, actions):
         loop = asyncio.get_running_loop()
         self.pool = StandInPool(self.scripts, **self.pool_options)
         handler = self._build_forwarder(loop)
         self.errors = []
         server = HttpServer(handler.handle)
-        self.caller = StandInTransport(lambda data: None)
+        self.writes = []
+        self.caller = StandInTransport(
+            lambda data: self.writes.append((round(loop.time() * 1000), data))
+        )
         connection = server.buildProtocol(None)
         self.caller.protocol = connection
         connection.makeConnection(self.caller)
@@ -310,6 +320,8 @@
         )
         if leave_ms is not None:
             loop.call_later(leave_ms / 1000, self.caller.lose, connection)
+        for at_ms, action in actions:
+            loop.call_later(at_ms / 1000, action, handler)
         await asyncio.sleep(for_ms / 1000)
         self.is_pending = bool(server._tasks)
         for task in server._tasks:
@@ -369,6 +381,10 @@
         """Whether the answer to the caller is complete."""
         return self.caller.written.endswith(END) and self.caller.end != "reset"
 
+    def relayed_at_ms(self, number):
+        """Return the time at which the caller received an event."""
+        return next(at_ms for at_ms, data in self.writes if b"id: %d" % number in data)
+
     def run_of(self, endpoint):
         """Return the only run at an endpoint."""
         (run,) = [run for run in self.pool.runs if run.endpoint == endpoint]
@@ -403,8 +419,8 @@
 @pytest.mark.parametrize(
     ("script", "options", "expected"),
     [
-        (STALLED, {}, ("event_gap", 1500, 1500, 101, 1)),
-        ([], {}, ("first_event", 2500, 2500, None, 0)),
+        (STALLED, {}, ("event_gap", 1500, 1501, 101, 1)),
+        ([], {}, ("first_event", 2500, 2501, None, 0)),
         ([], {"connect_ms": {"e1": 400}}, ("connect", 300, None, None, 0)),
     ],
 )
@@ -428,3 +444,150 @@
     assert (line["status"], scenario.status) == (504, 504)
     assert (line["limit"], line["limit_ms"]) == ("route", 12_000)
     assert (line["first_ms"], line["events"]) == (None, 0)
+
+
+# A stream that pauses for longer than the idle limit and then goes on to its end.
+PAUSING = [(100, HEAD + event(1)), (4000, event(2)), (4100, END)]
+
+
+def place_nowhere(request):
+    if request.tried:
+        return Placement(is_authoritative=True)
+    return None
+
+
+def place_hopelessly(request):
+    if request.tried:
+        return Placement(exceeds_caller_timeout=True, is_authoritative=True)
+    return None
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        pytest.param({}, id="no other endpoint"),
+        pytest.param({"place": place_nowhere}, id="no placement"),
+        pytest.param({"place": place_hopelessly}, id="hopeless placement"),
+        pytest.param({"unreachable": ["e2"]}, id="no connection"),
+        pytest.param({"extra_retries": 0}, id="no retry budget"),
+    ],
+)
+def test_stalled_stream_goes_on_if_no_other_attempt_can_begin(monkeypatch, options):
+    """Guards against cutting a stream for a retry that is then not possible."""
+    endpoints = ["e1", "e2"] if options else ["e1"]
+    place = options.pop("place", None)
+    scenario = Scenario(
+        {"e1": PAUSING, "e2": []},
+        endpoints=endpoints,
+        leader=StandInLeader(place),
+        monkeypatch=monkeypatch,
+        **options,
+    ).play()
+    assert scenario.errors == []
+    assert scenario.relayed == [1, 2]
+    assert scenario.is_whole
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+
+
+def take_last_retry(handler):
+    assert handler._retry_budget("s").allow_retry(1650, 1)
+
+
+def test_stalled_stream_goes_on_if_another_request_takes_the_last_retry(monkeypatch):
+    """Guards against cutting a stream whose retry another request used up meanwhile."""
+    scenario = Scenario(
+        {"e1": PAUSING, "e2": COMPLETE},
+        extra_retries=2,
+        leader=StandInLeader(delay_ms=80),
+        monkeypatch=monkeypatch,
+    ).play(actions=[(1720, take_last_retry)])
+    assert scenario.errors == []
+    assert scenario.relayed == [1, 2]
+    assert scenario.is_whole
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+
+
+def test_stalled_call_is_answered_if_no_other_attempt_can_begin(monkeypatch):
+    """Guards against a 502 for a call that its endpoint still works on."""
+    answer = b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\ncontent-length: 2\r\n\r\nok"
+    scenario = Scenario(
+        {"e1": [(4000, answer)]},
+        kind=RetrySafety.IDEMPOTENT,
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.status == 200
+
+
+def test_stalled_stream_resumes_elsewhere_after_the_end_of_its_attempt(monkeypatch):
+    """Guards against an endpoint that still works on a request that runs elsewhere."""
+    scenario = Scenario({"e1": STALLED, "e2": COMPLETE}, monkeypatch=monkeypatch).play()
+    assert scenario.relayed == [1, 2]
+    assert scenario.is_whole
+    first, second = scenario.run_of("e1"), scenario.run_of("e2")
+    assert first.transport.end == "reset"
+    assert first.transport.ended_s <= second.begun_s
+    assert b"last-event-id: 1\r\n" in second.head.lower()
+    assert scenario.leader.unresponsive == ["e1"]
+
+
+def test_event_that_arrives_while_a_retry_is_prepared_is_relayed_at_once(monkeypatch):
+    """Guards against events that wait for a retry, and against a needless retry."""
+    script = [*STALLED, (1650, event(2)), (1700, END)]
+    scenario = Scenario(
+        {"e1": script, "e2": COMPLETE},
+        connect_ms={"e2": 200},
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.relayed == [1, 2]
+    assert scenario.relayed_at_ms(2) == 1651
+    assert scenario.is_whole
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+    assert scenario.pool.opened == ["e1", "e2"]
+    assert sorted(scenario.pool.kept) == ["e1", "e2"]
+    assert scenario.leader.unresponsive == []
+
+
+def test_stream_whose_endpoint_ends_while_a_retry_is_prepared_is_resumed(monkeypatch):
+    scenario = Scenario(
+        {"e1": [*STALLED, (1650, CLOSE)], "e2": COMPLETE},
+        connect_ms={"e2": 200},
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.errors == []
+    assert scenario.relayed == [1, 2]
+    assert scenario.is_whole
+
+
+def test_nothing_is_sent_for_a_caller_that_left_while_a_retry_was_prepared(monkeypatch):
+    """Guards against endpoints that begin to work for callers that have left."""
+    scenario = Scenario(
+        {"e1": STALLED, "e2": COMPLETE},
+        connect_ms={"e2": 200},
+        monkeypatch=monkeypatch,
+    ).play(leave_ms=1700)
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+    assert scenario.run_of("e1").transport.ended_s == pytest.approx(1.7)
+    assert scenario.pool.kept == ["e2"]
+
+
+@pytest.mark.parametrize("is_queued", [True, False])
+def test_prompt_queued_at_its_engine_is_not_moved(monkeypatch, is_queued):
+    """Guards against a second prefill of a prompt that waits for its engine."""
+    scenario = Scenario(
+        {"e1": [(6000, HEAD + event(2) + END)], "e2": COMPLETE},
+        leader=StandInLeader(is_queued=is_queued),
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.is_whole
+    expected = ["e1"] if is_queued else ["e1", "e2"]
+    assert [run.endpoint for run in scenario.pool.runs] == expected
+
+
+def test_stalled_attempt_logs_why_it_goes_on(monkeypatch):
+    scenario = Scenario(
+        {"e1": PAUSING, "e2": []}, unreachable=["e2"], monkeypatch=monkeypatch
+    ).play()
+    assert [line["obstacle"] for line in scenario.lines(8953)] == [
+        "not_connected",
+        "no_endpoint",
+    ]
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -4,7 +4,7 @@
 limits retries on a route that does not allow a request to run more than once.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from mustardtrack.configuration.routes import Route
@@ -44,6 +44,16 @@
     FAIL = "fail"
 
 
+class RetryObstacle(Enum):
+    """Reason why a stalled attempt goes on instead of being retried elsewhere."""
+
+    QUEUED = "queued"
+    RETRY_BUDGET = "retry_budget"
+    NO_ENDPOINT = "no_endpoint"
+    HOPELESS = "hopeless"
+    NOT_CONNECTED = "not_connected"
+
+
 _MAY_HAVE_RUN = {
     AttemptFailure.FAILED,
     AttemptFailure.CONNECTION_LOST,
@@ -59,6 +69,7 @@
         sends: Attempts for which bytes were sent to an endpoint.
         may_have_run: Whether an endpoint can have started to run the request.
         possible_runs: Number of attempts that may have run the request.
+        tried: Endpoints that the request was sent to or that could not be reached.
         resume_after: Id of the last event that the caller received, None before the
             first.
         placement: Placement advice for the current attempt, None if the router
@@ -73,6 +84,7 @@
     sends: int = 0
     may_have_run: bool = False
     possible_runs: int = 0
+    tried: list[str] = field(default_factory=list)
     resume_after: bytes | None = None
     placement: Placement | None = None
     status: int = 0
