Cut a started stream that cannot be resumed, and log why

Seen by callers: a stream that lost its endpoint in the middle, with no other attempt possible, ended with a reset after event 8902 "request handler failed"; 8951 before it said status 502, which the caller never got. Cause: _answer_failure responds with a status also on a response that has started; h11 raises LocalProtocolError in state SEND_BODY. Change: such a response is aborted. 8951 has the status that the caller received, is_cut, and in `reason` why no attempt followed (no_endpoint, connections, hopeless, retry_budget, last_attempt), which failed requests lacked too. A request whose caller left between two attempts has a line 8951 as well; it had none. Evidence: test_forwarder.py on: the four cases of test_stream_that_cannot_be_resumed_is_cut_with_its_reason fail with LocalProtocolError, test_request_of_a_caller_that_left_before_a_retry_is_logged finds no line; 5 failed, 19 passed. With the change test_forwarder.py, test_attempt.py and test_forwarding.py pass.

--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -113,6 +113,13 @@
     expected_ms: float | None = None
 
 
+# Why a request whose last attempt allows no other ends without an answer.
+_REASON_WITHOUT_OBSTACLE = {
+    NextStep.REFUSE: "not_run",
+    NextStep.FAIL: "last_attempt",
+}
+
+
 class Forwarder:
     """Routes, admits, places and sends the requests of one router."""
 
@@ -218,15 +225,14 @@
         budget.record_request(admitted.received_ms)
         progress = ForwardedRequest(admitted.route)
         step = NextStep.RETRY
-        reason = "not_run"
-        expected_ms: float | None = None
+        obstacle: _NoAttempt | None = None
         outcome = Outcome()
         while step is NextStep.RETRY:
             planned = outcome.replacement or await self._plan_attempt(
                 admitted, progress
             )
             if isinstance(planned, _NoAttempt):
-                reason, expected_ms = planned.reason, planned.expected_ms
+                obstacle = planned
                 step = progress.final_step()
                 break
             endpoint = planned.endpoint
@@ -251,7 +257,8 @@
             step = progress.step_after(outcome.end)
             self._log_failed_attempt(admitted, endpoint, progress, outcome, step)
         self._placements.record_end(admitted.request_id)
-        self._answer_failure(admitted, progress, step, reason, expected_ms, outcome)
+        obstacle = obstacle or _NoAttempt(_REASON_WITHOUT_OBSTACLE[step])
+        self._answer_failure(admitted, progress, step, obstacle, outcome)
 
     async def _plan_attempt(
         self, admitted: AdmittedRequest, progress: ForwardedRequest
@@ -482,42 +489,52 @@
         admitted: AdmittedRequest,
         progress: ForwardedRequest,
         step: NextStep,
-        reason: str,
-        expected_ms: float | None,
+        obstacle: _NoAttempt,
         outcome: Outcome,
     ) -> None:
+        """Refuse or fail a request, or cut its response if that has begun."""
         exchange = admitted.exchange
-        if exchange.is_disconnected:
-            return
-        if step is NextStep.REFUSE:
+        left_ms = admitted.deadline_ms - self.clock.now_ms()
+        if step is NextStep.REFUSE and not exchange.is_disconnected:
             progress.require_not_run()
             self._refuse(
                 exchange,
                 admitted.metadata,
-                reason,
+                obstacle.reason,
                 route=admitted.route.name,
                 sends=progress.sends,
-                expected_ms=expected_ms,
-                left_ms=admitted.deadline_ms - self.clock.now_ms(),
+                expected_ms=obstacle.expected_ms,
+                left_ms=left_ms,
             )
             return
-        is_late = self.clock.now_ms() >= admitted.deadline_ms - MIN_TIME_LEFT_MS
-        status = 504 if is_late else 502
-        self.metrics.count(f"failure.{status}")
+        note = outcome.note
+        if exchange.is_disconnected:
+            status, note, counter = 0, "caller disconnected", "answer.0"
+        elif exchange.is_started:
+            status, counter = progress.status, "answer.cut"
+        else:
+            status = 504 if left_ms <= MIN_TIME_LEFT_MS else 502
+            counter = f"failure.{status}"
+        self.metrics.count(counter)
         log_event(
             REQUEST_ENDED,
-            request=_decode(admitted.metadata.request_id),
+            request=admitted.request_id,
             route=admitted.route.name,
             status=status,
+            reason=obstacle.reason,
             sends=progress.sends,
             elapsed_ms=self.clock.now_ms() - admitted.received_ms,
-            left_ms=admitted.deadline_ms - self.clock.now_ms(),
+            left_ms=left_ms,
             first_ms=progress.first_ms,
+            is_cut=exchange.is_started and not exchange.is_disconnected,
+            note=note,
             **_limit_log_fields(admitted, progress, outcome),
         )
-        exchange.respond(
-            status, [JSON_CONTENT_TYPE], encode_error("no endpoint answered")
-        )
+        if exchange.is_started:
+            exchange.abort()
+        elif not exchange.is_disconnected:
+            body = encode_error("no endpoint answered")
+            exchange.respond(status, [JSON_CONTENT_TYPE], body)
 
     def _refuse(
         self,
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -591,3 +591,44 @@
         "not_connected",
         "no_endpoint",
     ]
+
+
+@pytest.mark.parametrize(
+    ("options", "reason"),
+    [
+        ({}, "no_endpoint"),
+        ({"place": place_hopelessly}, "hopeless"),
+        ({"extra_retries": 0}, "retry_budget"),
+        ({"max_attempts": 1}, "last_attempt"),
+    ],
+)
+def test_stream_that_cannot_be_resumed_is_cut_with_its_reason(
+    monkeypatch, options, reason
+):
+    """Guards against a second response on a stream, which ends in an exception."""
+    place = options.pop("place", None)
+    scenario = Scenario(
+        {"e1": [*STALLED, (500, CLOSE)], "e2": []},
+        endpoints=["e1", "e2"] if place or options else ["e1"],
+        leader=StandInLeader(place),
+        monkeypatch=monkeypatch,
+        **options,
+    ).play()
+    assert scenario.errors == []
+    assert scenario.caller.end == "reset"
+    assert scenario.relayed == [1]
+    (line,) = scenario.lines(8951)
+    assert (line["status"], line["is_cut"], line["reason"]) == (200, True, reason)
+    assert (line["first_ms"], line["events"], line["left_ms"]) == (101, 1, 11_499)
+
+
+def test_request_of_a_caller_that_left_before_a_retry_is_logged(monkeypatch):
+    """Guards against requests that end without a log line."""
+    scenario = Scenario(
+        {"e1": [(400, CLOSE)]},
+        leader=StandInLeader(delay_ms=50),
+        monkeypatch=monkeypatch,
+    ).play(leave_ms=480)
+    assert scenario.pool.runs[0].endpoint == "e1"
+    (line,) = scenario.lines(8951)
+    assert (line["status"], line["note"]) == (0, "caller disconnected")
