End an answer at its time limit although data keeps arriving

Seen by callers: none observed; found by reading. UpstreamConnection.next_event returns a queued event also with a time-out of 0, so that an endpoint whose data arrives faster than it is relayed held a request past its deadline without a bound (CONFIG, `timeout-ms`). Ruled out: events with a pause in between; the wait of 0 ms then ends without an event. Change: a head or data that arrives after the deadline ends the attempt. The end of an answer that is complete by then is still relayed. Evidence: test_data_that_keeps_coming_ends_at_the_deadline on: both cases return the event (2 failed, 12 passed); with the change test_attempt.py and test_forwarder.py pass.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -401,37 +401,54 @@
         left_ms = min(limit_ms, self._time_left_ms())
         event = await connection.next_event(left_ms / 1000)
         replacement = None
-        while event is None and not ends_at_limit and self._is_awaited():
+        if event is None and not ends_at_limit:
+            event, replacement = await self._outlast_stall(connection)
+        if self._exchange.is_disconnected:
+            connection.abort()
+            return Outcome(note="caller disconnected")
+        if event is not None and not self._is_too_late(event):
+            if isinstance(event, ResponseHead | ResponseData):
+                self._last_byte_ms = self._clock.now_ms()
+            return event
+        connection.abort()
+        if replacement is not None:
+            self._endpoint.record_unreachable(self._clock.now_ms())
+        elif not ends_at_limit or self._time_left_ms() <= 0:
+            limit = self._admitted.time_limit.kind
+            limit_ms = self._admitted.time_limit.limit_ms
+        silent = "no data before the time-out"
+        return Outcome(
+            AttemptFailure.TIMED_OUT,
+            note=silent if event is None else "data still arriving at the time limit",
+            limit=limit,
+            limit_ms=round(limit_ms),
+            replacement=replacement,
+        )
+
+    def _is_too_late(self, event: ResponseEvent) -> bool:
+        """Whether an event is not relayed; an answer may end as complete."""
+        is_data = isinstance(event, ResponseHead | ResponseData)
+        return is_data and self._time_left_ms() <= 0
+
+    async def _outlast_stall(
+        self, connection: UpstreamConnection
+    ) -> tuple[ResponseEvent | None, PlannedAttempt | None]:
+        """Wait for the next event, the deadline or an attempt that can replace this.
+
+        Returns:
+            The event if there is one, and the attempt that replaces this one.
+        """
+        while self._is_awaited():
             if not self._progress.may_abandon_attempt():
-                event = await connection.next_event(self._time_left_ms() / 1000)
-                break
+                left_s = self._time_left_ms() / 1000
+                return await connection.next_event(left_s), None
             event, replacement = await self._prepare_replacement(connection)
-            if replacement is not None:
-                break
-            if event is None and self._is_awaited():
+            if event is None and replacement is None and self._is_awaited():
                 left_ms = min(STALL_RECHECK_MS, self._time_left_ms())
                 event = await connection.next_event(left_ms / 1000)
-        if self._exchange.is_disconnected:
-            connection.abort()
-            return Outcome(note="caller disconnected")
-        if event is None:
-            connection.abort()
-            outcome = Outcome(
-                AttemptFailure.TIMED_OUT,
-                note="no data before the time-out",
-                limit=limit,
-                limit_ms=round(limit_ms),
-                replacement=replacement,
-            )
-            if replacement is not None:
-                self._endpoint.record_unreachable(self._clock.now_ms())
-            elif not ends_at_limit or self._time_left_ms() <= 0:
-                outcome.limit = self._admitted.time_limit.kind
-                outcome.limit_ms = self._admitted.time_limit.limit_ms
-            return outcome
-        if isinstance(event, ResponseHead | ResponseData):
-            self._last_byte_ms = self._clock.now_ms()
-        return event
+            if event is not None or replacement is not None:
+                return event, replacement
+        return None, None
 
     def _is_awaited(self) -> bool:
         return self._time_left_ms() > 0 and not self._exchange.is_disconnected
--- a/mustardtrack/process/tests/test_attempt.py
+++ b/mustardtrack/process/tests/test_attempt.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from mustardtrack.adapters.upstream import ResponseData
+from mustardtrack.adapters.upstream import ResponseData, ResponseEnd, ResponseHead
 from mustardtrack.process.attempt import (
     STALL_RECHECK_MS,
     Attempt,
@@ -49,14 +49,14 @@
         self.closed = True
 
 
-def make_attempt(preparations, may_abandon=True):
+def make_attempt(preparations, may_abandon=True, now_ms=0):
     """Return an attempt for which these retries are prepared, one after another."""
     results = iter(preparations)
 
     async def prepare_retry(admitted, progress):
         return next(results)
 
-    clock = SimpleNamespace(now_ms=lambda: 0)
+    clock = SimpleNamespace(now_ms=lambda: now_ms)
     forwarder = SimpleNamespace(
         clock=clock,
         prepare_retry=prepare_retry,
@@ -138,3 +138,42 @@
     assert connection.closed
     # A single wait, ended by the disconnect.
     assert connection._delay_s > 0
+
+
+class BusyConnection(FakeConnection):
+    """Fake connection that always has an event."""
+
+    def __init__(self, event):
+        super().__init__(delay_s=0)
+        self._event = event
+
+    async def next_event(self, timeout_s):
+        """Return the event."""
+        return self._event
+
+
+@pytest.mark.parametrize("event", [ResponseHead(200, []), ResponseData(b"x")])
+def test_data_that_keeps_coming_ends_at_the_deadline(event):
+    """Guards against an answer that is relayed for ever after its time limit."""
+    connection = BusyConnection(event)
+    attempt = make_attempt([], now_ms=TIME_LEFT_MS)
+    outcome = asyncio.run(
+        attempt._next_event(connection, EVENT_TIMEOUT_MS, TimeLimit.EVENT_GAP)
+    )
+    assert outcome == Outcome(
+        AttemptFailure.TIMED_OUT,
+        note="data still arriving at the time limit",
+        limit=TimeLimit.ROUTE,
+        limit_ms=TIME_LEFT_MS,
+    )
+    assert connection.closed
+
+
+def test_answer_that_is_complete_at_the_deadline_is_not_cut():
+    connection = BusyConnection(ResponseEnd())
+    attempt = make_attempt([], now_ms=TIME_LEFT_MS)
+    event = asyncio.run(
+        attempt._next_event(connection, EVENT_TIMEOUT_MS, TimeLimit.EVENT_GAP)
+    )
+    assert event == ResponseEnd()
+    assert not connection.closed
