Bound the wait for the end of a refusal

Seen by callers: none observed; found by reading. A refusal of an endpoint (not run) whose body has no end was read until the deadline, as each part restarted the limit of 300 ms; the retry elsewhere came too late. Change: the limit counts from the head; the connection is then aborted and the request retried.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -278,14 +278,15 @@
     async def _finish_not_run(
         self, connection: UpstreamConnection, head: ResponseHead
     ) -> Outcome:
+        ends_ms = self._clock.now_ms() + CONNECT_TIMEOUT_MS
         while True:
             event = await self._next_event(
                 connection,
-                CONNECT_TIMEOUT_MS,
+                max(0, ends_ms - self._clock.now_ms()),
                 TimeLimit.EVENT_GAP,
                 ends_at_limit=True,
             )
-            if isinstance(event, ResponseData):
+            if isinstance(event, ResponseData) and self._clock.now_ms() < ends_ms:
                 continue
             if isinstance(event, ResponseEnd):
                 self._forwarder.pool.put(self._endpoint.id, connection)
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -121,11 +121,13 @@
         scripts: Steps of each endpoint after it received a request, as pairs of
             milliseconds and bytes. ``CLOSE`` ends the connection.
         unreachable: Endpoints to which no connection can be opened.
+        hanging: Endpoints to which a connect reports no result.
         connect_ms: Time to open a connection, by endpoint.
     """
 
-    def __init__(self, scripts, unreachable=(), connect_ms=None):
+    def __init__(self, scripts, unreachable=(), hanging=(), connect_ms=None):
         self._scripts = scripts
+        self._hanging = hanging
         self._unreachable = unreachable
         self._connect_ms = connect_ms or {}
         self.runs = []
@@ -151,6 +153,8 @@
     async def open(self, address, timeout_s):
         """Open a connection to the endpoint with this address."""
         name = address.partition(":")[0]
+        if name in self._hanging:
+            await asyncio.get_running_loop().create_future()
         connect_s = self._connect_ms.get(name, 1) / 1000
         await asyncio.sleep(min(connect_s, timeout_s))
         if connect_s > timeout_s or name in self._unreachable:
@@ -632,3 +636,17 @@
     assert scenario.pool.runs[0].endpoint == "e1"
     (line,) = scenario.lines(8951)
     assert (line["status"], line["note"]) == (0, "caller disconnected")
+
+
+def test_refusal_with_an_endless_body_does_not_hold_the_request(monkeypatch):
+    """Guards against a retry that waits until the deadline for the end of a refusal."""
+    refusal = HEAD.replace(b"200 OK", b"503 Busy").replace(
+        b"\r\n\r\n", b"\r\nnot-executed: 1\r\n\r\n"
+    )
+    body = [(100 * number, event(number)) for number in range(1, 100)]
+    scenario = Scenario(
+        {"e1": [(10, refusal), *body], "e2": COMPLETE}, monkeypatch=monkeypatch
+    ).play()
+    assert scenario.is_whole
+    limit_s = attempt.CONNECT_TIMEOUT_MS / 1000
+    assert scenario.run_of("e2").begun_s <= scenario.run_of("e1").begun_s + 2 * limit_s
