Bound the wait for a connection to an endpoint

Seen by callers: none observed; found by reading. A request waits for UpstreamConnection.ready. If connectionMade raises, Twisted drops the connection and its time-out, and `ready` is never resolved: the request never ends. Trial with a real listener and a connectionMade that raises OSError: open_connection with a time-out of 0.3 s had no result after 3 s. Change: an attempt waits for its connect 50 ms longer than the time-out of the transport and then counts as not sent, so that another endpoint is tried. Evidence: test_connection_that_never_opens_does_not_hold_the_request on the commit before: no answer within 15 s; with the change test_attempt.py and test_forwarder.py: 40 passed.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -43,6 +43,8 @@
 
 # Allows two round trips between availability zones and one retransmission.
 CONNECT_TIMEOUT_MS = 300
+# Time beyond its time-out in which a connect must report a result.
+CONNECT_MARGIN_S = 0.05
 # Multiple of the latency objective after which a repeatable call that is not a stream
 # is retried elsewhere.
 OBJECTIVE_TIMEOUT_FACTOR = 2.5
@@ -126,7 +128,14 @@
             # run at most once; closing one makes room.
             pool.close_longest_idle(endpoint.id)
         forwarder.metrics.count("upstream.connection")
-        connection = await pool.open(address, timeout_ms / 1000)
+        timeout_s = timeout_ms / 1000
+        try:
+            # The transport's own time-out comes first; this one ends a connect that
+            # never reports a result.
+            async with asyncio.timeout(timeout_s + CONNECT_MARGIN_S):
+                connection = await pool.open(address, timeout_s)
+        except TimeoutError as error:
+            raise ConnectError("the connect reported no result") from error
         connection.is_reusable = True
     return connection
 
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -650,3 +650,14 @@
     assert scenario.is_whole
     limit_s = attempt.CONNECT_TIMEOUT_MS / 1000
     assert scenario.run_of("e2").begun_s <= scenario.run_of("e1").begun_s + 2 * limit_s
+
+
+def test_connection_that_never_opens_does_not_hold_the_request(monkeypatch):
+    """Guards against requests without an answer when a connect reports no result."""
+    scenario = Scenario(
+        {"e1": [], "e2": COMPLETE}, hanging=["e1"], monkeypatch=monkeypatch
+    ).play()
+    assert scenario.is_whole
+    (line,) = scenario.lines(8952)
+    assert (line["end"], line["limit"]) == ("not_sent", "connect")
+    assert [run.endpoint for run in scenario.pool.runs] == ["e2"]
