--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -1,7 +1,8 @@
 """One attempt to get the response of an endpoint to a request."""
 
+import asyncio
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from mustardtrack.adapters.upstream import (
@@ -12,6 +13,7 @@
     ResponseHead,
     UpstreamConnection,
 )
+from mustardtrack.logs import define_event, log_event
 from mustardtrack.platform.headers import (
     REQUEST_ID,
     EndpointInstructions,
@@ -23,15 +25,26 @@
     filter_response_headers,
 )
 from mustardtrack.requests.event_stream import EventStreamSplitter
-from mustardtrack.requests.forwarding import AttemptFailure, ForwardedRequest
+from mustardtrack.requests.forwarding import (
+    AttemptFailure,
+    ForwardedRequest,
+    RetryObstacle,
+)
+from mustardtrack.requests.time_limits import TimeLimit
 from mustardtrack.routing.endpointstate import EndpointState
-from mustardtrack.routing.placements import cache_salt, engine_urgency
+from mustardtrack.routing.placements import Placement, cache_salt, engine_urgency
 
 if TYPE_CHECKING:
     from mustardtrack.process.forwarder import AdmittedRequest, Forwarder
 
+STALLED_ATTEMPT_CONTINUED = define_event(
+    8953, "INFO", "stalled attempt continues; no other attempt could be prepared"
+)
+
 # Allows two round trips between availability zones and one retransmission.
 CONNECT_TIMEOUT_MS = 300
+# Time beyond its time-out in which a connect must report a result.
+CONNECT_MARGIN_S = 0.05
 # Multiple of the latency objective after which a repeatable call that is not a stream
 # is retried elsewhere.
 OBJECTIVE_TIMEOUT_FACTOR = 2.5
@@ -39,9 +52,26 @@
 STREAM_IDLE_TIMEOUT_MS = 1500
 # Longest wait for the headers or first event before a stream is retried elsewhere.
 FIRST_EVENT_TIMEOUT_MS = 2500
-# Interval at which the leader is asked whether a prompt is still queued.
-QUEUE_RECHECK_MS = 500
+# Interval at which a retry of a stalled attempt is considered again.
+STALL_RECHECK_MS = 500
 MIN_FAILURE_STATUS = 500
+EVENT_DELIMITER = b"\n\n"
+
+
+@dataclass
+class PlannedAttempt:
+    """Endpoint of an attempt that has not begun.
+
+    Attributes:
+        placement: Placement advice, None if the router selected the endpoint itself.
+        choice_fields: Inputs of the choice for the log.
+        connection: Open connection to the endpoint, None if it is not open yet.
+    """
+
+    endpoint: EndpointState
+    placement: Placement | None
+    choice_fields: dict[str, object]
+    connection: UpstreamConnection | None = None
 
 
 @dataclass
@@ -50,15 +80,23 @@
 
     Attributes:
         end: How the attempt failed, None if the request needs no further attempt.
-        status: HTTP status sent to the caller, 0 if none was completed.
-        first_ms: Time from arrival of the request to the first byte of the response.
+        status: HTTP status sent to the caller, 0 if none was sent.
         note: Detail for the log.
+        is_cut: Whether the response to the caller was aborted.
+        limit: Time limit that ended the attempt, None if none did.
+        limit_ms: Length of this limit.
+        silent_ms: Time since the last byte from the endpoint, or since the send.
+        replacement: Next attempt, for which a stalled one was abandoned.
     """
 
     end: AttemptFailure | None = None
     status: int = 0
-    first_ms: int | None = None
     note: str = ""
+    is_cut: bool = False
+    limit: TimeLimit | None = None
+    limit_ms: int | None = None
+    silent_ms: int | None = None
+    replacement: PlannedAttempt | None = None
 
     @property
     def is_final(self) -> bool:
@@ -66,6 +104,42 @@
         return self.end is None
 
 
+async def open_attempt_connection(
+    forwarder: "Forwarder",
+    admitted: "AdmittedRequest",
+    endpoint: EndpointState,
+    timeout_ms: int,
+) -> UpstreamConnection:
+    """Return an idle or new connection to the endpoint of an attempt.
+
+    Raises:
+        ConnectError: If a new connection is not open within the timeout.
+    """
+    pool = forwarder.pool
+    is_repeatable = admitted.route.may_retry
+    reuse_limit_s = forwarder.reuse_limit.max_idle_s(forwarder.clock.now_ms())
+    max_idle_s = math.inf if is_repeatable else reuse_limit_s
+    connection = pool.take(endpoint.id, max_idle_s)
+    if connection is None:
+        address = endpoint.listed.address
+        limit = forwarder.connection_limit(admitted.service)
+        if pool.open_count(address) >= limit:
+            # Any idle connections are too old to be reused for a request that must
+            # run at most once; closing one makes room.
+            pool.close_longest_idle(endpoint.id)
+        forwarder.metrics.count("upstream.connection")
+        timeout_s = timeout_ms / 1000
+        try:
+            # The transport's own time-out comes first; this one ends a connect that
+            # never reports a result.
+            async with asyncio.timeout(timeout_s + CONNECT_MARGIN_S):
+                connection = await pool.open(address, timeout_s)
+        except TimeoutError as error:
+            raise ConnectError("the connect reported no result") from error
+        connection.is_reusable = True
+    return connection
+
+
 class Attempt:
     """Sends a request to one endpoint and relays its response."""
 
@@ -73,56 +147,59 @@
         self,
         forwarder: "Forwarder",
         admitted: "AdmittedRequest",
-        endpoint: EndpointState,
+        planned: PlannedAttempt,
         progress: ForwardedRequest,
     ):
         self._forwarder = forwarder
         self._admitted = admitted
-        self._endpoint = endpoint
+        self._endpoint = planned.endpoint
+        self._open_connection = planned.connection
         self._progress = progress
         self._exchange = admitted.exchange
         self._clock = forwarder.clock
         self._prompt_tokens = admitted.prompt.tokens if admitted.prompt else 0
         self._is_first_byte_pending = False
+        self._last_byte_ms = 0
+        self._obstacle: RetryObstacle | None = None
 
     async def run(self) -> Outcome:
         """Run the attempt and record its result in the endpoint state."""
         endpoint = self._endpoint
+        started_ms = self._clock.now_ms()
+        connect_limit, connect_limit_ms = self._connect_limit()
         try:
-            connection = await self._connect()
+            connection = self._open_connection or await open_attempt_connection(
+                self._forwarder, self._admitted, endpoint, connect_limit_ms
+            )
         except ConnectError as error:
-            endpoint.record_unreachable(self._clock.now_ms())
-            return Outcome(AttemptFailure.NOT_SENT, note=str(error))
+            now_ms = self._clock.now_ms()
+            endpoint.record_unreachable(now_ms)
+            outcome = Outcome(AttemptFailure.NOT_SENT, note=str(error))
+            if now_ms - started_ms >= connect_limit_ms:
+                outcome.limit, outcome.limit_ms = connect_limit, connect_limit_ms
+            return outcome
         if self._exchange.is_disconnected:
             self._forwarder.pool.put(endpoint.id, connection)
             return Outcome(note="caller disconnected before the request was sent")
         self._send(connection)
         self._exchange.on_disconnect = connection.wake
         try:
-            return await self._receive(connection)
+            outcome = await self._receive(connection)
+            # The leader already knows of the placement that replaces this one.
+            if outcome.replacement is None:
+                self._record_first_byte()
         finally:
             self._exchange.on_disconnect = None
-            self._record_first_byte()
+            self._record_prefill_end()
             endpoint.record_end()
+        outcome.silent_ms = self._clock.now_ms() - self._last_byte_ms
+        return outcome
 
-    async def _connect(self) -> UpstreamConnection:
-        pool = self._forwarder.pool
-        is_repeatable = self._admitted.route.may_retry
-        reuse_limit_s = self._forwarder.reuse_limit.max_idle_s(self._clock.now_ms())
-        max_idle_s = math.inf if is_repeatable else reuse_limit_s
-        connection = pool.take(self._endpoint.id, max_idle_s)
-        if connection is None:
-            timeout_ms = min(CONNECT_TIMEOUT_MS, self._time_left_ms())
-            address = self._endpoint.listed.address
-            limit = self._forwarder.connection_limit(self._admitted.service)
-            if pool.open_count(address) >= limit:
-                # Any idle connections are too old to be reused for a request that must
-                # run at most once; closing one makes room.
-                pool.close_longest_idle(self._endpoint.id)
-            self._forwarder.metrics.count("upstream.connection")
-            connection = await pool.open(address, timeout_ms / 1000)
-            connection.is_reusable = True
-        return connection
+    def _connect_limit(self) -> tuple[TimeLimit, int]:
+        left_ms = self._time_left_ms()
+        if left_ms < CONNECT_TIMEOUT_MS:
+            return self._admitted.time_limit.kind, max(0, left_ms)
+        return TimeLimit.CONNECT, CONNECT_TIMEOUT_MS
 
     def _send(self, connection: UpstreamConnection) -> None:
         admitted = self._admitted
@@ -140,6 +217,7 @@
         self._progress.record_send()
         self._endpoint.record_send(self._prompt_tokens)
         self._is_first_byte_pending = True
+        self._last_byte_ms = self._clock.now_ms()
         connection.send(
             exchange.method,
             exchange.target,
@@ -175,7 +253,9 @@
         )
 
     async def _receive(self, connection: UpstreamConnection) -> Outcome:
-        event = await self._next_event(connection, self._first_event_timeout_ms())
+        event = await self._next_event(
+            connection, self._first_event_timeout_ms(), TimeLimit.FIRST_EVENT
+        )
         if isinstance(event, Outcome):
             return event
         if not isinstance(event, ResponseHead):
@@ -207,11 +287,15 @@
     async def _finish_not_run(
         self, connection: UpstreamConnection, head: ResponseHead
     ) -> Outcome:
+        ends_ms = self._clock.now_ms() + CONNECT_TIMEOUT_MS
         while True:
             event = await self._next_event(
-                connection, CONNECT_TIMEOUT_MS, ends_at_limit=True
+                connection,
+                max(0, ends_ms - self._clock.now_ms()),
+                TimeLimit.EVENT_GAP,
+                ends_at_limit=True,
             )
-            if isinstance(event, ResponseData):
+            if isinstance(event, ResponseData) and self._clock.now_ms() < ends_ms:
                 continue
             if isinstance(event, ResponseEnd):
                 self._forwarder.pool.put(self._endpoint.id, connection)
@@ -224,7 +308,9 @@
     ) -> Outcome:
         parts: list[bytes] = []
         while True:
-            event = await self._next_event(connection, self._time_left_ms())
+            event = await self._next_event(
+                connection, self._time_left_ms(), TimeLimit.EVENT_GAP
+            )
             if isinstance(event, ResponseData):
                 parts.append(event.data)
                 continue
@@ -242,7 +328,8 @@
             if header[0] != b"content-length"
         ]
         self._exchange.respond(head.status, headers, b"".join(parts))
-        return Outcome(status=head.status, first_ms=self._elapsed_ms())
+        self._progress.record_relayed(head.status, self._elapsed_ms())
+        return Outcome(status=head.status)
 
     def _may_retry_failure(self) -> bool:
         progress = self._progress
@@ -254,19 +341,23 @@
     ) -> Outcome:
         progress = self._progress
         splitter = EventStreamSplitter(progress.resume_after)
-        first_ms = None
         while True:
-            is_first = not self._exchange.is_started
-            limit_ms = FIRST_EVENT_TIMEOUT_MS if is_first else STREAM_IDLE_TIMEOUT_MS
-            event = await self._next_event(connection, limit_ms)
+            if self._exchange.is_started:
+                limit, limit_ms = TimeLimit.EVENT_GAP, STREAM_IDLE_TIMEOUT_MS
+            else:
+                limit, limit_ms = TimeLimit.FIRST_EVENT, FIRST_EVENT_TIMEOUT_MS
+            event = await self._next_event(connection, limit_ms, limit)
             if isinstance(event, ResponseData):
                 complete_events = splitter.feed(event.data)
                 if complete_events:
                     self._record_first_byte()
-                    if first_ms is None:
-                        first_ms = self._elapsed_ms()
                     self._start_response(head)
                     self._exchange.write(complete_events)
+                    progress.record_relayed(
+                        head.status,
+                        self._elapsed_ms(),
+                        complete_events.count(EVENT_DELIMITER),
+                    )
                     progress.resume_after = splitter.last_event_id
                 continue
             if isinstance(event, ResponseEnd):
@@ -276,7 +367,7 @@
         self._exchange.write(splitter.rest)
         self._exchange.finish()
         self._forwarder.pool.put(self._endpoint.id, connection)
-        return Outcome(status=head.status, first_ms=first_ms)
+        return Outcome(status=head.status)
 
     def _start_response(self, head: ResponseHead) -> None:
         if not self._exchange.is_started:
@@ -293,43 +384,126 @@
         if self._admitted.route.is_resumable and self._time_left_ms() > 0:
             return outcome
         self._exchange.abort()
-        return Outcome(status=0, note=f"stream aborted: {outcome.note}")
+        return replace(
+            outcome,
+            end=None,
+            status=self._progress.status,
+            note=f"stream aborted: {outcome.note}",
+            is_cut=True,
+        )
 
     async def _next_event(
         self,
         connection: UpstreamConnection,
         limit_ms: float,
+        limit: TimeLimit,
         ends_at_limit: bool = False,
     ) -> ResponseEvent | Outcome:
         """Return the next response event, or the outcome if there is none.
 
         Args:
             connection: Connection of the attempt.
-            limit_ms: Time without an event after which the request is retried.
-            ends_at_limit: Whether the attempt ends after ``limit_ms`` even if no retry
-                is allowed.
+            limit_ms: Time without an event after which the request is retried if
+                another attempt can begin at once.
+            limit: Kind of this limit.
+            ends_at_limit: Whether the attempt ends after ``limit_ms`` in any case.
         """
         left_ms = min(limit_ms, self._time_left_ms())
         event = await connection.next_event(left_ms / 1000)
-        while event is None and not ends_at_limit and self._time_left_ms() > 0:
-            if self._exchange.is_disconnected:
-                break
-            if not self._may_retry_elsewhere():
-                event = await connection.next_event(self._time_left_ms() / 1000)
-                break
-            if not await self._forwarder.is_queued(self._admitted):
-                break
-            left_ms = min(QUEUE_RECHECK_MS, self._time_left_ms())
-            event = await connection.next_event(left_ms / 1000)
+        replacement = None
+        if event is None and not ends_at_limit:
+            event, replacement = await self._outlast_stall(connection)
         if self._exchange.is_disconnected:
             connection.abort()
             return Outcome(note="caller disconnected")
-        if event is None:
-            connection.abort()
-            if self._time_left_ms() > 0:
-                self._endpoint.record_unreachable(self._clock.now_ms())
-            return Outcome(AttemptFailure.TIMED_OUT, note="no data before the time-out")
-        return event
+        if event is not None and not self._is_too_late(event):
+            if isinstance(event, ResponseHead | ResponseData):
+                self._last_byte_ms = self._clock.now_ms()
+            return event
+        connection.abort()
+        if replacement is not None:
+            self._endpoint.record_unreachable(self._clock.now_ms())
+        elif not ends_at_limit or self._time_left_ms() <= 0:
+            limit = self._admitted.time_limit.kind
+            limit_ms = self._admitted.time_limit.limit_ms
+        silent = "no data before the time-out"
+        return Outcome(
+            AttemptFailure.TIMED_OUT,
+            note=silent if event is None else "data still arriving at the time limit",
+            limit=limit,
+            limit_ms=round(limit_ms),
+            replacement=replacement,
+        )
+
+    def _is_too_late(self, event: ResponseEvent) -> bool:
+        """Whether an event is not relayed; an answer may end as complete."""
+        is_data = isinstance(event, ResponseHead | ResponseData)
+        return is_data and self._time_left_ms() <= 0
+
+    async def _outlast_stall(
+        self, connection: UpstreamConnection
+    ) -> tuple[ResponseEvent | None, PlannedAttempt | None]:
+        """Wait for the next event, the deadline or an attempt that can replace this.
+
+        Returns:
+            The event if there is one, and the attempt that replaces this one.
+        """
+        while self._is_awaited():
+            if not self._progress.may_abandon_attempt():
+                left_s = self._time_left_ms() / 1000
+                return await connection.next_event(left_s), None
+            event, replacement = await self._prepare_replacement(connection)
+            if event is None and replacement is None and self._is_awaited():
+                left_ms = min(STALL_RECHECK_MS, self._time_left_ms())
+                event = await connection.next_event(left_ms / 1000)
+            if event is not None or replacement is not None:
+                return event, replacement
+        return None, None
+
+    def _is_awaited(self) -> bool:
+        return self._time_left_ms() > 0 and not self._exchange.is_disconnected
+
+    async def _prepare_replacement(
+        self, connection: UpstreamConnection
+    ) -> tuple[ResponseEvent | None, PlannedAttempt | None]:
+        """Prepare another attempt while the stalled one goes on.
+
+        Returns:
+            The next event of the stalled attempt if one arrived meanwhile, and the
+            other attempt if the stalled one is to be abandoned for it.
+        """
+        preparation = asyncio.ensure_future(
+            self._forwarder.prepare_retry(self._admitted, self._progress)
+        )
+
+        is_waiting = True
+
+        def wake(_: object) -> None:
+            if is_waiting:
+                connection.wake()
+
+        preparation.add_done_callback(wake)
+        event = await connection.next_event(self._time_left_ms() / 1000)
+        is_waiting = False
+        if event is not None or not preparation.done() or not self._is_awaited():
+            self._forwarder.discard_preparation(self._admitted, preparation)
+            return event, None
+        prepared = preparation.result()
+        if isinstance(prepared, PlannedAttempt):
+            if self._forwarder.take_retry(self._admitted, prepared):
+                return None, prepared
+            prepared = RetryObstacle.RETRY_BUDGET
+        if prepared is not self._obstacle:
+            self._obstacle = prepared
+            log_event(
+                STALLED_ATTEMPT_CONTINUED,
+                request=self._admitted.request_id,
+                endpoint=self._endpoint.id,
+                obstacle=prepared.value,
+                elapsed_ms=self._elapsed_ms(),
+                left_ms=self._time_left_ms(),
+            )
+        return None, None
 
     def _fail_without_head(self, connection: UpstreamConnection) -> Outcome:
         idle_before_request_s = connection.idle_before_request_s
@@ -348,9 +522,6 @@
         self._endpoint.record_response(is_failure=True)
         return Outcome(AttemptFailure.CONNECTION_LOST, note=note)
 
-    def _may_retry_elsewhere(self) -> bool:
-        return self._forwarder.may_retry_elsewhere(self._admitted, self._progress)
-
     def _first_event_timeout_ms(self) -> float:
         route = self._admitted.route
         if route.is_stream:
@@ -358,10 +529,14 @@
         return route.objective_ms * OBJECTIVE_TIMEOUT_FACTOR
 
     def _record_first_byte(self) -> None:
+        if self._is_first_byte_pending:
+            self._record_prefill_end()
+            self._forwarder.record_first_token(self._admitted)
+
+    def _record_prefill_end(self) -> None:
         if self._is_first_byte_pending:
             self._is_first_byte_pending = False
             self._endpoint.record_first_byte(self._prompt_tokens)
-            self._forwarder.record_first_token(self._admitted)
 
     def _time_left_ms(self) -> int:
         return self._admitted.deadline_ms - self._clock.now_ms()
--- /dev/null
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -0,0 +1,663 @@
+"""Guards against answers that end although an endpoint still works on them.
+
+The forwarder and both HTTP protocols are real; transports, endpoints and the leader are
+stand-ins, and an event loop with virtual time runs them without waiting.
+"""
+
+import asyncio
+import re
+from types import SimpleNamespace
+
+import pytest
+
+from mustardtrack.adapters.h11_server import HttpServer
+from mustardtrack.adapters.metrics import InMemoryMetrics
+from mustardtrack.adapters.upstream import ConnectError, UpstreamConnection
+from mustardtrack.configuration.routes import (
+    RetrySafety,
+    Route,
+    RouteTable,
+    Service,
+    ServiceShare,
+)
+from mustardtrack.membership.endpoint_list import EndpointList, ListedEndpoint
+from mustardtrack.process import attempt, forwarder
+from mustardtrack.process.forwarder import Forwarder
+from mustardtrack.routing.endpointstate import EndpointTable
+from mustardtrack.routing.placements import Placement
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\ntransfer-encoding: chunked\r\n"
+    b"content-type: text/event-stream\r\n\r\n"
+)
+END = b"0\r\n\r\n"
+CLOSE = b""
+ROUTE_TIMEOUT_MS = 12_000
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Event loop whose clock jumps to the next timer when nothing is ready."""
+
+    def __init__(self):
+        super().__init__()
+        self._now_s = 0.0
+        self._wait = self._selector.select
+        self._selector.select = self._skip
+
+    def time(self):
+        """Return the virtual time in seconds."""
+        return self._now_s
+
+    def _skip(self, timeout_s=None):
+        if timeout_s is None:
+            raise AssertionError("the scenario waits without a timer")
+        # The loop runs a timer that is due within the resolution of its clock.
+        self._now_s += max(0.0, timeout_s)
+        return self._wait(0)
+
+
+class StandInSocket:
+    """Socket that accepts every option."""
+
+    def setsockopt(self, *arguments):
+        """Ignore the option."""
+
+
+class StandInTransport:
+    """Transport that passes written bytes on and reports its end."""
+
+    def __init__(self, on_write):
+        self.written = b""
+        self.end = ""
+        self.ended_s = None
+        self.protocol = None
+        self._on_write = on_write
+
+    def getHandle(self):  # noqa: N802
+        """Return the socket."""
+        return StandInSocket()
+
+    def write(self, data):
+        """Pass the data on."""
+        self.written += data
+        self._on_write(data)
+
+    def loseConnection(self):  # noqa: N802
+        """Close the connection."""
+        self._close("closed")
+
+    def abortConnection(self):  # noqa: N802
+        """Reset the connection."""
+        self._close("reset")
+
+    def _close(self, end):
+        if not self.end:
+            loop = asyncio.get_running_loop()
+            self.end, self.ended_s = end, loop.time()
+            loop.call_soon(self.lose, self.protocol)
+
+    def lose(self, protocol):
+        """Report the end of the connection."""
+        reason = SimpleNamespace(
+            check=lambda *kinds: False, getErrorMessage=lambda: "connection lost"
+        )
+        protocol.connectionLost(reason)
+
+
+class Run:
+    """A request as one endpoint received it."""
+
+    def __init__(self, endpoint, head, transport):
+        self.endpoint = endpoint
+        self.head = head
+        self.begun_s = asyncio.get_running_loop().time()
+        self.transport = transport
+
+
+class StandInPool:
+    """Connection pool that opens connections to scripted endpoints.
+
+    Args:
+        scripts: Steps of each endpoint after it received a request, as pairs of
+            milliseconds and bytes. ``CLOSE`` ends the connection.
+        unreachable: Endpoints to which no connection can be opened.
+        hanging: Endpoints to which a connect reports no result.
+        connect_ms: Time to open a connection, by endpoint.
+    """
+
+    def __init__(self, scripts, unreachable=(), hanging=(), connect_ms=None):
+        self._scripts = scripts
+        self._hanging = hanging
+        self._unreachable = unreachable
+        self._connect_ms = connect_ms or {}
+        self.runs = []
+        self.kept = []
+        self.opened = []
+
+    def take(self, key, max_idle_s):
+        """Return no idle connection."""
+        return None
+
+    def open_count(self, address):
+        """Return the number of open connections."""
+        return 0
+
+    def has_idle(self, key):
+        """Return whether there is an idle connection."""
+        return False
+
+    def put(self, key, connection):
+        """Record a connection that was returned."""
+        self.kept.append(key)
+
+    async def open(self, address, timeout_s):
+        """Open a connection to the endpoint with this address."""
+        name = address.partition(":")[0]
+        if name in self._hanging:
+            await asyncio.get_running_loop().create_future()
+        connect_s = self._connect_ms.get(name, 1) / 1000
+        await asyncio.sleep(min(connect_s, timeout_s))
+        if connect_s > timeout_s or name in self._unreachable:
+            raise ConnectError("not connected")
+        connection = UpstreamConnection()
+        transport = StandInTransport(
+            lambda data: self._receive(name, connection, transport, data)
+        )
+        transport.protocol = connection
+        connection.makeConnection(transport)
+        self.opened.append(name)
+        return connection
+
+    def _receive(self, name, connection, transport, data):
+        self.runs.append(Run(name, data, transport))
+        loop = asyncio.get_running_loop()
+        for after_ms, step in self._scripts.get(name, ()):
+            loop.call_later(after_ms / 1000, self._play, connection, transport, step)
+
+    @staticmethod
+    def _play(connection, transport, step):
+        if transport.end:
+            return
+        if step == CLOSE:
+            transport.end = "closed by the endpoint"
+            transport.lose(connection)
+        else:
+            connection.dataReceived(step)
+
+
+class StandInLeader:
+    """Placement client that answers from given functions."""
+
+    def __init__(self, place=None, is_queued=False, delay_ms=0):
+        self._place = place
+        self._is_queued = is_queued
+        self._delay_ms = delay_ms
+        self.ended = []
+        self.unresponsive = []
+        self.first_tokens = []
+
+    async def request_placement(self, request):
+        """Return a placement, None if the router must place the prompt."""
+        await asyncio.sleep(self._delay_ms / 1000)
+        return self._place(request) if self._place else None
+
+    async def is_queued(self, request_id):
+        """Return whether the prompt is queued."""
+        return self._is_queued
+
+    def record_first_token(self, request_id):
+        """Record a first token."""
+        self.first_tokens.append(request_id)
+
+    def record_end(self, request_id):
+        """Record the end of a request."""
+        self.ended.append(request_id)
+
+    def record_unresponsive(self, endpoint_id):
+        """Record an endpoint that did not answer."""
+        self.unresponsive.append(endpoint_id)
+
+    def record_not_run(self, endpoint_id):
+        """Ignore a request that did not run."""
+
+    def record_broken_connection(self, fingerprint):
+        """Ignore a broken connection."""
+
+
+def event(number):
+    data = b"id: %d\ndata: x\n\n" % number
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def build_route(kind, max_attempts):
+    return Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        retry_safety=kind,
+        timeout_ms=ROUTE_TIMEOUT_MS,
+        objective_ms=1000,
+        objective_gap_ms=0,
+        rank=0,
+        shares=(ServiceShare("s", 1.0),),
+        max_attempts=max_attempts,
+        is_resumable=kind is RetrySafety.STREAM,
+    )
+
+
+class Scenario:
+    """One caller, a router and scripted endpoints; ``play`` runs it to its end."""
+
+    def __init__(
+        self,
+        scripts,
+        *,
+        endpoints=None,
+        kind=RetrySafety.STREAM,
+        max_attempts=3,
+        extra_retries=10,
+        budget_ms=None,
+        leader=None,
+        monkeypatch=None,
+        **pool_options,
+    ):
+        self.scripts = scripts
+        self.endpoints = endpoints or list(scripts)
+        self.route = build_route(kind, max_attempts)
+        self.extra_retries = extra_retries
+        self.budget_ms = budget_ms
+        self.leader = leader or StandInLeader()
+        self.pool_options = pool_options
+        self.log = []
+        self.monkeypatch = monkeypatch
+
+    def play(self, for_ms=15_000, leave_ms=None, actions=()):
+        """Send the request and run everything that follows.
+
+        Args:
+            for_ms: Length of the scenario.
+            leave_ms: Time at which the caller disconnects.
+            actions: Pairs of a time and a function that is called with the forwarder.
+        """
+        for module in (attempt, forwarder):
+            self.monkeypatch.setattr(module, "log_event", self._log, raising=False)
+        loop = VirtualTimeLoop()
+        asyncio.set_event_loop(loop)
+        try:
+            loop.run_until_complete(self._run(for_ms, leave_ms, actions))
+        finally:
+            loop.close()
+            asyncio.set_event_loop(None)
+        return self
+
+    def _log(self, event, **fields):
+        self.log.append((event.number, fields))
+
+    def lines(self, number):
+        """Return the fields of the log lines with this event number."""
+        return [fields for event, fields in self.log if event == number]
+
+    async def _run(self, for_ms, leave_ms, actions):
+        loop = asyncio.get_running_loop()
+        self.pool = StandInPool(self.scripts, **self.pool_options)
+        handler = self._build_forwarder(loop)
+        self.errors = []
+        server = HttpServer(handler.handle)
+        self.writes = []
+        self.caller = StandInTransport(
+            lambda data: self.writes.append((round(loop.time() * 1000), data))
+        )
+        connection = server.buildProtocol(None)
+        self.caller.protocol = connection
+        connection.makeConnection(self.caller)
+        self.monkeypatch.setattr(
+            type(connection),
+            "_handle_failure",
+            self._record_failure(type(connection)._handle_failure),
+        )
+        budget = b""
+        if self.budget_ms is not None:
+            budget = b"deadline-ms: %d\r\n" % self.budget_ms
+        connection.dataReceived(
+            b"POST /x HTTP/1.1\r\nhost: h\r\nrequest-id: q\r\nmodel: m\r\n"
+            b"content-length: 0\r\n" + budget + b"\r\n"
+        )
+        if leave_ms is not None:
+            loop.call_later(leave_ms / 1000, self.caller.lose, connection)
+        for at_ms, action in actions:
+            loop.call_later(at_ms / 1000, action, handler)
+        await asyncio.sleep(for_ms / 1000)
+        self.is_pending = bool(server._tasks)
+        for task in server._tasks:
+            task.cancel()
+
+    def _record_failure(self, handle):
+        def record(connection, exchange, error):
+            self.errors.append(error)
+            handle(connection, exchange, error)
+
+        return record
+
+    def _build_forwarder(self, loop):
+        states = EndpointTable()
+        listed = [
+            ListedEndpoint(name, 0, "s", f"{name}:1", "a", 6, False, False, {"m": 1})
+            for name in self.endpoints
+        ]
+        states.update(EndpointList(1, 1, tuple(listed)))
+        engine = SimpleNamespace() if self.leader else None
+        service = Service("s", 100, engine=engine)
+        table = RouteTable(1, {"h": (self.route,)}, {"s": service}, None)
+        view = SimpleNamespace(
+            table=table,
+            refused=(),
+            weights={"m": 1},
+            router_count=1,
+            endpoints=states,
+            confirmation_age_ms=lambda now_ms: 0,
+        )
+        control_sync = SimpleNamespace(view=view, is_confirmed=lambda: True)
+        retries = SimpleNamespace(ratio=0.0, window_s=10.0, floor=self.extra_retries)
+        settings = SimpleNamespace(zone="a", name="r1", retries=retries)
+        clock = SimpleNamespace(now_ms=lambda: round(loop.time() * 1000))
+        built = Forwarder(
+            settings, control_sync, self.pool, clock, InMemoryMetrics(), self.leader
+        )
+        # The first endpoint is chosen unless the leader places the request.
+        built._rng = SimpleNamespace(random=lambda: 0.0, uniform=lambda low, high: 0.0)
+        return built
+
+    @property
+    def relayed(self):
+        """Numbers of the events that the caller received."""
+        return [
+            int(number) for number in re.findall(rb"id: (\d+)", self.caller.written)
+        ]
+
+    @property
+    def status(self):
+        """Status that the caller received, None without an answer."""
+        found = re.match(rb"HTTP/1.1 (\d+)", self.caller.written)
+        return int(found[1]) if found else None
+
+    @property
+    def is_whole(self):
+        """Whether the answer to the caller is complete."""
+        return self.caller.written.endswith(END) and self.caller.end != "reset"
+
+    def relayed_at_ms(self, number):
+        """Return the time at which the caller received an event."""
+        return next(at_ms for at_ms, data in self.writes if b"id: %d" % number in data)
+
+    def run_of(self, endpoint):
+        """Return the only run at an endpoint."""
+        (run,) = [run for run in self.pool.runs if run.endpoint == endpoint]
+        return run
+
+
+# A stream that stops after its first event.
+STALLED = [(100, HEAD + event(1))]
+COMPLETE = [(50, HEAD + event(2) + END)]
+
+
+def test_stream_cut_at_the_deadline_logs_its_limit_and_what_was_relayed(monkeypatch):
+    """Guards against log lines that hide why a stream was cut, and its first event."""
+    scenario = Scenario(
+        {"e1": STALLED}, max_attempts=1, budget_ms=3000, monkeypatch=monkeypatch
+    ).play()
+    (line,) = scenario.lines(8951)
+    expected = {
+        "status": 200,
+        "is_cut": True,
+        "first_ms": 101,
+        "events": 1,
+        "limit": "caller",
+        "limit_ms": 3000,
+        "silent_ms": 2899,
+        "request_limit": "caller",
+        "request_limit_ms": 3000,
+    }
+    assert {name: line[name] for name in expected} == expected
+
+
+@pytest.mark.parametrize(
+    ("script", "options", "expected"),
+    [
+        (STALLED, {}, ("event_gap", 1500, 1501, 101, 1)),
+        ([], {}, ("first_event", 2500, 2501, None, 0)),
+        ([], {"connect_ms": {"e1": 400}}, ("connect", 300, None, None, 0)),
+    ],
+)
+def test_retried_attempt_logs_the_limit_that_ended_it(
+    monkeypatch, script, options, expected
+):
+    """Guards against log lines that do not tell one time limit from another."""
+    scenario = Scenario(
+        {"e1": script, "e2": COMPLETE}, monkeypatch=monkeypatch, **options
+    ).play()
+    assert scenario.is_whole
+    (line,) = scenario.lines(8952)
+    fields = ("limit", "limit_ms", "silent_ms", "first_ms", "events")
+    assert tuple(line[name] for name in fields) == expected
+    assert (line["request_limit"], line["request_limit_ms"]) == ("route", 12_000)
+
+
+def test_failed_request_logs_the_limit_that_ended_it(monkeypatch):
+    scenario = Scenario({"e1": []}, max_attempts=1, monkeypatch=monkeypatch).play()
+    (line,) = scenario.lines(8951)
+    assert (line["status"], scenario.status) == (504, 504)
+    assert (line["limit"], line["limit_ms"]) == ("route", 12_000)
+    assert (line["first_ms"], line["events"]) == (None, 0)
+
+
+# A stream that pauses for longer than the idle limit and then goes on to its end.
+PAUSING = [(100, HEAD + event(1)), (4000, event(2)), (4100, END)]
+
+
+def place_nowhere(request):
+    if request.tried:
+        return Placement(is_authoritative=True)
+    return None
+
+
+def place_hopelessly(request):
+    if request.tried:
+        return Placement(exceeds_caller_timeout=True, is_authoritative=True)
+    return None
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        pytest.param({}, id="no other endpoint"),
+        pytest.param({"place": place_nowhere}, id="no placement"),
+        pytest.param({"place": place_hopelessly}, id="hopeless placement"),
+        pytest.param({"unreachable": ["e2"]}, id="no connection"),
+        pytest.param({"extra_retries": 0}, id="no retry budget"),
+    ],
+)
+def test_stalled_stream_goes_on_if_no_other_attempt_can_begin(monkeypatch, options):
+    """Guards against cutting a stream for a retry that is then not possible."""
+    endpoints = ["e1", "e2"] if options else ["e1"]
+    place = options.pop("place", None)
+    scenario = Scenario(
+        {"e1": PAUSING, "e2": []},
+        endpoints=endpoints,
+        leader=StandInLeader(place),
+        monkeypatch=monkeypatch,
+        **options,
+    ).play()
+    assert scenario.errors == []
+    assert scenario.relayed == [1, 2]
+    assert scenario.is_whole
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+
+
+def take_last_retry(handler):
+    assert handler._retry_budget("s").allow_retry(1650, 1)
+
+
+def test_stalled_stream_goes_on_if_another_request_takes_the_last_retry(monkeypatch):
+    """Guards against cutting a stream whose retry another request used up meanwhile."""
+    scenario = Scenario(
+        {"e1": PAUSING, "e2": COMPLETE},
+        extra_retries=2,
+        leader=StandInLeader(delay_ms=80),
+        monkeypatch=monkeypatch,
+    ).play(actions=[(1720, take_last_retry)])
+    assert scenario.errors == []
+    assert scenario.relayed == [1, 2]
+    assert scenario.is_whole
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+
+
+def test_stalled_call_is_answered_if_no_other_attempt_can_begin(monkeypatch):
+    """Guards against a 502 for a call that its endpoint still works on."""
+    answer = b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\ncontent-length: 2\r\n\r\nok"
+    scenario = Scenario(
+        {"e1": [(4000, answer)]},
+        kind=RetrySafety.IDEMPOTENT,
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.status == 200
+
+
+def test_stalled_stream_resumes_elsewhere_after_the_end_of_its_attempt(monkeypatch):
+    """Guards against an endpoint that still works on a request that runs elsewhere."""
+    scenario = Scenario({"e1": STALLED, "e2": COMPLETE}, monkeypatch=monkeypatch).play()
+    assert scenario.relayed == [1, 2]
+    assert scenario.is_whole
+    first, second = scenario.run_of("e1"), scenario.run_of("e2")
+    assert first.transport.end == "reset"
+    assert first.transport.ended_s <= second.begun_s
+    assert b"last-event-id: 1\r\n" in second.head.lower()
+    assert scenario.leader.unresponsive == ["e1"]
+
+
+def test_event_that_arrives_while_a_retry_is_prepared_is_relayed_at_once(monkeypatch):
+    """Guards against events that wait for a retry, and against a needless retry."""
+    script = [*STALLED, (1650, event(2)), (1700, END)]
+    scenario = Scenario(
+        {"e1": script, "e2": COMPLETE},
+        connect_ms={"e2": 200},
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.relayed == [1, 2]
+    assert scenario.relayed_at_ms(2) == 1651
+    assert scenario.is_whole
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+    assert scenario.pool.opened == ["e1", "e2"]
+    assert sorted(scenario.pool.kept) == ["e1", "e2"]
+    assert scenario.leader.unresponsive == []
+
+
+def test_stream_whose_endpoint_ends_while_a_retry_is_prepared_is_resumed(monkeypatch):
+    scenario = Scenario(
+        {"e1": [*STALLED, (1650, CLOSE)], "e2": COMPLETE},
+        connect_ms={"e2": 200},
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.errors == []
+    assert scenario.relayed == [1, 2]
+    assert scenario.is_whole
+
+
+def test_nothing_is_sent_for_a_caller_that_left_while_a_retry_was_prepared(monkeypatch):
+    """Guards against endpoints that begin to work for callers that have left."""
+    scenario = Scenario(
+        {"e1": STALLED, "e2": COMPLETE},
+        connect_ms={"e2": 200},
+        monkeypatch=monkeypatch,
+    ).play(leave_ms=1700)
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+    assert scenario.run_of("e1").transport.ended_s == pytest.approx(1.7)
+    assert scenario.pool.kept == ["e2"]
+
+
+@pytest.mark.parametrize("is_queued", [True, False])
+def test_prompt_queued_at_its_engine_is_not_moved(monkeypatch, is_queued):
+    """Guards against a second prefill of a prompt that waits for its engine."""
+    scenario = Scenario(
+        {"e1": [(6000, HEAD + event(2) + END)], "e2": COMPLETE},
+        leader=StandInLeader(is_queued=is_queued),
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.is_whole
+    expected = ["e1"] if is_queued else ["e1", "e2"]
+    assert [run.endpoint for run in scenario.pool.runs] == expected
+
+
+def test_stalled_attempt_logs_why_it_goes_on(monkeypatch):
+    scenario = Scenario(
+        {"e1": PAUSING, "e2": []}, unreachable=["e2"], monkeypatch=monkeypatch
+    ).play()
+    assert [line["obstacle"] for line in scenario.lines(8953)] == [
+        "not_connected",
+        "no_endpoint",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("options", "reason"),
+    [
+        ({}, "no_endpoint"),
+        ({"place": place_hopelessly}, "hopeless"),
+        ({"extra_retries": 0}, "retry_budget"),
+        ({"max_attempts": 1}, "last_attempt"),
+    ],
+)
+def test_stream_that_cannot_be_resumed_is_cut_with_its_reason(
+    monkeypatch, options, reason
+):
+    """Guards against a second response on a stream, which ends in an exception."""
+    place = options.pop("place", None)
+    scenario = Scenario(
+        {"e1": [*STALLED, (500, CLOSE)], "e2": []},
+        endpoints=["e1", "e2"] if place or options else ["e1"],
+        leader=StandInLeader(place),
+        monkeypatch=monkeypatch,
+        **options,
+    ).play()
+    assert scenario.errors == []
+    assert scenario.caller.end == "reset"
+    assert scenario.relayed == [1]
+    (line,) = scenario.lines(8951)
+    assert (line["status"], line["is_cut"], line["reason"]) == (200, True, reason)
+    assert (line["first_ms"], line["events"], line["left_ms"]) == (101, 1, 11_499)
+
+
+def test_request_of_a_caller_that_left_before_a_retry_is_logged(monkeypatch):
+    """Guards against requests that end without a log line."""
+    scenario = Scenario(
+        {"e1": [(400, CLOSE)]},
+        leader=StandInLeader(delay_ms=50),
+        monkeypatch=monkeypatch,
+    ).play(leave_ms=480)
+    assert scenario.pool.runs[0].endpoint == "e1"
+    (line,) = scenario.lines(8951)
+    assert (line["status"], line["note"]) == (0, "caller disconnected")
+
+
+def test_refusal_with_an_endless_body_does_not_hold_the_request(monkeypatch):
+    """Guards against a retry that waits until the deadline for the end of a refusal."""
+    refusal = HEAD.replace(b"200 OK", b"503 Busy").replace(
+        b"\r\n\r\n", b"\r\nnot-executed: 1\r\n\r\n"
+    )
+    body = [(100 * number, event(number)) for number in range(1, 100)]
+    scenario = Scenario(
+        {"e1": [(10, refusal), *body], "e2": COMPLETE}, monkeypatch=monkeypatch
+    ).play()
+    assert scenario.is_whole
+    limit_s = attempt.CONNECT_TIMEOUT_MS / 1000
+    assert scenario.run_of("e2").begun_s <= scenario.run_of("e1").begun_s + 2 * limit_s
+
+
+def test_connection_that_never_opens_does_not_hold_the_request(monkeypatch):
+    """Guards against requests without an answer when a connect reports no result."""
+    scenario = Scenario(
+        {"e1": [], "e2": COMPLETE}, hanging=["e1"], monkeypatch=monkeypatch
+    ).play()
+    assert scenario.is_whole
+    (line,) = scenario.lines(8952)
+    assert (line["end"], line["limit"]) == ("not_sent", "connect")
+    assert [run.endpoint for run in scenario.pool.runs] == ["e2"]
--- a/mustardtrack/process/tests/test_planned_stop.py
+++ b/mustardtrack/process/tests/test_planned_stop.py
@@ -225,4 +225,4 @@
     assert ended["late-new"]["stopping_ms"] >= 3900
     assert ended["early"]["stopping_ms"] >= 5900
     assert ended["warm"]["stopping_ms"] is None
-    assert len(log_lines(hosts, 8953)) == 1
+    assert len(log_lines(hosts, 8954)) == 1
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -4,7 +4,7 @@
 limits retries on a route that does not allow a request to run more than once.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from mustardtrack.configuration.routes import Route
@@ -44,6 +44,16 @@
     FAIL = "fail"
 
 
+class RetryObstacle(Enum):
+    """Reason why a stalled attempt goes on instead of being retried elsewhere."""
+
+    QUEUED = "queued"
+    RETRY_BUDGET = "retry_budget"
+    NO_ENDPOINT = "no_endpoint"
+    HOPELESS = "hopeless"
+    NOT_CONNECTED = "not_connected"
+
+
 _MAY_HAVE_RUN = {
     AttemptFailure.FAILED,
     AttemptFailure.CONNECTION_LOST,
@@ -59,18 +69,33 @@
         sends: Attempts for which bytes were sent to an endpoint.
         may_have_run: Whether an endpoint can have started to run the request.
         possible_runs: Number of attempts that may have run the request.
+        tried: Endpoints that the request was sent to or that could not be reached.
         resume_after: Id of the last event that the caller received, None before the
             first.
         placement: Placement advice for the current attempt, None if the router
             selected the endpoint itself.
+        status: Status that the caller received, 0 before the response.
+        first_ms: Time from arrival of the request to the first relayed byte of the
+            response, None before it.
+        events: Events of a stream that were relayed.
     """
 
     route: Route
     sends: int = 0
     may_have_run: bool = False
     possible_runs: int = 0
+    tried: list[str] = field(default_factory=list)
     resume_after: bytes | None = None
     placement: Placement | None = None
+    status: int = 0
+    first_ms: int | None = None
+    events: int = 0
+
+    def record_relayed(self, status: int, elapsed_ms: int, events: int = 0) -> None:
+        """Record that a part of the response was relayed to the caller."""
+        if self.first_ms is None:
+            self.status, self.first_ms = status, elapsed_ms
+        self.events += events
 
     def record_send(self) -> None:
         """Count a send.
