Bound the bytes of an endpoint's response

What callers saw: requests to an endpoint that sent without end were held past their deadline, and the router's memory and processor time grew until then.

Cause: UpstreamConnection measured only the time between two events of a response. Bodies were queued and kept without a limit; informational responses, the body of a response to another request and chunk framing produced no event, so that they were parsed until the caller's deadline.

Ruled out: heads and trailers without end, a single chunk extension and bytes that are not HTTP end at 64 KiB in h11, and more than four responses to other requests end the attempt; the test holds them too.

Change: limits on the body, on bytes outside of it, on informational responses, on the discarded response and on chunks (16,384, and 1,000 more in each second). An excess aborts the connection, queues ResponseInterrupted with the reason and logs events 8991 to 8996, each with its counter. The data of one segment is one event, so that small chunks take no memory of their own.

Evidence: test_endless_responses.py, one client process for each kind, deadline 2 s. Proper responses up to the limits stay whole (test_upstream.py).

Conclusion: the limit of 4 MiB holds for streams too, until the caller side applies back-pressure.

--- /dev/null
+++ b/mustardtrack/adapters/tests/test_endless_responses.py
@@ -0,0 +1,160 @@
+"""Guards against endpoints whose responses never end.
+
+The stand-in sends until its peer closes. Each run has a client process of its own,
+whose peak memory and processor time are those of one response.
+"""
+
+import socket
+import threading
+
+import pytest
+
+# Time that the caller of the request would wait.
+DEADLINE_S = 2.0
+# A router may use 128 MB, about half of which its libraries need.
+MAX_GROWTH_BYTES = 32 * 1024 * 1024
+# Bounds the client if it reads without a limit.
+CLIENT_ADDRESS_SPACE_BYTES = 1024 * 1024 * 1024
+
+
+class EndlessServer:
+    """Server that answers each connection with a head and then parts without end.
+
+    Args:
+        head: Sent once.
+        part: Repeated until the peer closes.
+        is_early: Whether it sends before it has received a request.
+
+    Attributes:
+        closed: Set once a peer has closed its connection.
+    """
+
+    def __init__(self, head: bytes, part: bytes, is_early: bool = False):
+        self._head = head
+        self._parts = part * max(1, 16_384 // len(part))
+        self._is_early = is_early
+        self.closed = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            connection, _ = self._listener.accept()
+            threading.Thread(target=self._send, args=[connection], daemon=True).start()
+
+    def _send(self, connection: socket.socket) -> None:
+        try:
+            if not self._is_early:
+                connection.recv(4096)
+            connection.sendall(self._head)
+            while True:
+                connection.sendall(self._parts)
+        except OSError:
+            self.closed.set()
+
+
+MEASURE = """
+    import resource
+    from mustardtrack.adapters.upstream import (
+        ConnectError, ConnectionBrokenError, ConnectionPool, ResponseData,
+        ResponseEnd, ResponseInterrupted)
+    LIMIT = int(sys.argv[2])
+    resource.setrlimit(resource.RLIMIT_AS, (LIMIT, LIMIT))
+
+    def peak_bytes():
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+
+    async def measure(read):
+        pool = ConnectionPool(reactor)
+        clock = asyncio.get_running_loop().time
+        before, started_s = peak_bytes(), clock()
+        try:
+            outcome = await read(pool, sys.argv[1], started_s + float(sys.argv[3]))
+        except MemoryError:
+            outcome = "out of memory"
+        elapsed_s = clock() - started_s
+        await asyncio.sleep(0.2)
+        return {"outcome": outcome, "elapsed_s": elapsed_s,
+                "growth_bytes": peak_bytes() - before,
+                "open": pool.open_count(sys.argv[1])}
+"""
+
+# Reads as the attempts of a router do: all parts of the response are kept.
+READ_RESPONSE = (
+    MEASURE
+    + """
+    async def read(pool, address, deadline_s):
+        clock = asyncio.get_running_loop().time
+        connection = await pool.open(address, 1.0)
+        headers = [(b"host", b"e"), (b"x-id", b"r1")]
+        connection.send(b"GET", b"/", headers, b"", b"x-id", b"r1")
+        parts = []
+        while (left_s := deadline_s - clock()) > 0:
+            event = await connection.next_event(left_s)
+            if isinstance(event, ResponseData):
+                parts.append(event.data)
+            if isinstance(event, ResponseInterrupted):
+                return event.reason
+            if isinstance(event, ResponseEnd):
+                return "complete"
+        return "held until the deadline"
+    run(lambda: measure(read))
+"""
+)
+
+OK = b"HTTP/1.1 200 OK\r\n"
+OWN_ID = b"x-id: r1\r\n"
+OTHER_ID = b"x-id: r0\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_LENGTH = b"Content-Length: 1000000000000\r\n\r\n"
+EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
+KIB = b"x" * 1024
+CHUNK = b"400\r\n" + KIB + b"\r\n"
+EMPTY_OTHER_RESPONSE = OK + OTHER_ID + b"Content-Length: 0\r\n\r\n"
+ENDLESS_RESPONSES = {
+    "bytes that are not HTTP": (b"", KIB),
+    "status line": (b"HTTP/1.1 200 O", b"K"),
+    "header line": (OK + b"x-filler: ", KIB),
+    "header lines": (OK, b"x-filler: x\r\n"),
+    "informational responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "body with a length": (OK + OWN_ID + ENDLESS_LENGTH, KIB),
+    "body without a length": (OK + OWN_ID + b"\r\n", KIB),
+    "chunked body": (OK + OWN_ID + CHUNKED, CHUNK),
+    "chunks of two bytes": (OK + OWN_ID + CHUNKED, b"2\r\nxx\r\n"),
+    "chunk extension": (OK + OWN_ID + CHUNKED + b"1;", KIB),
+    "chunk extensions": (OK + OWN_ID + CHUNKED, b"1;" + KIB + b"\r\nx\r\n"),
+    "trailers": (OK + OWN_ID + CHUNKED + b"0\r\n", b"x-filler: x\r\n"),
+    "response to another request": (OK + OTHER_ID + ENDLESS_LENGTH, KIB),
+    "chunked response to another request": (OK + OTHER_ID + CHUNKED, CHUNK),
+    "responses to other requests": (b"", EMPTY_OTHER_RESPONSE),
+    "event without an end": (
+        OK + OWN_ID + EVENT_STREAM + b"\r\n",
+        b"data: " + KIB + b"\n",
+    ),
+    "events without end": (
+        OK + OWN_ID + EVENT_STREAM + CHUNKED,
+        b"10\r\nid: 1\ndata: ab\n\n\r\n",
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS_RESPONSES)
+def test_endless_response_is_interrupted_before_the_deadline(run_on_reactor, kind):
+    """Guards against requests held past their deadline and exhausted memory."""
+    server = EndlessServer(*ENDLESS_RESPONSES[kind])
+    result = run_on_reactor(
+        READ_RESPONSE,
+        server.address,
+        str(CLIENT_ADDRESS_SPACE_BYTES),
+        str(DEADLINE_S),
+    )
+    assert result["outcome"] not in (
+        "complete",
+        "held until the deadline",
+        "out of memory",
+    ), result
+    assert result["elapsed_s"] < DEADLINE_S, result
+    assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
+    assert result["open"] == 0, result
+    assert server.closed.wait(5)
--- a/mustardtrack/adapters/tests/test_upstream.py
+++ b/mustardtrack/adapters/tests/test_upstream.py
@@ -241,3 +241,69 @@
         assert pool.take("e") is connections[1]
 
     run_scenario(scenario)
+
+
+def encode_chunks(parts):
+    head = b"HTTP/1.1 200 OK\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n"
+    chunks = [b"%x\r\n%b\r\n" % (len(part), part) for part in parts]
+    return head + b"".join(chunks) + b"0\r\n\r\n"
+
+
+LARGEST_BODY = b"x" * upstream.MAX_RESPONSE_BODY_BYTES
+EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(800)]
+WHOLE_RESPONSES = {
+    "largest body with a length": (encode_response(b"r1", LARGEST_BODY), LARGEST_BODY),
+    "largest body in chunks": (
+        encode_chunks([LARGEST_BODY[:65_536]] * 64),
+        LARGEST_BODY,
+    ),
+    "service answer in chunks of one byte": (
+        encode_chunks([b"x"] * 5000),
+        b"x" * 5000,
+    ),
+    "stream of events": (encode_chunks(EVENTS), b"".join(EVENTS)),
+    "after informational responses": (
+        b"HTTP/1.1 102 Processing\r\n\r\n" * upstream.MAX_INFORMATIONAL_RESPONSES
+        + encode_response(b"r1"),
+        b"ok",
+    ),
+    "after the largest response to another request": (
+        encode_response(b"r0", LARGEST_BODY) + encode_response(b"r1"),
+        b"ok",
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", WHOLE_RESPONSES)
+@pytest.mark.parametrize("segment_bytes", [1460, 65_536])
+def test_proper_response_within_the_limits_is_whole(kind, segment_bytes):
+    """Guards against limits that cut proper responses."""
+    response, body = WHOLE_RESPONSES[kind]
+
+    async def scenario():
+        connection = connect()
+        send(connection)
+        received = []
+        for start in range(0, len(response), segment_bytes):
+            connection.dataReceived(response[start : start + segment_bytes])
+        while not isinstance(event := await connection.next_event(0.2), ResponseEnd):
+            assert isinstance(event, ResponseHead | ResponseData), event
+            if isinstance(event, ResponseData):
+                received.append(event.data)
+        assert b"".join(received) == body
+        assert connection.is_reusable
+
+    run_scenario(scenario)
+
+
+def test_limits_start_anew_with_each_request():
+    """Guards against kept connections that are aborted for earlier responses."""
+
+    async def scenario():
+        connection = connect()
+        for _ in range(3):
+            send(connection)
+            connection.dataReceived(encode_response(b"r1", LARGEST_BODY))
+            assert isinstance((await read_all(connection))[-1], ResponseEnd)
+
+    run_scenario(scenario)
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -17,6 +17,8 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 
+from mustardtrack.logs import Event, define_event, log_event
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 # A connection counts as dead if sent data is not acknowledged within this time.
@@ -29,9 +31,34 @@
 # connection at least this long.
 MIN_KEEP_ALIVE_S = 0.2
 MAX_HEADER_BYTES = 65_536
+# A response body may be as large as the largest body that callers may send.
+MAX_RESPONSE_BODY_BYTES = 4_194_304
+# A response may have this many bytes outside of its body, and as many more as its
+# body has, for chunks as small as single tokens.
+MAX_FRAMING_BYTES = 2 * MAX_HEADER_BYTES
+MAX_INFORMATIONAL_RESPONSES = 16
+# Each chunk takes processor time. Services may chunk finely; over time, no engine
+# makes more tokens than this for one request.
+MAX_CHUNK_BURST = 16_384
+MAX_CHUNKS_PER_S = 1000
 # Late responses to earlier requests that may precede the expected response.
 MAX_MISMATCHED_RESPONSES = 4
 
+RESPONSE_MALFORMED = define_event(
+    8991, "WARNING", "response aborted: it is malformed or its head is too large"
+)
+BODY_TOO_LARGE = define_event(8992, "WARNING", "response aborted: body too large")
+TOO_MUCH_FRAMING = define_event(
+    8993, "WARNING", "response aborted: too many bytes outside of its body"
+)
+TOO_MANY_INFORMATIONAL = define_event(
+    8994, "WARNING", "response aborted: too many informational responses"
+)
+OTHER_RESPONSE_TOO_LARGE = define_event(
+    8995, "WARNING", "response aborted: response to another request too large"
+)
+TOO_MANY_CHUNKS = define_event(8996, "WARNING", "response aborted: too many chunks")
+
 
 class ConnectError(Exception):
     """The connection could not be opened; nothing was sent."""
@@ -87,11 +114,13 @@
         ready: Resolved once the connection is open.
         on_lost: Called once when an open connection is lost.
         idle_before_request_s: Idle time of the connection before the current request.
+        address: Address of the endpoint, for logs.
     """
 
     transport: Any
 
-    def __init__(self) -> None:
+    def __init__(self, address: str = "") -> None:
+        self.address = address
         self._http = self._new_http()
         self._events: deque[ResponseEvent] = deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -99,7 +128,7 @@
         self._expected_id: bytes | None = None
         self._id_header = b""
         self._is_discarding = False
-        self._mismatched_count = 0
+        self._reset_sizes()
         self.ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since_s = 0.0
@@ -113,6 +142,15 @@
     def _new_http() -> h11.Connection:
         return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
 
+    def _reset_sizes(self) -> None:
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._discarded_bytes = 0
+        self._informational_count = 0
+        self._chunk_count = 0
+        self._mismatched_count = 0
+        self._sent_s = asyncio.get_running_loop().time()
+
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options and resolve ``ready``."""
         handle = self.transport.getHandle()
@@ -140,7 +178,7 @@
             self._http = self._new_http()
         self._events.clear()
         self._is_discarding = False
-        self._mismatched_count = 0
+        self._reset_sizes()
         self._id_header = id_header
         self._expected_id = expected_id
         self.requests_sent += 1
@@ -179,11 +217,17 @@
             self.is_reusable = False
             self.transport.abortConnection()
             return
+        self._received_bytes += len(data)
         try:
             self._http.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as error:
+            log_event(RESPONSE_MALFORMED, address=self.address, error=str(error))
             self._interrupt_response(f"protocol error: {error}")
+            return
+        body_bytes = self._body_bytes + self._discarded_bytes
+        if self._received_bytes - body_bytes > MAX_FRAMING_BYTES + body_bytes:
+            self._abort_response(TOO_MUCH_FRAMING)
 
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
         """End the response; one without a length is complete after a clean close."""
@@ -202,6 +246,18 @@
         if self.on_lost is not None:
             self.on_lost()
 
+    def _abort_response(self, event: Event) -> None:
+        """Abort a response that exceeds a limit."""
+        if self._request is None:
+            return
+        log_event(
+            event,
+            address=self.address,
+            received_bytes=self._received_bytes,
+            body_bytes=self._body_bytes,
+        )
+        self._interrupt_response(event.text)
+
     def _interrupt_response(self, reason: str) -> None:
         self.is_reusable = False
         self._request = None
@@ -209,21 +265,57 @@
         self.transport.abortConnection()
 
     def _read_events(self) -> None:
-        while self._request is not None:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if isinstance(event, h11.Response):
-                self._begin_response(event)
-            elif isinstance(event, h11.Data):
-                if not self._is_discarding:
-                    self._queue_event(ResponseData(bytes(event.data)))
-            elif isinstance(event, h11.EndOfMessage):
-                self._end_response()
-            else:
-                return
+        # The data of one segment becomes one event, however small its chunks are.
+        parts: list[bytes] = []
+        try:
+            while self._request is not None:
+                event = self._http.next_event()
+                if isinstance(event, h11.Data):
+                    self._receive_body(event, parts)
+                    continue
+                self._queue_data(parts)
+                if isinstance(event, h11.InformationalResponse):
+                    self._informational_count += 1
+                    if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
+                        self._abort_response(TOO_MANY_INFORMATIONAL)
+                elif isinstance(event, h11.Response):
+                    self._begin_response(event)
+                elif isinstance(event, h11.EndOfMessage):
+                    self._end_response()
+                else:
+                    return
+        except h11.RemoteProtocolError:
+            self._queue_data(parts)
+            raise
+
+    def _receive_body(self, event: h11.Data, parts: list[bytes]) -> None:
+        """Append data to ``parts`` unless its response is discarded."""
+        data = bytes(event.data)
+        self._chunk_count += event.chunk_start
+        if self._chunk_count > MAX_CHUNK_BURST and self._is_chunk_rate_exceeded():
+            self._queue_data(parts)
+            self._abort_response(TOO_MANY_CHUNKS)
+            return
+        if self._is_discarding:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > MAX_RESPONSE_BODY_BYTES:
+                self._abort_response(OTHER_RESPONSE_TOO_LARGE)
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
+            self._queue_data(parts)
+            self._abort_response(BODY_TOO_LARGE)
+            return
+        parts.append(data)
+
+    def _is_chunk_rate_exceeded(self) -> bool:
+        elapsed_s = asyncio.get_running_loop().time() - self._sent_s
+        return self._chunk_count > MAX_CHUNK_BURST + MAX_CHUNKS_PER_S * elapsed_s
+
+    def _queue_data(self, parts: list[bytes]) -> None:
+        if parts:
+            self._queue_event(ResponseData(b"".join(parts)))
+            parts.clear()
 
     def _begin_response(self, event: h11.Response) -> None:
         head = ResponseHead(event.status_code, list(event.headers))
@@ -320,7 +412,7 @@
     Raises:
         ConnectError: If the connection is not open within the timeout.
     """
-    connection = UpstreamConnection()
+    connection = UpstreamConnection(f"{host}:{port}")
     connector = reactor.connectTCP(
         host, port, _SingleConnectionFactory(connection), timeout=timeout_s
     )
