Accept every line end of the event stream format

What callers saw: nothing until the end of a stream whose engine ends its lines with CRLF or CR. Its events were held back as one, so that the attempt saw no first event, and nothing could be resumed.

Cause: EventStreamSplitter knew two LFs as the only end of an event. The format allows CRLF, LF and CR, also mixed.

Change: an event ends with an empty line, whichever way its lines end. A search starts where the previous one ended, not at the start of the incomplete event.

--- a/mustardtrack/requests/event_stream.py
+++ b/mustardtrack/requests/event_stream.py
@@ -4,10 +4,30 @@
 last event that the caller received.
 """
 
-_EVENT_DELIMITER = b"\n\n"
+import re
+
+# A line ends with CRLF, LF or CR, and an empty line ends an event. The CR of a CRLF
+# need not match, since the LF does.
+_EVENT_END = re.compile(rb"(?:\n|\r(?!\n))(?:\r\n|\r|\n)")
+# An end of an event may begin this many bytes before the data that completes it.
+MAX_SPLIT_END_BYTES = 2
+_LINE_END = re.compile(rb"\r\n|\r|\n")
 _ID_FIELD = b"id:"
 
 
+def find_last_event_end(data: bytes, start: int = 0) -> int:
+    r"""Return the position after the last event that ends after ``start``, or 0.
+
+    Examples:
+        >>> find_last_event_end(b"data: a\r\n\r\ndata")
+        11
+    """
+    end = 0
+    for match in _EVENT_END.finditer(data, start):
+        end = match.end()
+    return end
+
+
 class EventStreamSplitter:
     r"""Buffers the bytes of an event stream and returns complete events.
 
@@ -31,11 +51,11 @@
 
     def feed(self, data: bytes) -> bytes:
         """Append data and return the events that it completes, possibly none."""
+        start = max(0, len(self.rest) - MAX_SPLIT_END_BYTES)
         self.rest += data
-        end = self.rest.rfind(_EVENT_DELIMITER)
-        if end < 0:
+        end = find_last_event_end(self.rest, start)
+        if not end:
             return b""
-        end += len(_EVENT_DELIMITER)
         events, self.rest = self.rest[:end], self.rest[end:]
         self._update_last_id(events)
         return events
@@ -45,7 +65,7 @@
         self.rest = b""
 
     def _update_last_id(self, events: bytes) -> None:
-        for line in reversed(events.split(b"\n")):
+        for line in reversed(_LINE_END.split(events)):
             if line.startswith(_ID_FIELD):
                 self.last_event_id = line[len(_ID_FIELD) :].strip()
                 return
