Pause reading from endpoints that are faster than their callers

What callers saw: an endpoint in trouble that sends faster than its response is read filled the router's memory, up to the body limit for each connection; a stream whose event never ends was kept up to that limit and held its caller until then.

Cause: UpstreamConnection queued what arrived, whether or not the events before were read, and did not know where an event of a stream ends.

Change: reading from the endpoint's transport pauses while more than 256 KiB is unread and resumes at half of that, or when the next request is sent. An event of a text/event-stream may have 256 KiB; a larger one aborts the connection with ResponseInterrupted and event 8997.

Events up to the limit stay whole in segments of 7, 1,460 and 65,536 bytes.

Not covered: the write buffer of the caller's connection, which Exchange.write fills without back-pressure; the body limit bounds it at 4 MiB a response.

--- a/mustardtrack/adapters/tests/test_endless_responses.py
+++ b/mustardtrack/adapters/tests/test_endless_responses.py
@@ -158,3 +158,30 @@
     assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
     assert result["open"] == 0, result
     assert server.closed.wait(5)
+
+
+# The caller of each request is slower than its endpoint.
+LEAVE_UNREAD = (
+    MEASURE
+    + """
+    async def read(pool, address, deadline_s):
+        for _ in range(20):
+            connection = await pool.open(address, 1.0)
+            connection.send(b"GET", b"/", [(b"host", b"e")], b"")
+        await asyncio.sleep(1.0)
+        return "unread"
+    run(lambda: measure(read))
+"""
+)
+
+
+def test_unread_responses_take_little_memory(run_on_reactor):
+    """Guards against memory filled by endpoints that are faster than the callers."""
+    server = EndlessServer(*ENDLESS_RESPONSES["body with a length"])
+    result = run_on_reactor(
+        LEAVE_UNREAD,
+        server.address,
+        str(CLIENT_ADDRESS_SPACE_BYTES),
+        str(DEADLINE_S),
+    )
+    assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
--- a/mustardtrack/adapters/tests/test_upstream.py
+++ b/mustardtrack/adapters/tests/test_upstream.py
@@ -29,6 +29,7 @@
     def __init__(self):
         self.written = b""
         self.closed = ""
+        self.is_paused = False
 
     def getHandle(self):  # noqa: N802
         """Return the socket."""
@@ -38,6 +39,14 @@
         """Record the data."""
         self.written += data
 
+    def pauseProducing(self):  # noqa: N802
+        """Record that reading is paused."""
+        self.is_paused = True
+
+    def resumeProducing(self):  # noqa: N802
+        """Record that reading is resumed."""
+        self.is_paused = False
+
     def loseConnection(self):  # noqa: N802
         """Record a normal close."""
         self.closed = "closed"
@@ -307,3 +316,88 @@
             assert isinstance((await read_all(connection))[-1], ResponseEnd)
 
     run_scenario(scenario)
+
+
+def encode_event_stream(length):
+    head = b"HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\n"
+    return head + b"content-length: %d\r\n\r\n" % length
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_event_without_an_end_interrupts_the_stream(line_end):
+    """Guards against a router that keeps an event in memory until it ends."""
+
+    async def scenario():
+        connection = connect()
+        send(connection)
+        connection.dataReceived(encode_event_stream(10**9))
+        line = b"data: " + b"x" * 1000 + line_end
+        for _ in range(upstream.MAX_EVENT_BYTES // len(line) + 1):
+            connection.dataReceived(line)
+        assert connection.transport.closed == "aborted"
+        last = (await read_all(connection))[-1]
+        assert last == ResponseInterrupted("response aborted: event too large")
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("segment_bytes", [7, 1460, 65_536])
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_events_within_the_limit_are_whole(line_end, segment_bytes):
+    """Guards against event limits that cut long streams of proper events."""
+    largest = b"data: " + b"x" * (upstream.MAX_EVENT_BYTES - 20) + line_end * 2
+    small = b"data: x" + line_end * 2
+    body = largest + small * 20 + largest
+
+    async def scenario():
+        connection = connect()
+        send(connection)
+        connection.dataReceived(encode_event_stream(len(body)))
+        for start in range(0, len(body), segment_bytes):
+            connection.dataReceived(body[start : start + segment_bytes])
+        assert isinstance((await read_all(connection))[-1], ResponseEnd)
+
+    run_scenario(scenario)
+
+
+def test_reading_pauses_while_much_of_a_response_is_unread():
+    """Guards against memory filled by an endpoint faster than its caller."""
+
+    async def scenario():
+        connection = connect()
+        send(connection)
+        segment = b"x" * 16_384
+        length = 3 * upstream.MAX_UNREAD_BYTES
+        head = b"HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: %d\r\n\r\n"
+        connection.dataReceived(head % length)
+        sent = received = 0
+        while received < length:
+            while sent < length and not connection.transport.is_paused:
+                connection.dataReceived(segment)
+                sent += len(segment)
+            assert sent - received <= upstream.MAX_UNREAD_BYTES + len(segment)
+            event = await connection.next_event(0.2)
+            assert event is not None, "reading was not resumed"
+            received += len(event.data) if isinstance(event, ResponseData) else 0
+        assert (await read_all(connection)) == [ResponseEnd()]
+        assert connection.is_reusable
+        assert not connection.transport.is_paused
+
+    run_scenario(scenario)
+
+
+def test_reading_resumes_for_the_next_request():
+    """Guards against a kept connection that is never read again."""
+
+    async def scenario():
+        connection = connect()
+        send(connection)
+        body = b"x" * 2 * upstream.MAX_UNREAD_BYTES
+        connection.dataReceived(encode_response(b"r1", body))
+        assert connection.transport.is_paused
+        send(connection, b"r2")
+        assert not connection.transport.is_paused
+        connection.dataReceived(encode_response(b"r2"))
+        assert isinstance((await read_all(connection))[-1], ResponseEnd)
+
+    run_scenario(scenario)
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -18,6 +18,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 
 from mustardtrack.logs import Event, define_event, log_event
+from mustardtrack.requests.event_stream import MAX_SPLIT_END_BYTES, find_last_event_end
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -36,11 +37,16 @@
 # A response may have this many bytes outside of its body, and as many more as its
 # body has, for chunks as small as single tokens.
 MAX_FRAMING_BYTES = 2 * MAX_HEADER_BYTES
+# Longest event of an event stream; an event has a few tokens.
+MAX_EVENT_BYTES = 262_144
+# Reading pauses while more than this is unread, and resumes at half of it.
+MAX_UNREAD_BYTES = 262_144
 MAX_INFORMATIONAL_RESPONSES = 16
 # Each chunk takes processor time. Services may chunk finely; over time, no engine
 # makes more tokens than this for one request.
 MAX_CHUNK_BURST = 16_384
 MAX_CHUNKS_PER_S = 1000
+EVENT_STREAM_TYPE = b"text/event-stream"
 # Late responses to earlier requests that may precede the expected response.
 MAX_MISMATCHED_RESPONSES = 4
 
@@ -57,6 +63,7 @@
 OTHER_RESPONSE_TOO_LARGE = define_event(
     8995, "WARNING", "response aborted: response to another request too large"
 )
+EVENT_TOO_LARGE = define_event(8997, "WARNING", "response aborted: event too large")
 TOO_MANY_CHUNKS = define_event(8996, "WARNING", "response aborted: too many chunks")
 
 
@@ -128,6 +135,9 @@
         self._expected_id: bytes | None = None
         self._id_header = b""
         self._is_discarding = False
+        self._is_event_stream = False
+        self._is_paused = False
+        self._unread_bytes = 0
         self._reset_sizes()
         self.ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
@@ -148,6 +158,8 @@
         self._discarded_bytes = 0
         self._informational_count = 0
         self._chunk_count = 0
+        self._event_bytes = 0
+        self._event_tail = b""
         self._mismatched_count = 0
         self._sent_s = asyncio.get_running_loop().time()
 
@@ -177,6 +189,7 @@
         if self.requests_sent:
             self._http = self._new_http()
         self._events.clear()
+        self._count_read(self._unread_bytes)
         self._is_discarding = False
         self._reset_sizes()
         self._id_header = id_header
@@ -203,9 +216,18 @@
                 handle.cancel()
                 self._waiter = None
         if self._events:
-            return self._events.popleft()
+            event = self._events.popleft()
+            if isinstance(event, ResponseData):
+                self._count_read(len(event.data))
+            return event
         return ResponseInterrupted("closed") if self.is_lost else None
 
+    def _count_read(self, size: int) -> None:
+        self._unread_bytes -= size
+        if self._is_paused and self._unread_bytes <= MAX_UNREAD_BYTES // 2:
+            self._is_paused = False
+            self.transport.resumeProducing()
+
     def wake(self) -> None:
         """Make a waiting ``next_event`` return immediately."""
         _resolve(self._waiter)
@@ -313,9 +335,26 @@
         return self._chunk_count > MAX_CHUNK_BURST + MAX_CHUNKS_PER_S * elapsed_s
 
     def _queue_data(self, parts: list[bytes]) -> None:
-        if parts:
-            self._queue_event(ResponseData(b"".join(parts)))
-            parts.clear()
+        if not parts:
+            return
+        data = b"".join(parts)
+        parts.clear()
+        self._unread_bytes += len(data)
+        if self._unread_bytes > MAX_UNREAD_BYTES and not self._is_paused:
+            self._is_paused = True
+            self.transport.pauseProducing()
+        self._queue_event(ResponseData(data))
+        if self._is_event_stream:
+            self._measure_event(data)
+
+    def _measure_event(self, data: bytes) -> None:
+        """Abort a stream whose current event is too large."""
+        known = self._event_tail + data
+        self._event_tail = known[-MAX_SPLIT_END_BYTES:]
+        end = find_last_event_end(known)
+        self._event_bytes = len(known) - end if end else self._event_bytes + len(data)
+        if self._event_bytes > MAX_EVENT_BYTES:
+            self._abort_response(EVENT_TOO_LARGE)
 
     def _begin_response(self, event: h11.Response) -> None:
         head = ResponseHead(event.status_code, list(event.headers))
@@ -326,6 +365,8 @@
             and echoed_id != self._expected_id
         )
         self._is_discarding = is_mismatched
+        content_type = head.header(b"content-type") or b""
+        self._is_event_stream = content_type.lower().startswith(EVENT_STREAM_TYPE)
         if not is_mismatched:
             self._queue_event(head)
 
