Answer the requests that a planned stop interrupts

Seen: at the forced close (7.2 s after SIGTERM) a router closed all connections with loseConnection. Callers whose request had been sent and had no response yet, or waited for a placement or a connection, got no answer at all; streams in progress ended by a normal close; endpoints noticed only when the process ended. Cause: SeededRouterProcess.stop knew connections, not requests. The forwarder kept no record of what it works on, and its coroutines ran on until the process ended, so that a request could still be sent after its caller had lost the connection. Change: the forwarder registers the task of each open request. interrupt_requests cancels them; each then gets 503 `stopping` if it was never sent, 502 if it was, and a reset if a part of the response was sent. A cancelled attempt aborts its connection. 8951 has the note `interrupted by the planned stop`; 8204 lists request ids. Why it works: cancellation reaches the coroutine wherever it waits, and no send follows it; sends are counted on the request before the first byte, so 503 is sent only if there was none.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -1,5 +1,6 @@
 """One attempt to get the response of an endpoint to a request."""
 
+import asyncio
 import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -100,6 +101,9 @@
         self._exchange.on_disconnect = connection.wake
         try:
             return await self._receive(connection)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
         finally:
             self._exchange.on_disconnect = None
             self._record_first_byte()
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -1,5 +1,6 @@
 """Forwarding of caller requests to endpoints."""
 
+import asyncio
 import random
 from dataclasses import dataclass
 
@@ -24,7 +25,11 @@
 from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.requests.connection_reuse import IdleReuseLimit
 from mustardtrack.requests.forwarding import AttemptFailure, ForwardedRequest, NextStep
-from mustardtrack.requests.shutdown_window import ShutdownWindow
+from mustardtrack.requests.shutdown_window import (
+    InterruptedAnswer,
+    ShutdownWindow,
+    choose_interrupted_answer,
+)
 from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import Prompt, choose_engine
@@ -65,6 +70,7 @@
 
     Attributes:
         deadline_ms: Monotonic time by which it must be answered.
+        progress: Progress of the request across its attempts.
         weights_version: Newest weights version of its model.
         rank: Priority class; the rank of the account overrides that of the route.
     """
@@ -78,6 +84,7 @@
     prompt: Prompt | None
     received_ms: int
     deadline_ms: int
+    progress: ForwardedRequest
     weights_version: int
     rank: int
 
@@ -110,6 +117,7 @@
         self._rng = random.Random()
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
         self._shutdown: ShutdownWindow | None = None
+        self._open: dict[asyncio.Task[None], AdmittedRequest] = {}
 
     def begin_stop(self, window: ShutdownWindow) -> None:
         """Refuse the requests that cannot end within the window."""
@@ -130,8 +138,64 @@
         now_ms = self.clock.now_ms()
         metadata = decode_request_headers(exchange.target, exchange.headers)
         admitted = self._admit(exchange, metadata, now_ms)
-        if admitted is not None:
+        if admitted is None:
+            return
+        task = asyncio.current_task()
+        assert task is not None
+        self._open[task] = admitted
+        try:
             await self._send_with_retries(admitted)
+        except asyncio.CancelledError:
+            self._answer_interrupted(admitted)
+        finally:
+            del self._open[task]
+
+    def open_requests(self) -> list[str]:
+        """Return the ids of the requests whose callers wait for an answer."""
+        return sorted(
+            _request_id(admitted)
+            for admitted in self._open.values()
+            if not admitted.exchange.is_disconnected
+        )
+
+    async def interrupt_requests(self) -> list[str]:
+        """End all open requests with a last answer and return their ids.
+
+        None of them is sent to an endpoint afterwards, and the endpoints that work on
+        them are told to stop by an abort of their connections.
+        """
+        interrupted = self.open_requests()
+        tasks = list(self._open)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return interrupted
+
+    def _answer_interrupted(self, admitted: AdmittedRequest) -> None:
+        exchange, progress = admitted.exchange, admitted.progress
+        self._placements.record_end(_request_id(admitted))
+        left_ms = admitted.deadline_ms - self.clock.now_ms()
+        fields: dict[str, object] = {
+            "route": admitted.route.name,
+            "sends": progress.sends,
+            "left_ms": left_ms,
+            "note": "interrupted by the planned stop",
+        }
+        if exchange.is_disconnected:
+            fields["note"] = "caller disconnected"
+        answer = choose_interrupted_answer(progress.sends, exchange.is_started)
+        if answer is InterruptedAnswer.REFUSE:
+            progress.require_not_run()
+            self._refuse(exchange, admitted.metadata, "stopping", **fields)
+            return
+        if answer is InterruptedAnswer.RESET:
+            self._log_end(request=_request_id(admitted), status=0, **fields)
+            exchange.abort()
+            return
+        self.metrics.count("failure.502")
+        self._log_end(request=_request_id(admitted), status=502, **fields)
+        body = encode_error("the router stopped before the endpoint answered")
+        exchange.respond(502, [JSON_CONTENT_TYPE], body)
 
     def _admit(
         self, exchange: Exchange, metadata: RequestMetadata, now_ms: int
@@ -203,6 +267,7 @@
             prompt=prompt,
             received_ms=now_ms,
             deadline_ms=now_ms + limit_ms,
+            progress=ForwardedRequest(route),
             weights_version=version,
             rank=rank,
         )
@@ -217,7 +282,7 @@
         exchange = admitted.exchange
         budget = self._retry_budget(admitted.service.name)
         budget.record_request(admitted.received_ms)
-        progress = ForwardedRequest(admitted.route)
+        progress = admitted.progress
         tried: list[str] = []
         step = NextStep.RETRY
         reason = "not_run"
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -113,7 +113,7 @@
                 break
             await asyncio.sleep(STOP_POLL_S)
         self._caller_server.stop_listening()
-        interrupted = self.open_requests()
+        interrupted = await self._forwarder.interrupt_requests()
         self._caller_server.close_connections()
         self._readiness_server.stop_listening()
         self._watch_task.cancel()
@@ -133,9 +133,8 @@
         )
 
     def open_requests(self) -> list[str]:
-        """Return the targets of the requests in flight."""
-        open_now = self._caller_server.open_exchanges()
-        return [exchange.target.decode("latin-1") for exchange in open_now]
+        """Return the ids of the requests that are not completely answered."""
+        return self._forwarder.open_requests()
 
     def reload_certificates(self) -> None:
         """Reload the settings; this role uses no certificates."""
--- a/mustardtrack/process/tests/test_planned_stop.py
+++ b/mustardtrack/process/tests/test_planned_stop.py
@@ -226,3 +226,23 @@
     assert ended["early"]["stopping_ms"] >= 5900
     assert ended["warm"]["stopping_ms"] is None
     assert len(log_lines(hosts, 8953)) == 1
+
+
+def test_request_that_outlasts_the_stop_gets_an_explicit_answer(hosts, pool):
+    """Guards against sent requests whose connection is closed without an answer."""
+    hosts.send_signal(ROUTER, signal.SIGTERM)
+    time.sleep(1.0)
+    call = pool.submit(Caller().send, "call", "/call/1", 10.0)
+    cut = pool.submit(Caller().send, "cut", "/stream/1", 10.0)
+    assert call.result()[0] == 502
+    status, error, _ = cut.result()
+    assert status is None
+    assert "IncompleteRead" in error or "ConnectionReset" in error
+    assert hosts.running[ROUTER].wait(timeout=STOP_TIMEOUT_S) == 1
+    answered_s = time.monotonic()
+    assert sorted(SlowEndpoint.disconnected) == ["call", "cut"]
+    assert max(SlowEndpoint.disconnected.values()) < answered_s
+    assert log_lines(hosts, 8204)[0]["interrupted"] == ["call", "cut"]
+    notes = {line["request"]: line["note"] for line in log_lines(hosts, 8951)}
+    assert set(notes) == {"call", "cut"}
+    assert all("planned stop" in note for note in notes.values())
--- a/mustardtrack/requests/shutdown_window.py
+++ b/mustardtrack/requests/shutdown_window.py
@@ -1,6 +1,37 @@
-"""Time window in which a stopping router accepts requests."""
+"""Time window in which a stopping router accepts and answers requests."""
 
 from dataclasses import dataclass
+from enum import Enum
+
+
+class InterruptedAnswer(Enum):
+    """Last answer to a request that outlasts a planned stop.
+
+    ``REFUSE`` promises that the request has not run and never will; ``FAIL`` promises
+    nothing; ``RESET`` keeps a part of a response from looking complete.
+    """
+
+    REFUSE = "refuse"
+    FAIL = "fail"
+    RESET = "reset"
+
+
+def choose_interrupted_answer(sends: int, is_started: bool) -> InterruptedAnswer:
+    """Return the answer to a request that is still open at the end of a planned stop.
+
+    Args:
+        sends: Number of times that the request was sent to an endpoint.
+        is_started: Whether a part of a response was sent to the caller.
+
+    Examples:
+        >>> choose_interrupted_answer(sends=0, is_started=False).name
+        'REFUSE'
+        >>> choose_interrupted_answer(sends=1, is_started=False).name
+        'FAIL'
+    """
+    if is_started:
+        return InterruptedAnswer.RESET
+    return InterruptedAnswer.FAIL if sends else InterruptedAnswer.REFUSE
 
 
 @dataclass(frozen=True)
