Send whole responses before a stopping router ends

Seen: a caller that reads slowly got a part of its response, and the router exited with 0 and the line `process stopped, no request was interrupted`. Cause: open_exchanges counts a response as ended once its bytes are written to Twisted; the process ended 0.05 s after close_connections, with the bytes still in the buffer. Change: HttpServer.wait_closed waits until every connection has sent its bytes and is closed, at most until 0.3 s before the end of the grace period. Responses that are not sent by then are listed in event 8954 and count as interrupted (8204, exit status 1). Why it works: loseConnection closes a connection only after its write buffer is empty, so an empty set of connections means that nothing is left to send.

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -23,6 +23,7 @@
 # A caller that leaves data unacknowledged for this long counts as disconnected.
 CALLER_TCP_USER_TIMEOUT_MS = 10_000
 LISTEN_BACKLOG = 512
+CLOSE_POLL_S = 0.02
 
 
 class Exchange:
@@ -111,6 +112,7 @@
         self._body_bytes = 0
         self._timer: Any = None
         self.exchange: Exchange | None = None
+        self.last_exchange: Exchange | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options and start the idle timer."""
@@ -178,7 +180,7 @@
         assert self._request is not None
         self._stop_timer()
         exchange = Exchange(self, self._request, b"".join(self._body))
-        self.exchange = exchange
+        self.exchange = self.last_exchange = exchange
         self._request = None
         self._body = []
         try:
@@ -307,6 +309,28 @@
             self._port = None
 
     def close_connections(self) -> None:
-        """Close all connections; to be called when no exchange is open."""
+        """Close each connection after the bytes written to it are sent.
+
+        To be called when no exchange is open.
+        """
         for connection in list(self.connections):
             connection.transport.loseConnection()
+
+    async def wait_closed(self, timeout_s: float) -> list[Exchange]:
+        """Wait until all connections are closed.
+
+        Returns:
+            The last exchange of each connection that was still open after the timeout,
+            whose response was not completely sent.
+        """
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        while self.connections:
+            left_s = deadline_s - asyncio.get_running_loop().time()
+            if left_s <= 0:
+                break
+            await asyncio.sleep(min(CLOSE_POLL_S, left_s))
+        return [
+            connection.last_exchange
+            for connection in self.connections
+            if connection.last_exchange is not None
+        ]
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -10,7 +10,9 @@
 from mustardtrack.adapters.upstream import ConnectionPool
 from mustardtrack.adapters.zeromq import Bus
 from mustardtrack.configuration.routes import RouteTable
+from mustardtrack.logs import define_event, log_event
 from mustardtrack.platform.endpoints import READY_TARGET
+from mustardtrack.platform.headers import REQUEST_ID
 from mustardtrack.process.control_api import MAX_DIRECTORY_TTL_S
 from mustardtrack.process.control_sync import ControlSync
 from mustardtrack.process.forwarder import Forwarder
@@ -22,9 +24,14 @@
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.settings import SeededSettings, split_address
 
-# Part of the grace period reserved for closing connections, so that the process ends
-# before it is killed.
+RESPONSES_UNSENT = define_event(
+    8954, "ERROR", "router ended before callers received their whole responses"
+)
+
+# Part of the grace period reserved for sending the last answers.
 STOP_MARGIN_S = 0.8
+# Part of the grace period reserved for ending the process before it is killed.
+EXIT_MARGIN_S = 0.3
 # Callers cache directory answers for some seconds and still reach a stopping router.
 MIN_DRAIN_MS = 4000
 STOP_POLL_S = 0.05
@@ -116,12 +123,29 @@
         interrupted = await self._forwarder.interrupt_requests()
         self._caller_server.close_connections()
         self._readiness_server.stop_listening()
+        interrupted += await self._wait_until_sent(window)
         self._watch_task.cancel()
         await self._placements.stop()
         await self._control_sync.stop()
-        await asyncio.sleep(STOP_POLL_S)
         return interrupted
 
+    async def _wait_until_sent(self, window: ShutdownWindow) -> list[str]:
+        """Wait until the responses are sent, at most for the grace period.
+
+        Returns:
+            Ids of the requests whose response was not completely sent.
+        """
+        elapsed_s = window.elapsed_ms(self._clock.now_ms()) / 1000
+        left_s = self._settings.bounds.grace_s - EXIT_MARGIN_S - elapsed_s
+        exchanges = await self._caller_server.wait_closed(left_s)
+        request_ids = [
+            (exchange.header(REQUEST_ID) or b"").decode("latin-1")
+            for exchange in exchanges
+        ]
+        if request_ids:
+            log_event(RESPONSES_UNSENT, requests=request_ids)
+        return request_ids
+
     def _shutdown_window(self) -> ShutdownWindow:
         """Return the window of a planned stop that begins now."""
         bounds = self._settings.bounds
--- a/mustardtrack/process/tests/test_planned_stop.py
+++ b/mustardtrack/process/tests/test_planned_stop.py
@@ -6,9 +6,11 @@
 import http.client
 import json
 import signal
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
@@ -28,7 +30,11 @@
 ENDPOINT = SUBNET.address(31)
 START_LIMIT_S = 20.0
 STREAM_LIMIT_MS = 12_000
+GRACE_S = 8.0
 EVENT_INTERVAL_S = 0.25
+# Larger than the socket buffers of both sides.
+LARGE_BODY = b"x" * 16_000_000
+READ_BYTES = 65_536
 
 
 class SlowEndpoint(BaseHTTPRequestHandler):
@@ -60,7 +66,7 @@
             self._stream(seconds)
         else:
             self._wait(seconds)
-            self._respond(b"done")
+            self._respond(LARGE_BODY if self.path.endswith("large") else b"done")
 
     def _stream(self, seconds):
         self.send_response(200)
@@ -246,3 +252,52 @@
     notes = {line["request"]: line["note"] for line in log_lines(hosts, 8951)}
     assert set(notes) == {"call", "cut"}
     assert all("planned stop" in note for note in notes.values())
+
+
+@contextmanager
+def request_large_response():
+    """Send a request for a large response and return the connection."""
+    with socket.socket() as connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 262_144)
+        connection.settimeout(10)
+        connection.connect((ROUTER, CALLER_PORT))
+        connection.sendall(
+            b"POST /call/large HTTP/1.1\r\nHost: a.example\r\nRequest-Id: large\r\n"
+            b"Deadline-Ms: 3000\r\nAuthorization: Bearer k1\r\n"
+            b"Content-Length: 1\r\n\r\n0"
+        )
+        yield connection
+
+
+def read_slowly(seconds):
+    """Send a request for a large response and read it in about these seconds."""
+    with request_large_response() as connection:
+        received = bytearray()
+        started_s = time.monotonic()
+        while data := connection.recv(READ_BYTES):
+            received += data
+            due_s = started_s + seconds * len(received) / len(LARGE_BODY)
+            time.sleep(max(0.0, due_s - time.monotonic()))
+    return bytes(received)
+
+
+def test_response_that_is_still_being_sent_is_completed(hosts, pool):
+    """Guards against responses cut because the process ends while it sends them."""
+    hosts.send_signal(ROUTER, signal.SIGTERM)
+    time.sleep(3.0)
+    received = pool.submit(read_slowly, 2.5).result()
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert len(body) == len(LARGE_BODY)
+    assert hosts.running[ROUTER].wait(timeout=STOP_TIMEOUT_S) == 0
+
+
+def test_response_that_the_caller_does_not_read_counts_as_interrupted(hosts):
+    """Guards against a stop that waits without end or reports a cut as clean."""
+    with request_large_response():
+        hosts.send_signal(ROUTER, signal.SIGTERM)
+        started_s = time.monotonic()
+        assert hosts.running[ROUTER].wait(timeout=STOP_TIMEOUT_S) == 1
+        assert time.monotonic() - started_s < GRACE_S
+    assert log_lines(hosts, 8954)[0]["requests"] == ["large"]
+    assert log_lines(hosts, 8204)[0]["interrupted"] == ["large"]
