--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -188,6 +188,9 @@
             # The leader already knows of the placement that replaces this one.
             if outcome.replacement is None:
                 self._record_first_byte()
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
         finally:
             self._exchange.on_disconnect = None
             self._record_prefill_end()
@@ -483,8 +486,13 @@
                 connection.wake()
 
         preparation.add_done_callback(wake)
-        event = await connection.next_event(self._time_left_ms() / 1000)
-        is_waiting = False
+        try:
+            event = await connection.next_event(self._time_left_ms() / 1000)
+        except asyncio.CancelledError:
+            self._forwarder.discard_preparation(self._admitted, preparation)
+            raise
+        finally:
+            is_waiting = False
         if event is not None or not preparation.done() or not self._is_awaited():
             self._forwarder.discard_preparation(self._admitted, preparation)
             return event, None
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -36,7 +36,11 @@
     NextStep,
     RetryObstacle,
 )
-from mustardtrack.requests.shutdown_window import ShutdownWindow
+from mustardtrack.requests.shutdown_window import (
+    InterruptedAnswer,
+    ShutdownWindow,
+    choose_interrupted_answer,
+)
 from mustardtrack.requests.time_limits import RequestTimeLimit
 from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.endpointstate import EndpointState
@@ -78,6 +82,7 @@
 
     Attributes:
         time_limit: Time that it has from its arrival.
+        progress: Progress of the request across its attempts.
         weights_version: Newest weights version of its model.
         rank: Priority class; the rank of the account overrides that of the route.
     """
@@ -91,6 +96,7 @@
     prompt: Prompt | None
     received_ms: int
     time_limit: RequestTimeLimit
+    progress: ForwardedRequest
     weights_version: int
     rank: int
 
@@ -150,6 +156,7 @@
         # References protect the tasks from garbage collection.
         self._discarded: set[asyncio.Future[PlannedAttempt | RetryObstacle]] = set()
         self._shutdown: ShutdownWindow | None = None
+        self._open: dict[asyncio.Task[None], AdmittedRequest] = {}
 
     def begin_stop(self, window: ShutdownWindow) -> None:
         """Refuse the requests that cannot end within the window."""
@@ -170,8 +177,72 @@
         now_ms = self.clock.now_ms()
         metadata = decode_request_headers(exchange.target, exchange.headers)
         admitted = self._admit(exchange, metadata, now_ms)
-        if admitted is not None:
+        if admitted is None:
+            return
+        task = asyncio.current_task()
+        assert task is not None
+        self._open[task] = admitted
+        try:
             await self._send_with_retries(admitted)
+        except asyncio.CancelledError:
+            self._answer_interrupted(admitted)
+        finally:
+            del self._open[task]
+
+    def open_requests(self) -> list[str]:
+        """Return the ids of the requests whose callers wait for an answer."""
+        return sorted(
+            admitted.request_id
+            for admitted in self._open.values()
+            if not admitted.exchange.is_disconnected
+        )
+
+    async def interrupt_requests(self) -> list[str]:
+        """End all open requests with a last answer and return their ids.
+
+        None of them is sent to an endpoint afterwards, and the endpoints that work on
+        them are told to stop by an abort of their connections.
+        """
+        interrupted = self.open_requests()
+        tasks = list(self._open)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return interrupted
+
+    def _answer_interrupted(self, admitted: AdmittedRequest) -> None:
+        exchange, progress = admitted.exchange, admitted.progress
+        self._placements.record_end(admitted.request_id)
+        left_ms = admitted.deadline_ms - self.clock.now_ms()
+        fields: dict[str, object] = {
+            "route": admitted.route.name,
+            "sends": progress.sends,
+            "left_ms": left_ms,
+            "note": "interrupted by the planned stop",
+        }
+        if exchange.is_disconnected:
+            fields["note"] = "caller disconnected"
+        answer = choose_interrupted_answer(progress.sends, exchange.is_started)
+        if answer is InterruptedAnswer.REFUSE:
+            progress.require_not_run()
+            self._refuse(exchange, admitted.metadata, "stopping", **fields)
+            return
+        if answer is InterruptedAnswer.RESET:
+            self.metrics.count("answer.cut")
+            self._log_end(
+                request=admitted.request_id,
+                status=progress.status,
+                first_ms=progress.first_ms,
+                events=progress.events,
+                is_cut=not exchange.is_disconnected,
+                **fields,
+            )
+            exchange.abort()
+            return
+        self.metrics.count("failure.502")
+        self._log_end(request=admitted.request_id, status=502, **fields)
+        body = encode_error("the router stopped before the endpoint answered")
+        exchange.respond(502, [JSON_CONTENT_TYPE], body)
 
     def _admit(
         self, exchange: Exchange, metadata: RequestMetadata, now_ms: int
@@ -240,6 +311,7 @@
             prompt=prompt,
             received_ms=now_ms,
             time_limit=RequestTimeLimit.of(route.timeout_ms, metadata.time_left_ms),
+            progress=ForwardedRequest(route),
             weights_version=version,
             rank=rank,
         )
@@ -254,7 +326,7 @@
         exchange = admitted.exchange
         budget = self._retry_budget(admitted.service.name)
         budget.record_request(admitted.received_ms)
-        progress = ForwardedRequest(admitted.route)
+        progress = admitted.progress
         step = NextStep.RETRY
         obstacle: _NoAttempt | None = None
         outcome = Outcome()
