--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -228,7 +228,7 @@
             self._refuse(exchange, admitted.metadata, "stopping", **fields)
             return
         if answer is InterruptedAnswer.RESET:
-            self.metrics.count("answer.cut")
+            self._count_answer(progress.status, is_cut=True)
             self._log_end(
                 request=admitted.request_id,
                 status=progress.status,
@@ -239,10 +239,14 @@
             )
             exchange.abort()
             return
-        self.metrics.count("failure.502")
-        self._log_end(request=admitted.request_id, status=502, **fields)
+        status = 502
+        self.metrics.count(f"failure.{status}")
+        self._log_end(request=admitted.request_id, status=status, **fields)
         body = encode_error("the router stopped before the endpoint answered")
-        exchange.respond(502, [JSON_CONTENT_TYPE], body)
+        exchange.respond(status, [JSON_CONTENT_TYPE], body)
+
+    def _count_answer(self, status: int, is_cut: bool) -> None:
+        self.metrics.count(f"answer.{'cut' if is_cut else status}")
 
     def _admit(
         self, exchange: Exchange, metadata: RequestMetadata, now_ms: int
@@ -691,7 +695,7 @@
     ) -> None:
         now_ms = self.clock.now_ms()
         elapsed_ms = now_ms - admitted.received_ms
-        self.metrics.count(f"answer.{'cut' if outcome.is_cut else outcome.status}")
+        self._count_answer(outcome.status, outcome.is_cut)
         self.metrics.timing(f"route_rank.{admitted.route.rank}", elapsed_ms)
         self._log_end(
             request=_decode(admitted.metadata.request_id),
