Report too little time left as its own reason

Seen: 8951 with reason no_endpoint for requests that were not sent because their time was nearly over, so that the record pointed at the endpoint list. A request whose time ended while the leader placed it still opened a connection with a time-out of 0 ms, or would have been sent on an idle one with 1 ms left. Change: reason time_left, checked after the placement too; nothing is opened then. Evidence: test_request_without_time_left_is_refused_for_that_reason on: 2 failed with no_endpoint; with the change test_attempt.py and test_forwarder.py: 42 passed.

--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -271,6 +271,8 @@
         budget = self._retry_budget(admitted.service.name)
         count = self._control_sync.view.router_count
         is_retry = progress.sends > 0
+        if not self._has_time(admitted):
+            return _NoAttempt("time_left")
         if endpoint is None or (is_retry and not budget.allow_retry(now_ms, count)):
             return _NoAttempt(self._no_send_reason(admitted, endpoint))
         fields = self._choice_log_fields(admitted, endpoint, placement, now_ms)
@@ -292,12 +294,14 @@
         self, admitted: AdmittedRequest, progress: ForwardedRequest
     ) -> tuple[EndpointState | None, Placement | None]:
         """Choose an endpoint unless the time or the number of attempts is used up."""
-        now_ms = self.clock.now_ms()
-        has_time = admitted.deadline_ms - now_ms >= MIN_TIME_LEFT_MS
-        if not has_time or len(progress.tried) >= MAX_ENDPOINTS_TRIED:
+        if len(progress.tried) >= MAX_ENDPOINTS_TRIED or not self._has_time(admitted):
             return None, None
+        now_ms = self.clock.now_ms()
         return await self._choose_endpoint(admitted, progress.tried, now_ms)
 
+    def _has_time(self, admitted: AdmittedRequest) -> bool:
+        return admitted.deadline_ms - self.clock.now_ms() >= MIN_TIME_LEFT_MS
+
     async def _choose_endpoint(
         self, admitted: AdmittedRequest, tried: list[str], now_ms: int
     ) -> tuple[EndpointState | None, Placement | None]:
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -661,3 +661,17 @@
     (line,) = scenario.lines(8952)
     assert (line["end"], line["limit"]) == ("not_sent", "connect")
     assert [run.endpoint for run in scenario.pool.runs] == ["e2"]
+
+
+@pytest.mark.parametrize("budget_ms", [10, 60])
+def test_request_without_time_left_is_refused_for_that_reason(monkeypatch, budget_ms):
+    """Guards against 8951 lines that name a missing endpoint when time was short."""
+    scenario = Scenario(
+        {"e1": []},
+        budget_ms=budget_ms,
+        leader=StandInLeader(delay_ms=80),
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.pool.opened == []
+    (line,) = scenario.lines(8951)
+    assert (line["status"], line["reason"]) == (503, "time_left")
