Keep a stalled attempt if its replacement would be the last send

Seen by callers: none observed; found by checking the limits of sends. A stream refused by its first endpoint (not run) and stalled at its second was abandoned for a third send, the last that is allowed with max-attempts 2; when that was refused, the stream was cut although the second endpoint had gone on. Ruled out: more runs than max-attempts (BUDGET); step_after and may_abandon_attempt both count the possible runs. Change: a stalled attempt is abandoned only if one more send remains after its replacement.

--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -30,6 +30,7 @@
     b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\ntransfer-encoding: chunked\r\n"
     b"content-type: text/event-stream\r\n\r\n"
 )
+REFUSAL = b"HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ntransfer-encoding: chunked\r\n\r\n"
 END = b"0\r\n\r\n"
 CLOSE = b""
 ROUTE_TIMEOUT_MS = 12_000
@@ -640,12 +641,9 @@
 
 def test_refusal_with_an_endless_body_does_not_hold_the_request(monkeypatch):
     """Guards against a retry that waits until the deadline for the end of a refusal."""
-    refusal = HEAD.replace(b"200 OK", b"503 Busy").replace(
-        b"\r\n\r\n", b"\r\nnot-executed: 1\r\n\r\n"
-    )
     body = [(100 * number, event(number)) for number in range(1, 100)]
     scenario = Scenario(
-        {"e1": [(10, refusal), *body], "e2": COMPLETE}, monkeypatch=monkeypatch
+        {"e1": [(10, REFUSAL), *body], "e2": COMPLETE}, monkeypatch=monkeypatch
     ).play()
     assert scenario.is_whole
     limit_s = attempt.CONNECT_TIMEOUT_MS / 1000
@@ -675,3 +673,16 @@
     assert scenario.pool.opened == []
     (line,) = scenario.lines(8951)
     assert (line["status"], line["reason"]) == (503, "time_left")
+
+
+def test_stalled_stream_goes_on_if_the_next_send_would_be_the_last(monkeypatch):
+    """Guards against cutting a stream because the endpoint of its retry refuses it."""
+    refused = [(10, REFUSAL + END)]
+    scenario = Scenario(
+        {"e1": refused, "e2": PAUSING, "e3": refused},
+        max_attempts=2,
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.relayed == [1, 2]
+    assert scenario.is_whole
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1", "e2"]
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -125,10 +125,11 @@
         """Return whether another attempt may follow if this one is abandoned.
 
         A stalled last attempt is not abandoned, since no other attempt can replace
-        it.
+        it, nor is one whose replacement would be the last send, since an endpoint can
+        refuse that.
         """
-        is_last = self.possible_runs + 1 >= self.route.max_attempts
-        return self.route.may_retry and not is_last and self._has_sends_left()
+        is_last_run = self.possible_runs + 1 >= self.route.max_attempts
+        return self.route.may_retry and not is_last_run and self._sends_left() > 1
 
     def final_step(self) -> NextStep:
         """Return the step for a request that is not retried."""
@@ -152,7 +153,7 @@
             return False
         if self.possible_runs >= self.route.max_attempts:
             return False
-        return self._has_sends_left()
+        return self._sends_left() > 0
 
-    def _has_sends_left(self) -> bool:
-        return self.sends < self.route.max_attempts + MAX_EXTRA_UNEXECUTED_SENDS
+    def _sends_left(self) -> int:
+        return self.route.max_attempts + MAX_EXTRA_UNEXECUTED_SENDS - self.sends
--- a/mustardtrack/requests/tests/test_forwarding.py
+++ b/mustardtrack/requests/tests/test_forwarding.py
@@ -1,5 +1,7 @@
 """Guards against repeated execution and false not_run reports."""
 
+import copy
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -102,3 +104,32 @@
     progress = ForwardedRequest(route(RetrySafety.STREAM, 2))
     progress.record_send()
     assert not progress.may_abandon_attempt()
+
+
+def test_stalled_attempt_is_not_abandoned_for_the_last_send():
+    """Guards against cutting an answer because the endpoint of the retry refuses it."""
+    progress = ForwardedRequest(route(RetrySafety.STREAM, 2, resumable=True))
+    progress.record_send()
+    assert progress.step_after(AttemptFailure.NOT_RUN) is NextStep.RETRY
+    progress.record_send()
+    assert not progress.may_abandon_attempt()
+
+
+@given(KINDS, st.integers(1, 4), st.booleans(), ENDS)
+def test_abandoned_attempt_leaves_room_for_one_that_is_refused(
+    kind, attempts, resumable, ends
+):
+    """Guards against an abandoned attempt whose retry is refused without another."""
+    progress = ForwardedRequest(route(kind, attempts, resumable))
+    for failure in ends:
+        if failure is not AttemptFailure.NOT_SENT:
+            progress.record_send()
+        if progress.may_abandon_attempt():
+            following = copy.deepcopy(progress)
+            assert following.step_after(AttemptFailure.TIMED_OUT) is NextStep.RETRY
+            following.record_send()
+            assert following.step_after(AttemptFailure.NOT_RUN) is NextStep.RETRY
+            following.record_send()
+            assert following.possible_runs + 1 <= attempts
+        if progress.step_after(failure) is not NextStep.RETRY:
+            break
