Limit the time and size of calls to endpoints

What callers saw: nothing directly. A leader's task waited without end for one engine, store or list that sent its answer in small parts, and kept all of it; a connection whose call was cancelled stayed open, unread and counted.

Cause: ConnectionPool.call restarted its time limit with each event and had no size limit of its own; a cancelled call left its connection. A connection on which bytes had arrived before any request was returned as open, although it was being aborted, so that a request counted as sent that never was. A malformed address raised ValueError, which the order task did not expect.

What kept its count was the connection of a call that was cancelled later.

Change: a call has a total time limit (5 s if not stated; event 8999) and a body limit. A cancelled call aborts its connection. An opened connection that has received bytes is a ConnectError (event 8998), as is a malformed address.

--- a/mustardtrack/adapters/tests/test_endless_responses.py
+++ b/mustardtrack/adapters/tests/test_endless_responses.py
@@ -185,3 +185,43 @@
         str(DEADLINE_S),
     )
     assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
+
+
+CALL = (
+    MEASURE
+    + """
+    async def read(pool, address, deadline_s):
+        try:
+            await pool.call(address, b"GET", b"/", [], b"", 0.5, 0.5, 1.0)
+        except (ConnectError, ConnectionBrokenError) as error:
+            return str(error)
+    run(lambda: measure(read))
+"""
+)
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_early"),
+    [
+        ("bytes that are not HTTP", True),
+        ("body with a length", True),
+        ("body with a length", False),
+        ("body without a length", False),
+        ("chunks of two bytes", False),
+        ("informational responses", False),
+    ],
+)
+def test_call_to_an_endless_endpoint_fails(run_on_reactor, kind, is_early):
+    """Guards against leader tasks that wait for one endpoint or fill the memory."""
+    server = EndlessServer(*ENDLESS_RESPONSES[kind], is_early)
+    result = run_on_reactor(
+        CALL,
+        server.address,
+        str(CLIENT_ADDRESS_SPACE_BYTES),
+        str(DEADLINE_S),
+    )
+    assert result["outcome"], result
+    assert result["elapsed_s"] < DEADLINE_S, result
+    assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
+    assert result["open"] == 0, result
+    assert server.closed.wait(5)
--- a/mustardtrack/adapters/tests/test_upstream.py
+++ b/mustardtrack/adapters/tests/test_upstream.py
@@ -7,6 +7,7 @@
 from mustardtrack.adapters import upstream
 from mustardtrack.adapters.upstream import (
     ConnectError,
+    ConnectionBrokenError,
     ConnectionPool,
     ResponseData,
     ResponseEnd,
@@ -401,3 +402,123 @@
         assert isinstance((await read_all(connection))[-1], ResponseEnd)
 
     run_scenario(scenario)
+
+
+async def start_call(pool, connection, read_timeout_s=0.5, **limits):
+    """Start a call on an idle connection and wait until it is sent."""
+    send(connection)
+    connection.dataReceived(encode_response(b"r1"))
+    await read_all(connection)
+    pool.put("e", connection)
+    arguments = ("e", b"GET", b"/", [], b"", 0.5, read_timeout_s)
+    call = asyncio.ensure_future(pool.call(*arguments, **limits))
+    await asyncio.sleep(0)
+    return call
+
+
+def test_call_ends_although_its_answer_goes_on():
+    """Guards against a task that waits forever for one endpoint."""
+
+    async def scenario():
+        pool, connection = ConnectionPool(None), connect()
+        call = await start_call(pool, connection, total_timeout_s=0.3)
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n")
+        for _ in range(50):
+            connection.dataReceived(b"x")
+            await asyncio.sleep(0.02)
+        assert call.done()
+        with pytest.raises(ConnectionBrokenError, match="timed out"):
+            await call
+        assert connection.transport.closed == "aborted"
+
+    run_scenario(scenario)
+
+
+def test_call_ends_when_its_answer_exceeds_its_limit():
+    """Guards against memory filled by the answer to a call."""
+
+    async def scenario():
+        pool, connection = ConnectionPool(None), connect()
+        call = await start_call(pool, connection, max_body_bytes=100)
+        connection.dataReceived(encode_response(b"r1", b"x" * 101))
+        with pytest.raises(ConnectionBrokenError, match="too large"):
+            await call
+        assert connection.transport.closed == "aborted"
+        call = await start_call(pool, second := connect(), max_body_bytes=101)
+        second.dataReceived(encode_response(b"r1", b"x" * 101))
+        assert await call == (200, b"x" * 101)
+
+    run_scenario(scenario)
+
+
+def test_cancelled_call_aborts_its_connection():
+    """Guards against connections that nobody reads, counts or closes."""
+
+    async def scenario():
+        pool, connection = ConnectionPool(None), connect()
+        call = await start_call(pool, connection)
+        call.cancel()
+        await asyncio.wait([call])
+        assert connection.transport.closed == "aborted"
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_connection_with_bytes_before_the_request_is_not_used(monkeypatch, is_lost):
+    """Guards against requests counted as sent on a connection that is closed."""
+    opened = []
+
+    async def fake_open_connection(reactor, host, port, timeout_s):
+        connection = connect()
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\n")
+        if is_lost:
+            connection.connectionLost(ConnectionLostReason(False))
+        opened.append(connection)
+        return connection
+
+    monkeypatch.setattr(upstream, "open_connection", fake_open_connection)
+
+    async def scenario():
+        pool = ConnectionPool(None)
+        with pytest.raises(ConnectError):
+            await pool.open("10.0.0.1:1", 1.0)
+        assert opened[0].transport.closed == "aborted"
+        if not is_lost:
+            opened[0].connectionLost(ConnectionLostReason(False))
+        assert pool.open_count("10.0.0.1:1") == 0
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("address", ["10.0.0.1:x", "10.0.0.1:", "10.0.0.1:99999999"])
+def test_malformed_address_is_a_failed_connection(address):
+    """Guards against tasks that end at a malformed entry of the endpoint list."""
+
+    async def scenario():
+        pool = ConnectionPool(None)
+        with pytest.raises(ConnectError):
+            await pool.open(address, 1.0)
+        assert pool.open_count(address) == 0
+
+    run_scenario(scenario)
+
+
+def test_cancelled_opening_is_not_counted(monkeypatch):
+    """Guards against an endpoint that seems to have no connections left."""
+
+    async def never_open(reactor, host, port, timeout_s):
+        await asyncio.sleep(60)
+
+    monkeypatch.setattr(upstream, "open_connection", never_open)
+
+    async def scenario():
+        pool = ConnectionPool(None)
+        opening = asyncio.ensure_future(pool.open("10.0.0.1:1", 1.0))
+        await asyncio.sleep(0)
+        assert pool.open_count("10.0.0.1:1") == 1
+        opening.cancel()
+        await asyncio.wait([opening])
+        assert pool.open_count("10.0.0.1:1") == 0
+
+    run_scenario(scenario)
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -28,6 +28,7 @@
 # endpoint, so that a request does not race with the close by the endpoint.
 IDLE_CLOSE_MARGIN_S = 0.4
 DEFAULT_KEEP_ALIVE_S = 4.0
+MAX_PORT = 65_535
 # Endpoints that state their keep-alive timeout in whole seconds keep an idle
 # connection at least this long.
 MIN_KEEP_ALIVE_S = 0.2
@@ -49,6 +50,8 @@
 EVENT_STREAM_TYPE = b"text/event-stream"
 # Late responses to earlier requests that may precede the expected response.
 MAX_MISMATCHED_RESPONSES = 4
+# Longest time for the answer to a call, however steadily its parts arrive.
+MAX_CALL_DURATION_S = 5.0
 
 RESPONSE_MALFORMED = define_event(
     8991, "WARNING", "response aborted: it is malformed or its head is too large"
@@ -65,6 +68,10 @@
 )
 EVENT_TOO_LARGE = define_event(8997, "WARNING", "response aborted: event too large")
 TOO_MANY_CHUNKS = define_event(8996, "WARNING", "response aborted: too many chunks")
+BYTES_BEFORE_REQUEST = define_event(
+    8998, "WARNING", "connection aborted: bytes before any request"
+)
+CALL_TOO_LONG = define_event(8999, "WARNING", "call aborted: its answer takes too long")
 
 
 class ConnectError(Exception):
@@ -118,6 +125,7 @@
     Attributes:
         keep_alive_s: Keep-alive timeout of the endpoint for idle connections.
         is_reusable: Whether another request may be sent.
+        is_aborted: Whether it was aborted; ``is_lost`` follows.
         ready: Resolved once the connection is open.
         on_lost: Called once when an open connection is lost.
         idle_before_request_s: Idle time of the connection before the current request.
@@ -138,6 +146,7 @@
         self._is_event_stream = False
         self._is_paused = False
         self._unread_bytes = 0
+        self._max_body_bytes = MAX_RESPONSE_BODY_BYTES
         self._reset_sizes()
         self.ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
@@ -145,6 +154,7 @@
         self.idle_before_request_s = 0.0
         self.requests_sent = 0
         self.is_lost = False
+        self.is_aborted = False
         self.is_reusable = False
         self.on_lost: Callable[[], None] | None = None
 
@@ -181,11 +191,14 @@
         body: bytes,
         id_header: bytes = b"",
         expected_id: bytes | None = None,
+        max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
     ) -> None:
         """Send a request.
 
-        Responses whose ``id_header`` carries another id are discarded.
+        Responses whose ``id_header`` carries another id are discarded. A response whose
+        body exceeds ``max_body_bytes`` is interrupted.
         """
+        self._max_body_bytes = max_body_bytes
         if self.requests_sent:
             self._http = self._new_http()
         self._events.clear()
@@ -236,8 +249,7 @@
         """Parse received bytes."""
         if self._request is None:
             # Bytes after a complete response belong to no request.
-            self.is_reusable = False
-            self.transport.abortConnection()
+            self.abort()
             return
         self._received_bytes += len(data)
         try:
@@ -281,10 +293,9 @@
         self._interrupt_response(event.text)
 
     def _interrupt_response(self, reason: str) -> None:
-        self.is_reusable = False
         self._request = None
         self._queue_event(ResponseInterrupted(reason))
-        self.transport.abortConnection()
+        self.abort()
 
     def _read_events(self) -> None:
         # The data of one segment becomes one event, however small its chunks are.
@@ -324,7 +335,7 @@
                 self._abort_response(OTHER_RESPONSE_TOO_LARGE)
             return
         self._body_bytes += len(data)
-        if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
+        if self._body_bytes > self._max_body_bytes:
             self._queue_data(parts)
             self._abort_response(BODY_TOO_LARGE)
             return
@@ -420,6 +431,7 @@
     def abort(self) -> None:
         """Abort the connection; the endpoint drops the request on it."""
         self.is_reusable = False
+        self.is_aborted = True
         self.transport.abortConnection()
 
 
@@ -465,6 +477,34 @@
     return connection
 
 
+async def _receive_answer(
+    connection: UpstreamConnection, read_timeout_s: float, total_timeout_s: float
+) -> tuple[int, bytes]:
+    """Return the status and the body of a response.
+
+    Raises:
+        ConnectionBrokenError: If the response is interrupted or takes too long.
+    """
+    clock = asyncio.get_running_loop().time
+    deadline_s = clock() + total_timeout_s
+    status, parts = 0, []
+    while (left_s := deadline_s - clock()) > 0:
+        event = await connection.next_event(min(read_timeout_s, left_s))
+        if isinstance(event, ResponseHead):
+            status = event.status
+        elif isinstance(event, ResponseData):
+            parts.append(event.data)
+        elif isinstance(event, ResponseEnd):
+            return status, b"".join(parts)
+        elif isinstance(event, ResponseInterrupted):
+            raise ConnectionBrokenError(event.reason)
+        elif left_s > read_timeout_s:
+            break
+    else:
+        log_event(CALL_TOO_LONG, address=connection.address)
+    raise ConnectionBrokenError("response timed out")
+
+
 class ConnectionPool:
     """Connection pool of one process, by endpoint."""
 
@@ -516,9 +556,12 @@
         """Open a new connection.
 
         Raises:
-            ConnectError: If the connection is not open within the timeout.
+            ConnectError: If the connection is not open within the timeout, the address
+                is malformed, or the endpoint sends bytes before any request.
         """
         host, _, port = address.rpartition(":")
+        if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
+            raise ConnectError(f"malformed address {address!r}")
         # Counted before it is open, so that concurrent requests respect the limit.
         self._open[address] += 1
         try:
@@ -530,7 +573,11 @@
             raise
         if connection.is_lost:
             self._decrement_open_count(address)
+            raise ConnectError("closed before the request")
         connection.on_lost = lambda: self._decrement_open_count(address)
+        if connection.is_aborted:
+            log_event(BYTES_BEFORE_REQUEST, address=address)
+            raise ConnectError("bytes before the request")
         return connection
 
     def _decrement_open_count(self, address: str) -> None:
@@ -558,6 +605,8 @@
         body: bytes,
         connect_timeout_s: float,
         read_timeout_s: float,
+        total_timeout_s: float = MAX_CALL_DURATION_S,
+        max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and the body of the response.
 
@@ -569,6 +618,8 @@
             body: JSON body, empty if there is none.
             connect_timeout_s: Time limit for opening a new connection.
             read_timeout_s: Longest time between two events of the response.
+            total_timeout_s: Time limit for the response.
+            max_body_bytes: Largest accepted response body.
 
         Raises:
             ConnectError: If a new connection cannot be opened.
@@ -581,21 +632,20 @@
         if body:
             request_headers.append((b"content-type", b"application/json"))
             request_headers.append((b"content-length", b"%d" % len(body)))
-        connection.send(method, target, request_headers, body)
-        status, parts = 0, []
-        while True:
-            event = await connection.next_event(read_timeout_s)
-            if isinstance(event, ResponseHead):
-                status = event.status
-            elif isinstance(event, ResponseData):
-                parts.append(event.data)
-            elif isinstance(event, ResponseEnd):
-                self.put(address, connection)
-                return status, b"".join(parts)
-            else:
-                connection.abort()
-                reason = "response timed out" if event is None else event.reason
-                raise ConnectionBrokenError(f"{address}: {reason}")
+        connection.send(
+            method, target, request_headers, body, max_body_bytes=max_body_bytes
+        )
+        try:
+            answer = await _receive_answer(connection, read_timeout_s, total_timeout_s)
+        except ConnectionBrokenError as error:
+            connection.abort()
+            raise ConnectionBrokenError(f"{address}: {error}") from None
+        except asyncio.CancelledError:
+            # The response would otherwise arrive without a reader.
+            connection.abort()
+            raise
+        self.put(address, connection)
+        return answer
 
     def put(self, key: str, connection: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
