Adopt the endpoint list only as a whole and in bounded time

What callers saw: nothing directly. A list whose pages have no end occupied the leader, which published no list and sent no orders meanwhile, for up to 1,000 pages, and was then adopted although it was not complete. Deeply nested bytes ended the task, and with it the control process (event 8911).

Cause: the loop over the pages had no time limit, accepted a token that it had had before, and ended like a complete list at its last page. json.loads raises RecursionError for nested bytes, which is no ValueError.

Change: the list must end within 4 s, 1,000 pages and 10,000 entries, and no token may come again; otherwise event 8931 tells why and the list before holds. RecursionError counts as unreadable, in reports of engines too.

Evidence: 6 of 8 cases of test_endpoint_watch.py failed before, with only the constants added: the endless lists were adopted, nested arrays and objects raised RecursionError. All pass now. A list of 40 pages stays whole.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -37,6 +37,9 @@
 )
 ORDER_ANSWERED = define_event(8933, "INFO", "weight load order answered or failed")
 
+# The JSON decoder raises RecursionError for deeply nested bytes.
+UNREADABLE_ERRORS = (ConnectError, ConnectionBrokenError, ValueError, RecursionError)
+
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
 WATCH_PERIOD_S = 0.05
@@ -45,7 +48,12 @@
 REPORT_PERIOD_S = 0.3
 # With REPORT_PERIOD_S, polls for about as long as an order is valid.
 MAX_REPORTS_PER_LOAD = 20
+# An answer may arrive in parts over this time.
+CALL_DURATION_S = 2.0
+MAX_ANSWER_BYTES = 4_194_304
 MAX_LIST_PAGES = 1000
+MAX_LISTED_ENDPOINTS = 10_000
+LIST_TIMEOUT_S = 4.0
 # Unchanged lists are resent at this period for replicas that missed them.
 PUBLISH_PERIOD_MS = 1000
 # Added to the order lease before a new leader sends its first order, to cover orders
@@ -105,27 +113,46 @@
         self._last_published = ()
 
     async def _read_list(self) -> None:
-        entries: list[ListedEndpoint] = []
-        page: str | None = None
-        address = self._settings.host_list
-        assert address is not None
         try:
-            for _ in range(MAX_LIST_PAGES):
-                status, body = await self._call(
-                    address, b"GET", endpoint_list_target(page), b""
-                )
-                if status != 200:
-                    raise ValueError(f"status {status}")
-                found, page = decode_endpoint_list_page(body)
-                entries += found
-                if page is None:
-                    break
-        except (ConnectionBrokenError, ConnectError, ValueError) as error:
+            entries = await asyncio.wait_for(self._fetch_pages(), LIST_TIMEOUT_S)
+        except TimeoutError:
+            log_event(LIST_READ_FAILED, error=f"not read within {LIST_TIMEOUT_S} s")
+            return
+        except UNREADABLE_ERRORS as error:
             log_event(LIST_READ_FAILED, error=str(error))
             return
         self._platform_entries = tuple(sorted(entries, key=lambda entry: entry.id))
         self._has_list = True
 
+    async def _fetch_pages(self) -> list[ListedEndpoint]:
+        """Return the entries of all pages.
+
+        Raises:
+            ConnectError: If the connection cannot be opened.
+            ConnectionBrokenError: If the connection breaks before the answer.
+            ValueError: If a page is malformed, or the list has no end.
+        """
+        address = self._settings.host_list
+        assert address is not None
+        entries: list[ListedEndpoint] = []
+        tokens: set[str] = set()
+        page: str | None = None
+        for _ in range(MAX_LIST_PAGES):
+            target = endpoint_list_target(page)
+            status, body = await self._call(address, b"GET", target, b"")
+            if status != 200:
+                raise ValueError(f"status {status}")
+            found, page = decode_endpoint_list_page(body)
+            entries += found
+            if page is None:
+                return entries
+            if page in tokens:
+                raise ValueError("a page of the list comes again")
+            if len(entries) > MAX_LISTED_ENDPOINTS:
+                raise ValueError(f"more than {MAX_LISTED_ENDPOINTS} endpoints")
+            tokens.add(page)
+        raise ValueError(f"more than {MAX_LIST_PAGES} pages")
+
     def _merge_reported_weights(self) -> None:
         """Merge the platform's list with newer weights versions reported by engines."""
         known = {entry.id for entry in self._platform_entries}
@@ -250,7 +277,7 @@
                     order.endpoint.address, b"GET", WEIGHTS_REPORT_TARGET, b""
                 )
                 weights = decode_weights_report(body) if status == 200 else {}
-            except (ConnectionBrokenError, ConnectError, ValueError) as error:
+            except UNREADABLE_ERRORS as error:
                 log_event(
                     REPORT_READ_FAILED, endpoint=order.endpoint.id, error=str(error)
                 )
@@ -276,6 +303,8 @@
             body,
             CONNECT_TIMEOUT_S,
             CALL_TIMEOUT_S,
+            CALL_DURATION_S,
+            MAX_ANSWER_BYTES,
         )
 
 
--- /dev/null
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -0,0 +1,95 @@
+"""Guards against a leader that is occupied or stopped by the platform's list."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+
+import pytest
+
+from mustardtrack.process import endpoint_watch
+from mustardtrack.process.endpoint_watch import EndpointWatch
+
+PAGE_ENTRIES = 50
+
+
+def encode_page(number, next_token):
+    entries = [
+        {
+            "id": f"e{number}-{index}",
+            "service": "s",
+            "address": "10.0.0.1:1",
+            "zone": "a",
+            "slots": 1,
+            "state": "ready",
+        }
+        for index in range(PAGE_ENTRIES)
+    ]
+    return json.dumps({"instances": entries, "next-token": next_token}).encode()
+
+
+class StubPool:
+    """Connection pool whose answers are made by a function of the call number."""
+
+    def __init__(self, make_body, delay_s=0.0):
+        self.calls = 0
+        self._make_body = make_body
+        self._delay_s = delay_s
+
+    async def call(self, *arguments):
+        """Answer a call."""
+        await asyncio.sleep(self._delay_s)
+        self.calls += 1
+        return 200, self._make_body(self.calls)
+
+
+def read_list(pool):
+    settings = SimpleNamespace(
+        bounds=SimpleNamespace(weights_ms=1000), host_list="10.0.0.1:1"
+    )
+    watch = EndpointWatch(None, settings)
+    watch._pool = pool
+    asyncio.run(watch._read_list())
+    return watch
+
+
+def test_list_of_many_pages_is_whole():
+    pool = StubPool(lambda n: encode_page(n, f"p-{n}" if n < 40 else None))
+    watch = read_list(pool)
+    assert watch._has_list
+    assert len(watch._platform_entries) == 40 * PAGE_ENTRIES
+
+
+ENDLESS_LISTS = {
+    "new tokens": lambda number: encode_page(number, f"p-{number}"),
+    "same token": lambda number: encode_page(number, "p-1"),
+    "empty pages": lambda number: b'{"instances": [], "next-token": "p-%d"}' % number,
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS_LISTS)
+def test_list_without_end_is_not_adopted(kind):
+    """Guards against memory filled by a list, and a part adopted as the whole."""
+    pool = StubPool(ENDLESS_LISTS[kind])
+    watch = read_list(pool)
+    assert not watch._has_list
+    most_calls = {
+        "new tokens": endpoint_watch.MAX_LISTED_ENDPOINTS // PAGE_ENTRIES + 1,
+        "same token": 2,
+        "empty pages": endpoint_watch.MAX_LIST_PAGES,
+    }
+    assert pool.calls <= most_calls[kind]
+
+
+def test_slow_list_without_end_takes_bounded_time(monkeypatch):
+    """Guards against a leader that publishes nothing while it reads a list."""
+    monkeypatch.setattr(endpoint_watch, "LIST_TIMEOUT_S", 0.2)
+    pool = StubPool(ENDLESS_LISTS["new tokens"], delay_s=0.02)
+    watch = read_list(pool)
+    assert not watch._has_list
+    assert pool.calls <= 10
+
+
+@pytest.mark.parametrize("body", [b"[" * 200_000, b'{"instances":' * 50_000, b"\xff"])
+def test_unreadable_list_does_not_end_the_task(body):
+    """Guards against a control process that ends because of bytes of the platform."""
+    assert not read_list(StubPool(lambda number: body))._has_list
