Keep following a cache after unreadable events

What callers saw: prompts placed without knowledge of a cache. An engine or store that once answered with nested bytes, or with a number in place of the events, was not followed again until the next change of leader.

Cause: json.loads raised RecursionError, the conversion TypeError; neither was expected, and the ended task of a source is not started again.

Change: both count as unreadable. Events may have 4 MiB, lists of contents 8 MiB, and both 3.2 s in all; at most two lists are read at a time, since a new leader reads those of all engines at once.

Evidence: test_unreadable_events_do_not_end_the_task failed for nested bytes and for events of another type (the task had finished after one call), and 10 lists were read at a time where 2 are allowed; all pass now.

--- a/mustardtrack/process/cache_watch.py
+++ b/mustardtrack/process/cache_watch.py
@@ -29,12 +29,28 @@
 )
 CACHE_RESYNC_FAILED = define_event(8975, "WARNING", "cache contents could not be read")
 
+# The JSON decoder raises RecursionError for deeply nested bytes, and the conversion
+# raises TypeError for values of another type.
+UNREADABLE_ERRORS = (
+    ConnectError,
+    ConnectionBrokenError,
+    ValueError,
+    TypeError,
+    RecursionError,
+)
+
 # Listing the contents delays the engine's work, so it is not done at every gap.
 MIN_RESYNC_INTERVAL_S = 5.0
 # An engine or KV store holds a call for up to this time until there are events. Calls
 # with a shorter wait are priced.
 LONG_POLL_WAIT_MS = 1000
 CALL_TIMEOUT_S = 1.6
+# An answer may arrive in parts over this time.
+CALL_DURATION_S = 3.2
+MAX_EVENTS_BYTES = 4_194_304
+# The contents of a KV store of some million tokens.
+MAX_SNAPSHOT_BYTES = 8_388_608
+MAX_CONCURRENT_SNAPSHOTS = 2
 CONNECT_TIMEOUT_S = 0.4
 SOURCE_UPDATE_PERIOD_S = 0.25
 # Events arrive in bursts; reading a burst with one call saves messages.
@@ -48,6 +64,7 @@
     def __init__(self, control: "SeededControlProcess"):
         self._control = control
         self._source_tasks: dict[str, asyncio.Task[None]] = {}
+        self._snapshot_slots = asyncio.Semaphore(MAX_CONCURRENT_SNAPSHOTS)
         self.is_kv_store_reachable = False
 
     async def run(self) -> None:
@@ -88,7 +105,7 @@
         while True:
             try:
                 events = await self._fetch_events(address, position)
-            except (ConnectError, ConnectionBrokenError, ValueError) as error:
+            except UNREADABLE_ERRORS as error:
                 if not is_unreadable:
                     log_event(EVENTS_UNREADABLE, endpoint=source, error=str(error))
                 is_unreadable = True
@@ -116,11 +133,8 @@
         contents cannot be read, ``position`` is returned unchanged.
         """
         try:
-            status, body = await self._call(address, CACHE_SNAPSHOT_TARGET, [])
-            if status != 200:
-                raise ValueError(f"status {status}")
-            snapshot = decode_cache_snapshot(body)
-        except (ConnectError, ConnectionBrokenError, ValueError) as error:
+            snapshot = await self._fetch_snapshot(address)
+        except UNREADABLE_ERRORS as error:
             log_event(CACHE_RESYNC_FAILED, endpoint=source, error=str(error))
             return position
         log_event(CACHE_RESYNCED, endpoint=source, parts=len(snapshot.changes))
@@ -130,6 +144,15 @@
             self._control.placements.replace_store(snapshot.changes)
         return snapshot.following
 
+    async def _fetch_snapshot(self, address: str) -> CacheEvents:
+        async with self._snapshot_slots:
+            status, body = await self._call(
+                address, CACHE_SNAPSHOT_TARGET, [], MAX_SNAPSHOT_BYTES
+            )
+        if status != 200:
+            raise ValueError(f"status {status}")
+        return decode_cache_snapshot(body)
+
     def _record_kv_store_state(self, source: str, is_reachable: bool) -> None:
         if source == "":
             self.is_kv_store_reachable = is_reachable
@@ -153,16 +176,32 @@
             ConnectError: If the connection cannot be opened.
             ConnectionBrokenError: If the connection breaks before the answer.
             ValueError: If the answer has an error status or is malformed.
+            TypeError: If the answer has values of another type.
+            RecursionError: If the answer is nested deeply.
         """
         headers = [(CACHE_EVENTS_WAIT_HEADER, b"%d" % LONG_POLL_WAIT_MS)]
-        status, body = await self._call(address, cache_events_target(position), headers)
+        status, body = await self._call(
+            address, cache_events_target(position), headers, MAX_EVENTS_BYTES
+        )
         if status != 200:
             raise ValueError(f"status {status}")
         return decode_cache_events(body)
 
     async def _call(
-        self, address: str, target: bytes, headers: list[tuple[bytes, bytes]]
+        self,
+        address: str,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        max_body_bytes: int,
     ) -> tuple[int, bytes]:
         return await self._pool.call(
-            address, b"GET", target, headers, b"", CONNECT_TIMEOUT_S, CALL_TIMEOUT_S
+            address,
+            b"GET",
+            target,
+            headers,
+            b"",
+            CONNECT_TIMEOUT_S,
+            CALL_TIMEOUT_S,
+            CALL_DURATION_S,
+            max_body_bytes,
         )
--- a/mustardtrack/process/tests/test_cache_watch.py
+++ b/mustardtrack/process/tests/test_cache_watch.py
@@ -7,6 +7,8 @@
 import asyncio
 import json
 
+import pytest
+
 from mustardtrack.process import cache_watch
 from mustardtrack.process.cache_watch import CacheWatch
 
@@ -78,3 +80,68 @@
         b"/v1/kv-events?since=9",
     ]
     assert targets.count(b"/v1/kv-list") == 1
+
+
+class BodyPool:
+    """Connection pool whose first answers are unreadable."""
+
+    def __init__(self, body):
+        self.calls = 0
+        self._body = body
+
+    async def call(self, address, method, target, *rest):
+        """Answer two calls, then cancel the task."""
+        self.calls += 1
+        if self.calls > 2:
+            raise asyncio.CancelledError
+        return 200, self._body
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 200_000,
+        b'{"boot-epoch": 1, "next-token": 7, "events": 5}',
+        b'{"boot-epoch": 1, "next-token": 1e999, "events": []}',
+        b"x" * 1000,
+    ],
+    ids=["nested", "events of another type", "number", "not JSON"],
+)
+def test_unreadable_events_do_not_end_the_task(monkeypatch, body):
+    """Guards against an engine whose events are never read again."""
+    monkeypatch.setattr(cache_watch, "RETRY_DELAY_S", 0.0)
+    watch = CacheWatch(StubControl())
+    watch._pool = BodyPool(body)
+
+    async def scenario():
+        task = asyncio.ensure_future(watch._follow_events("e1", "10.0.0.1:1"))
+        await asyncio.wait([task], timeout=5)
+        assert task.cancelled()
+
+    asyncio.run(scenario())
+    assert watch._pool.calls == 3
+
+
+def test_few_cache_contents_are_read_at_a_time():
+    """Guards against memory filled by many large lists at once."""
+    reading = []
+    most = 0
+
+    class SlowPool:
+        async def call(self, address, *rest):
+            nonlocal most
+            reading.append(address)
+            most = max(most, len(reading))
+            await asyncio.sleep(0.01)
+            reading.remove(address)
+            return 503, b""
+
+    watch = CacheWatch(StubControl())
+    watch._pool = SlowPool()
+
+    async def scenario():
+        resyncs = (watch._resync(f"e{n}", f"10.0.0.{n}:1", 0) for n in range(10))
+        assert await asyncio.gather(*resyncs) == [0] * 10
+
+    asyncio.run(scenario())
+    assert most <= cache_watch.MAX_CONCURRENT_SNAPSHOTS
