Keep reading cache events after deeply nested bytes

What callers saw: nothing directly; the task that reads the cache events of all engines ended because of one engine's answer.

Cause: msgspec raises RecursionError, not DecodeError, for nested bytes, also in fields that it skips.

Evidence: test_unreadable_answer_does_not_end_the_task[nested] failed with RecursionError before, its two other cases passed; all pass now.

--- a/mustardtrack/process/cache_events.py
+++ b/mustardtrack/process/cache_events.py
@@ -132,7 +132,8 @@
                 pooled=True,
             )
             body = msgspec.json.decode(answer.body, type=EventsBody)
-        except (EndpointError, msgspec.DecodeError):
+        except (EndpointError, msgspec.DecodeError, RecursionError):
+            # The decoder raises RecursionError for deeply nested bytes.
             self._metrics.count("cache_events.unreadable")
             return
         # The router has not observed this incarnation yet, or has observed a newer one.
--- a/mustardtrack/process/tests/test_cache_events.py
+++ b/mustardtrack/process/tests/test_cache_events.py
@@ -4,8 +4,16 @@
 events that leave the confidence unchanged.
 """
 
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from mustardtrack.adapters.endpoint_client import EndpointError, EndpointResponse
+from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.process.cache_events import (
     CacheEventRow,
+    CacheEventsTask,
     EventCursor,
     EventsBody,
     apply_events,
@@ -50,3 +58,23 @@
     assert index.match("e", "a", (10,), 0).pieces == 0
     apply_events(index, "e", cursor, body("a", 3, (3, "stored", "not hex")), 0)
     assert cursor.sequence == 3
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [b'{"x":' + b"[" * 200_000, b"x", EndpointError("answer_too_large", True)],
+    ids=["nested", "not JSON", "too large"],
+)
+def test_unreadable_answer_does_not_end_the_task(answer):
+    """Guards against a router that ends because of bytes of an engine."""
+
+    class Client:
+        async def call(self, *arguments, **options):
+            if isinstance(answer, Exception):
+                raise answer
+            return EndpointResponse(200, {}, answer)
+
+    metrics = InMemoryMetrics()
+    task = CacheEventsTask(None, CacheIndex(100), str, Client(), None, metrics)
+    asyncio.run(task._read(SimpleNamespace(name="e", address="10.0.0.1:1")))
+    assert metrics.counters["cache_events.unreadable"] == 1
