Sync the files of a replica before it loads them

What callers may see: a change that was acknowledged is gone after a loss of power.

Cause: a process that is killed between a write and its sync leaves the write in its file, and the next process loads it. The replica then acknowledges the loaded entries and votes without writing them again, so nothing ever synced them. The same holds for a renamed file whose folder was not synced: later frames go to the new log, and a loss of power brings the old name back.

Change: load() syncs the folder, its parent and the log before it reads them.

--- a/mustardtrack/adapters/disk.py
+++ b/mustardtrack/adapters/disk.py
@@ -83,7 +83,8 @@
         """Read the stored state; an empty folder is formatted first.
 
         Returns:
-            The stored state; its ``entries`` list is not shared with this object.
+            The stored state, which is durable; its ``entries`` list is not shared
+            with this object.
 
         Raises:
             StorageDamagedError: If a file is missing or a record before the last
@@ -96,6 +97,10 @@
         if not self._path("identity").exists():
             self._format()
         self._lock()
+        # The replica acknowledges what it loads without writing it again, so names and
+        # writes that a killed process left unsynced are synced before they are read.
+        _sync_folder(self._folder)
+        _sync_folder(self._folder.parent)
         disk = self._read_single_frame("identity").decode()
         self._state = StoredState(disk=disk)
         if self._path("snapshot").exists():
@@ -192,7 +197,6 @@
         self._write_file("log", b"")
         identity = uuid.uuid4().hex.encode()
         self._write_file("identity", encode_frame(0, identity))
-        _sync_folder(self._folder.parent)
 
     def _log_size(self) -> int:
         path = self._path("log")
@@ -212,6 +216,7 @@
         if not self._path("log").exists():
             raise self._damage_error("log", "is missing")
         self._open_log()
+        os.fsync(self._log_fd)
         data = self._path("log").read_bytes()
         end = 0
         self._sequence = 1
