Forget the descriptor of the log once it is closed

Cause: _open_log() closed the old descriptor and kept its number if the open failed, and close() closed it again.

Change: the number is cleared before the file is opened.

Evidence: test_log_that_cannot_be_reopened_leaves_no_descriptor_to_close fails before ("Bad file descriptor") and passes after.

--- a/mustardtrack/adapters/disk.py
+++ b/mustardtrack/adapters/disk.py
@@ -186,6 +186,7 @@
     def _open_log(self) -> None:
         if self._log_fd >= 0:
             os.close(self._log_fd)
+            self._log_fd = -1
         self._log_fd = os.open(self._path("log"), os.O_RDWR | os.O_APPEND)
 
     def _format(self) -> None:
--- a/mustardtrack/adapters/tests/test_disk.py
+++ b/mustardtrack/adapters/tests/test_disk.py
@@ -1,5 +1,6 @@
 """Guards against lost or spurious state after crashes and disk corruption."""
 
+import errno
 import os
 
 import pytest
@@ -146,6 +147,26 @@
         disk.persist([SaveVote(1, None)])
 
 
+def test_log_that_cannot_be_reopened_leaves_no_descriptor_to_close(
+    tmp_path, monkeypatch
+):
+    """Guards against closing a descriptor that may belong to another file."""
+    disk = DiskStorage(tmp_path)
+    disk.load()
+    real_open = os.open
+
+    def fail_for_log(path, *args):
+        if path == tmp_path / "log":
+            raise OSError(errno.EMFILE, "too many open files")
+        return real_open(path, *args)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "open", fail_for_log)
+        with pytest.raises(OSError, match="too many open files"):
+            disk.persist([SaveSnapshot(Snapshot(2, 1, (A,), b"state"))])
+    disk.close()
+
+
 def test_file_and_folder_are_synced_before_persist_returns(tmp_path, monkeypatch):
     disk = DiskStorage(tmp_path)
     disk.load()
