Tell a replica that asks to join who the voters are

What callers may see: an acknowledged change does not come back after the final fault, because no majority forms. Sequence: the leader is a control host that is not among the three seeds; a voter loses its disk and returns empty; it asks only its seeds to admit it; the seeds are followers and ignore the request, and the leader's messages name the old disk and are dropped. The voter stays lost for as long as that leader leads. Two more disks lost later leave two of five voters.

Cause: a replica with an empty log knows only its seeds, and only the leader handled a join request.

Change: a replica that is not the leader and has a log answers a join request with the names of the voters it knows (JoinHint); the sender asks them at once. The simulated group takes the seeds that a started replica knows: until now all replicas knew all names, which hid the fault.

Ruled out: the old disk of a returned voter counts or votes nowhere, since votes and acknowledgements are counted by name and disk.

Evidence: mustardtrack/agreement/tests/test_joining.py, 12 of 20 tests fail without the change (one, two or a non-seed voter wiped, and a new host, seeds 1 to 3) and none with it; bin/test mustardtrack/agreement mustardtrack/tests: 270 passed.

--- a/mustardtrack/agreement/messages.py
+++ b/mustardtrack/agreement/messages.py
@@ -104,6 +104,16 @@
     last_index: int
 
 
+class JoinHint(msgspec.Struct, frozen=True, tag="join_hint"):
+    """Answer of a replica that is not the leader to a join request.
+
+    ``voters`` are the names of the voters that the sender knows, one of which may be
+    the leader.
+    """
+
+    voters: tuple[str, ...]
+
+
 class DiskRefused(msgspec.Struct, frozen=True, tag="disk_refused"):
     """Refuses a replica whose disk lost entries that it had acknowledged."""
 
@@ -122,6 +132,7 @@
     | SnapshotChunk
     | SnapshotReply
     | JoinRequest
+    | JoinHint
     | DiskRefused
 )
 
--- a/mustardtrack/agreement/replica.py
+++ b/mustardtrack/agreement/replica.py
@@ -23,6 +23,7 @@
     AppendReply,
     AppendRequest,
     DiskRefused,
+    JoinHint,
     JoinRequest,
     Message,
     PreVoteReply,
@@ -108,6 +109,7 @@
         self._leader_role: LeaderRole | None = None
         self._membership: MembershipManager | None = None
         self._join_targets: tuple[str, ...] = ()
+        self._hinted_voters: frozenset[str] = frozenset()
         self._join_at_ms = now_ms
         self._refused = False
         self._handlers: dict[type, Callable[[ReplicaId, Any, int], None]] = {
@@ -120,6 +122,7 @@
             SnapshotChunk: self._follower_role.on_snapshot_chunk,
             SnapshotReply: self._on_snapshot_reply,
             JoinRequest: self._on_join_request,
+            JoinHint: self._on_join_hint,
             DiskRefused: self._on_disk_refused,
         }
 
@@ -179,7 +182,10 @@
         return self._collect_effects()
 
     def set_join_targets(self, names: Sequence[str]) -> None:
-        """Set the replicas that are asked to admit this one while it is no voter."""
+        """Set the replicas that are asked to admit this one while it is no voter.
+
+        Any of them that has a log names the voters, which are then asked too.
+        """
         self._join_targets = tuple(
             name for name in names if name != self._core.own_id.name
         )
@@ -248,13 +254,19 @@
 
     def _send_join_requests(self, now_ms: int) -> None:
         core = self._core
-        if core.has_recent_leader(now_ms) or now_ms < self._join_at_ms:
+        if core.has_recent_leader(now_ms):
+            self._hinted_voters = frozenset()
+            return
+        if now_ms < self._join_at_ms:
             return
         self._join_at_ms = now_ms + core.timing.election_timeout_ms
-        voter_names = [voter.name for voter in core.log.voters]
-        for name in sorted({*self._join_targets, *voter_names} - {core.own_id.name}):
+        names = {*self._join_targets, *self._hinted_voters, *self._voter_names()}
+        for name in sorted(names - {core.own_id.name}):
             core.send(ReplicaId(name, ""), JoinRequest(core.log.last_index))
 
+    def _voter_names(self) -> tuple[str, ...]:
+        return tuple(voter.name for voter in self._core.log.voters)
+
     def _on_pre_vote_reply(
         self, sender: ReplicaId, message: PreVoteReply, now_ms: int
     ) -> None:
@@ -293,6 +305,13 @@
     ) -> None:
         if self._membership:
             self._membership.on_join_request(sender, message, now_ms)
+        elif not self._core.is_empty:
+            self._core.send(sender, JoinHint(self._voter_names()))
+
+    def _on_join_hint(self, sender: ReplicaId, message: JoinHint, now_ms: int) -> None:
+        if not self._hinted_voters.issuperset(message.voters):
+            self._hinted_voters |= set(message.voters)
+            self._join_at_ms = now_ms
 
     def _on_disk_refused(
         self, sender: ReplicaId, message: DiskRefused, now_ms: int
--- a/mustardtrack/agreement/tests/test_joining.py
+++ b/mustardtrack/agreement/tests/test_joining.py
@@ -8,9 +8,9 @@
 from mustardtrack.testing.replicas import FAST_TIMING, STEP_MS, Node, ReplicaGroup
 
 
-def make_group(target, seed=1):
+def make_group(target, seed=1, seeds=None):
     timing = replace(FAST_TIMING, target_voters=target, unresponsive_voter_ms=900)
-    group = ReplicaGroup(3, seed, timing=timing)
+    group = ReplicaGroup(3, seed, timing=timing, seeds=seeds)
     group.form()
     leader = group.run_until_leader()
     group.propose(leader.name, [b"x"] * 20)
@@ -90,3 +90,52 @@
     group.crash("b")
     group.run(4000)
     assert voter_names(group) == set("abc")
+
+
+def make_group_led_by_no_seed(seed):
+    """Return a group of five whose leader is not among the seeds a, b and c."""
+    group = make_group(5, seed, seeds="abc")
+    for name in "de":
+        add_replica(group, name)
+    run_until_voters(group, "abcde")
+    group.run(500)
+    while group.run_until_leader().name in "abc":
+        seed_name = group.leader().name
+        group.crash(seed_name)
+        group.run(1500)
+        group.start(seed_name)
+        group.run(1500)
+    return group
+
+
+def run_until_disks_are_voters(group, names, limit_ms=6000):
+    """Run until the current disks of the nodes are the only ones under their names."""
+    identities = {group.nodes[name].identity for name in names}
+    for _ in range(limit_ms // STEP_MS):
+        leader = group.leader()
+        voters = group.voters(leader) if leader else set()
+        if {voter for voter in voters if voter.name in names} == identities:
+            return
+        group.run(STEP_MS)
+    raise AssertionError(f"{identities} are not all voters after {limit_ms} ms")
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("wiped", ["a", "bc", "de"])
+def test_wiped_voter_rejoins_under_a_leader_that_is_no_seed(seed, wiped):
+    """Guards against a voter that stays lost, so that further losses stop the group."""
+    group = make_group_led_by_no_seed(seed)
+    wiped = [name for name in wiped if name != group.leader().name]
+    for name in wiped:
+        group.lose_disk(name)
+        group.start(name)
+    run_until_disks_are_voters(group, wiped)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_new_host_replaces_a_voter_under_a_leader_that_is_no_seed(seed):
+    """Guards against a host that knows only seeds and never finds the leader."""
+    group = make_group_led_by_no_seed(seed)
+    group.crash("a")
+    add_replica(group, "f")
+    run_until_voters(group, "bcdef", limit_ms=6000)
--- a/mustardtrack/testing/replicas.py
+++ b/mustardtrack/testing/replicas.py
@@ -10,6 +10,7 @@
 
 import hashlib
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -102,6 +103,7 @@
         seed: Seed of all random choices, including election timeouts.
         timing: Periods and sizes of the replicas.
         compact_after: Number of applied entries after which a snapshot is taken.
+        seeds: Names that a started replica asks to admit it; all by default.
 
     Attributes:
         values: Committed entries by index.
@@ -122,6 +124,7 @@
         seed: int,
         timing: Timing = FAST_TIMING,
         compact_after: int = 12,
+        seeds: Sequence[str] | None = None,
     ):
         self.rng = random.Random(seed)
         self.timing = timing
@@ -132,6 +135,7 @@
         self.acknowledged: dict[int, Entry] = {}
         self.sent: list[tuple[str, str, Message]] = []
         self._compact_after = compact_after
+        self._seeds = seeds
         self._in_flight: list[tuple[int, int, str, bytes]] = []
         self._message_number = 0
         names = [chr(ord("a") + number) for number in range(size)]
@@ -165,7 +169,7 @@
             random.Random(self.rng.random()),
             self.clock_ms(node),
         )
-        node.replica.set_join_targets(sorted(self.nodes))
+        node.replica.set_join_targets(self._seeds or sorted(self.nodes))
         node.paused = False
         node.inbox, node.proposals = [], set()
         node.applied_index, node.digest, node.snapshot_index = 0, b"", 0
