Answer open requests when a second signal ends a router

Seen: on a second SIGTERM or SIGINT a stopping router ended at once; callers of requests in progress got a closed connection and no answer, and the bytes of finished responses in the write buffers were dropped. Cause: Lifecycle._receive_signal lists open_requests() and stops the reactor; nothing answers the requests in between. Change: DaemonProcess.force_stop shortens a planned stop. The router ends its shutdown window, so that new requests are refused, and takes the usual path of the forced close, with 0.5 s for sending the last answers. A third signal ends the process at once, as the second does for processes without such a stop. The window also ends when the router closes early because it has no more work.

--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -164,6 +164,8 @@
         None of them is sent to an endpoint afterwards, and the endpoints that work on
         them are told to stop by an abort of their connections.
         """
+        # Handlers of requests that were just read have not run yet.
+        await asyncio.sleep(0)
         interrupted = self.open_requests()
         tasks = list(self._open)
         for task in tasks:
--- a/mustardtrack/process/lifecycle.py
+++ b/mustardtrack/process/lifecycle.py
@@ -47,6 +47,14 @@
             expired; empty if none was interrupted.
         """
 
+    def force_stop(self) -> bool:
+        """Shorten a planned stop to the answers that open requests must get.
+
+        Returns:
+            Whether ``stop`` returns soon; if not, the process is ended at once.
+        """
+        return False
+
     @abstractmethod
     def open_requests(self) -> list[str]:
         """Return the ids of the requests that are open now."""
@@ -83,6 +91,8 @@
 
     def _receive_signal(self) -> None:
         if self._stopping:
+            if self._process.force_stop():
+                return
             interrupted = self._process.open_requests()
             log_event(STOP_FORCED, interrupted=interrupted)
             self._exit(EXIT_INTERRUPTED if interrupted else EXIT_OK)
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -32,6 +32,8 @@
 STOP_MARGIN_S = 0.8
 # Part of the grace period reserved for ending the process before it is killed.
 EXIT_MARGIN_S = 0.3
+# Time for sending the last answers after a second signal.
+FORCED_SEND_S = 0.5
 # Callers cache directory answers for some seconds and still reach a stopping router.
 MIN_DRAIN_MS = 4000
 STOP_POLL_S = 0.05
@@ -47,6 +49,7 @@
         self.metrics = InMemoryMetrics()
         count_events(self.metrics)
         self._stopping = False
+        self._is_forced = False
 
     async def start(self) -> None:
         """Open the ports; requests are refused until a control host has answered."""
@@ -106,37 +109,58 @@
         """Withdraw from the directory, then drain the remaining requests."""
         self._stopping = True
         self._caller_server.is_stopping = True
-        window = self._shutdown_window()
-        self._forwarder.begin_stop(window)
+        self._set_shutdown_window(self._shutdown_window())
+        if self._is_forced:
+            self._end_shutdown_window()
         await self._control_sync.sync_now()
         is_withdrawn = False
-        while not window.is_over(now_ms := self._clock.now_ms()):
-            if window.is_withdrawn(now_ms) and not is_withdrawn:
+        while not self._window.is_over(now_ms := self._clock.now_ms()):
+            if self._window.is_withdrawn(now_ms) and not is_withdrawn:
                 is_withdrawn = True
                 self._forwarder.log_refusal_start()
             has_open_work = bool(self._caller_server.open_exchanges())
             has_open_work = has_open_work or self._caller_server.has_partial_requests()
-            if window.elapsed_ms(now_ms) >= MIN_DRAIN_MS and not has_open_work:
+            if self._window.elapsed_ms(now_ms) >= MIN_DRAIN_MS and not has_open_work:
                 break
             await asyncio.sleep(STOP_POLL_S)
+        self._end_shutdown_window()
         self._caller_server.stop_listening()
         interrupted = await self._forwarder.interrupt_requests()
         self._caller_server.close_connections()
         self._readiness_server.stop_listening()
-        interrupted += await self._wait_until_sent(window)
+        interrupted += await self._wait_until_sent()
         self._watch_task.cancel()
         await self._placements.stop()
         await self._control_sync.stop()
         return interrupted
 
-    async def _wait_until_sent(self, window: ShutdownWindow) -> list[str]:
+    def force_stop(self) -> bool:
+        """End the stop now; open requests get their last answers."""
+        if self._is_forced:
+            return False
+        self._is_forced = True
+        if self._stopping:
+            self._end_shutdown_window()
+        return True
+
+    def _end_shutdown_window(self) -> None:
+        """Refuse all further requests."""
+        self._set_shutdown_window(self._window.ended_at(self._clock.now_ms()))
+
+    def _set_shutdown_window(self, window: ShutdownWindow) -> None:
+        self._window = window
+        self._forwarder.begin_stop(window)
+
+    async def _wait_until_sent(self) -> list[str]:
         """Wait until the responses are sent, at most for the grace period.
 
         Returns:
             Ids of the requests whose response was not completely sent.
         """
-        elapsed_s = window.elapsed_ms(self._clock.now_ms()) / 1000
+        elapsed_s = self._window.elapsed_ms(self._clock.now_ms()) / 1000
         left_s = self._settings.bounds.grace_s - EXIT_MARGIN_S - elapsed_s
+        if self._is_forced:
+            left_s = min(left_s, FORCED_SEND_S)
         exchanges = await self._caller_server.wait_closed(left_s)
         request_ids = [
             (exchange.header(REQUEST_ID) or b"").decode("latin-1")
--- a/mustardtrack/process/tests/test_planned_stop.py
+++ b/mustardtrack/process/tests/test_planned_stop.py
@@ -301,3 +301,24 @@
         assert time.monotonic() - started_s < GRACE_S
     assert log_lines(hosts, 8954)[0]["requests"] == ["large"]
     assert log_lines(hosts, 8204)[0]["interrupted"] == ["large"]
+
+
+def test_second_signal_answers_open_requests_before_the_process_ends(hosts, pool):
+    """Guards against open requests that a second signal ends without an answer."""
+    call = pool.submit(Caller().send, "call", "/call/1", 6.0)
+    assert holds_within(lambda: "call" in SlowEndpoint.ran, START_LIMIT_S)
+    hosts.send_signal(ROUTER, signal.SIGTERM)
+    time.sleep(1.0)
+    hosts.send_signal(ROUTER, signal.SIGTERM)
+    assert hosts.running[ROUTER].wait(timeout=STOP_TIMEOUT_S) == 1
+    assert call.result()[0] == 502
+    assert log_lines(hosts, 8204)[0]["interrupted"] == ["call"]
+    assert log_lines(hosts, 8951)[0]["stopping_ms"] < 2000
+
+
+def test_two_signals_at_once_end_an_idle_router(hosts):
+    """Guards against a second signal that fails because the stop has not begun."""
+    hosts.send_signal(ROUTER, signal.SIGTERM)
+    hosts.send_signal(ROUTER, signal.SIGINT)
+    assert hosts.running[ROUTER].wait(timeout=3) == 0
+    assert not log_lines(hosts, 8204)
--- a/mustardtrack/requests/shutdown_window.py
+++ b/mustardtrack/requests/shutdown_window.py
@@ -1,6 +1,6 @@
 """Time window in which a stopping router accepts and answers requests."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 
@@ -74,6 +74,10 @@
         """Return whether the remaining connections must be closed."""
         return self.elapsed_ms(now_ms) >= self.limit_ms
 
+    def ended_at(self, now_ms: int) -> "ShutdownWindow":
+        """Return the window of the same stop if it is over now."""
+        return replace(self, limit_ms=min(self.limit_ms, self.elapsed_ms(now_ms)))
+
     def accepts(self, now_ms: int, deadline_ms: int) -> bool:
         """Return whether a request with this deadline can be accepted."""
         if not self.is_withdrawn(now_ms):
--- a/mustardtrack/requests/tests/test_shutdown_window.py
+++ b/mustardtrack/requests/tests/test_shutdown_window.py
@@ -35,3 +35,11 @@
     assert window.accepts(999, 60_000)
     assert not window.accepts(1000, 60_000)
     assert window.is_over(1000)
+
+
+def test_window_that_is_ended_early_accepts_no_request():
+    """Guards against requests accepted while a second signal ends the process."""
+    ended = WINDOW.ended_at(BEGAN_MS + 500)
+    assert ended.is_over(BEGAN_MS + 500)
+    assert not ended.accepts(BEGAN_MS + 500, BEGAN_MS + 600)
+    assert WINDOW.ended_at(BEGAN_MS + 9000) == WINDOW
