Bound the heads and close the bodies of endpoint answers

What callers saw: a router that used a processor for the whole time limit of a call (up to 60 s for a weight load) to parse header lines or informational responses without end, and connections that stayed open after the call on them had failed, to an endpoint that went on sending steadily.

Cause: Twisted limits a line of a head, not the number of lines or of informational responses. treq.collect has no canceller, so that a time-out of the body left its connection to be read on.

Ruled out: bytes that are not HTTP, lines, chunk extensions and trailers without end are limited by Twisted (16 KiB, 1 KiB, 64 KiB), bodies by max_body_bytes.

Change: a connection that receives 64 KiB before a response begins is aborted (event 8851, reason connection_lost). A body that is cancelled closes its connection (event 8852). An incomplete line of a stream is not searched again for each segment. Deeply nested bytes in a chunk are a malformed chunk.

--- a/mustardtrack/adapters/endpoint_client.py
+++ b/mustardtrack/adapters/endpoint_client.py
@@ -10,16 +10,20 @@
 import msgspec
 import treq
 from twisted.internet import reactor as twisted_reactor
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH, IAgentEndpointFactory
 from zope.interface import implementer
 
+from mustardtrack.logs import define_event, log_event
+
 reactor = cast(Any, twisted_reactor)
 
 CONNECT_TIMEOUT_MS = 1000
@@ -27,6 +31,14 @@
 POOL_IDLE_TIMEOUT_MS = 10_000
 MAX_LINE_BYTES = 1_048_576
 MAX_ERROR_BODY_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+
+HEAD_TOO_LARGE = define_event(
+    8851, "WARNING", "connection aborted: head of the response too large"
+)
+BODY_TIMED_OUT = define_event(
+    8852, "WARNING", "connection closed: call ended before its response"
+)
 
 
 class EndpointError(Exception):
@@ -157,16 +169,18 @@
 
     def __init__(self, stream: EngineStream):
         self._stream = stream
-        self._partial_line = b""
+        self._partial_line = bytearray()
         self._ended = False
         self._paused = False
         self._decoder = msgspec.json.Decoder(Chunk)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 (Twisted)
         """Split the body into lines and queue the chunks in them."""
-        *lines, self._partial_line = (self._partial_line + data).split(b"\n")
-        for line in lines:
-            self._receive_line(line.rstrip(b"\r"))
+        self._partial_line += data
+        if b"\n" in data:
+            *lines, self._partial_line = self._partial_line.split(b"\n")
+            for line in lines:
+                self._receive_line(bytes(line.rstrip(b"\r")))
         if len(self._partial_line) > MAX_LINE_BYTES:
             self._end(EndpointError("line_too_long", may_have_run=True))
             self.close()
@@ -183,7 +197,8 @@
             return
         try:
             self._stream.push(self._decoder.decode(payload))
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
+            # The decoder raises RecursionError for deeply nested bytes.
             self._end(EndpointError("malformed_chunk", True, str(error)))
 
     def connectionLost(self, reason: Failure = Failure(ResponseDone())) -> None:  # noqa: N802, B008
@@ -216,9 +231,9 @@
         self._pool.cachedConnectionTimeout = POOL_IDLE_TIMEOUT_MS // 1000
         # Only the retry policy may repeat a request.
         self._pool.retryAutomatically = False
-        timeout = CONNECT_TIMEOUT_MS / 1000
-        self._pooled = Agent(reactor, connectTimeout=timeout, pool=self._pool)
-        self._unpooled = Agent(reactor, connectTimeout=timeout)
+        factory = _LimitedEndpointFactory()
+        self._pooled = Agent.usingEndpointFactory(reactor, factory, self._pool)
+        self._unpooled = Agent.usingEndpointFactory(reactor, factory)
 
     async def close(self) -> None:
         """Close idle connections."""
@@ -295,7 +310,7 @@
         agent: Any = self._pooled if pooled else self._unpooled
         if before_send is not None:
             agent = Agent.usingEndpointFactory(
-                reactor, _PreSendCheckFactory(before_send)
+                reactor, _LimitedEndpointFactory(before_send)
             )
         url = f"http://{address}{path}"
         loop = asyncio.get_running_loop()
@@ -374,42 +389,99 @@
 
 
 @implementer(IAgentEndpointFactory)
-class _PreSendCheckFactory:
-    """Creates Twisted endpoints that call ``before_send`` after connecting."""
+class _LimitedEndpointFactory:
+    """Creates Twisted endpoints whose connections limit the head of each response.
+
+    ``before_send`` is called after connecting, if it is given.
+    """
 
-    def __init__(self, before_send: Callable[[], None]):
+    def __init__(self, before_send: Callable[[], None] | None = None):
         self._before_send = before_send
 
-    def endpointForURI(self, uri: Any) -> "_PreSendCheckEndpoint":  # noqa: N802 (Twisted)
+    def endpointForURI(self, uri: Any) -> "_LimitedEndpoint":  # noqa: N802 (Twisted)
         endpoint = TCP4ClientEndpoint(
             reactor, uri.host, uri.port, timeout=CONNECT_TIMEOUT_MS / 1000
         )
-        return _PreSendCheckEndpoint(endpoint, self._before_send)
+        address = f"{uri.host.decode('ascii')}:{uri.port}"
+        return _LimitedEndpoint(endpoint, address, self._before_send)
 
 
 @implementer(IStreamClientEndpoint)
-class _PreSendCheckEndpoint:
+class _LimitedEndpoint:
     """Twisted endpoint that calls ``before_send`` on the open connection.
 
     The agent writes the request in the callback that follows the check.
     """
 
-    def __init__(self, inner: TCP4ClientEndpoint, before_send: Callable[[], None]):
+    def __init__(
+        self,
+        inner: TCP4ClientEndpoint,
+        address: str,
+        before_send: Callable[[], None] | None,
+    ):
         self._inner = inner
+        self._address = address
         self._before_send = before_send
 
     def connect(self, factory: Any) -> Any:
-        return self._inner.connect(factory).addCallback(self._run_pre_send_check)
+        connecting = self._inner.connect(factory)
+        connecting.addCallback(self._limit_head)
+        if self._before_send is not None:
+            connecting.addCallback(self._run_pre_send_check, self._before_send)
+        return connecting
+
+    def _limit_head(self, protocol: Any) -> Any:
+        _HeadLimit(protocol, self._address)
+        return protocol
 
-    def _run_pre_send_check(self, protocol: Any) -> Any:
+    def _run_pre_send_check(
+        self, protocol: Any, before_send: Callable[[], None]
+    ) -> Any:
         try:
-            self._before_send()
+            before_send()
         except Exception as error:
             protocol.transport.abortConnection()
             raise _NotSentError(error) from error
         return protocol
 
 
+class _HeadLimit:
+    """Aborts a connection that receives too many bytes before a response begins.
+
+    Twisted limits a single line of the head, but not the number of lines and of
+    informational responses.
+    """
+
+    def __init__(self, protocol: Any, address: str):
+        self._transport = protocol.transport
+        self._address = address
+        self._head_bytes = 0
+        self._is_waiting = False
+        self._send_request = protocol.request
+        self._parse = protocol.dataReceived
+        protocol.request = self._request
+        protocol.dataReceived = self._receive
+
+    def _request(self, request: Any) -> Any:
+        self._head_bytes = 0
+        self._is_waiting = True
+        return self._send_request(request).addBoth(self._end_head)
+
+    def _end_head(self, result: Any) -> Any:
+        self._is_waiting = False
+        return result
+
+    def _receive(self, data: bytes) -> None:
+        self._parse(data)
+        if not self._is_waiting:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._is_waiting = False
+            log_event(HEAD_TOO_LARGE, address=self._address)
+            self._transport.abortConnection()
+
+
 def _states_not_run(body: bytes) -> bool:
     """Return whether an error body states that the request was not executed."""
     try:
@@ -433,7 +505,9 @@
             raise EndpointError("answer_too_large", may_have_run=True)
         parts.append(data)
 
-    deferred = treq.collect(response, receive)
+    collector = _BodyCollector(receive)
+    deferred = collector.ended
+    response.original.deliverBody(collector)
     timeout = _DeferredTimeout(deferred, timeout_ms)
     try:
         await deferred.asFuture(asyncio.get_running_loop())
@@ -446,6 +520,46 @@
     return b"".join(parts)
 
 
+class _BodyCollector(Protocol):
+    """Passes a response body on and closes the connection if that is cancelled.
+
+    Attributes:
+        ended: Fires at the end of the body, or with the reason why it has none.
+    """
+
+    def __init__(self, receive: Callable[[bytes], None]):
+        self._receive = receive
+        self.ended: Deferred[None] = Deferred(self._cancel)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 (Twisted)
+        """Pass data on; an error of the receiver closes the connection."""
+        if self.ended.called:
+            return
+        try:
+            self._receive(data)
+        except EndpointError:
+            self._close()
+            self.ended.errback(Failure())
+
+    def connectionLost(self, reason: Failure = Failure(ResponseDone())) -> None:  # noqa: N802, B008
+        """End the body; one without a length ends with its connection."""
+        if self.ended.called:
+            return
+        if reason.check(ResponseDone, PotentialDataLoss):
+            self.ended.callback(None)
+        else:
+            self.ended.errback(reason)
+
+    def _cancel(self, deferred: "Deferred[None]") -> None:
+        log_event(BODY_TIMED_OUT)
+        self._close()
+
+    def _close(self) -> None:
+        transport = cast(Any, self.transport)
+        if transport is not None:
+            transport.loseConnection()
+
+
 def _close_connection(response: Any) -> None:
     body_reader = Protocol()
     response.original.deliverBody(body_reader)
--- a/mustardtrack/adapters/tests/test_endless_responses.py
+++ b/mustardtrack/adapters/tests/test_endless_responses.py
@@ -6,6 +6,7 @@
 
 import socket
 import threading
+import time
 
 import pytest
 
@@ -24,14 +25,18 @@
         head: Sent once.
         part: Repeated until the peer closes.
         is_early: Whether it sends before it has received a request.
+        delay_s: Time between two parts, which are then sent one by one.
 
     Attributes:
         closed: Set once a peer has closed its connection.
     """
 
-    def __init__(self, head: bytes, part: bytes, is_early: bool = False):
+    def __init__(
+        self, head: bytes, part: bytes, is_early: bool = False, delay_s: float = 0.0
+    ):
         self._head = head
-        self._parts = part * max(1, 16_384 // len(part))
+        self._delay_s = delay_s
+        self._parts = part if delay_s else part * max(1, 16_384 // len(part))
         self._is_early = is_early
         self.closed = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -50,6 +55,7 @@
             connection.sendall(self._head)
             while True:
                 connection.sendall(self._parts)
+                time.sleep(self._delay_s)
         except OSError:
             self.closed.set()
 
@@ -225,3 +231,94 @@
     assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
     assert result["open"] == 0, result
     assert server.closed.wait(5)
+
+
+ENDPOINT_CALL = (
+    MEASURE
+    + """
+    async def read(pool, address, deadline_s):
+        try:
+            await HttpEndpointClient().call(
+                address, "GET", "/", {}, b"", 1000, 65_536,
+                pooled=sys.argv[4] == "pooled")
+        except EndpointError as error:
+            return error.reason
+    run(lambda: measure(read))
+"""
+)
+# Reads as a relay does, up to its idle timeout.
+ENDPOINT_STREAM = (
+    MEASURE
+    + """
+    async def read(pool, address, deadline_s):
+        clock = asyncio.get_running_loop().time
+        try:
+            stream = await HttpEndpointClient().open_stream(address, {}, 1000, 16)
+            while clock() < deadline_s:
+                if await stream.next_chunk(1000) is None:
+                    return "complete"
+        except EndpointError as error:
+            return error.reason
+    run(lambda: measure(read))
+"""
+)
+TO_CALLS = {
+    "status line": "connection_lost",
+    "header line": "connection_lost",
+    "header lines": "connection_lost",
+    "informational responses": "connection_lost",
+    "body with a length": "answer_too_large",
+    "body without a length": "answer_too_large",
+    "chunked body": "answer_too_large",
+    "chunk extension": "connection_lost",
+    "chunk extensions": "connection_lost",
+    "trailers": "connection_lost",
+}
+
+
+ANSWERS = [("unpooled", kind) for kind in TO_CALLS]
+ANSWERS += [("pooled", "header lines"), ("pooled", "chunked body")]
+
+
+@pytest.mark.parametrize(("pooling", "kind"), ANSWERS)
+def test_endless_answer_fails_the_call(run_on_reactor, kind, pooling):
+    """Guards against health checks and calls that fill the memory."""
+    server = EndlessServer(*ENDLESS_RESPONSES[kind])
+    result = run_on_reactor(
+        ENDPOINT_CALL,
+        server.address,
+        str(CLIENT_ADDRESS_SPACE_BYTES),
+        str(DEADLINE_S),
+        pooling,
+    )
+    assert result["elapsed_s"] < DEADLINE_S, result
+    assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
+    assert server.closed.wait(2), result
+    assert result["outcome"] == TO_CALLS[kind], result
+
+
+# Counts the connections that the reactor reads after the call has failed.
+CLOSED_AFTER_TIMEOUT = """
+    async def main():
+        before = len(reactor.getReaders())
+        try:
+            await HttpEndpointClient().call(
+                sys.argv[1], "GET", "/", {}, b"", 500, 65_536)
+        except EndpointError as error:
+            await asyncio.sleep(0.5)
+            return [error.reason, len(reactor.getReaders()) - before]
+    run(main)
+"""
+
+
+@pytest.mark.parametrize(
+    "kind", ["header lines", "body without a length", "chunked body"]
+)
+def test_steady_answer_without_end_closes_its_connection(run_on_reactor, kind):
+    """Guards against connections that stay open after their call has failed."""
+    server = EndlessServer(*ENDLESS_RESPONSES[kind], delay_s=0.1)
+    result = run_on_reactor(
+        CLOSED_AFTER_TIMEOUT,
+        server.address,
+    )
+    assert result == ["timeout", 0]
