Answer reads only once a new leader applied what it committed

What callers may see: a read of the configuration that follows an election, for example after all hosts lost power, returns an older document than the one that was acknowledged, marked as the newest.

Cause: the lease is valid as soon as the replica has committed an entry of its term, but the task applies committed entries only after the write of the same batch.

Change: ReplicaTask.is_leader() also requires that the first entry of the leader's term is applied. Everything that earlier leaders acknowledged is before it, and this leader acknowledges nothing that it has not applied.

Ruled out: a lease that outlives a suspension (the clock is CLOCK_BOOTTIME), an acknowledgement before the sync (messages and replies follow the write), and a second write at the same time by _compact_if_due (the same task waits for the write before it compacts).

--- a/mustardtrack/agreement/replica.py
+++ b/mustardtrack/agreement/replica.py
@@ -198,10 +198,19 @@
     def lease_valid(self, now_ms: int) -> bool:
         """Return whether this leader may answer reads without contacting a quorum.
 
-        The result holds at ``now_ms`` only; check it after computing the answer.
+        The result holds at ``now_ms`` only; check it after computing the answer. The
+        answer must include the entries up to :meth:`read_index`.
         """
         return self._leader_role is not None and self._leader_role.lease_valid(now_ms)
 
+    def read_index(self) -> int:
+        """Return the index up to which entries must be applied before a read.
+
+        Entries that an earlier leader acknowledged are not after the first entry of
+        this leader's term.
+        """
+        return self._leader_role.first_index if self._leader_role else 0
+
     def status(self, now_ms: int) -> ReplicaStatus:
         """Return the state of this replica as known to itself."""
         core = self._core
--- a/mustardtrack/process/replica_task.py
+++ b/mustardtrack/process/replica_task.py
@@ -120,8 +120,16 @@
         return self._applied_index
 
     def is_leader(self) -> bool:
-        """Return whether this replica is the leader and its lease is valid."""
-        return self._replica.lease_valid(self._clock.now_ms())
+        """Return whether this replica may answer reads as the leader.
+
+        Its lease must be valid, and its state machine must include what earlier
+        leaders acknowledged. Committed entries are applied only after a write of the
+        same batch.
+        """
+        return (
+            self._replica.lease_valid(self._clock.now_ms())
+            and self._applied_index >= self._replica.read_index()
+        )
 
     def status(self) -> ReplicaStatus:
         """Return the status of the replica."""
