End a stopping router before its grace period is over

Evidence: from 8203 to the exit 0.77, 0.85 and 0.90 s went by; SIGABRT with faulthandler shows the interpreter in its final garbage collection, which closes the bus. Cause: SeededRouterProcess.stop never stopped its bus, as the control process does. Change: stop the bus; reserve 0.6 s for the end of the process and begin the forced close at 7.0 s, which leaves 0.4 s for the last answers.

--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -29,9 +29,9 @@
 )
 
 # Part of the grace period reserved for sending the last answers.
-STOP_MARGIN_S = 0.8
+STOP_MARGIN_S = 1.0
 # Part of the grace period reserved for ending the process before it is killed.
-EXIT_MARGIN_S = 0.3
+EXIT_MARGIN_S = 0.6
 # Time for sending the last answers after a second signal.
 FORCED_SEND_S = 0.5
 # Callers cache directory answers for some seconds and still reach a stopping router.
@@ -132,6 +132,7 @@
         self._watch_task.cancel()
         await self._placements.stop()
         await self._control_sync.stop()
+        await self._bus.stop()
         return interrupted
 
     def force_stop(self) -> bool:
