Answer the open calls of a stopping control host

Seen: a control host that got SIGTERM while an operator's command waited for its commit closed the connection without an answer. Cause: SeededControlProcess.stop cancelled everything 0.3 s after the signal, but a command or a read may take COMMAND_TIMEOUT_MS (0.7 s). Change: after the 0.3 s the host stops listening, closes the connections that carry no call, and waits until the others have sent their answers, at most 1.2 s. HttpServer.close_connections leaves connections with an open exchange to end with it. Why it works: `commit` starts no new try on a stopping host and its last try ends after at most 0.7 s, so that every call that was read has its answer within the wait. Before: test_open_command_is_answered_before_the_host_ends failed on on each of the three hosts (RemoteDisconnected where 503 is expected). After: bin/test test_control_stop.py test_planned_stop.py test_interrupted_requests.py test_seeded.py, 16 passed.

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -230,7 +230,12 @@
         """End the response, then read the next request or close the connection."""
         self.send_event(h11.EndOfMessage())
         self.exchange = None
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+        is_reusable = (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._server.is_closing
+        )
+        if is_reusable:
             self._http.start_next_cycle()
             self._restart_timer(self._server.limits.idle_timeout_ms)
             try:
@@ -273,6 +278,7 @@
         self.limits = limits or CallerLimits()
         self.connections: set[ServerConnection] = set()
         self.is_stopping = False
+        self.is_closing = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._port: Any = None
 
@@ -309,12 +315,11 @@
             self._port = None
 
     def close_connections(self) -> None:
-        """Close each connection after the bytes written to it are sent.
-
-        To be called when no exchange is open.
-        """
+        """Close each connection once its open exchange has ended and is sent."""
+        self.is_closing = True
         for connection in list(self.connections):
-            connection.transport.loseConnection()
+            if connection.exchange is None:
+                connection.transport.loseConnection()
 
     async def wait_closed(self, timeout_s: float) -> list[Exchange]:
         """Wait until all connections are closed.
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -82,6 +82,10 @@
 # Operators give up on a host after one second without an answer.
 COMMAND_TIMEOUT_MS = 700
 COMMAND_RETRY_S = 0.05
+# Time during which a stopping host still accepts calls.
+MIN_DRAIN_S = 0.3
+# Calls last as long as a command; the rest is for sending the answers.
+MAX_CALL_S = COMMAND_TIMEOUT_MS / 1000 + 0.5
 # Entries hold whole documents, which are large; a slow replica gets a snapshot
 # instead of old entries.
 RETAINED_LOG_ENTRIES = 20
@@ -487,13 +491,24 @@
         self._stopping = True
         for server in self._servers:
             server.is_stopping = True
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(MIN_DRAIN_S)
+        for server in self._servers:
+            server.stop_listening()
+            server.close_connections()
+        unanswered = await self._wait_closed(MAX_CALL_S)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._storage.close()
         await self._bus.stop()
-        return []
+        return unanswered
+
+    async def _wait_closed(self, timeout_s: float) -> list[str]:
+        """Wait until all calls are answered; return the paths of the others."""
+        open_exchanges = await asyncio.gather(
+            *(server.wait_closed(timeout_s) for server in self._servers)
+        )
+        return [exchange.path for open_now in open_exchanges for exchange in open_now]
 
     def open_requests(self) -> list[str]:
         """Return an empty list: senders retry commands that were not answered."""
