Search less often for a replacement of a stalled attempt

Found by counting in a test: 21 searches in 10.4 s. Change: the interval doubles with each search that found no endpoint. Checks that need no search (queued prompt, retry budget) keep the interval of 500 ms.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -29,6 +29,7 @@
     AttemptFailure,
     ForwardedRequest,
     RetryObstacle,
+    StallRecheck,
 )
 from mustardtrack.requests.time_limits import TimeLimit
 from mustardtrack.routing.endpointstate import EndpointState
@@ -52,8 +53,6 @@
 STREAM_IDLE_TIMEOUT_MS = 1500
 # Longest wait for the headers or first event before a stream is retried elsewhere.
 FIRST_EVENT_TIMEOUT_MS = 2500
-# Interval at which a retry of a stalled attempt is considered again.
-STALL_RECHECK_MS = 500
 MIN_FAILURE_STATUS = 500
 EVENT_DELIMITER = b"\n\n"
 
@@ -448,13 +447,15 @@
         Returns:
             The event if there is one, and the attempt that replaces this one.
         """
+        recheck = StallRecheck()
         while self._is_awaited():
             if not self._progress.may_abandon_attempt():
                 left_s = self._time_left_ms() / 1000
                 return await connection.next_event(left_s), None
             event, replacement = await self._prepare_replacement(connection)
             if event is None and replacement is None and self._is_awaited():
-                left_ms = min(STALL_RECHECK_MS, self._time_left_ms())
+                recheck_ms = recheck.next_ms(self._obstacle)
+                left_ms = min(recheck_ms, self._time_left_ms())
                 event = await connection.next_event(left_ms / 1000)
             if event is not None or replacement is not None:
                 return event, replacement
--- a/mustardtrack/process/tests/test_attempt.py
+++ b/mustardtrack/process/tests/test_attempt.py
@@ -6,13 +6,12 @@
 import pytest
 
 from mustardtrack.adapters.upstream import ResponseData, ResponseEnd, ResponseHead
-from mustardtrack.process.attempt import (
+from mustardtrack.process.attempt import Attempt, Outcome, PlannedAttempt
+from mustardtrack.requests.forwarding import (
     STALL_RECHECK_MS,
-    Attempt,
-    Outcome,
-    PlannedAttempt,
+    AttemptFailure,
+    RetryObstacle,
 )
-from mustardtrack.requests.forwarding import AttemptFailure, RetryObstacle
 from mustardtrack.requests.time_limits import RequestTimeLimit, TimeLimit
 
 TIME_LEFT_MS = 5000
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -686,3 +686,19 @@
     assert scenario.relayed == [1, 2]
     assert scenario.is_whole
     assert [run.endpoint for run in scenario.pool.runs] == ["e1", "e2"]
+
+
+def test_leader_is_asked_ever_less_often_for_a_stalled_attempt(monkeypatch):
+    """Guards against an overloaded leader that every stalled attempt asks again."""
+    asked = []
+
+    def place(request):
+        asked.append(request)
+        return place_hopelessly(request)
+
+    scenario = Scenario(
+        {"e1": STALLED, "e2": []}, leader=StandInLeader(place), monkeypatch=monkeypatch
+    ).play()
+    assert scenario.status == 200
+    # Once before the send, then with intervals that double within the 10.4 s left.
+    assert len(asked) == 1 + 5
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -54,6 +54,38 @@
     NOT_CONNECTED = "not_connected"
 
 
+# Interval at which a retry of a stalled attempt is considered again.
+STALL_RECHECK_MS = 500
+# Obstacles that are found without a search for another endpoint.
+_FOUND_WITHOUT_SEARCH = {RetryObstacle.QUEUED, RetryObstacle.RETRY_BUDGET}
+
+
+class StallRecheck:
+    """Intervals at which a retry of a stalled attempt is considered again.
+
+    The interval doubles with each search for another endpoint that found none, since
+    many attempts stall at once under an overload.
+
+    Examples:
+        >>> recheck = StallRecheck()
+        >>> [recheck.next_ms(RetryObstacle.HOPELESS) for _ in range(3)]
+        [500, 1000, 2000]
+        >>> recheck.next_ms(RetryObstacle.QUEUED)
+        500
+    """
+
+    def __init__(self) -> None:
+        self._after_search_ms = STALL_RECHECK_MS
+
+    def next_ms(self, obstacle: RetryObstacle | None) -> int:
+        """Return the time until the next check after an obstacle."""
+        if obstacle is None or obstacle in _FOUND_WITHOUT_SEARCH:
+            return STALL_RECHECK_MS
+        interval_ms = self._after_search_ms
+        self._after_search_ms *= 2
+        return interval_ms
+
+
 _MAY_HAVE_RUN = {
     AttemptFailure.FAILED,
     AttemptFailure.CONNECTION_LOST,
