Resume a stream later if its replacement was refused

Seen by callers: none observed; what remained of streams that the router itself gives up. A stalled stream is abandoned for an endpoint that is reachable, but this one can still refuse the send (not run). Without another attempt at that moment the stream was cut with its time left. The old endpoint cannot be kept until the new one accepts, since it would work on the request beside it. Change: a started stream whose last send was refused is tried again, at growing intervals, until its deadline, within the limits of sends, endpoints and the retry budget. A stream whose endpoint broke off with no refused send after it is cut at once as before. Evidence: test_stream_whose_replacement_was_refused_is_resumed_later on: both cases fail (one event of two relayed; cut with reason hopeless before the deadline).

--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -35,6 +35,7 @@
     ForwardedRequest,
     NextStep,
     RetryObstacle,
+    StallRecheck,
 )
 from mustardtrack.requests.time_limits import RequestTimeLimit
 from mustardtrack.routing.balancing import choose_endpoint
@@ -227,11 +228,15 @@
         step = NextStep.RETRY
         obstacle: _NoAttempt | None = None
         outcome = Outcome()
+        recheck = StallRecheck()
         while step is NextStep.RETRY:
             planned = outcome.replacement or await self._plan_attempt(
                 admitted, progress
             )
             if isinstance(planned, _NoAttempt):
+                if self._may_resume_later(admitted, progress, outcome):
+                    await self._wait_to_resume(admitted, recheck)
+                    continue
                 obstacle = planned
                 step = progress.final_step()
                 break
@@ -260,6 +265,27 @@
         obstacle = obstacle or _NoAttempt(_REASON_WITHOUT_OBSTACLE[step])
         self._answer_failure(admitted, progress, step, obstacle, outcome)
 
+    def _may_resume_later(
+        self, admitted: AdmittedRequest, progress: ForwardedRequest, outcome: Outcome
+    ) -> bool:
+        """Return whether a started stream waits for another attempt.
+
+        Its attempt ended and the next one was refused, so that no endpoint works on it
+        and the caller would lose what it received.
+        """
+        exchange = admitted.exchange
+        is_waiting = exchange.is_started and not exchange.is_disconnected
+        has_untried = len(progress.tried) < MAX_ENDPOINTS_TRIED
+        is_refused = progress.was_refused_after_run(outcome.end)
+        return is_waiting and has_untried and is_refused and self._has_time(admitted)
+
+    async def _wait_to_resume(
+        self, admitted: AdmittedRequest, recheck: StallRecheck
+    ) -> None:
+        left_ms = admitted.deadline_ms - self.clock.now_ms()
+        recheck_ms = recheck.next_ms(RetryObstacle.NO_ENDPOINT)
+        await asyncio.sleep(min(recheck_ms, left_ms) / 1000)
+
     async def _plan_attempt(
         self, admitted: AdmittedRequest, progress: ForwardedRequest
     ) -> "PlannedAttempt | _NoAttempt":
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -702,3 +702,31 @@
     assert scenario.status == 200
     # Once before the send, then with intervals that double within the 10.4 s left.
     assert len(asked) == 1 + 5
+
+
+@pytest.mark.parametrize(
+    ("free_ms", "expected"), [(2500, [1, 2]), (ROUTE_TIMEOUT_MS, [1])]
+)
+def test_stream_whose_replacement_was_refused_is_resumed_later(
+    monkeypatch, free_ms, expected
+):
+    """Guards against cutting a stream that the router abandoned for a refused retry."""
+
+    def place(request):
+        now_ms = asyncio.get_running_loop().time() * 1000
+        if "e2" in request.tried and now_ms < free_ms:
+            return place_hopelessly(request)
+        return None
+
+    scenario = Scenario(
+        {"e1": STALLED, "e2": [(10, REFUSAL + END)], "e3": COMPLETE},
+        leader=StandInLeader(place),
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.errors == []
+    assert scenario.relayed == expected
+    assert scenario.is_whole is (expected == [1, 2])
+    if not scenario.is_whole:
+        (line,) = scenario.lines(8951)
+        assert (line["is_cut"], line["reason"]) == (True, "time_left")
+        assert scenario.caller.ended_s == pytest.approx(12, abs=0.02)
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -91,6 +91,7 @@
     AttemptFailure.CONNECTION_LOST,
     AttemptFailure.TIMED_OUT,
 }
+_DID_NOT_RUN = {AttemptFailure.NOT_SENT, AttemptFailure.NOT_RUN}
 
 
 @dataclass
@@ -163,6 +164,10 @@
         is_last_run = self.possible_runs + 1 >= self.route.max_attempts
         return self.route.may_retry and not is_last_run and self._sends_left() > 1
 
+    def was_refused_after_run(self, failure: AttemptFailure | None) -> bool:
+        """Return whether the last attempt did not run a request that ran before."""
+        return self.may_have_run and failure in _DID_NOT_RUN
+
     def final_step(self) -> NextStep:
         """Return the step for a request that is not retried."""
         return NextStep.FAIL if self.may_have_run else NextStep.REFUSE
--- a/mustardtrack/requests/tests/test_forwarding.py
+++ b/mustardtrack/requests/tests/test_forwarding.py
@@ -133,3 +133,18 @@
             assert following.possible_runs + 1 <= attempts
         if progress.step_after(failure) is not NextStep.RETRY:
             break
+
+
+@pytest.mark.parametrize("failure", AttemptFailure)
+def test_only_a_refused_retry_of_a_run_is_tried_again_later(failure):
+    """Guards against waits for a request that never ran or whose endpoint broke."""
+    progress = ForwardedRequest(route(RetrySafety.STREAM, 3, resumable=True))
+    progress.record_send()
+    progress.step_after(AttemptFailure.NOT_RUN)
+    assert not progress.was_refused_after_run(AttemptFailure.NOT_RUN)
+    progress.record_send()
+    progress.step_after(AttemptFailure.TIMED_OUT)
+    progress.record_send()
+    progress.step_after(failure)
+    is_refused = failure in (AttemptFailure.NOT_RUN, AttemptFailure.NOT_SENT)
+    assert progress.was_refused_after_run(failure) is is_refused
