--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -80,7 +80,8 @@
 
     def write(self, data: bytes) -> None:
         """Send a part of the response body."""
-        if data and not self.is_disconnected:
+        # The response to a HEAD request has the length of a body, but no body.
+        if data and self.method != b"HEAD" and not self.is_disconnected:
             self._connection.send_event(h11.Data(data=data))
 
     def finish(self) -> None:
@@ -200,10 +201,13 @@
     async def _await_handler(self, exchange: Exchange, coroutine: Any) -> None:
         try:
             await coroutine
+        except asyncio.CancelledError as error:
+            self._handle_failure(exchange, error)
+            raise
         except Exception as error:
             self._handle_failure(exchange, error)
 
-    def _handle_failure(self, exchange: Exchange, error: Exception) -> None:
+    def _handle_failure(self, exchange: Exchange, error: BaseException) -> None:
         log_event(HANDLER_FAILED, target=exchange.target.decode(), error=repr(error))
         if exchange.is_started:
             exchange.abort()
--- /dev/null
+++ b/mustardtrack/adapters/tests/test_h11_server.py
@@ -0,0 +1,77 @@
+"""Guards against requests of callers that end without an answer."""
+
+import asyncio
+
+import pytest
+
+from mustardtrack.adapters.h11_server import HttpServer
+
+
+class StandInTransport:
+    """Transport that keeps what is written to it."""
+
+    def __init__(self):
+        self.written = b""
+        self.is_closed = False
+
+    def getHandle(self):  # noqa: N802
+        """Return an object that accepts socket options."""
+        return self
+
+    def setsockopt(self, *arguments):
+        """Ignore a socket option."""
+
+    def write(self, data):
+        """Keep the data."""
+        self.written += data
+
+    def loseConnection(self):  # noqa: N802
+        """Record the close."""
+        self.is_closed = True
+
+    abortConnection = loseConnection  # noqa: N815
+
+
+def exchange_with(handler, request):
+    """Return the transport of a connection on which one request was received."""
+
+    async def run():
+        server = HttpServer(handler)
+        connection = server.buildProtocol(None)
+        transport = connection.transport = StandInTransport()
+        connection.connectionMade()
+        connection.dataReceived(request)
+        for _ in range(5):
+            await asyncio.sleep(0)
+            for task in list(server._tasks):
+                if handler is wait_forever:
+                    task.cancel()
+        connection._stop_timer()
+        return transport
+
+    return asyncio.run(run())
+
+
+async def wait_forever(exchange):
+    await asyncio.sleep(60)
+
+
+def refuse(exchange):
+    exchange.respond(503, [], b"reason")
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+def test_refusal_is_answered_for_each_method(method):
+    """Guards against HEAD requests whose refusal resets the connection."""
+    request = method + b" / HTTP/1.1\r\nhost: h\r\n\r\n"
+    transport = exchange_with(refuse, request)
+    head, _, body = transport.written.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 503") and b"content-length: 6" in head
+    assert body == (b"reason" if method == b"GET" else b"")
+    assert not transport.is_closed
+
+
+def test_request_whose_handler_is_cancelled_is_answered():
+    """Guards against a caller that waits for the answer of a cancelled handler."""
+    transport = exchange_with(wait_forever, b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+    assert transport.written.startswith(b"HTTP/1.1 500")
