Keep a started stream of a listed endpoint in spite of silence

A prepared retry secures a connection, but not that the endpoint runs the request, and the old endpoint may not work on it beside the new one. Change: a started stream is abandoned for silence only if its endpoint is no longer listed. Streams without an event and calls are retried as before. What it costs: a stream on an engine that hangs without closing its connections is resumed only once the platform no longer lists the engine.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -455,7 +455,11 @@
             if not self._progress.may_abandon_attempt():
                 left_s = self._time_left_ms() / 1000
                 return await connection.next_event(left_s), None
-            event, replacement = await self._prepare_replacement(connection)
+            event, replacement = None, None
+            if self._forwarder.must_continue(self._admitted, self._endpoint):
+                self._log_obstacle(RetryObstacle.STREAM_STARTED)
+            else:
+                event, replacement = await self._prepare_replacement(connection)
             if event is None and replacement is None and self._is_awaited():
                 recheck_ms = recheck.next_ms(self._obstacle)
                 left_ms = min(recheck_ms, self._time_left_ms())
@@ -502,18 +506,22 @@
             if self._forwarder.take_retry(self._admitted, prepared):
                 return None, prepared
             prepared = RetryObstacle.RETRY_BUDGET
-        if prepared is not self._obstacle:
-            self._obstacle = prepared
-            log_event(
-                STALLED_ATTEMPT_CONTINUED,
-                request=self._admitted.request_id,
-                endpoint=self._endpoint.id,
-                obstacle=prepared.value,
-                elapsed_ms=self._elapsed_ms(),
-                left_ms=self._time_left_ms(),
-            )
+        self._log_obstacle(prepared)
         return None, None
 
+    def _log_obstacle(self, obstacle: RetryObstacle) -> None:
+        if obstacle is self._obstacle:
+            return
+        self._obstacle = obstacle
+        log_event(
+            STALLED_ATTEMPT_CONTINUED,
+            request=self._admitted.request_id,
+            endpoint=self._endpoint.id,
+            obstacle=obstacle.value,
+            elapsed_ms=self._elapsed_ms(),
+            left_ms=self._time_left_ms(),
+        )
+
     def _fail_without_head(self, connection: UpstreamConnection) -> Outcome:
         idle_before_request_s = connection.idle_before_request_s
         if idle_before_request_s > 0:
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -508,6 +508,11 @@
         count = self._control_sync.view.router_count
         return connections_per_router(service.max_connections, count)
 
+    def must_continue(self, admitted: AdmittedRequest, endpoint: EndpointState) -> bool:
+        """Return whether a stalled attempt may not be abandoned for another one."""
+        is_listed = self._control_sync.view.endpoints.is_listed(endpoint)
+        return admitted.exchange.is_started and is_listed
+
     async def prepare_retry(
         self, admitted: AdmittedRequest, progress: ForwardedRequest
     ) -> PlannedAttempt | RetryObstacle:
--- a/mustardtrack/process/tests/test_attempt.py
+++ b/mustardtrack/process/tests/test_attempt.py
@@ -60,6 +60,7 @@
         clock=clock,
         prepare_retry=prepare_retry,
         take_retry=lambda admitted, planned: True,
+        must_continue=lambda admitted, endpoint: False,
     )
     limit = RequestTimeLimit(TimeLimit.ROUTE, TIME_LEFT_MS)
     admitted = SimpleNamespace(
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -45,19 +45,28 @@
 
 
 class RetryObstacle(Enum):
-    """Reason why a stalled attempt goes on instead of being retried elsewhere."""
+    """Reason why a stalled attempt goes on instead of being retried elsewhere.
+
+    ``STREAM_STARTED`` is for a stream that the caller is receiving: another endpoint
+    may refuse to resume it, so silence of a listed endpoint does not end it.
+    """
 
     QUEUED = "queued"
     RETRY_BUDGET = "retry_budget"
     NO_ENDPOINT = "no_endpoint"
     HOPELESS = "hopeless"
     NOT_CONNECTED = "not_connected"
+    STREAM_STARTED = "stream_started"
 
 
 # Interval at which a retry of a stalled attempt is considered again.
 STALL_RECHECK_MS = 500
 # Obstacles that are found without a search for another endpoint.
-_FOUND_WITHOUT_SEARCH = {RetryObstacle.QUEUED, RetryObstacle.RETRY_BUDGET}
+_FOUND_WITHOUT_SEARCH = {
+    RetryObstacle.QUEUED,
+    RetryObstacle.RETRY_BUDGET,
+    RetryObstacle.STREAM_STARTED,
+}
 
 
 class StallRecheck:
--- a/mustardtrack/routing/endpointstate.py
+++ b/mustardtrack/routing/endpointstate.py
@@ -153,6 +153,10 @@
             self._services.setdefault(state.listed.service, []).append(state)
         return removed
 
+    def is_listed(self, state: EndpointState) -> bool:
+        """Return whether an endpoint, and not a later incarnation, is on the list."""
+        return self._states.get(state.listed.id) is state
+
     def accepting_endpoints(self, service: str) -> list[EndpointState]:
         """Return the endpoints of a service that accept new requests."""
         return [
