Treat a failure of the endpoint that resumes a stream as a failed attempt

Callers saw: a stream that was resumed at an endpoint which answered with a failure was reset by an exception of h11 (a second response on one request), without a line 8951, and the leader kept its placement. Cause: _relay_buffered responded although the response had started. Test: test_failure_of_the_endpoint_that_resumes_a_stream_is_no_answer[2] failed before.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -322,7 +322,8 @@
                 return self._fail_broken(connection, "response body truncated")
             break
         self._forwarder.pool.put(self._endpoint.id, connection)
-        if is_failure and self._may_retry_failure():
+        # A resumed stream has a response already, so a failure only ends the attempt.
+        if self._exchange.is_started or (is_failure and self._may_retry_failure()):
             return Outcome(AttemptFailure.FAILED, note=f"status {head.status}")
         headers = [
             header
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -780,3 +780,22 @@
     assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
     (line,) = scenario.lines(8953)
     assert line["obstacle"] == "stream_started"
+
+
+@pytest.mark.parametrize("max_attempts", [2, 3])
+def test_failure_of_the_endpoint_that_resumes_a_stream_is_no_answer(
+    monkeypatch, max_attempts
+):
+    """Guards against a second response on a stream, which ends in an exception."""
+    scenario = Scenario(
+        {"e1": [*STALLED, (500, CLOSE)], "e2": [(10, FAILURE)], "e3": COMPLETE},
+        max_attempts=max_attempts,
+        monkeypatch=monkeypatch,
+    ).play()
+    is_resumed = max_attempts > 2
+    assert scenario.errors == []
+    assert scenario.leader.ended
+    (line,) = scenario.lines(8951)
+    assert (line["status"], line["is_cut"]) == (200, not is_resumed)
+    assert scenario.relayed == ([1, 2] if is_resumed else [1])
+    assert scenario.caller.end == ("" if is_resumed else "reset")
