Abort the connection of an attempt that ends with an error

Seen: after an unexpected exception in an attempt the endpoint went on working on a request whose caller had lost its connection; only a cancellation aborted it. Test: test_error_while_an_attempt_waits_aborts_its_endpoint failed before.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -187,7 +187,7 @@
             # The leader already knows of the placement that replaces this one.
             if outcome.replacement is None:
                 self._record_first_byte()
-        except asyncio.CancelledError:
+        except BaseException:
             connection.abort()
             raise
         finally:
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -799,3 +799,18 @@
     assert (line["status"], line["is_cut"]) == (200, not is_resumed)
     assert scenario.relayed == ([1, 2] if is_resumed else [1])
     assert scenario.caller.end == ("" if is_resumed else "reset")
+
+
+def fail_for_a_retry(request):
+    if request.tried:
+        raise ValueError("unexpected")
+
+
+def test_error_while_an_attempt_waits_aborts_its_endpoint(monkeypatch):
+    """Guards against an endpoint that works on a request which nobody awaits."""
+    scenario = Scenario(
+        {"e1": [], "e2": COMPLETE},
+        leader=StandInLeader(fail_for_a_retry),
+        monkeypatch=monkeypatch,
+    ).play()
+    assert scenario.run_of("e1").transport.end == "reset"
