--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -25,11 +25,13 @@
     8945, "WARNING", "configuration is no longer confirmed, requests are refused"
 )
 CONFIRMATION_REGAINED = define_event(8946, "INFO", "configuration is confirmed again")
+SYNC_FAILED = define_event(8947, "ERROR", "reply of a control host was not applied")
 
 # A removed API key must not work after ``revoke_ms``. A route table may serve without
 # confirmation for this fraction of it; the rest covers requests already accepted.
 CONFIRMATION_FRACTION = 0.85
 RETRY_DELAY_S = 0.1
+FAILED_SYNC_DELAY_S = 0.5
 INITIAL_TIMEOUT_MS = 500
 CONFIRMATION_CHECK_PERIOD_S = 0.1
 
@@ -127,6 +129,9 @@
             await self._sync(name, hold_ms=0, timeout_ms=INITIAL_TIMEOUT_MS)
         except BusTimeoutError:
             self._mark_unreachable(name)
+        except Exception as error:
+            # A planned stop goes on whatever one control host answers.
+            log_event(SYNC_FAILED, control=name, error=repr(error))
 
     def _start_sync(self, names: list[str]) -> None:
         for name in names:
@@ -148,6 +153,11 @@
                 hold_ms, timeout_ms = 0, INITIAL_TIMEOUT_MS
                 self._mark_unreachable(name)
                 await asyncio.sleep(RETRY_DELAY_S)
+            except Exception as error:
+                # The router would otherwise never hear of this control host again.
+                log_event(SYNC_FAILED, control=name, error=repr(error))
+                hold_ms, timeout_ms = 0, INITIAL_TIMEOUT_MS
+                await asyncio.sleep(FAILED_SYNC_DELAY_S)
 
     def _mark_unreachable(self, name: str) -> None:
         if name not in self._unreachable:
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -225,7 +225,8 @@
         }
         if exchange.is_disconnected:
             fields["note"] = "caller disconnected"
-        answer = choose_interrupted_answer(progress.sends, exchange.is_started)
+        may_have_run = progress.may_have_run or progress.is_outcome_open
+        answer = choose_interrupted_answer(may_have_run, exchange.is_started)
         if answer is InterruptedAnswer.REFUSE:
             progress.require_not_run()
             self._refuse(exchange, admitted.metadata, "stopping", **fields)
--- a/mustardtrack/process/lifecycle.py
+++ b/mustardtrack/process/lifecycle.py
@@ -12,6 +12,7 @@
 STOP_REQUESTED = define_event(8202, "INFO", "planned stop started")
 STOPPED = define_event(8203, "INFO", "process stopped, no request was interrupted")
 STOP_FORCED = define_event(8204, "ERROR", "stop interrupted open requests")
+STOP_FAILED = define_event(8206, "ERROR", "planned stop failed; the process exits")
 START_FAILED = define_event(8205, "ERROR", "process could not start")
 
 EXIT_OK = 0
@@ -102,7 +103,12 @@
         asyncio.ensure_future(self._stop())
 
     async def _stop(self) -> None:
-        interrupted = await self._process.stop()
+        try:
+            interrupted = await self._process.stop()
+        except Exception as error:
+            log_event(STOP_FAILED, error=repr(error))
+            self._exit(EXIT_TASK_FAILED)
+            return
         if interrupted:
             log_event(STOP_FORCED, interrupted=interrupted)
         else:
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -28,10 +28,11 @@
     8955, "ERROR", "router ended before callers received their whole responses"
 )
 
-# Part of the grace period reserved for sending the last answers.
-STOP_MARGIN_S = 1.0
+# Part of the grace period reserved for sending the last answers and ending the process.
+# Less than a sixth: endpoints may be interrupted only in the last sixth.
+CLOSE_FRACTION = 0.15
 # Part of the grace period reserved for ending the process before it is killed.
-EXIT_MARGIN_S = 0.6
+EXIT_FRACTION = 0.1
 # Time for sending the last answers after a second signal.
 FORCED_SEND_S = 0.5
 # Callers cache directory answers for some seconds and still reach a stopping router.
@@ -161,7 +162,7 @@
             Ids of the requests whose response was not completely sent.
         """
         elapsed_s = self._window.elapsed_ms(self._clock.now_ms()) / 1000
-        left_s = self._settings.bounds.grace_s - EXIT_MARGIN_S - elapsed_s
+        left_s = self._settings.bounds.grace_s * (1 - EXIT_FRACTION) - elapsed_s
         if self._is_forced:
             left_s = min(left_s, FORCED_SEND_S)
         exchanges = await self._caller_server.wait_closed(left_s)
@@ -180,7 +181,7 @@
         return ShutdownWindow(
             began_ms=self._clock.now_ms(),
             withdrawal_ms=int(ttl_s * 1000),
-            limit_ms=int((bounds.grace_s - STOP_MARGIN_S) * 1000),
+            limit_ms=int(bounds.grace_s * (1 - CLOSE_FRACTION) * 1000),
         )
 
     def open_requests(self) -> list[str]:
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -814,3 +814,21 @@
         monkeypatch=monkeypatch,
     ).play()
     assert scenario.run_of("e1").transport.end == "reset"
+
+
+def interrupt(handler):
+    asyncio.ensure_future(handler.interrupt_requests())
+
+
+@pytest.mark.parametrize(
+    ("script", "status"), [([(10, REFUSAL + END)], 503), ([(10, CLOSE)], 502)]
+)
+def test_request_interrupted_between_two_sends_gets_the_answer_that_is_true(
+    monkeypatch, script, status
+):
+    """Guards against a stop that withholds a retry from a request that did not run."""
+    scenario = Scenario(
+        {"e1": script, "e2": []}, connect_ms={"e2": 250}, monkeypatch=monkeypatch
+    ).play(actions=[(100, interrupt)])
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+    assert scenario.status == status
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -110,6 +110,7 @@
     Attributes:
         sends: Attempts for which bytes were sent to an endpoint.
         may_have_run: Whether an endpoint can have started to run the request.
+        is_outcome_open: Whether the last send has no outcome yet.
         possible_runs: Number of attempts that may have run the request.
         tried: Endpoints that the request was sent to or that could not be reached.
         resume_after: Id of the last event that the caller received, None before the
@@ -125,6 +126,7 @@
     route: Route
     sends: int = 0
     may_have_run: bool = False
+    is_outcome_open: bool = False
     possible_runs: int = 0
     tried: list[str] = field(default_factory=list)
     resume_after: bytes | None = None
@@ -153,9 +155,11 @@
             sends=self.sends,
         )
         self.sends += 1
+        self.is_outcome_open = True
 
     def step_after(self, failure: AttemptFailure) -> NextStep:
         """Return the step after an attempt, before the retry budget is checked."""
+        self.is_outcome_open = False
         if failure in _MAY_HAVE_RUN:
             self.may_have_run = True
             self.possible_runs += 1
--- a/mustardtrack/requests/shutdown_window.py
+++ b/mustardtrack/requests/shutdown_window.py
@@ -16,22 +16,24 @@
     RESET = "reset"
 
 
-def choose_interrupted_answer(sends: int, is_started: bool) -> InterruptedAnswer:
+def choose_interrupted_answer(
+    may_have_run: bool, is_started: bool
+) -> InterruptedAnswer:
     """Return the answer to a request that is still open at the end of a planned stop.
 
     Args:
-        sends: Number of times that the request was sent to an endpoint.
+        may_have_run: Whether an endpoint may have run the request or may still run it.
         is_started: Whether a part of a response was sent to the caller.
 
     Examples:
-        >>> choose_interrupted_answer(sends=0, is_started=False).name
+        >>> choose_interrupted_answer(may_have_run=False, is_started=False).name
         'REFUSE'
-        >>> choose_interrupted_answer(sends=1, is_started=False).name
+        >>> choose_interrupted_answer(may_have_run=True, is_started=False).name
         'FAIL'
     """
     if is_started:
         return InterruptedAnswer.RESET
-    return InterruptedAnswer.FAIL if sends else InterruptedAnswer.REFUSE
+    return InterruptedAnswer.FAIL if may_have_run else InterruptedAnswer.REFUSE
 
 
 @dataclass(frozen=True)
