Accept any body of an engine's refusal

What callers saw: a failed request in place of a retry, if an engine refused a stream with deeply nested bytes: json.loads raises RecursionError, which _states_not_run did not expect.

The new test was run only after the change and passed.

--- a/mustardtrack/adapters/endpoint_client.py
+++ b/mustardtrack/adapters/endpoint_client.py
@@ -486,7 +486,7 @@
     """Return whether an error body states that the request was not executed."""
     try:
         return bool(json.loads(body)["error"]["ran"] == "not_run")
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return False
 
 
--- a/mustardtrack/adapters/tests/test_endpoint_client.py
+++ b/mustardtrack/adapters/tests/test_endpoint_client.py
@@ -117,3 +117,21 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = f"127.0.0.1:{listener.getsockname()[1]}"
     assert run_on_reactor(CALL, address, "1000") == ["connect_failed", False]
+
+
+REFUSED_STREAM = """
+    async def main():
+        try:
+            await HttpEndpointClient().open_stream(sys.argv[1], {}, 1000, 16)
+        except EndpointError as error:
+            return [error.reason, error.may_have_run]
+    run(main)
+"""
+
+
+def test_nested_body_of_a_refusal_states_nothing(run_on_reactor):
+    """Guards against a request that fails because a refusal cannot be decoded."""
+    body = b"[" * 60_000
+    head = b"HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n" % len(body)
+    server = FixedResponseServer(head + body, close=False)
+    assert run_on_reactor(REFUSED_STREAM, server.address) == ["refused_503", True]
