Bound the unfinished bodies of a router together

What callers saw: with many endless responses at once, each within the limit of 4 MiB, the router still exceeded its memory of 128 MB.

Change: above 32 MiB of unfinished bodies in one pool, a body that grows beyond 1 MiB is aborted (event 8990). Smaller responses stay whole meanwhile, and the largest one is whole when the others are gone (unit test).

--- a/mustardtrack/adapters/tests/test_upstream.py
+++ b/mustardtrack/adapters/tests/test_upstream.py
@@ -522,3 +522,47 @@
         assert pool.open_count("10.0.0.1:1") == 0
 
     run_scenario(scenario)
+
+
+def test_unfinished_bodies_of_a_pool_are_bounded_together(monkeypatch):
+    """Guards against memory filled by many responses that are each within limits."""
+
+    async def fake_open_connection(reactor, host, port, timeout_s):
+        return connect()
+
+    monkeypatch.setattr(upstream, "open_connection", fake_open_connection)
+    segment = b"x" * 65_536
+    head = b"HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: %d\r\n\r\n"
+
+    async def scenario():
+        pool = ConnectionPool(None)
+        connections = [await pool.open("10.0.0.1:1", 1.0) for _ in range(41)]
+        small = connections.pop()
+        most = max(
+            upstream.MAX_UNFINISHED_BYTES,
+            len(connections) * upstream.MAX_BODY_BYTES_WHEN_SHORT,
+        )
+        for connection in connections:
+            send(connection)
+            connection.dataReceived(head % upstream.MAX_RESPONSE_BODY_BYTES)
+        for count in range(1, upstream.MAX_RESPONSE_BODY_BYTES // len(segment)):
+            for connection in connections:
+                if not connection.transport.closed:
+                    connection.dataReceived(segment)
+            held = [one for one in connections if not one.transport.closed]
+            held_bytes = len(held) * count * len(segment)
+            assert held_bytes <= most + len(connections) * len(segment)
+        # A response of common size is whole meanwhile.
+        send(small)
+        small.dataReceived(encode_response(b"r1", b"x" * 100_000))
+        assert isinstance((await read_all(small))[-1], ResponseEnd)
+        for connection in connections:
+            connection.connectionLost(ConnectionLostReason(False))
+        assert pool._unfinished.size == 0
+        # So is the largest response, once the others are gone.
+        send(small)
+        small.dataReceived(encode_response(b"r1", LARGEST_BODY))
+        assert isinstance((await read_all(small))[-1], ResponseEnd)
+        assert pool._unfinished.size == 0
+
+    run_scenario(scenario)
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -35,6 +35,10 @@
 MAX_HEADER_BYTES = 65_536
 # A response body may be as large as the largest body that callers may send.
 MAX_RESPONSE_BODY_BYTES = 4_194_304
+# Unfinished bodies of one pool; above it, bodies that exceed the second limit are
+# aborted while they grow.
+MAX_UNFINISHED_BYTES = 33_554_432
+MAX_BODY_BYTES_WHEN_SHORT = 1_048_576
 # A response may have this many bytes outside of its body, and as many more as its
 # body has, for chunks as small as single tokens.
 MAX_FRAMING_BYTES = 2 * MAX_HEADER_BYTES
@@ -56,6 +60,9 @@
 RESPONSE_MALFORMED = define_event(
     8991, "WARNING", "response aborted: it is malformed or its head is too large"
 )
+TOO_MANY_UNFINISHED_BYTES = define_event(
+    8990, "WARNING", "response aborted: unfinished responses are too large together"
+)
 BODY_TOO_LARGE = define_event(8992, "WARNING", "response aborted: body too large")
 TOO_MUCH_FRAMING = define_event(
     8993, "WARNING", "response aborted: too many bytes outside of its body"
@@ -119,6 +126,13 @@
 ResponseEvent = ResponseHead | ResponseData | ResponseEnd | ResponseInterrupted
 
 
+@dataclass
+class UnfinishedBytes:
+    """Size of the unfinished response bodies on a group of connections."""
+
+    size: int = 0
+
+
 class UpstreamConnection(Protocol):
     """One connection to an endpoint; carries one request at a time.
 
@@ -130,12 +144,15 @@
         on_lost: Called once when an open connection is lost.
         idle_before_request_s: Idle time of the connection before the current request.
         address: Address of the endpoint, for logs.
+        unfinished: Shared with the other connections of a pool.
     """
 
     transport: Any
 
     def __init__(self, address: str = "") -> None:
         self.address = address
+        self.unfinished = UnfinishedBytes()
+        self._unfinished_bytes = 0
         self._http = self._new_http()
         self._events: deque[ResponseEvent] = deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -203,6 +220,7 @@
             self._http = self._new_http()
         self._events.clear()
         self._count_read(self._unread_bytes)
+        self._release_unfinished()
         self._is_discarding = False
         self._reset_sizes()
         self._id_header = id_header
@@ -273,6 +291,7 @@
             except h11.RemoteProtocolError:
                 pass  # A truncated response is reported as interrupted below.
         self.is_lost = True
+        self._release_unfinished()
         if self._request is not None:
             self._queue_event(ResponseInterrupted(reason.getErrorMessage()))
             self._request = None
@@ -335,12 +354,25 @@
                 self._abort_response(OTHER_RESPONSE_TOO_LARGE)
             return
         self._body_bytes += len(data)
+        self._unfinished_bytes += len(data)
+        self.unfinished.size += len(data)
         if self._body_bytes > self._max_body_bytes:
             self._queue_data(parts)
             self._abort_response(BODY_TOO_LARGE)
             return
+        if (
+            self.unfinished.size > MAX_UNFINISHED_BYTES
+            and self._body_bytes > MAX_BODY_BYTES_WHEN_SHORT
+        ):
+            self._queue_data(parts)
+            self._abort_response(TOO_MANY_UNFINISHED_BYTES)
+            return
         parts.append(data)
 
+    def _release_unfinished(self) -> None:
+        self.unfinished.size -= self._unfinished_bytes
+        self._unfinished_bytes = 0
+
     def _is_chunk_rate_exceeded(self) -> bool:
         elapsed_s = asyncio.get_running_loop().time() - self._sent_s
         return self._chunk_count > MAX_CHUNK_BURST + MAX_CHUNKS_PER_S * elapsed_s
@@ -393,6 +425,7 @@
             keeps_alive and not trailing and not closed and not self.is_lost
         )
         self._request = None
+        self._release_unfinished()
         self._queue_event(ResponseEnd())
 
     def _discard_response(self, trailing: bytes, keeps_alive: bool) -> None:
@@ -432,6 +465,7 @@
         """Abort the connection; the endpoint drops the request on it."""
         self.is_reusable = False
         self.is_aborted = True
+        self._release_unfinished()
         self.transport.abortConnection()
 
 
@@ -512,6 +546,7 @@
         self._reactor = reactor
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self._open: Counter[str] = Counter()
+        self._unfinished = UnfinishedBytes()
 
     def take(self, key: str, max_idle_s: float = math.inf) -> UpstreamConnection | None:
         """Return the most recently used idle connection of an endpoint.
@@ -575,6 +610,7 @@
             self._decrement_open_count(address)
             raise ConnectError("closed before the request")
         connection.on_lost = lambda: self._decrement_open_count(address)
+        connection.unfinished = self._unfinished
         if connection.is_aborted:
             log_event(BYTES_BEFORE_REQUEST, address=address)
             raise ConnectError("bytes before the request")
