Let the fault soak send slow streams to stopping routers

Seen: the soak passed on a router that cuts late requests. Its requests lasted at most 0.15 s with a time limit of 2.5 s, its callers leave a router with the next directory answer, and random faults leave hardly any planned stop undisturbed, so that _check_planned_stops had nothing to judge. Change: two callers per router send streams of 3.5 s (time limit 4.5 s) and stay with their router while it stops; after the faults have ended and the system has recovered, one router is stopped with nothing else disturbed. No check was changed.

--- a/mustardtrack/testing/faultsoak.py
+++ b/mustardtrack/testing/faultsoak.py
@@ -27,6 +27,7 @@
 
 from mustardtrack.testing.faulty_endpoints import EndpointThread, FaultyEndpoint
 from mustardtrack.testing.seeded_hosts import (
+    CALLER_PORT,
     SeededHosts,
     holds_within,
     put_document,
@@ -36,8 +37,10 @@
     DEADLINE_MS,
     PATH_PREFIXES,
     ROUTE_HOST,
+    SLOW_DEADLINE_MS,
     Caller,
     RequestRecord,
+    SlowCaller,
 )
 from mustardtrack.testing.subnets import Subnet
 
@@ -92,17 +95,22 @@
 
 def build_document(version: int, has_revoked_key: bool) -> dict[str, Any]:
     """Return the configuration document of a version."""
-    kinds = {"booking": "non_idempotent", "lookup": "idempotent", "stream": "streaming"}
+    kinds = {
+        "booking": "non_idempotent",
+        "lookup": "idempotent",
+        "stream": "streaming",
+        "slow": "streaming",
+    }
     routes = [
         {
             "name": f"r-{kind}",
             "host": ROUTE_HOST,
             "path-prefix": prefix,
             "kind": kinds[kind],
-            "timeout-ms": DEADLINE_MS,
-            "service": "s2" if kind == "stream" else "s1",
+            "timeout-ms": SLOW_DEADLINE_MS if kind == "slow" else DEADLINE_MS,
+            "service": "s2" if kinds[kind] == "streaming" else "s1",
             "max-attempts": 2,
-            "resumable": kind == "stream",
+            "resumable": kinds[kind] == "streaming",
         }
         for kind, prefix in PATH_PREFIXES.items()
     ]
@@ -165,10 +173,15 @@
                 Caller(number, self._controls, key, self._seed)
                 for number, key in enumerate(keys)
             ]
+            callers += [
+                SlowCaller(number, f"{router}:{CALLER_PORT}", "k1", self._seed)
+                for number, router in enumerate(self._routers * 2, len(keys))
+            ]
             for caller in callers:
                 caller.start()
             self._inject_faults()
             self._recover_and_check()
+            self._stop_without_faults()
         finally:
             for caller in callers:
                 caller.stop_requested.set()
@@ -437,6 +450,13 @@
             lambda: all(self._hosts.is_ready(router) for router in self._routers)
         )
 
+    def _stop_without_faults(self) -> None:
+        """Stop a router while nothing else is disturbed."""
+        self._stop_router()
+        while self._scheduled:
+            self._run_due(time.monotonic())
+            time.sleep(0.05)
+
     # Checks of the guarantees
 
     def _check_records(self, records: list[RequestRecord]) -> None:
--- a/mustardtrack/testing/faulty_endpoints.py
+++ b/mustardtrack/testing/faulty_endpoints.py
@@ -16,6 +16,8 @@
 SLOTS = 6
 STREAM_EVENTS = 12
 EVENT_INTERVAL_S = 0.01
+# Time between two events by the first part of the path; a slow stream lasts 3.5 s.
+STREAM_INTERVALS_S = {"stream": EVENT_INTERVAL_S, "slow": 3.5 / STREAM_EVENTS}
 MAX_WORK_S = 0.03
 CHUNK_BYTES = 16_384
 SEAL_HEADER = "Response-Seal: x\r\n"
@@ -159,11 +161,14 @@
         self._log.runs[request_id] += 1
         await asyncio.sleep(self._rng.random() * MAX_WORK_S)
         loses_response = self._rng.random() < self.lose_share
-        if loses_response and "/stream/" not in path:
+        interval_s = STREAM_INTERVALS_S.get(path.split("/")[1])
+        if loses_response and interval_s is None:
             writer.transport.abort()
             return False
-        if "/stream/" in path:
-            return await self._stream(writer, id_header, headers, loses_response)
+        if interval_s is not None:
+            return await self._stream(
+                writer, id_header, headers, loses_response, interval_s
+            )
         writer.write(
             _format_response("200 OK", id_header + SEAL_HEADER, b"echo " + body)
         )
@@ -176,6 +181,7 @@
         id_header: str,
         headers: dict[str, str],
         loses_response: bool,
+        interval_s: float,
     ) -> bool:
         """Stream the events after ``Last-Event-Id``, the last one received."""
         writer.write(
@@ -191,7 +197,7 @@
             event = f"id: {number}\ndata: {headers.get('request-id')}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(interval_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/mustardtrack/testing/soak_callers.py
+++ b/mustardtrack/testing/soak_callers.py
@@ -16,7 +16,18 @@
 MAX_PAUSE_S = 0.08
 ROUTE_HOST = "a.example"
 # Path prefix of the route for each kind of request.
-PATH_PREFIXES = {"booking": "/book/", "lookup": "/read/", "stream": "/stream/"}
+PATH_PREFIXES = {
+    "booking": "/book/",
+    "lookup": "/read/",
+    "stream": "/stream/",
+    "slow": "/slow/",
+}
+# Slow streams have a longer time limit. One that begins while callers may still use a
+# directory answer with a stopping router ends before the router closes connections.
+SLOW_DEADLINE_MS = 4500
+SLOW_PAUSE_S = 0.1
+# Slow callers begin at different times, so that a router always has open streams.
+MAX_SLOW_START_S = 3.5
 
 
 @dataclass(frozen=True)
@@ -57,6 +68,9 @@
         seed: Seed of the soak.
     """
 
+    _kinds: tuple[str, ...] = ("booking", "lookup", "stream")
+    _deadline_ms = DEADLINE_MS
+
     def __init__(self, number: int, controls: tuple[str, ...], key: str, seed: int):
         super().__init__(daemon=True)
         self.records: list[RequestRecord] = []
@@ -103,13 +117,13 @@
         return self._connection
 
     def _send(self, request_id: str) -> None:
-        kind = self._rng.choice(list(PATH_PREFIXES))
+        kind = self._rng.choice(self._kinds)
         connection = self._connect()
         sent_s = time.monotonic()
         headers = {
             "Host": ROUTE_HOST,
             "Request-Id": request_id,
-            "Deadline-Ms": str(DEADLINE_MS),
+            "Deadline-Ms": str(self._deadline_ms),
             "Authorization": f"Bearer {self._key}",
         }
         status, is_complete, matches_request, note = 0, False, True, ""
@@ -144,8 +158,34 @@
         )
 
 
+class SlowCaller(Caller):
+    """Caller of slow streams that stays with one router, also while it stops.
+
+    Args:
+        number: Number of the caller.
+        router: Address of the router.
+        key: API key of its client account.
+        seed: Seed of the soak.
+    """
+
+    _kinds = ("slow",)
+    _deadline_ms = SLOW_DEADLINE_MS
+
+    def __init__(self, number: int, router: str, key: str, seed: int):
+        super().__init__(number, (), key, seed)
+        self._addresses = [router]
+
+    def run(self) -> None:
+        """Send requests until ``stop_requested`` is set."""
+        self.stop_requested.wait(self._rng.random() * MAX_SLOW_START_S)
+        super().run()
+
+    def _refresh_addresses(self) -> None:
+        time.sleep(SLOW_PAUSE_S)
+
+
 def _expected_body(kind: str, request_id: str) -> bytes:
-    if kind != "stream":
+    if kind not in ("stream", "slow"):
         return b"echo " + request_id.encode()
     return b"".join(
         f"id: {number}\ndata: {request_id}\n\n".encode()
