Drop bodies of answered requests and list interrupted ones once

Change: the body is dropped when the response ends; the ids are joined as a set; the counter's name is built from the status. After: bin/test mustardtrack/tests mustardtrack/logs test_h11_server.py test_interrupted_requests.py test_attempt.py, 202 passed.

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -229,7 +229,10 @@
     def end_response(self) -> None:
         """End the response, then read the next request or close the connection."""
         self.send_event(h11.EndOfMessage())
-        self.exchange = None
+        if self.exchange is not None:
+            # ``last_exchange`` outlives the request; its body may be large.
+            self.exchange.body = b""
+            self.exchange = None
         is_reusable = (
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -190,14 +190,14 @@
             progress.require_not_run()
             self._refuse(exchange, admitted.metadata, "stopping", **fields)
             return
+        status = 0 if answer is InterruptedAnswer.RESET else 502
+        self._log_end(request=_request_id(admitted), status=status, **fields)
         if answer is InterruptedAnswer.RESET:
-            self._log_end(request=_request_id(admitted), status=0, **fields)
             exchange.abort()
             return
-        self.metrics.count("failure.502")
-        self._log_end(request=_request_id(admitted), status=502, **fields)
+        self.metrics.count(f"failure.{status}")
         body = encode_error("the router stopped before the endpoint answered")
-        exchange.respond(502, [JSON_CONTENT_TYPE], body)
+        exchange.respond(status, [JSON_CONTENT_TYPE], body)
 
     def _admit(
         self, exchange: Exchange, metadata: RequestMetadata, now_ms: int
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -125,15 +125,15 @@
             await asyncio.sleep(STOP_POLL_S)
         self._end_shutdown_window()
         self._caller_server.stop_listening()
-        interrupted = await self._forwarder.interrupt_requests()
+        interrupted = set(await self._forwarder.interrupt_requests())
         self._caller_server.close_connections()
         self._readiness_server.stop_listening()
-        interrupted += await self._wait_until_sent()
+        interrupted.update(await self._wait_until_sent())
         self._watch_task.cancel()
         await self._placements.stop()
         await self._control_sync.stop()
         await self._bus.stop()
-        return interrupted
+        return sorted(interrupted)
 
     def force_stop(self) -> bool:
         """End the stop now; open requests get their last answers."""
