--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -126,7 +126,7 @@
     expected_ms: float | None = None
 
 
-# Why a request whose last attempt allows no other ends without an answer.
+# Reason in the log of a request that ends after an attempt which allows no other.
 _REASON_WITHOUT_OBSTACLE = {
     NextStep.REFUSE: "not_run",
     NextStep.FAIL: "last_attempt",
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -29,7 +29,7 @@
 )
 
 # Part of the grace period reserved for sending the last answers and ending the process.
-# Less than a sixth: endpoints may be interrupted only in the last sixth.
+# Requests may be interrupted only in the last sixth of the period, so it is less.
 CLOSE_FRACTION = 0.15
 # Part of the grace period reserved for ending the process before it is killed.
 EXIT_FRACTION = 0.1
