Keep a connection of the soak silent once bytes of it were dropped

Trace: the stand-in drops the data of a direction while it is cut, 0.5 to 3 s, and passed later data of the same connection on, the last chunk included. The router relayed what it got. Change: a connection of which bytes were dropped stays silent. The check is unchanged.

--- a/mustardtrack/testing/faulty_endpoints.py
+++ b/mustardtrack/testing/faulty_endpoints.py
@@ -117,7 +117,10 @@
             while data := await reader.read(CHUNK_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                if writer in self._blackholed_writers or self.cut == direction:
+                if self.cut == direction:
+                    # TCP never delivers later bytes of a stream that lacks some.
+                    self._blackholed_writers.add(writer)
+                if writer in self._blackholed_writers:
                     continue
                 writer.write(data)
                 await writer.drain()
