--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import math
-from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
+from dataclasses import replace
 
 from mustardtrack.adapters.upstream import (
     ConnectError,
@@ -24,6 +23,12 @@
     filter_request_headers,
     filter_response_headers,
 )
+from mustardtrack.process.attempt_state import (
+    AdmittedRequest,
+    AttemptHost,
+    Outcome,
+    PlannedAttempt,
+)
 from mustardtrack.requests.event_stream import EventStreamSplitter
 from mustardtrack.requests.forwarding import (
     AttemptFailure,
@@ -33,10 +38,7 @@
 )
 from mustardtrack.requests.time_limits import TimeLimit
 from mustardtrack.routing.endpointstate import EndpointState
-from mustardtrack.routing.placements import Placement, cache_salt, engine_urgency
-
-if TYPE_CHECKING:
-    from mustardtrack.process.forwarder import AdmittedRequest, Forwarder
+from mustardtrack.routing.placements import cache_salt, engine_urgency
 
 STALLED_ATTEMPT_CONTINUED = define_event(
     8953, "INFO", "stalled attempt continues; no other attempt could be prepared"
@@ -57,55 +59,9 @@
 EVENT_DELIMITER = b"\n\n"
 
 
-@dataclass
-class PlannedAttempt:
-    """Endpoint of an attempt that has not begun.
-
-    Attributes:
-        placement: Placement advice, None if the router selected the endpoint itself.
-        choice_fields: Inputs of the choice for the log.
-        connection: Open connection to the endpoint, None if it is not open yet.
-    """
-
-    endpoint: EndpointState
-    placement: Placement | None
-    choice_fields: dict[str, object]
-    connection: UpstreamConnection | None = None
-
-
-@dataclass
-class Outcome:
-    """Result of an attempt.
-
-    Attributes:
-        end: How the attempt failed, None if the request needs no further attempt.
-        status: HTTP status sent to the caller, 0 if none was sent.
-        note: Detail for the log.
-        is_cut: Whether the response to the caller was aborted.
-        limit: Time limit that ended the attempt, None if none did.
-        limit_ms: Length of this limit.
-        silent_ms: Time since the last byte from the endpoint, or since the send.
-        replacement: Next attempt, for which a stalled one was abandoned.
-    """
-
-    end: AttemptFailure | None = None
-    status: int = 0
-    note: str = ""
-    is_cut: bool = False
-    limit: TimeLimit | None = None
-    limit_ms: int | None = None
-    silent_ms: int | None = None
-    replacement: PlannedAttempt | None = None
-
-    @property
-    def is_final(self) -> bool:
-        """Whether the request needs no further attempt."""
-        return self.end is None
-
-
 async def open_attempt_connection(
-    forwarder: "Forwarder",
-    admitted: "AdmittedRequest",
+    forwarder: AttemptHost,
+    admitted: AdmittedRequest,
     endpoint: EndpointState,
     timeout_ms: int,
 ) -> UpstreamConnection:
@@ -144,8 +100,8 @@
 
     def __init__(
         self,
-        forwarder: "Forwarder",
-        admitted: "AdmittedRequest",
+        forwarder: AttemptHost,
+        admitted: AdmittedRequest,
         planned: PlannedAttempt,
         progress: ForwardedRequest,
     ):
--- /dev/null
+++ b/mustardtrack/process/attempt_state.py
@@ -0,0 +1,169 @@
+"""State of a forwarded request and of its attempts.
+
+The forwarder and the attempts share these types; neither of them is imported here.
+"""
+
+import asyncio
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from xxhash import xxh3_128_hexdigest
+
+from mustardtrack.adapters.h11_server import Exchange
+from mustardtrack.adapters.metrics import InMemoryMetrics
+from mustardtrack.adapters.upstream import ConnectionPool, UpstreamConnection
+from mustardtrack.configuration.routes import Route, RouteAccount, RouteTable, Service
+from mustardtrack.platform.headers import RequestMetadata
+from mustardtrack.ports import Clock
+from mustardtrack.requests.connection_reuse import IdleReuseLimit
+from mustardtrack.requests.forwarding import (
+    AttemptFailure,
+    ForwardedRequest,
+    RetryObstacle,
+)
+from mustardtrack.requests.time_limits import RequestTimeLimit, TimeLimit
+from mustardtrack.routing.endpointstate import EndpointState
+from mustardtrack.routing.localplacement import Prompt
+from mustardtrack.routing.placements import Placement
+
+
+@dataclass
+class AdmittedRequest:
+    """A request that matched a route, with the inputs of its attempts.
+
+    Attributes:
+        time_limit: Time that it has from its arrival.
+        progress: Progress of the request across its attempts.
+        weights_version: Newest weights version of its model.
+        rank: Priority class; the rank of the account overrides that of the route.
+    """
+
+    exchange: Exchange
+    metadata: RequestMetadata
+    table: RouteTable
+    route: Route
+    account: RouteAccount | None
+    service: Service
+    prompt: Prompt | None
+    received_ms: int
+    time_limit: RequestTimeLimit
+    progress: ForwardedRequest
+    weights_version: int
+    rank: int
+
+    @property
+    def request_id(self) -> str:
+        """Id of this attempt of the caller, empty if not stated."""
+        return decode_id(self.metadata.request_id)
+
+    @property
+    def deadline_ms(self) -> int:
+        """Monotonic time by which it must be answered."""
+        return self.received_ms + self.time_limit.limit_ms
+
+    @property
+    def isolated_account(self) -> str:
+        """Account with a private prefix cache, empty if its cache is shared."""
+        account = self.account
+        return account.name if account and account.is_isolated else ""
+
+    def fingerprint(self) -> str:
+        """Return a digest of the account, method, target and body."""
+        return compute_fingerprint(self.exchange, self.account)
+
+
+@dataclass
+class PlannedAttempt:
+    """Endpoint of an attempt that has not begun.
+
+    Attributes:
+        placement: Placement advice, None if the router selected the endpoint itself.
+        choice_fields: Inputs of the choice for the log.
+        connection: Open connection to the endpoint, None if it is not open yet.
+    """
+
+    endpoint: EndpointState
+    placement: Placement | None
+    choice_fields: dict[str, object]
+    connection: UpstreamConnection | None = None
+
+
+@dataclass
+class Outcome:
+    """Result of an attempt.
+
+    Attributes:
+        end: How the attempt failed, None if the request needs no further attempt.
+        status: HTTP status sent to the caller, 0 if none was sent.
+        note: Detail for the log.
+        is_cut: Whether the response to the caller was aborted.
+        limit: Time limit that ended the attempt, None if none did.
+        limit_ms: Length of this limit.
+        silent_ms: Time since the last byte from the endpoint, or since the send.
+        replacement: Next attempt, for which a stalled one was abandoned.
+    """
+
+    end: AttemptFailure | None = None
+    status: int = 0
+    note: str = ""
+    is_cut: bool = False
+    limit: TimeLimit | None = None
+    limit_ms: int | None = None
+    silent_ms: int | None = None
+    replacement: PlannedAttempt | None = None
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the request needs no further attempt."""
+        return self.end is None
+
+
+class AttemptHost(ABC):
+    """What an attempt needs of the forwarder that runs it."""
+
+    pool: ConnectionPool
+    clock: Clock
+    metrics: InMemoryMetrics
+    reuse_limit: IdleReuseLimit
+
+    @abstractmethod
+    def connection_limit(self, service: Service) -> int:
+        """Return this router's connection limit for one endpoint."""
+
+    @abstractmethod
+    def must_continue(self, admitted: AdmittedRequest, endpoint: EndpointState) -> bool:
+        """Return whether a stalled attempt may not be abandoned for another one."""
+
+    @abstractmethod
+    async def prepare_retry(
+        self, admitted: AdmittedRequest, progress: ForwardedRequest
+    ) -> PlannedAttempt | RetryObstacle:
+        """Prepare another attempt for a stalled one, or return what prevents it."""
+
+    @abstractmethod
+    def take_retry(self, admitted: AdmittedRequest, planned: PlannedAttempt) -> bool:
+        """Take the retry of a prepared attempt, or release it if it cannot begin."""
+
+    @abstractmethod
+    def discard_preparation(
+        self,
+        admitted: AdmittedRequest,
+        preparation: "asyncio.Future[PlannedAttempt | RetryObstacle]",
+    ) -> None:
+        """Release a prepared attempt that is not needed, once it is complete."""
+
+    @abstractmethod
+    def record_first_token(self, admitted: AdmittedRequest) -> None:
+        """Report the first token of a prompt to the placement client."""
+
+
+def compute_fingerprint(exchange: Exchange, account: RouteAccount | None) -> str:
+    """Return a digest of the account, method, target and body."""
+    name = account.name.encode() if account else b""
+    content = b"\0".join((name, exchange.method, exchange.target, exchange.body))
+    return xxh3_128_hexdigest(content)
+
+
+def decode_id(value: bytes | None) -> str:
+    """Return a request id as text, empty if the header is missing."""
+    return value.decode("latin-1") if value else ""
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -4,8 +4,6 @@
 import random
 from dataclasses import dataclass
 
-from xxhash import xxh3_128_hexdigest
-
 from mustardtrack.adapters.h11_server import Exchange
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.upstream import ConnectError, ConnectionPool
@@ -23,9 +21,20 @@
 from mustardtrack.process.attempt import (
     CONNECT_TIMEOUT_MS,
     Attempt,
+    open_attempt_connection,
+)
+from mustardtrack.process.attempt_log import (
+    describe_choice,
+    describe_limits,
+    describe_load,
+)
+from mustardtrack.process.attempt_state import (
+    AdmittedRequest,
+    AttemptHost,
     Outcome,
     PlannedAttempt,
-    open_attempt_connection,
+    compute_fingerprint,
+    decode_id,
 )
 from mustardtrack.process.control_sync import ControlSync
 from mustardtrack.process.placement_client import PlacementClient
@@ -77,47 +86,6 @@
 RETRY_AFTER_JITTER = 0.3
 
 
-@dataclass
-class AdmittedRequest:
-    """A request that matched a route, with the inputs of its attempts.
-
-    Attributes:
-        time_limit: Time that it has from its arrival.
-        progress: Progress of the request across its attempts.
-        weights_version: Newest weights version of its model.
-        rank: Priority class; the rank of the account overrides that of the route.
-    """
-
-    exchange: Exchange
-    metadata: RequestMetadata
-    table: RouteTable
-    route: Route
-    account: RouteAccount | None
-    service: Service
-    prompt: Prompt | None
-    received_ms: int
-    time_limit: RequestTimeLimit
-    progress: ForwardedRequest
-    weights_version: int
-    rank: int
-
-    @property
-    def request_id(self) -> str:
-        """Id of this attempt of the caller, empty if not stated."""
-        return _decode(self.metadata.request_id)
-
-    @property
-    def deadline_ms(self) -> int:
-        """Monotonic time by which it must be answered."""
-        return self.received_ms + self.time_limit.limit_ms
-
-    @property
-    def isolated_account(self) -> str:
-        """Account with a private prefix cache, empty if its cache is shared."""
-        account = self.account
-        return account.name if account and account.is_isolated else ""
-
-
 @dataclass(frozen=True)
 class _NoAttempt:
     """Why no further attempt is made."""
@@ -133,7 +101,7 @@
 }
 
 
-class Forwarder:
+class Forwarder(AttemptHost):
     """Routes, admits, places and sends the requests of one router."""
 
     def __init__(
@@ -270,7 +238,7 @@
                 self._reject(exchange, metadata, 401, "the key is missing or unknown")
                 return None
         refused = self._control_sync.view.refused
-        if refused and _fingerprint(exchange, account) in refused:
+        if refused and compute_fingerprint(exchange, account) in refused:
             self._refuse(exchange, metadata, "crashes_endpoints")
             return None
         admitted = self._build_request(
@@ -331,7 +299,6 @@
         return self._rng.choices(route.shares, weights)[0].service
 
     async def _send_with_retries(self, admitted: AdmittedRequest) -> None:
-        exchange = admitted.exchange
         budget = self._retry_budget(admitted.service.name)
         budget.record_request(admitted.received_ms)
         progress = admitted.progress
@@ -367,7 +334,7 @@
                 endpoint.record_response(is_failure=True)
                 self._placements.record_not_run(endpoint.id)
             if outcome.end is AttemptFailure.CONNECTION_LOST:
-                fingerprint = _fingerprint(exchange, admitted.account)
+                fingerprint = admitted.fingerprint()
                 self._placements.record_broken_connection(fingerprint)
             step = progress.step_after(outcome.end)
             self._log_failed_attempt(admitted, endpoint, progress, outcome, step)
@@ -411,7 +378,7 @@
             return _NoAttempt("time_left")
         if endpoint is None or (is_retry and not budget.allow_retry(now_ms, count)):
             return _NoAttempt(self._no_send_reason(admitted, endpoint))
-        fields = self._choice_log_fields(admitted, endpoint, placement, now_ms)
+        fields = describe_choice(admitted, endpoint, placement, now_ms)
         return PlannedAttempt(endpoint, placement, fields)
 
     def _no_send_reason(
@@ -489,7 +456,7 @@
     ) -> PlacementRequest:
         metadata = admitted.metadata
         return PlacementRequest(
-            request_id=_decode(metadata.request_id),
+            request_id=decode_id(metadata.request_id),
             service=admitted.service.name,
             model=metadata.model,
             parts=[(part.digest, part.tokens) for part in metadata.parts],
@@ -533,7 +500,7 @@
         if endpoint is None:
             return RetryObstacle.NO_ENDPOINT
         now_ms = self.clock.now_ms()
-        fields = self._choice_log_fields(admitted, endpoint, placement, now_ms)
+        fields = describe_choice(admitted, endpoint, placement, now_ms)
         timeout_ms = max(0, min(CONNECT_TIMEOUT_MS, admitted.deadline_ms - now_ms))
         try:
             connection = await open_attempt_connection(
@@ -591,34 +558,6 @@
         if admitted.prompt is not None:
             self._placements.record_first_token(admitted.request_id)
 
-    def _choice_log_fields(
-        self,
-        admitted: AdmittedRequest,
-        endpoint: EndpointState,
-        placement: Placement | None,
-        now_ms: int,
-    ) -> dict[str, object]:
-        """Return the inputs of an endpoint choice and their age as log fields."""
-        prompt = admitted.prompt
-        weights = endpoint.listed.weights.get(prompt.model) if prompt else None
-        account = admitted.account
-        return {
-            "account": account.name if account else None,
-            "is_isolated": bool(admitted.isolated_account),
-            "tokens": prompt.tokens if prompt else 0,
-            "output_tokens": admitted.metadata.max_output_tokens if prompt else 0,
-            "opening": prompt.prefix_id.rpartition(",")[2] if prompt else None,
-            "opening_tokens": prompt.prefix_tokens if prompt else 0,
-            **_load_log_fields(endpoint, now_ms),
-            "unread_tokens": endpoint.pending_prefill_tokens,
-            "expected_ms": placement.expected_ms if placement else None,
-            "read_tokens": placement.prefill_tokens if placement else None,
-            "urgency": placement.urgency if placement else None,
-            "fetch_from": placement.fetch_from if placement else None,
-            "weights": weights,
-            "newest": admitted.weights_version if prompt else None,
-        }
-
     def _retry_budget(self, service: str) -> SharedRetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
@@ -672,7 +611,7 @@
             first_ms=progress.first_ms,
             is_cut=exchange.is_started and not exchange.is_disconnected,
             note=note,
-            **_limit_log_fields(admitted, progress, outcome),
+            **describe_limits(admitted, progress, outcome),
         )
         if exchange.is_started:
             exchange.abort()
@@ -693,7 +632,7 @@
         """Respond with status 503 and the time after which to retry."""
         self.metrics.count(f"refusal.{reason}")
         self._log_end(
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             status=503,
             reason=reason,
             confirmed_age_ms=self._control_sync.view.confirmation_age_ms(
@@ -714,7 +653,7 @@
         self.metrics.count(f"refusal.{status}")
         table = self._control_sync.view.table
         self._log_end(
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             status=status,
             reason=reason,
             table_version=table.version if table else None,
@@ -736,7 +675,7 @@
         self._count_answer(outcome.status, outcome.is_cut)
         self.metrics.timing(f"route_rank.{admitted.route.rank}", elapsed_ms)
         self._log_end(
-            request=_decode(admitted.metadata.request_id),
+            request=decode_id(admitted.metadata.request_id),
             route=admitted.route.name,
             endpoint=planned.endpoint.id,
             status=outcome.status,
@@ -746,7 +685,7 @@
             is_cut=outcome.is_cut,
             table_version=admitted.table.version,
             note=outcome.note,
-            **_limit_log_fields(admitted, progress, outcome),
+            **describe_limits(admitted, progress, outcome),
             **planned.choice_fields,
         )
 
@@ -763,7 +702,7 @@
         self.metrics.count(f"attempt.{end.value}")
         log_event(
             ATTEMPT_ENDED,
-            request=_decode(admitted.metadata.request_id),
+            request=decode_id(admitted.metadata.request_id),
             route=admitted.route.name,
             endpoint=endpoint.id,
             end=end.value,
@@ -771,41 +710,6 @@
             next=step.value,
             elapsed_ms=now_ms - admitted.received_ms,
             first_ms=progress.first_ms,
-            **_limit_log_fields(admitted, progress, outcome),
-            **_load_log_fields(endpoint, now_ms),
+            **describe_limits(admitted, progress, outcome),
+            **describe_load(endpoint, now_ms),
         )
-
-
-def _load_log_fields(endpoint: EndpointState, now_ms: int) -> dict[str, object]:
-    """Return the load of an endpoint and its age as log fields."""
-    return {
-        "running": endpoint.running,
-        "waiting": endpoint.waiting,
-        "load_age_ms": now_ms - endpoint.load_reported_ms,
-        "in_flight": endpoint.in_flight,
-    }
-
-
-def _limit_log_fields(
-    admitted: AdmittedRequest, progress: ForwardedRequest, outcome: Outcome
-) -> dict[str, object]:
-    """Return how far an answer came and which time limit ended its last attempt."""
-    return {
-        "events": progress.events,
-        "limit": outcome.limit.value if outcome.limit else None,
-        "limit_ms": outcome.limit_ms,
-        "silent_ms": outcome.silent_ms,
-        "request_limit": admitted.time_limit.kind.value,
-        "request_limit_ms": admitted.time_limit.limit_ms,
-    }
-
-
-def _fingerprint(exchange: Exchange, account: RouteAccount | None) -> str:
-    """Return a digest of the account, method, target and body."""
-    name = account.name.encode() if account else b""
-    content = b"\0".join((name, exchange.method, exchange.target, exchange.body))
-    return xxh3_128_hexdigest(content)
-
-
-def _decode(value: bytes | None) -> str:
-    return value.decode("latin-1") if value else ""
--- a/mustardtrack/process/tests/test_attempt.py
+++ b/mustardtrack/process/tests/test_attempt.py
@@ -6,7 +6,8 @@
 import pytest
 
 from mustardtrack.adapters.upstream import ResponseData, ResponseEnd, ResponseHead
-from mustardtrack.process.attempt import Attempt, Outcome, PlannedAttempt
+from mustardtrack.process.attempt import Attempt
+from mustardtrack.process.attempt_state import Outcome, PlannedAttempt
 from mustardtrack.requests.forwarding import (
     STALL_RECHECK_MS,
     AttemptFailure,
