--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -61,6 +61,13 @@
         """Monotonic time by which it must be answered."""
         return self.received_ms + self.time_limit.limit_ms
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Digests of the prompt parts that other requests may share, in order."""
+        if self.prompt is None:
+            return []
+        return [part.digest for part in self.metadata.parts[:-1]]
+
     @property
     def isolated_account(self) -> str:
         """Account with a private prefix cache, empty if its cache is shared."""
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -685,6 +685,7 @@
             is_cut=outcome.is_cut,
             table_version=admitted.table.version,
             note=outcome.note,
+            parts=admitted.shared_parts if outcome.is_cut else None,
             **describe_limits(admitted, progress, outcome),
             **planned.choice_fields,
         )
@@ -708,6 +709,7 @@
             end=end.value,
             note=outcome.note,
             next=step.value,
+            parts=admitted.shared_parts,
             elapsed_ms=now_ms - admitted.received_ms,
             first_ms=progress.first_ms,
             **describe_limits(admitted, progress, outcome),
