Withdraw waiting prompts whose parts are refused since they were sent

The router now closes the connection of an attempt without output once its parts are refused, and the engine drops the prompt.

--- a/mustardtrack/admission/partwatch.py
+++ b/mustardtrack/admission/partwatch.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -66,6 +66,9 @@
 class PartWatch:
     """Prompt parts that one router refuses, suspects or has seen answered.
 
+    Attributes:
+        on_refusal: Called when evidence with refusals was received.
+
     Examples:
         >>> watch = PartWatch()
         >>> refused = RefusedParts(["m:a", "m:b"], 3, 0, "c1")
@@ -85,6 +88,7 @@
         self._reported_ms: dict[str, int] = {}
         self._answer_count = 0
         self._leader = ""
+        self.on_refusal: Callable[[], None] | None = None
 
     @property
     def revision(self) -> str:
@@ -102,6 +106,8 @@
         }
         for part, age_ms in evidence.released.items():
             self._forget(part, now_ms - age_ms)
+        if self._refused and self.on_refusal is not None:
+            self.on_refusal()
 
     def _forget(self, part: str, released_ms: int) -> None:
         """Drop the lost prompts with a part that was released after their loss."""
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -139,6 +139,7 @@
             self._forwarder.pool.put(endpoint.id, connection)
             return Outcome(note="caller disconnected before the request was sent")
         self._send(connection)
+        self._admitted.connection = connection
         self._exchange.on_disconnect = connection.wake
         try:
             outcome = await self._receive(connection)
@@ -150,6 +151,7 @@
             raise
         finally:
             self._exchange.on_disconnect = None
+            self._admitted.connection = None
             self._record_prefill_end()
             endpoint.record_end()
         outcome.silent_ms = self._clock.now_ms() - self._last_byte_ms
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -37,6 +37,7 @@
         progress: Progress of the request across its attempts.
         weights_version: Newest weights version of its model.
         rank: Priority class; the rank of the account overrides that of the route.
+        connection: Connection of the current attempt, None if none has begun.
     """
 
     exchange: Exchange
@@ -51,6 +52,7 @@
     progress: ForwardedRequest
     weights_version: int
     rank: int
+    connection: UpstreamConnection | None = None
 
     @property
     def request_id(self) -> str:
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -65,6 +65,10 @@
     8954, "INFO", "stopping router refuses requests that cannot end in time"
 )
 
+ATTEMPT_WITHDRAWN = define_event(
+    8956, "INFO", "attempt withdrawn: the parts of its prompt crash engines"
+)
+
 # An endpoint cannot answer in less time, so the request is not sent.
 MIN_TIME_LEFT_MS = 20
 MAX_ENDPOINTS_TRIED = 4
@@ -130,6 +134,29 @@
         self._discarded: set[asyncio.Future[PlannedAttempt | RetryObstacle]] = set()
         self._shutdown: ShutdownWindow | None = None
         self._open: dict[asyncio.Task[None], AdmittedRequest] = {}
+        control_sync.view.parts.on_refusal = self.withdraw_refused
+
+    def withdraw_refused(self) -> None:
+        """End the attempts of prompts whose parts are refused since they began.
+
+        An engine drops a waiting prompt when its connection closes, and would crash
+        if it began to answer.
+        """
+        parts = self._control_sync.view.parts
+        for admitted in self._open.values():
+            connection = admitted.connection
+            if connection is None or admitted.exchange.is_started:
+                continue
+            refusal = parts.find_refused(admitted.part_names)
+            if refusal is not None and not connection.is_aborted:
+                self.metrics.count("attempt.withdrawn")
+                log_event(
+                    ATTEMPT_WITHDRAWN,
+                    request=admitted.request_id,
+                    parts=refusal.parts,
+                    crashes=refusal.crashes,
+                )
+                connection.abort()
 
     def begin_stop(self, window: ShutdownWindow) -> None:
         """Refuse the requests that cannot end within the window."""
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -13,6 +13,7 @@
 from mustardtrack.adapters.h11_server import HttpServer
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.upstream import ConnectError, UpstreamConnection
+from mustardtrack.admission.partcrashes import CrashEvidence, RefusedParts
 from mustardtrack.admission.partwatch import PartWatch
 from mustardtrack.configuration.routes import (
     RetrySafety,
@@ -335,6 +336,7 @@
             budget = b"deadline-ms: %d\r\n" % self.budget_ms
         connection.dataReceived(
             b"POST /x HTTP/1.1\r\nhost: h\r\nrequest-id: q\r\nmodel: m\r\n"
+            b"prefix-hash: a:10,b:10,q:5\r\n"
             b"content-length: 0\r\n" + budget + b"\r\n"
         )
         if leave_ms is not None:
@@ -845,3 +847,60 @@
     ).play(actions=[(100, interrupt)])
     assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
     assert scenario.status == status
+
+
+REFUSED = CrashEvidence("c1:1", [RefusedParts(["m:a", "m:b"], 3, 0, "c1")])
+
+
+def test_prompt_with_refused_parts_is_refused_at_once(monkeypatch):
+    """Guards against sending a prompt that crashes the engine which begins it."""
+    scenario = Scenario({"e1": COMPLETE}, monkeypatch=monkeypatch)
+    scenario.parts.receive(REFUSED, 0)
+    scenario.play()
+    assert (scenario.status, scenario.pool.runs) == (503, [])
+    (line,) = scenario.lines(8951)
+    assert line["reason"] == "crashing_parts"
+    assert (line["parts"], line["crashes"]) == (["m:a", "m:b"], 3)
+
+
+def test_waiting_prompt_is_withdrawn_when_its_parts_are_refused(monkeypatch):
+    """Guards against crashes by prompts that were sent before the refusal."""
+    scenario = Scenario({"e1": [(5000, HEAD)], "e2": COMPLETE}, monkeypatch=monkeypatch)
+    scenario.play(actions=[(300, lambda handler: scenario.parts.receive(REFUSED, 300))])
+    assert scenario.status == 502
+    run = scenario.run_of("e1")
+    assert (run.transport.end, len(scenario.pool.runs)) == ("reset", 1)
+    assert scenario.leader.lost == []
+
+
+def test_started_stream_goes_on_when_its_parts_are_refused(monkeypatch):
+    """Guards against ending an answer that shows that its parts are sound."""
+    script = [(100, HEAD + event(1)), (600, event(2) + END)]
+    scenario = Scenario({"e1": script}, monkeypatch=monkeypatch)
+    scenario.play(actions=[(300, lambda handler: scenario.parts.receive(REFUSED, 300))])
+    assert (scenario.is_whole, scenario.relayed) == (True, [1, 2])
+
+
+def test_prompt_lost_with_its_engine_is_reported_and_not_sent_on_once_refused(
+    monkeypatch,
+):
+    scenario = Scenario(
+        {"e1": [(200, HEAD), (400, CLOSE)], "e2": COMPLETE}, monkeypatch=monkeypatch
+    )
+    scenario.play()
+    (lost,) = scenario.leader.lost
+    assert (lost.parts, lost.endpoint, lost.has_output) == (["m:a", "m:b"], "e1", False)
+    assert 390 <= lost.sent_age_ms <= 400
+    assert scenario.leader.answered == [["m:a", "m:b"]]
+
+
+def test_prompt_is_not_retried_once_its_parts_are_refused(monkeypatch):
+    """Guards against a second crash by the request whose crash led to the refusal."""
+    scenario = Scenario({"e1": [(400, CLOSE)], "e2": COMPLETE}, monkeypatch=monkeypatch)
+    scenario.leader.record_lost_prompt = lambda prompt: scenario.parts.receive(
+        REFUSED, 400
+    )
+    scenario.play()
+    assert scenario.status == 502
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+    assert scenario.lines(8951)[0]["reason"] == "crashing_parts"
