Let operators see and release prompt parts that crash engines

mustardtrack refused-parts and /v1/refused-parts of any control host list them with the number of crashes and release one; the process test releases the part after the engines are mended, through a host that does not lead.

--- a/mustardtrack/command/application.py
+++ b/mustardtrack/command/application.py
@@ -13,6 +13,7 @@
 from cleo.helpers import argument, option
 
 from mustardtrack import __version__
+from mustardtrack.command.refused_parts import RefusedPartsCommand
 from mustardtrack.process.reactor import install_reactor
 from mustardtrack.settings import SettingsError, load_settings
 
@@ -325,6 +326,7 @@
         ReportCommand(),
         CheckConfigCommand(),
         ExplainCommand(),
+        RefusedPartsCommand(),
         VersionCommand(),
     ):
         application.add(command)
--- a/mustardtrack/process/control_api.py
+++ b/mustardtrack/process/control_api.py
@@ -3,6 +3,8 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
+import msgspec
+
 from mustardtrack.adapters.h11_server import Exchange
 from mustardtrack.configuration.documents import (
     DocumentCommand,
@@ -28,6 +30,7 @@
 
 DOCUMENT_REFUSED = define_event(8921, "WARNING", "configuration document rejected")
 
+REFUSED_PARTS_TARGET = "/v1/refused-parts"
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 RETRY_AFTER_S = 0.2
 # Callers must leave a stopping router before its grace period ends.
@@ -45,6 +48,8 @@
             (b"POST", DOCUMENT_PUT_TARGET): self._put_document,
             (b"GET", DOCUMENT_GET_TARGET): self._get_document,
             (b"POST", WEIGHTS_PUT_TARGET): self._put_weights,
+            (b"GET", REFUSED_PARTS_TARGET): self._list_refused_parts,
+            (b"DELETE", REFUSED_PARTS_TARGET): self._release_part,
         }
 
     async def handle(self, exchange: Exchange) -> None:
@@ -95,6 +100,27 @@
             return
         await self._commit(exchange, NameWeights(model, version))
 
+    async def _list_refused_parts(self, exchange: Exchange) -> None:
+        refused = await self._control.read_refused_parts()
+        if refused is None:
+            self._respond_unavailable(exchange, "the leader does not answer")
+            return
+        body = msgspec.json.encode(
+            {"refused": [msgspec.structs.asdict(refusal) for refusal in refused]}
+        )
+        exchange.respond(200, [JSON_CONTENT_TYPE], body)
+
+    async def _release_part(self, exchange: Exchange) -> None:
+        part = parse_qs(exchange.query).get("part", [""])[0]
+        is_released = await self._control.release_part(part)
+        if is_released is None:
+            self._respond_unavailable(exchange, "the leader does not answer")
+        elif is_released:
+            exchange.respond(200, [JSON_CONTENT_TYPE], b"{}")
+        else:
+            reason = f"part {part!r} is not refused; GET lists the refused parts"
+            exchange.respond(404, [JSON_CONTENT_TYPE], encode_error(reason))
+
     async def _commit(self, exchange: Exchange, command: DocumentCommand) -> None:
         """Respond once the command is committed, or with 503 if it is not confirmed."""
         outcome = await self._control.commit(command)
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -16,7 +16,11 @@
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
 from mustardtrack.admission.crashcounts import CrashCounter
-from mustardtrack.admission.partcrashes import SEARCH_PERIOD_MS, PartCrashes
+from mustardtrack.admission.partcrashes import (
+    SEARCH_PERIOD_MS,
+    PartCrashes,
+    RefusedParts,
+)
 from mustardtrack.admission.partwatch import PartReport
 from mustardtrack.agreement import (
     FormationRefusedError,
@@ -74,6 +78,10 @@
     8914, "WARNING", "configuration command was not confirmed in time"
 )
 
+PART_RELEASED = define_event(
+    8915, "INFO", "an operator has released a refused prompt part"
+)
+
 # Routers silent for this long are left out of directory answers. Routers report
 # every 0.4 s, so three lost reports remove a router.
 ROUTER_LEASE_MS = 1400
@@ -133,6 +141,8 @@
             ("place", self._receive_place),
             ("queued", self._receive_queued),
             ("progress", self._receive_progress),
+            ("refused_parts", self._receive_refused_parts),
+            ("release_part", self._receive_release_part),
         ):
             self._bus.handle(topic, handler)
         self._bus.start()
@@ -435,6 +445,39 @@
             self._evidence_revision = revision
             self._notify_waiters()
 
+    # Refused prompt parts, which the leader knows
+
+    async def read_refused_parts(self) -> list[RefusedParts] | None:
+        """Return what the leader refuses, None if it does not answer."""
+        answer = await self._ask_leader("refused_parts", b"")
+        if answer is None:
+            return None
+        return msgspec.msgpack.decode(answer, type=list[RefusedParts])
+
+    async def release_part(self, part: str) -> bool | None:
+        """Release a part; return whether it was refused, None without an answer."""
+        answer = await self._ask_leader("release_part", msgspec.msgpack.encode(part))
+        return None if answer is None else msgspec.msgpack.decode(answer, type=bool)
+
+    async def _ask_leader(self, topic: str, body: bytes) -> bytes | None:
+        leader = self._replica_task.status().leader
+        if leader is None:
+            return None
+        try:
+            return await self._bus.request(leader.name, topic, body, COMMAND_TIMEOUT_MS)
+        except BusTimeoutError:
+            return None
+
+    async def _receive_refused_parts(self, sender: str, body: bytes) -> bytes:
+        return msgspec.msgpack.encode(self.part_crashes.refused(self.now_ms()))
+
+    async def _receive_release_part(self, sender: str, body: bytes) -> bytes:
+        part = msgspec.msgpack.decode(body, type=str)
+        is_released = self.part_crashes.release(part, self.now_ms())
+        log_event(PART_RELEASED, part=part, was_refused=is_released)
+        self._publish_evidence()
+        return msgspec.msgpack.encode(is_released)
+
     def route_table(self) -> RouteTable | None:
         """Return the newest route table, None if there is no document yet."""
         document = self.document_store.document
--- a/mustardtrack/process/tests/test_crashing_part.py
+++ b/mustardtrack/process/tests/test_crashing_part.py
@@ -10,11 +10,14 @@
 from itertools import count
 
 import pytest
+from cleo.testers.command_tester import CommandTester
 
+from mustardtrack.command.refused_parts import RefusedPartsCommand
 from mustardtrack.testing.client import call
 from mustardtrack.testing.prompt_engines import MODEL, SERVICE, PromptEngines
 from mustardtrack.testing.seeded_hosts import (
     CALLER_PORT,
+    OPERATOR_PORT,
     SeededHosts,
     holds_within,
     put_document,
@@ -169,3 +172,19 @@
     assert after.count(200) >= 0.9 * len(after) >= 18
     refused = [result for result in callers.results if CRASHING_PART in result[1]]
     assert refused[-1][2] == 503
+    check_release(engines)
+
+
+def check_release(engines):
+    """Release the part through any control host, after the engines were mended."""
+    address = f"{CONTROLS[1]}:{OPERATOR_PORT}"
+    name = f"{MODEL}:{CRASHING_PART}"
+    listed = call(address, "GET", "/v1/refused-parts")[1]["refused"]
+    assert [refusal["parts"] for refusal in listed] == [[name]]
+    assert call(address, "DELETE", "/v1/refused-parts?part=other")[0] == 404
+    engines.crashing_parts.clear()
+    tester = CommandTester(RefusedPartsCommand())
+    assert tester.execute(f"{address} --release {name}") == 0
+    prompt = [FIRST_PART, CRASHING_PART]
+    assert holds_within(lambda: send_prompt(ROUTERS[1], 9999, prompt)[0] == 200, 5.0)
+    assert call(address, "GET", "/v1/refused-parts")[1] == {"refused": []}
