Treat a stream that ends inside an event as broken off

Callers saw: the router passed a partial event on and ended the stream as complete, whatever its framing. A stream that an engine closed in order before its first event became an empty success. The splitter's rest was written out at any proper end. Now such an end counts as a lost connection: the stream is resumed where the route allows it, cut otherwise, and answered 502 if nothing was relayed.

--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -113,7 +113,13 @@
 
 @dataclass(frozen=True)
 class ResponseEnd:
-    """End of a complete response."""
+    """End of a complete response.
+
+    Attributes:
+        is_close: Whether only the close of the connection shows the end.
+    """
+
+    is_close: bool = False
 
 
 @dataclass(frozen=True)
@@ -171,6 +177,7 @@
         self.idle_before_request_s = 0.0
         self.requests_sent = 0
         self.is_lost = False
+        self._is_closed = False
         self.is_aborted = False
         self.is_reusable = False
         self.on_lost: Callable[[], None] | None = None
@@ -285,6 +292,7 @@
         """End the response; one without a length is complete after a clean close."""
         self.is_reusable = False
         if self._request is not None and reason.check(ConnectionDone):
+            self._is_closed = True
             try:
                 self._http.receive_data(b"")
                 self._read_events()
@@ -426,7 +434,7 @@
         )
         self._request = None
         self._release_unfinished()
-        self._queue_event(ResponseEnd())
+        self._queue_event(ResponseEnd(self._is_closed))
 
     def _discard_response(self, trailing: bytes, keeps_alive: bool) -> None:
         """Discard a response to an earlier request and wait for the expected one."""
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -323,7 +323,7 @@
                     )
                     progress.resume_after = splitter.last_event_id
                 continue
-            if isinstance(event, ResponseEnd):
+            if isinstance(event, ResponseEnd) and self._is_whole(event, splitter):
                 break
             return self._end_interrupted_stream(connection, event)
         self._start_response(head)
@@ -332,6 +332,14 @@
         self._forwarder.pool.put(self._endpoint.id, connection)
         return Outcome(status=head.status)
 
+    def _is_whole(self, end: ResponseEnd, splitter: EventStreamSplitter) -> bool:
+        """Return whether a stream that ended in proper form has all its events.
+
+        Engines that break off may close the connection in order.
+        """
+        has_events = self._exchange.is_started
+        return not splitter.rest.strip() and (has_events or not end.is_close)
+
     def _start_response(self, head: ResponseHead) -> None:
         if not self._exchange.is_started:
             self._exchange.start(head.status, filter_response_headers(head.headers))
