Ignore answers without a request id on a reused connection

An engine that repeats an earlier refusal without its id made the router answer 'not run' for a request that the engine ran (REFUSED), or send it to a second one. With the id of the earlier request, the repeated refusal was discarded before. On a connection that has carried a request, an answer without an id is now no answer: the request may have run. test_refusal_that_is_sent_again_refuses_no_other_request[no-id] failed before.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -222,6 +222,11 @@
             return event
         if not isinstance(event, ResponseHead):
             return self._fail_without_head(connection)
+        is_reused = connection.requests_sent > 1
+        if is_reused and event.header(REQUEST_ID) is None:
+            # It may be the answer to an earlier request, sent once more.
+            note = "response without a request id on a reused connection"
+            return self._fail_broken(connection, note)
         response = decode_response_headers(event.headers)
         self._record_head(connection, event, response)
         if response.did_not_run:
--- a/mustardtrack/process/tests/test_faulty_answers.py
+++ b/mustardtrack/process/tests/test_faulty_answers.py
@@ -342,7 +342,7 @@
     assert send("stream", script)[1] in (None, 502)
 
 
-@pytest.mark.parametrize("case", ["id"])
+@pytest.mark.parametrize("case", ["id", "no-id"])
 def test_refusal_that_is_sent_again_refuses_no_other_request(engines, case):
     """Guards against 'not run' for a request that an engine runs, and a second run."""
     for _ in range(3):
