--- a/mustardtrack/platform/headers.py
+++ b/mustardtrack/platform/headers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from mustardtrack.platform.values import parse_count
+from mustardtrack.platform.values import parse_count, parse_decimal
 
 REQUEST_ID = b"request-id"
 DEADLINE = b"deadline-ms"
@@ -104,6 +104,8 @@
         load: Load of the endpoint, None if missing or malformed.
         keep_alive_s: Keep-alive timeout of the connection, None if not stated.
         weights_version: Weights version that served the request, None if not stated.
+        max_requests_per_s: Requests per second that the endpoint takes from all hosts
+            together, None if it names no limit.
     """
 
     is_signed: bool
@@ -112,6 +114,7 @@
     load: ReportedLoad | None
     keep_alive_s: float | None
     weights_version: int | None
+    max_requests_per_s: float | None = None
 
 
 def decode_request_headers(target: bytes, headers: Headers) -> RequestMetadata:
@@ -144,6 +147,7 @@
         load=_parse_load(values.get(b"instance-load")),
         keep_alive_s=_parse_keep_alive(values.get(b"keep-alive")),
         weights_version=parse_count(values.get(b"weight-versions")),
+        max_requests_per_s=parse_decimal(values.get(b"server-limit")),
     )
 
 
--- a/mustardtrack/platform/values.py
+++ b/mustardtrack/platform/values.py
@@ -1,6 +1,7 @@
 """Checked values of JSON bodies and headers that come from outside."""
 
 import json
+import re
 from typing import Any, NoReturn, TypeGuard
 
 # Messages between processes carry integers of 64 bits.
@@ -9,6 +10,7 @@
 MAX_HEADER_INTEGER = 10**12
 # Longest decimal notation that is converted; int() refuses very long ones.
 MAX_HEADER_DIGITS = 18
+_DECIMAL = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{0,18})?")
 
 
 def load_object(body: bytes, what: str) -> dict[str, Any]:
@@ -89,3 +91,15 @@
     if len(significant) > MAX_HEADER_DIGITS:
         return MAX_HEADER_INTEGER
     return min(int(significant or b"0"), MAX_HEADER_INTEGER)
+
+
+def parse_decimal(value: bytes | None) -> float | None:
+    """Return a non-negative decimal number, None if it is missing or malformed.
+
+    Examples:
+        >>> parse_decimal(b"6.5"), parse_decimal(b"-1"), parse_decimal(b"1e3")
+        (6.5, None, None)
+    """
+    if value is None or not _DECIMAL.fullmatch(value.strip()):
+        return None
+    return float(value)
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -247,6 +247,11 @@
     ) -> None:
         if response.keep_alive_s is not None:
             connection.keep_alive_s = response.keep_alive_s
+        if response.is_signed or response.max_requests_per_s is not None:
+            limit = response.max_requests_per_s
+            self._forwarder.limits.observe(
+                self._endpoint.id, limit, self._clock.now_ms()
+            )
         if response.load is not None:
             load = response.load
             self._endpoint.record_load(load.running, load.waiting, self._clock.now_ms())
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -13,6 +13,7 @@
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.upstream import ConnectionPool, UpstreamConnection
 from mustardtrack.admission.partcrashes import part_name
+from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.configuration.routes import Route, RouteAccount, RouteTable, Service
 from mustardtrack.platform.headers import RequestMetadata
 from mustardtrack.ports import Clock
@@ -156,6 +157,7 @@
     clock: Clock
     metrics: InMemoryMetrics
     reuse_limit: IdleReuseLimit
+    limits: RateLimits
 
     @abstractmethod
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -9,6 +9,7 @@
 
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
 from mustardtrack.admission.partwatch import PartWatch
+from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list_changes import apply_list_change
@@ -50,6 +51,7 @@
         leader: Name of the control group's leader, as last reported.
         refused: Fingerprints of requests that crash the endpoints that run them.
         parts: Prompt parts that crash the engines that begin to answer them.
+        limits: Limits that endpoints have named.
     """
 
     table: RouteTable | None = None
@@ -61,6 +63,7 @@
     leader: str = ""
     refused: frozenset[str] = frozenset()
     parts: PartWatch = field(default_factory=PartWatch)
+    limits: RateLimits = field(default_factory=lambda: RateLimits(""))
 
     def confirmation_age_ms(self, now_ms: int) -> int | None:
         """Return the time since the last confirmation."""
@@ -93,7 +96,7 @@
         self._max_unconfirmed_ms = int(
             settings.bounds.revoke_ms * CONFIRMATION_FRACTION
         )
-        self.view = ControlView()
+        self.view = ControlView(limits=RateLimits(settings.name))
         self._sync_tasks: dict[str, asyncio.Task[None]] = {}
         self._unreachable: set[str] = set()
         self._was_confirmed = False
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -128,6 +128,7 @@
         self.clock = clock
         self.metrics = metrics
         self.reuse_limit = IdleReuseLimit()
+        self.limits = control_sync.view.limits
         self._rng = random.Random()
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
         # References protect the tasks from garbage collection.
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -15,6 +15,7 @@
 from mustardtrack.adapters.upstream import ConnectError, UpstreamConnection
 from mustardtrack.admission.partcrashes import CrashEvidence, RefusedParts
 from mustardtrack.admission.partwatch import PartWatch
+from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.configuration.routes import (
     RetrySafety,
     Route,
@@ -372,6 +373,7 @@
             table=table,
             refused=(),
             parts=self.parts,
+            limits=RateLimits("r1"),
             weights={"m": 1},
             router_count=1,
             endpoints=states,
--- a/mustardtrack/process/tests/test_interrupted_requests.py
+++ b/mustardtrack/process/tests/test_interrupted_requests.py
@@ -7,6 +7,7 @@
 
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.admission.partwatch import PartWatch
+from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.configuration.routes import (
     EngineLimits,
     RetrySafety,
@@ -135,6 +136,7 @@
         ),
         refused=frozenset(),
         parts=PartWatch(),
+        limits=RateLimits("r1"),
         router_count=1,
         weights={},
         confirmation_age_ms=lambda now_ms: 0,
