Send endpoints no more requests than the limit that they name

Callers saw: an engine that asks for fewer requests kept its full load. Nothing read the limit, so that no router lowered its share.

The leader places prompts into one bucket for each limited engine: the time until a token counts as delay in the choice, so that the engine gets less before requests wait for it, and the router sends at that time. Prompts that no engine takes in time are refused at once. A router that chooses an endpoint itself keeps a bucket of its share and refuses with rate_limited when no endpoint has a token. Routers report limits to the leader, which tells the others; a limit ends with an answer that names none, or ten seconds after the last that named it.

--- a/mustardtrack/admission/ratelimits.py
+++ b/mustardtrack/admission/ratelimits.py
@@ -101,9 +101,14 @@
         limit.rate_per_s, limit.observed_ms = rate_per_s, observed_ms
 
     def merge(self, observed: Mapping[str, Observation], now_ms: int) -> None:
-        """Record what other hosts observed."""
+        """Record what other hosts observed; it is not reported again."""
         for endpoint, (rate_per_s, age_ms) in observed.items():
+            known = self._limits.get(endpoint)
+            if known is not None and now_ms - age_ms <= known.observed_ms:
+                continue
             self.observe(endpoint, rate_per_s, now_ms, age_ms)
+            if endpoint in self._limits:
+                self._limits[endpoint].reported_ms = now_ms
 
     def take_report(self, now_ms: int) -> dict[str, Observation]:
         """Return the limits that changed or were not reported for some time."""
@@ -180,10 +185,15 @@
             self._limits[endpoint].tokens -= 1
         return True
 
+    def reserve(self, endpoint: str, now_ms: int) -> None:
+        """Take the token that is there after :meth:`wait_ms` for the only host."""
+        if self.tokens(endpoint, 1, now_ms) < math.inf:
+            self._limits[endpoint].tokens -= 1
+
     def _share_per_s(self, endpoint: str, rate_per_s: float, host_count: int) -> float:
         """Return the requests per second that this host may send."""
         rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
-        if host_count <= rate_per_s * MIN_SHARE_PERIOD_S:
+        if host_count <= max(1, rate_per_s * MIN_SHARE_PERIOD_S):
             return rate_per_s / host_count
         fraction = USED_FRACTION * rate_per_s / (SELECTED_PER_S * host_count)
         digest = xxh3_64_intdigest(f"{self._name} {endpoint}".encode())
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -4,6 +4,7 @@
 
 from mustardtrack.admission.partcrashes import CrashEvidence, RefusedParts
 from mustardtrack.admission.partwatch import PartReport
+from mustardtrack.admission.ratelimits import Observation
 from mustardtrack.membership.endpoint_list import EndpointList
 from mustardtrack.membership.endpoint_list_changes import EndpointListChange
 
@@ -40,7 +41,8 @@
     ``change`` is the difference between the router's endpoint list and the newest;
     ``endpoints`` is the full list if the sender no longer has the router's version.
     ``content`` is the compressed document, empty if the router has it already.
-    ``crash_evidence`` is set by the leader if the router does not have it.
+    ``crash_evidence`` is set by the leader if the router does not have it; ``limits``
+    are the limits of endpoints that the leader knows.
     """
 
     stale_ms: int
@@ -55,6 +57,7 @@
     refused: list[str] = []
     change: EndpointListChange | None = None
     crash_evidence: CrashEvidence | None = None
+    limits: dict[str, Observation] = {}
 
 
 class DocumentReadReply(msgspec.Struct, frozen=True, array_like=True):
@@ -82,7 +85,8 @@
     ``disconnected_fingerprints`` holds the fingerprints of requests
     whose endpoint closed the connection while it ran them.
     ``refused`` holds an engine for each request that it did not run.
-    ``parts`` reports lost and answered prompts.
+    ``parts`` reports lost and answered prompts, ``limits`` the limits of endpoints that
+    were observed.
     """
 
     prefilled: list[str]
@@ -91,3 +95,4 @@
     disconnected_fingerprints: list[str] = []
     refused: list[str] = []
     parts: PartReport = PartReport()
+    limits: dict[str, Observation] = {}
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -214,6 +214,7 @@
             view.refused = frozenset(reply.refused)
             if reply.crash_evidence is not None:
                 view.parts.receive(reply.crash_evidence, self._clock.now_ms())
+            view.limits.merge(reply.limits, self._clock.now_ms())
         view.router_count = max(1, reply.router_count)
         # The reply is not older than its request, and its state was confirmed
         # ``stale_ms`` before the reply.
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -446,8 +446,14 @@
         if endpoint is None or (is_retry and not budget.allow_retry(now_ms, count)):
             return _NoAttempt(self._no_send_reason(admitted, endpoint))
         fields = describe_choice(admitted, endpoint, placement, now_ms)
+        await self._wait_for_limit(placement)
         return PlannedAttempt(endpoint, placement, fields)
 
+    async def _wait_for_limit(self, placement: Placement | None) -> None:
+        """Wait until the engine of a placement takes another request."""
+        if placement is not None and placement.delay_ms:
+            await asyncio.sleep(placement.delay_ms / 1000)
+
     def _no_send_reason(
         self, admitted: AdmittedRequest, endpoint: EndpointState | None
     ) -> str:
@@ -457,8 +463,28 @@
         listed = self._control_sync.view.endpoints.accepting_endpoints(
             admitted.service.name
         )
-        is_full = listed and not self._connectable_endpoints(admitted.service, listed)
-        return "connections" if is_full else "no_endpoint"
+        endpoints = self._connectable_endpoints(admitted.service, listed)
+        if listed and not endpoints:
+            return "connections"
+        is_limited = endpoints and not self._endpoints_with_token(endpoints)
+        return "rate_limited" if is_limited else "no_endpoint"
+
+    def _endpoints_with_token(
+        self, endpoints: list[EndpointState]
+    ) -> list[EndpointState]:
+        """Return the endpoints whose limits leave this router a request."""
+        now_ms, count = self.clock.now_ms(), self._control_sync.view.router_count
+        return [
+            state
+            for state in endpoints
+            if self.limits.tokens(state.id, count, now_ms) >= 1
+        ]
+
+    def _take_token(self, endpoint: EndpointState | None) -> None:
+        """Count a request that this router sends without asking the leader."""
+        if endpoint is not None:
+            count = self._control_sync.view.router_count
+            self.limits.take(endpoint.id, count, self.clock.now_ms())
 
     async def _choose_untried(
         self, admitted: AdmittedRequest, progress: ForwardedRequest
@@ -484,7 +510,9 @@
             tried = [*tried, *sorted(full)]
         zone = self._settings.zone
         if admitted.prompt is None:
-            chosen = choose_endpoint(endpoints, tried, zone, now_ms, self._rng)
+            usable = self._endpoints_with_token(endpoints)
+            chosen = choose_endpoint(usable, tried, zone, now_ms, self._rng)
+            self._take_token(chosen)
             return chosen, None
         placement = await self._placements.request_placement(
             self._placement_request(admitted, tried)
@@ -496,7 +524,7 @@
                 if state.id == placement.endpoint:
                     return state, placement
         chosen = choose_engine(
-            endpoints,
+            self._endpoints_with_token(endpoints),
             admitted.prompt,
             admitted.weights_version,
             tried,
@@ -504,6 +532,7 @@
             now_ms,
             self._rng,
         )
+        self._take_token(chosen)
         return chosen, None
 
     def _connectable_endpoints(
@@ -568,6 +597,7 @@
             return RetryObstacle.NO_ENDPOINT
         now_ms = self.clock.now_ms()
         fields = describe_choice(admitted, endpoint, placement, now_ms)
+        await self._wait_for_limit(placement)
         timeout_ms = max(0, min(CONNECT_TIMEOUT_MS, admitted.deadline_ms - now_ms))
         try:
             connection = await open_attempt_connection(
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -82,6 +82,8 @@
         if placement.exceeds_caller_timeout:
             self._metrics.count("placement.hopeless")
             return placement
+        if placement.delay_ms:
+            self._metrics.count("placement.delayed")
         if not placement.endpoint:
             self._metrics.count("placement.none")
             return placement if placement.is_authoritative else None
@@ -152,12 +154,17 @@
 
     async def _send_progress(self) -> None:
         view = self._control_sync.view
+        told_leader = ""
         while True:
             await asyncio.sleep(PROGRESS_PERIOD_S)
             leader = view.leader
-            parts = PartReport()
+            parts, limits = PartReport(), {}
             if leader:
+                if leader != told_leader:
+                    view.limits.report_again()
+                    told_leader = leader
                 parts = view.parts.take_report(leader, self._clock.now_ms())
+                limits = view.limits.take_report(self._clock.now_ms())
             progress = PromptProgress(
                 self._first_tokens,
                 self._ended,
@@ -165,6 +172,7 @@
                 self._broken_connections,
                 self._not_run,
                 parts,
+                limits,
             )
             if progress == EMPTY_PROGRESS:
                 continue
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -378,6 +378,9 @@
             crash_evidence=self.part_crashes.evidence(self.now_ms())
             if self._has_crash_evidence_for(request)
             else None,
+            limits=self.placements.limits.observations(self.now_ms())
+            if self.is_leader()
+            else {},
         )
 
     def _compress_document(self) -> bytes:
@@ -422,6 +425,7 @@
         self.placements.record_refusal(progress.refused, self.now_ms())
         self._crashes.record(progress.disconnected_fingerprints, self.now_ms())
         self._record_parts(progress.parts)
+        self.placements.limits.merge(progress.limits, self.now_ms())
 
     def _record_parts(self, report: PartReport) -> None:
         now_ms, crashes = self.now_ms(), self.part_crashes
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -286,6 +286,7 @@
         self.pool_options = pool_options
         self.log = []
         self.parts = PartWatch()
+        self.limits = RateLimits("r1")
         self.monkeypatch = monkeypatch
 
     def play(self, for_ms=15_000, leave_ms=None, actions=()):
@@ -373,7 +374,7 @@
             table=table,
             refused=(),
             parts=self.parts,
-            limits=RateLimits("r1"),
+            limits=self.limits,
             weights={"m": 1},
             router_count=1,
             endpoints=states,
@@ -906,3 +907,30 @@
     assert scenario.status == 502
     assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
     assert scenario.lines(8951)[0]["reason"] == "crashing_parts"
+
+
+def test_prompt_is_sent_when_its_engine_takes_another_request(monkeypatch):
+    """Guards against a placement whose delay is not kept."""
+    leader = StandInLeader(
+        lambda request: Placement("e2", delay_ms=700, is_authoritative=True)
+    )
+    scenario = Scenario(
+        {"e1": COMPLETE, "e2": COMPLETE}, leader=leader, monkeypatch=monkeypatch
+    ).play()
+    assert scenario.relayed_at_ms(2) == 700 + 1 + 50
+    assert [run.endpoint for run in scenario.pool.runs] == ["e2"]
+
+
+@pytest.mark.parametrize(("limited", "used"), [(["e1"], ["e2"]), (["e1", "e2"], [])])
+def test_endpoint_without_a_token_is_not_chosen(monkeypatch, limited, used):
+    """Guards against a router that exceeds its share while it cannot ask the leader."""
+    scenario = Scenario({"e1": COMPLETE, "e2": COMPLETE}, monkeypatch=monkeypatch)
+    for endpoint in limited:
+        scenario.limits.observe(endpoint, 0.25, 0)
+        scenario.limits.take(endpoint, 1, 0)
+        scenario.limits.reserve(endpoint, 0)
+    scenario.play()
+    assert [run.endpoint for run in scenario.pool.runs] == used
+    assert scenario.status == (200 if used else 503)
+    if not used:
+        assert scenario.lines(8951)[0]["reason"] == "rate_limited"
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -19,6 +19,7 @@
 import msgspec
 from xxhash import xxh3_64_intdigest
 
+from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.configuration.routes import Service
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.routing.enginestate import (
@@ -91,6 +92,9 @@
 # estimates.
 MAX_MEMORY_FRACTION = 0.92
 EXPIRY_PERIOD_MS = 500
+# Weight of the time until an engine takes a request under the limit that it names. With
+# the weight of relaxed objectives alone, such requests would queue for seconds.
+LIMIT_WAIT_WEIGHT = 2.0
 # An engine gets no more prompts this long before its superseded weights reach their
 # time limit, since a placed prompt may wait before it begins.
 WEIGHTS_MARGIN_MS = 2000
@@ -190,6 +194,8 @@
         prefill_tokens: Tokens that the engine is expected to prefill.
         urgency: Scheduling level at the engine, 0 most urgent.
         exceeds_caller_timeout: Whether no engine can respond in time.
+        delay_ms: Time after which the prompt may be sent, so that the engine gets no
+            more requests than the limit that it names.
         is_authoritative: Whether the sender leads and knows engines of the service.
     """
 
@@ -201,6 +207,7 @@
     urgency: int = 0
     exceeds_caller_timeout: bool = False
     is_authoritative: bool = False
+    delay_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -221,6 +228,9 @@
 
     Times are monotonic milliseconds of the process that owns the table.
 
+    Attributes:
+        limits: Limits that engines name for the requests of all hosts together.
+
     Args:
         weights_limit_ms: Time after a version was named as the newest after which
             no request may begin on an older one.
@@ -228,6 +238,7 @@
 
     def __init__(self, weights_limit_ms: int) -> None:
         self._weights_limit_ms = weights_limit_ms - WEIGHTS_MARGIN_MS
+        self.limits = RateLimits("")
         self._engines: dict[str, EngineState] = {}
         self._placed: dict[str, PlacedPrompt] = {}
         self._stored: OrderedDict[PartKey, int] = OrderedDict()
@@ -471,8 +482,10 @@
         first_token_ms = BASE_FIRST_TOKEN_MS + uncached_tokens / PREFILL_TOKENS_PER_MS
         first_token_ms += _wait_ms(engine, context, urgency)
         first_token_ms += source.transfer_ms + RUNNING_REQUEST_MS * len(engine.placed)
+        delay_ms = self.limits.wait_ms(engine.listed.id, 1, context.now_ms)
+        first_token_ms += delay_ms
         late_ms = first_token_ms - LATE_OBJECTIVE_FRACTION * request.objective_ms
-        cost_ms = context.wait_weight * first_token_ms
+        cost_ms = context.wait_weight * first_token_ms + LIMIT_WAIT_WEIGHT * delay_ms
         cost_ms += LATENESS_WEIGHT * max(0.0, late_ms)
         cost_ms += RECOMPUTE_MS_PER_TOKEN * max(0, context.shared_tokens - held)
         superseded_for_ms = self._superseded_for_ms(context, version)
@@ -493,7 +506,7 @@
         cost_ms += _batch_penalty_ms(engine, context)
         cost_ms += _memory_penalty_ms(engine, context, version)
         return _Estimate(
-            cost_ms, first_token_ms, engine, source, uncached_tokens, version
+            cost_ms, first_token_ms, engine, source, uncached_tokens, version, delay_ms
         )
 
     def _find_source(
@@ -583,6 +596,7 @@
             keys=tuple(key for key, _ in parts),
         )
         self._placed[request.request_id] = prompt
+        self.limits.reserve(engine.listed.id, now_ms)
         limits = context.service.engine
         capacity_tokens = limits.memory_tokens if limits is not None else 0
         engine.add(request.request_id, prompt, parts, capacity_tokens)
@@ -598,6 +612,7 @@
             prefill_tokens=estimate.prefill_tokens,
             urgency=urgency,
             is_authoritative=True,
+            delay_ms=math.ceil(estimate.delay_ms),
         )
 
     def _find_backup_source(self, context: "_PlacementContext", version: int) -> str:
@@ -674,6 +689,7 @@
     source: _FetchSource
     prefill_tokens: int
     version: int
+    delay_ms: float
 
 
 class _PlacementContext:
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -382,3 +382,39 @@
     assert refused["1"] <= 15
     # Some requests still reach the engine, so that the end of the fault is detected.
     assert placed["1"] > refused["1"] > 0
+
+
+def place_at_rate(table, per_s, for_ms, engines):
+    """Place short prompts at a constant rate; return the sends of each engine."""
+    sends = {name: [] for name in engines}
+    refused = 0
+    for number in range(per_s * for_ms // 1000):
+        now_ms = number * 1000 // per_s
+        table.limits.observe("1", 4.0, now_ms)
+        request = prompt(
+            f"r{number}", f"o{number}", tokens=300, rank=1, objective_ms=2500
+        )
+        placement = place(table, request, now_ms)
+        refused += placement.exceeds_caller_timeout
+        if placement.endpoint:
+            sends[placement.endpoint].append(now_ms + placement.delay_ms)
+        table.record_prefilled([request.request_id], now_ms)
+        table.record_end([f"r{number - per_s // 2}"])
+    return sends, refused
+
+
+def test_limited_engine_gets_its_limit_and_others_the_rest():
+    """Guards against a queue for a limited engine while others have room."""
+    sends, refused = place_at_rate(make("1", "2"), 40, 10_000, "12")
+    windows = [sum(0 <= t - s < 4000 for t in sends["1"]) for s in sends["1"]]
+    assert 8 <= max(windows) <= 1.5 * 4.0 * 4 + 5
+    assert len(sends["2"]) >= 320
+    assert refused == 0
+
+
+def test_prompt_that_no_limited_engine_takes_in_time_is_refused_at_once():
+    """Guards against prompts that wait for a token until their deadline."""
+    sends, refused = place_at_rate(make("1"), 40, 10_000, "1")
+    windows = [sum(0 <= t - s < 4000 for t in sends["1"]) for s in sends["1"]]
+    assert max(windows) <= 1.5 * 4.0 * 4 + 5
+    assert refused >= 250
