--- /dev/null
+++ b/mustardtrack/process/endpoint_choice.py
@@ -0,0 +1,151 @@
+"""Choice of the endpoint for an attempt of a forwarded request."""
+
+import random
+
+from mustardtrack.adapters.upstream import ConnectionPool
+from mustardtrack.admission.connections import connections_per_router
+from mustardtrack.admission.ratelimits import RateLimits
+from mustardtrack.configuration.routes import Service
+from mustardtrack.ports import Clock
+from mustardtrack.process.attempt_state import AdmittedRequest
+from mustardtrack.process.control_sync import ControlSync
+from mustardtrack.process.placement_client import PlacementClient
+from mustardtrack.routing.balancing import choose_endpoint
+from mustardtrack.routing.endpointstate import EndpointState
+from mustardtrack.routing.localplacement import choose_engine
+from mustardtrack.routing.placements import Placement, PlacementRequest
+from mustardtrack.settings import SeededSettings
+
+
+class EndpointChooser:
+    """Chooses endpoints that this router may connect to and send a request."""
+
+    def __init__(
+        self,
+        settings: SeededSettings,
+        control_sync: ControlSync,
+        pool: ConnectionPool,
+        clock: Clock,
+        placements: PlacementClient,
+        rng: random.Random,
+    ):
+        self._settings = settings
+        self._control_sync = control_sync
+        self._pool = pool
+        self._clock = clock
+        self._placements = placements
+        self._rng = rng
+
+    @property
+    def _limits(self) -> RateLimits:
+        return self._control_sync.view.limits
+
+    def no_send_reason(
+        self, admitted: AdmittedRequest, endpoint: EndpointState | None
+    ) -> str:
+        """Return the refusal reason of a request that is not sent."""
+        if endpoint is not None:
+            return "retry_budget"
+        listed = self._control_sync.view.endpoints.accepting_endpoints(
+            admitted.service.name
+        )
+        endpoints = self._connectable_endpoints(admitted.service, listed)
+        if listed and not endpoints:
+            return "connections"
+        is_limited = endpoints and not self._endpoints_with_token(endpoints)
+        return "rate_limited" if is_limited else "no_endpoint"
+
+    def _endpoints_with_token(
+        self, endpoints: list[EndpointState]
+    ) -> list[EndpointState]:
+        """Return the endpoints whose limits leave this router a request."""
+        now_ms, count = self._clock.now_ms(), self._control_sync.view.router_count
+        return [
+            state
+            for state in endpoints
+            if self._limits.tokens(state.id, count, now_ms) >= 1
+        ]
+
+    def _take_token(self, endpoint: EndpointState | None) -> None:
+        """Count a request that this router sends without asking the leader."""
+        if endpoint is not None:
+            count = self._control_sync.view.router_count
+            self._limits.take(endpoint.id, count, self._clock.now_ms())
+
+    async def choose(
+        self, admitted: AdmittedRequest, tried: list[str], now_ms: int
+    ) -> tuple[EndpointState | None, Placement | None]:
+        """Return an endpoint that was not tried, and the leader's placement if any.
+
+        The leader chooses the engine of a prompt if it answers in time.
+        """
+        listed = self._control_sync.view.endpoints.accepting_endpoints(
+            admitted.service.name
+        )
+        endpoints = self._connectable_endpoints(admitted.service, listed)
+        if len(endpoints) < len(listed):
+            full = {state.id for state in listed} - {state.id for state in endpoints}
+            tried = [*tried, *sorted(full)]
+        zone = self._settings.zone
+        if admitted.prompt is None:
+            usable = self._endpoints_with_token(endpoints)
+            chosen = choose_endpoint(usable, tried, zone, now_ms, self._rng)
+            self._take_token(chosen)
+            return chosen, None
+        placement = await self._placements.request_placement(
+            self._placement_request(admitted, tried)
+        )
+        if placement is not None:
+            if not placement.endpoint:
+                return None, placement
+            for state in endpoints:
+                if state.id == placement.endpoint:
+                    return state, placement
+        chosen = choose_engine(
+            self._endpoints_with_token(endpoints),
+            admitted.prompt,
+            admitted.weights_version,
+            tried,
+            zone,
+            now_ms,
+            self._rng,
+        )
+        self._take_token(chosen)
+        return chosen, None
+
+    def _connectable_endpoints(
+        self, service: Service, endpoints: list[EndpointState]
+    ) -> list[EndpointState]:
+        """Return the endpoints to which this router may open or reuse a connection."""
+        limit = self.connection_limit(service)
+        return [
+            state
+            for state in endpoints
+            if self._pool.open_count(state.listed.address) < limit
+            or self._pool.has_idle(state.id)
+        ]
+
+    def _placement_request(
+        self, admitted: AdmittedRequest, tried: list[str]
+    ) -> PlacementRequest:
+        metadata = admitted.metadata
+        return PlacementRequest(
+            request_id=admitted.request_id,
+            service=admitted.service.name,
+            model=metadata.model,
+            parts=[(part.digest, part.tokens) for part in metadata.parts],
+            isolated_account=admitted.isolated_account,
+            tokens=metadata.prompt_tokens,
+            output_tokens=metadata.max_output_tokens,
+            rank=admitted.rank,
+            objective_ms=admitted.route.objective_ms,
+            time_left_ms=admitted.deadline_ms - self._clock.now_ms(),
+            zone=self._settings.zone,
+            tried=tried,
+            router=self._settings.name,
+        )
+
+    def connection_limit(self, service: Service) -> int:
+        """Return this router's connection limit for one endpoint."""
+        count = self._control_sync.view.router_count
+        return connections_per_router(service.max_connections, count)
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -7,7 +7,6 @@
 from mustardtrack.adapters.h11_server import Exchange
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.upstream import ConnectError, ConnectionPool
-from mustardtrack.admission.connections import connections_per_router
 from mustardtrack.admission.partcrashes import LostPrompt
 from mustardtrack.admission.sharedretries import SharedRetryBudget
 from mustardtrack.configuration.routes import Route, RouteAccount, RouteTable, Service
@@ -38,6 +37,7 @@
     decode_id,
 )
 from mustardtrack.process.control_sync import ControlSync
+from mustardtrack.process.endpoint_choice import EndpointChooser
 from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.requests.connection_reuse import IdleReuseLimit
 from mustardtrack.requests.forwarding import (
@@ -53,10 +53,9 @@
     choose_interrupted_answer,
 )
 from mustardtrack.requests.time_limits import RequestTimeLimit
-from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.endpointstate import EndpointState
-from mustardtrack.routing.localplacement import Prompt, choose_engine
-from mustardtrack.routing.placements import Placement, PlacementRequest
+from mustardtrack.routing.localplacement import Prompt
+from mustardtrack.routing.placements import Placement
 from mustardtrack.settings import SeededSettings
 
 REQUEST_ENDED = define_event(8951, "INFO", "request ended")
@@ -120,6 +119,7 @@
         clock: Clock,
         metrics: InMemoryMetrics,
         placements: PlacementClient,
+        rng: random.Random | None = None,
     ):
         self._placements = placements
         self._settings = settings
@@ -129,7 +129,10 @@
         self.metrics = metrics
         self.reuse_limit = IdleReuseLimit()
         self.limits = control_sync.view.limits
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
+        self._chooser = EndpointChooser(
+            settings, control_sync, pool, clock, placements, self._rng
+        )
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
         # References protect the tasks from garbage collection.
         self._discarded: set[asyncio.Future[PlannedAttempt | RetryObstacle]] = set()
@@ -444,7 +447,7 @@
         if self._control_sync.view.parts.find_refused(admitted.part_names) is not None:
             return _NoAttempt(CRASHING_PARTS)
         if endpoint is None or (is_retry and not budget.allow_retry(now_ms, count)):
-            return _NoAttempt(self._no_send_reason(admitted, endpoint))
+            return _NoAttempt(self._chooser.no_send_reason(admitted, endpoint))
         fields = describe_choice(admitted, endpoint, placement, now_ms)
         await self._wait_for_limit(placement)
         return PlannedAttempt(endpoint, placement, fields)
@@ -454,38 +457,6 @@
         if placement is not None and placement.delay_ms:
             await asyncio.sleep(placement.delay_ms / 1000)
 
-    def _no_send_reason(
-        self, admitted: AdmittedRequest, endpoint: EndpointState | None
-    ) -> str:
-        """Return the refusal reason of a request that is not sent."""
-        if endpoint is not None:
-            return "retry_budget"
-        listed = self._control_sync.view.endpoints.accepting_endpoints(
-            admitted.service.name
-        )
-        endpoints = self._connectable_endpoints(admitted.service, listed)
-        if listed and not endpoints:
-            return "connections"
-        is_limited = endpoints and not self._endpoints_with_token(endpoints)
-        return "rate_limited" if is_limited else "no_endpoint"
-
-    def _endpoints_with_token(
-        self, endpoints: list[EndpointState]
-    ) -> list[EndpointState]:
-        """Return the endpoints whose limits leave this router a request."""
-        now_ms, count = self.clock.now_ms(), self._control_sync.view.router_count
-        return [
-            state
-            for state in endpoints
-            if self.limits.tokens(state.id, count, now_ms) >= 1
-        ]
-
-    def _take_token(self, endpoint: EndpointState | None) -> None:
-        """Count a request that this router sends without asking the leader."""
-        if endpoint is not None:
-            count = self._control_sync.view.router_count
-            self.limits.take(endpoint.id, count, self.clock.now_ms())
-
     async def _choose_untried(
         self, admitted: AdmittedRequest, progress: ForwardedRequest
     ) -> tuple[EndpointState | None, Placement | None]:
@@ -493,84 +464,14 @@
         if len(progress.tried) >= MAX_ENDPOINTS_TRIED or not self._has_time(admitted):
             return None, None
         now_ms = self.clock.now_ms()
-        return await self._choose_endpoint(admitted, progress.tried, now_ms)
+        return await self._chooser.choose(admitted, progress.tried, now_ms)
 
     def _has_time(self, admitted: AdmittedRequest) -> bool:
         return admitted.deadline_ms - self.clock.now_ms() >= MIN_TIME_LEFT_MS
 
-    async def _choose_endpoint(
-        self, admitted: AdmittedRequest, tried: list[str], now_ms: int
-    ) -> tuple[EndpointState | None, Placement | None]:
-        listed = self._control_sync.view.endpoints.accepting_endpoints(
-            admitted.service.name
-        )
-        endpoints = self._connectable_endpoints(admitted.service, listed)
-        if len(endpoints) < len(listed):
-            full = {state.id for state in listed} - {state.id for state in endpoints}
-            tried = [*tried, *sorted(full)]
-        zone = self._settings.zone
-        if admitted.prompt is None:
-            usable = self._endpoints_with_token(endpoints)
-            chosen = choose_endpoint(usable, tried, zone, now_ms, self._rng)
-            self._take_token(chosen)
-            return chosen, None
-        placement = await self._placements.request_placement(
-            self._placement_request(admitted, tried)
-        )
-        if placement is not None:
-            if not placement.endpoint:
-                return None, placement
-            for state in endpoints:
-                if state.id == placement.endpoint:
-                    return state, placement
-        chosen = choose_engine(
-            self._endpoints_with_token(endpoints),
-            admitted.prompt,
-            admitted.weights_version,
-            tried,
-            zone,
-            now_ms,
-            self._rng,
-        )
-        self._take_token(chosen)
-        return chosen, None
-
-    def _connectable_endpoints(
-        self, service: Service, endpoints: list[EndpointState]
-    ) -> list[EndpointState]:
-        """Return the endpoints to which this router may open or reuse a connection."""
-        limit = self.connection_limit(service)
-        return [
-            state
-            for state in endpoints
-            if self.pool.open_count(state.listed.address) < limit
-            or self.pool.has_idle(state.id)
-        ]
-
-    def _placement_request(
-        self, admitted: AdmittedRequest, tried: list[str]
-    ) -> PlacementRequest:
-        metadata = admitted.metadata
-        return PlacementRequest(
-            request_id=decode_id(metadata.request_id),
-            service=admitted.service.name,
-            model=metadata.model,
-            parts=[(part.digest, part.tokens) for part in metadata.parts],
-            isolated_account=admitted.isolated_account,
-            tokens=metadata.prompt_tokens,
-            output_tokens=metadata.max_output_tokens,
-            rank=admitted.rank,
-            objective_ms=admitted.route.objective_ms,
-            time_left_ms=admitted.deadline_ms - self.clock.now_ms(),
-            zone=self._settings.zone,
-            tried=tried,
-            router=self._settings.name,
-        )
-
     def connection_limit(self, service: Service) -> int:
         """Return this router's connection limit for one endpoint."""
-        count = self._control_sync.view.router_count
-        return connections_per_router(service.max_connections, count)
+        return self._chooser.connection_limit(service)
 
     def must_continue(self, admitted: AdmittedRequest, endpoint: EndpointState) -> bool:
         """Return whether a stalled attempt may not be abandoned for another one."""
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -384,12 +384,12 @@
         retries = SimpleNamespace(ratio=0.0, window_s=10.0, floor=self.extra_retries)
         settings = SimpleNamespace(zone="a", name="r1", retries=retries)
         clock = SimpleNamespace(now_ms=lambda: round(loop.time() * 1000))
-        built = Forwarder(
-            settings, control_sync, self.pool, clock, InMemoryMetrics(), self.leader
-        )
         # The first endpoint is chosen unless the leader places the request.
-        built._rng = SimpleNamespace(random=lambda: 0.0, uniform=lambda low, high: 0.0)
-        return built
+        rng = SimpleNamespace(random=lambda: 0.0, uniform=lambda low, high: 0.0)
+        metrics = InMemoryMetrics()
+        return Forwarder(
+            settings, control_sync, self.pool, clock, metrics, self.leader, rng
+        )
 
     @property
     def relayed(self):
