--- a/mustardtrack/admission/partwatch.py
+++ b/mustardtrack/admission/partwatch.py
@@ -153,7 +153,7 @@
             self._answered_ms.popitem(last=False)
 
     def take_report(self, leader: str, now_ms: int) -> PartReport:
-        """Return what the leader has not been told; a new leader is told everything.
+        """Return what the leader does not know yet; a new leader gets all reports.
 
         Args:
             leader: Name of the leader, to which the report is sent.
