--- a/mustardtrack/admission/ratelimits.py
+++ b/mustardtrack/admission/ratelimits.py
@@ -26,6 +26,10 @@
 LIMIT_LIFETIME_MS = 10_000
 # Observations of a limit are repeated to the leader after this time.
 RENEWAL_MS = 1000
+# Routers ask for news at least this often; an unchanged limit is sent to them in one of
+# the slots, so that they get it several times within its lifetime.
+SPREAD_SLOT_MS = 400
+SPREAD_SLOTS = 8
 # Requests that are sent in spite of a limit of 0, so that its end is noticed.
 MIN_RATE_PER_S = 0.25
 # Time for which an unused share is kept.
@@ -45,10 +49,16 @@
 
 @dataclass
 class _Limit:
-    """Limit of one endpoint as last observed, and the bucket that enforces it."""
+    """Limit of one endpoint as last observed, and the bucket that enforces it.
+
+    Attributes:
+        slot: Time slot in which routers are sent the limit again.
+    """
 
     rate_per_s: float | None
     observed_ms: int
+    slot: int = 0
+    changed_ms: int = 0
     reported_ms: int | None = None
     tokens: float = 1.0
     filled_ms: int = 0
@@ -88,7 +98,8 @@
         if limit is None:
             if rate_per_s is None:
                 return
-            limit = _Limit(None, observed_ms, filled_ms=now_ms)
+            slot = xxh3_64_intdigest(endpoint.encode()) % SPREAD_SLOTS
+            limit = _Limit(None, observed_ms, slot=slot, filled_ms=now_ms)
             self._limits[endpoint] = limit
             if len(self._limits) > MAX_LIMITS:
                 self._limits.popitem(last=False)
@@ -98,6 +109,7 @@
             event = LIMIT_ENDED if rate_per_s is None else LIMIT_NAMED
             log_event(event, endpoint=endpoint, rate_per_s=rate_per_s, age_ms=age_ms)
             limit.reported_ms = None
+            limit.changed_ms = now_ms
         limit.rate_per_s, limit.observed_ms = rate_per_s, observed_ms
 
     def merge(self, observed: Mapping[str, Observation], now_ms: int) -> None:
@@ -126,12 +138,18 @@
         for limit in self._limits.values():
             limit.reported_ms = None
 
-    def observations(self, now_ms: int) -> dict[str, Observation]:
-        """Return all limits that hold or ended a short time ago."""
+    def due_observations(self, now_ms: int) -> dict[str, Observation]:
+        """Return what routers must know now: new limits, and others in turn.
+
+        Sending all of them each time would cost megabytes per second where many
+        endpoints name limits to many routers.
+        """
         self._drop_old(now_ms)
+        slot = now_ms // SPREAD_SLOT_MS % SPREAD_SLOTS
         return {
             endpoint: (limit.rate_per_s, now_ms - limit.observed_ms)
             for endpoint, limit in self._limits.items()
+            if now_ms - limit.changed_ms <= 2 * SPREAD_SLOT_MS or limit.slot == slot
         }
 
     def _drop_old(self, now_ms: int) -> None:
--- a/mustardtrack/admission/tests/test_ratelimits.py
+++ b/mustardtrack/admission/tests/test_ratelimits.py
@@ -166,11 +166,23 @@
         report = router.take_report(now_ms)
         reports += len(report)
         leader.merge(report, now_ms + 30)
-        router.merge(leader.observations(now_ms + 50), now_ms + 60)
+        router.merge(leader.due_observations(now_ms + 50), now_ms + 60)
     assert leader.rate_per_s("e", now_ms) == 2.0
     assert reports <= 1 + 2 * LIMIT_LIFETIME_MS / RENEWAL_MS
 
 
+def test_routers_keep_a_limit_that_others_observe():
+    """Guards against a limit that lapses at routers which send its endpoint nothing."""
+    leader, router = RateLimits("leader"), RateLimits("r")
+    for now_ms in range(0, 3 * LIMIT_LIFETIME_MS, 400):
+        leader.observe("e", 2.0, now_ms)
+        router.merge(leader.due_observations(now_ms), now_ms)
+        assert router.rate_per_s("e", now_ms) == 2.0
+    leader.observe("e", None, now_ms)
+    router.merge(leader.due_observations(now_ms + 400), now_ms + 400)
+    assert router.rate_per_s("e", now_ms + 400) is None
+
+
 def test_new_leader_is_told_all_limits():
     router = RateLimits("r")
     router.observe("e", 2.0, 0)
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -378,7 +378,7 @@
             crash_evidence=self.part_crashes.evidence(self.now_ms())
             if self._has_crash_evidence_for(request)
             else None,
-            limits=self.placements.limits.observations(self.now_ms())
+            limits=self.placements.limits.due_observations(self.now_ms())
             if self.is_leader()
             else {},
         )
