Close the connections of stand-ins before their event loop ends

The soak's forwarder now aborts its connections when it is cancelled, and the list of the prompt engines closes them.

--- a/mustardtrack/testing/faulty_endpoints.py
+++ b/mustardtrack/testing/faulty_endpoints.py
@@ -103,7 +103,10 @@
                 self._relay(endpoint_reader, writer, "answer"),
             )
         except asyncio.CancelledError:
-            pass  # The soak ended.
+            # The soak ended. Writers that are left to their finalizer raise once the
+            # event loop is closed.
+            for opened in connection:
+                opened.transport.abort()
         self._connections.discard(connection)
         self._blackholed_writers.difference_update(connection)
 
--- a/mustardtrack/testing/prompt_engines.py
+++ b/mustardtrack/testing/prompt_engines.py
@@ -110,7 +110,13 @@
     async def _serve_list(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._encode_list())
+        finally:
+            writer.close()
+
+    def _encode_list(self) -> bytes:
         entries = [
             {
                 "id": self._identity(engine),
@@ -124,8 +130,7 @@
             for engine in range(self.count)
         ]
         body = json.dumps({"instances": entries, "next-token": None}).encode()
-        writer.write(_encode_head(200, b"content-length: %d\r\n" % len(body)) + body)
-        writer.close()
+        return _encode_head(200, b"content-length: %d\r\n" % len(body)) + body
 
     async def _serve(
         self, engine: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
