--- a/mustardtrack/admission/partcrashes.py
+++ b/mustardtrack/admission/partcrashes.py
@@ -38,7 +38,8 @@
 # A search takes milliseconds when many prompts are lost.
 SEARCH_PERIOD_MS = 100
 MAX_CRASHES = 64
-MAX_PROMPTS_PER_CRASH = 64
+# An engine runs up to 64 prompts and queues others.
+MAX_PROMPTS_PER_CRASH = 128
 MAX_ANSWERED_PARTS = 4096
 MAX_SUSPECTS = 256
 MAX_ADOPTED = 64
