Check a prompt again that was held back by a rate limit

A prompt waits up to seconds until a limited engine takes it. Meanwhile the engine can begin to drain or leave, and the parts of the prompt can be refused; it was sent all the same. Found by reading the change; the new test failed before in both cases. The checks of refusals, time and retries now follow the wait, and the engine must still accept requests.

--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -435,10 +435,11 @@
         self, admitted: AdmittedRequest, progress: ForwardedRequest
     ) -> "PlannedAttempt | _NoAttempt":
         """Choose the endpoint of the next attempt and take a retry if it is one."""
-        now_ms = self.clock.now_ms()
         endpoint, placement = await self._choose_untried(admitted, progress)
         if placement is not None and placement.exceeds_caller_timeout:
             return _NoAttempt("hopeless", placement.expected_ms)
+        endpoint = await self._wait_for_limit(admitted, endpoint, placement)
+        now_ms = self.clock.now_ms()
         budget = self._retry_budget(admitted.service.name)
         count = self._control_sync.view.router_count
         is_retry = progress.sends > 0
@@ -449,13 +450,25 @@
         if endpoint is None or (is_retry and not budget.allow_retry(now_ms, count)):
             return _NoAttempt(self._chooser.no_send_reason(admitted, endpoint))
         fields = describe_choice(admitted, endpoint, placement, now_ms)
-        await self._wait_for_limit(placement)
         return PlannedAttempt(endpoint, placement, fields)
 
-    async def _wait_for_limit(self, placement: Placement | None) -> None:
-        """Wait until the engine of a placement takes another request."""
-        if placement is not None and placement.delay_ms:
-            await asyncio.sleep(placement.delay_ms / 1000)
+    async def _wait_for_limit(
+        self,
+        admitted: AdmittedRequest,
+        endpoint: EndpointState | None,
+        placement: Placement | None,
+    ) -> EndpointState | None:
+        """Wait until the engine of a placement takes another request.
+
+        Returns:
+            The endpoint, None if it accepts no new requests any more.
+        """
+        if endpoint is None or placement is None or not placement.delay_ms:
+            return endpoint
+        await asyncio.sleep(placement.delay_ms / 1000)
+        service = admitted.service.name
+        accepting = self._control_sync.view.endpoints.accepting_endpoints(service)
+        return endpoint if endpoint in accepting else None
 
     async def _choose_untried(
         self, admitted: AdmittedRequest, progress: ForwardedRequest
@@ -494,11 +507,11 @@
         endpoint, placement = await self._choose_untried(admitted, progress)
         if placement is not None and placement.exceeds_caller_timeout:
             return RetryObstacle.HOPELESS
+        endpoint = await self._wait_for_limit(admitted, endpoint, placement)
         if endpoint is None:
             return RetryObstacle.NO_ENDPOINT
         now_ms = self.clock.now_ms()
         fields = describe_choice(admitted, endpoint, placement, now_ms)
-        await self._wait_for_limit(placement)
         timeout_ms = max(0, min(CONNECT_TIMEOUT_MS, admitted.deadline_ms - now_ms))
         try:
             connection = await open_attempt_connection(
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -934,3 +934,20 @@
     assert scenario.status == (200 if used else 503)
     if not used:
         assert scenario.lines(8951)[0]["reason"] == "rate_limited"
+
+
+@pytest.mark.parametrize("change", ["unlisted", "refused"])
+def test_prompt_held_back_by_a_limit_is_not_sent_after_a_change(monkeypatch, change):
+    """Guards against a send to an engine that has left while the prompt waited."""
+    leader = StandInLeader(
+        lambda request: Placement("e1", delay_ms=700, is_authoritative=True)
+    )
+    scenario = Scenario(
+        {"e1": COMPLETE},
+        leader=leader,
+        unlist_ms=300 if change == "unlisted" else None,
+        monkeypatch=monkeypatch,
+    )
+    refuse = [(300, lambda handler: scenario.parts.receive(REFUSED, 300))]
+    scenario.play(actions=refuse if change == "refused" else ())
+    assert (scenario.status, scenario.pool.runs) == (503, [])
