Learn how long engines take to load weights

Cause: after an order, the leader asked an engine for a report no earlier than 1.9 s later, planned each load with 3.3 s and issued a lost order again after 8 s. Where a load takes 0.3 s and the time limit is 6 s, two of six engines at a time could not be updated in time, and engines stayed out of service for several times their load. Change: routing/loadtimes.py learns the time from the order to the report for each service; first report, report period, rollout plan and order time-out follow from it. A 409 (an order is in progress) is awaited and not sent again.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -22,6 +22,7 @@
     endpoint_list_target,
 )
 from mustardtrack.platform.headers import expect_instance_header
+from mustardtrack.routing.loadtimes import LoadTimes
 from mustardtrack.routing.rollout import Rollout, WeightsOrder
 
 if TYPE_CHECKING:
@@ -43,11 +44,9 @@
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
 WATCH_PERIOD_S = 0.05
-# Engines take about 2 s to load weights; earlier calls would be wasted.
-FIRST_REPORT_DELAY_S = 1.9
-REPORT_PERIOD_S = 0.3
-# With REPORT_PERIOD_S, polls for about as long as an order is valid.
-MAX_REPORTS_PER_LOAD = 20
+# Answers to an order after which its effect is awaited. Without an answer (0), the
+# engine may have received the order; with 409, an earlier order is in progress.
+AWAITED_STATUSES = frozenset({0, 200, 202, 409})
 # An answer may arrive in parts over this time.
 CALL_DURATION_S = 2.0
 MAX_ANSWER_BYTES = 4_194_304
@@ -67,7 +66,8 @@
     def __init__(self, control: "SeededControlProcess", settings: "SeededSettings"):
         self._control = control
         self._settings = settings
-        self._rollout = Rollout(settings.bounds.weights_ms)
+        self._load_times = LoadTimes()
+        self._rollout = Rollout(settings.bounds.weights_ms, self._load_times)
         self._term = 0
         self._leader_since_ms = 0
         self._last_order_ms = 0
@@ -107,7 +107,7 @@
         self._term = term
         self._leader_since_ms = self._last_order_ms = self._control.now_ms()
         self._list_sequence = 0
-        self._rollout = Rollout(self._settings.bounds.weights_ms)
+        self._rollout = Rollout(self._settings.bounds.weights_ms, self._load_times)
         self._has_list = False
         self._reported_weights = {}
         self._last_published = ()
@@ -260,32 +260,40 @@
             status=status,
             error=error,
         )
-        # Without an answer (status 0), the engine may have received the order.
-        if status in (0, 200, 202):
+        if status in AWAITED_STATUSES:
             await self._wait_for_load(order, term)
         elif term == self._term:
             self._rollout.discard_order(order.endpoint.id)
 
     async def _wait_for_load(self, order: WeightsOrder, term: int) -> None:
         """Poll the engine until it reports the load, since the platform's list lags."""
-        await asyncio.sleep(FIRST_REPORT_DELAY_S)
-        for _ in range(MAX_REPORTS_PER_LOAD):
+        service = order.endpoint.service
+        clock = asyncio.get_running_loop().time
+        start_s = clock()
+        waited_ms = 0.0
+        timeout_ms = self._rollout.order_timeout_ms(service)
+        for time_ms in self._load_times.report_times_ms(service, timeout_ms):
+            await asyncio.sleep(max(0.0, start_s + time_ms / 1000 - clock()))
             if term != self._term or not self._control.is_leader():
                 return
-            try:
-                status, body = await self._call(
-                    order.endpoint.address, b"GET", WEIGHTS_REPORT_TARGET, b""
-                )
-                weights = decode_weights_report(body) if status == 200 else {}
-            except UNREADABLE_ERRORS as error:
-                log_event(
-                    REPORT_READ_FAILED, endpoint=order.endpoint.id, error=str(error)
-                )
-                weights = {}
+            weights = await self._read_report(order.endpoint)
+            elapsed_ms = (clock() - start_s) * 1000
             if weights.get(order.model, 0) >= order.version:
+                self._load_times.record(service, waited_ms, elapsed_ms)
                 self._reported_weights[order.endpoint.id] = weights
                 return
-            await asyncio.sleep(REPORT_PERIOD_S)
+            waited_ms = elapsed_ms
+
+    async def _read_report(self, endpoint: ListedEndpoint) -> dict[str, int]:
+        """Return the weights versions that an engine reports, empty if it does not."""
+        try:
+            status, body = await self._call(
+                endpoint.address, b"GET", WEIGHTS_REPORT_TARGET, b""
+            )
+            return decode_weights_report(body) if status == 200 else {}
+        except UNREADABLE_ERRORS as error:
+            log_event(REPORT_READ_FAILED, endpoint=endpoint.id, error=str(error))
+            return {}
 
     async def _call(
         self,
--- a/mustardtrack/process/tests/test_endpoint_watch.py
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.process import endpoint_watch
 from mustardtrack.process.endpoint_watch import EndpointWatch
+from mustardtrack.routing.rollout import WeightsOrder
 
 PAGE_ENTRIES = 50
 
@@ -93,3 +95,43 @@
 def test_unreadable_list_does_not_end_the_task(body):
     """Guards against a control process that ends because of bytes of the platform."""
     assert not read_list(StubPool(lambda number: body))._has_list
+
+
+class EngineReports:
+    """Connection pool of one engine that reports new weights after some time."""
+
+    def __init__(self, load_s):
+        self.calls = 0
+        self._load_s = load_s
+        self._start_s = asyncio.get_running_loop().time()
+
+    async def call(self, *arguments):
+        """Answer a call for a report."""
+        self.calls += 1
+        elapsed_s = asyncio.get_running_loop().time() - self._start_s
+        version = 2 if elapsed_s >= self._load_s else 1
+        models = [{"name": "m", "version": version}]
+        return 200, json.dumps({"models": models}).encode()
+
+
+def test_short_load_is_noticed_before_it_has_lasted_several_times_as_long():
+    """Guards against engines that are kept out of service after a short load."""
+    load_s = 0.3
+
+    async def measure():
+        settings = SimpleNamespace(
+            bounds=SimpleNamespace(weights_ms=6000), host_list="10.0.0.1:1"
+        )
+        control = SimpleNamespace(is_leader=lambda: True)
+        watch = EndpointWatch(control, settings)
+        watch._pool = EngineReports(load_s)
+        endpoint = ListedEndpoint(
+            "e", 0, "s", "10.0.0.1:1", "a", 8, False, False, {"m": 1}
+        )
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        await watch._wait_for_load(WeightsOrder(endpoint, "m", 2), 0)
+        assert watch._reported_weights["e"] == {"m": 2}
+        return loop.time() - start_s
+
+    assert asyncio.run(measure()) < 3 * load_s
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -11,10 +11,11 @@
 from dataclasses import dataclass
 
 from mustardtrack.membership.endpoint_list import ListedEndpoint
+from mustardtrack.routing.loadtimes import LoadTimes
 from mustardtrack.routing.weightsversions import WeightsVersionHistory
 
-# Fraction of the engines that may load concurrently; above it, loads slow each other
-# by specification (2 of 5, 3 of 9 and 12 of 30 engines).
+# Fraction of the engines that may load concurrently. The platform names no bound; more
+# concurrent loads slow each other and leave too few engines for the traffic.
 MAX_LOADING_FRACTION = 0.4
 MIN_PARALLEL_LOADS = 2
 # Mean time to prefill the prompts placed on an engine, above which the engines are
@@ -23,17 +24,18 @@
 # Fraction of the usual concurrency that is used while engines are busy. Responses on
 # superseded weights lose value, so that a rollout must not wait for the load to drop.
 BUSY_LIMIT_FACTOR = 0.5
-# Time of one load at a busy engine, including the requests that must end before it.
-BUSY_LOAD_MS = 3300
 # Fraction of the time limit in which an engine is planned to reach new weights, since
 # loads at busy engines end later than planned.
 COMPLETION_FRACTION = 0.75
 # Longest drain before an order is issued, during which the engine gets no new requests.
 # An engine refuses requests that have not started when the order arrives.
 MAX_DRAIN_MS = 700
-# Time after which an order without an effect in the endpoint list is issued again. A
-# load takes about 2 s after the running requests have ended.
-ORDER_TIMEOUT_MS = 8000
+# Time after which an order without an effect in the endpoint list is issued again, in
+# expected load times. Running requests must end before a load begins.
+ORDER_TIMEOUT_LOADS = 4.0
+MIN_ORDER_TIMEOUT_MS = 2000
+# Fraction of the time limit after which such an order is issued again at the latest.
+ORDER_TIMEOUT_FRACTION = 0.5
 
 
 @dataclass(frozen=True)
@@ -60,10 +62,13 @@
     Args:
         limit_ms: Time after a version was named as the newest after which no
             request may begin on an older one.
+        load_times: Learned load times of the engines.
     """
 
-    def __init__(self, limit_ms: int) -> None:
+    def __init__(self, limit_ms: int, load_times: LoadTimes) -> None:
+        self._limit_ms = limit_ms
         self._completion_limit_ms = COMPLETION_FRACTION * limit_ms
+        self._load_times = load_times
         self._pending: dict[str, _PendingOrder] = {}
         self._weights_history = WeightsVersionHistory()
 
@@ -146,11 +151,20 @@
             superseded_for_ms = (
                 self._weights_history.superseded_for_ms(model, version, now_ms) or 0
             )
-            needed_ms = math.ceil((position + 1) / limit) * BUSY_LOAD_MS
+            load_ms = MAX_DRAIN_MS + self._load_times.expected_ms(endpoint.service)
+            needed_ms = math.ceil((position + 1) / limit) * load_ms
             if superseded_for_ms + needed_ms >= self._completion_limit_ms:
                 return False
         return True
 
+    def order_timeout_ms(self, service: str) -> float:
+        """Return the time after which an order without an effect is issued again."""
+        loads_ms = ORDER_TIMEOUT_LOADS * self._load_times.expected_ms(service)
+        return min(
+            max(MIN_ORDER_TIMEOUT_MS, loads_ms),
+            ORDER_TIMEOUT_FRACTION * self._limit_ms,
+        )
+
     def discard_order(self, endpoint_id: str) -> None:
         """Discard an order that the endpoint did not accept."""
         self._pending.pop(endpoint_id, None)
@@ -158,12 +172,16 @@
     def _remove_completed(
         self, endpoints: Sequence[ListedEndpoint], now_ms: int
     ) -> None:
-        versions = {
-            endpoint.id: max(endpoint.weights.values(), default=0)
-            for endpoint in endpoints
-        }
+        listed = {endpoint.id: endpoint for endpoint in endpoints}
         for endpoint_id, order in list(self._pending.items()):
-            reached = versions.get(endpoint_id, order.version) >= order.version
-            # Endpoints that are no longer listed count as updated.
-            if reached or now_ms - order.drain_started_ms > ORDER_TIMEOUT_MS:
+            endpoint = listed.get(endpoint_id)
+            if endpoint is None or self._is_completed(order, endpoint, now_ms):
                 del self._pending[endpoint_id]
+
+    def _is_completed(
+        self, order: _PendingOrder, endpoint: ListedEndpoint, now_ms: int
+    ) -> bool:
+        version = max(endpoint.weights.values(), default=0)
+        timeout_ms = MAX_DRAIN_MS + self.order_timeout_ms(endpoint.service)
+        is_overdue = now_ms - order.drain_started_ms > timeout_ms
+        return version >= order.version or is_overdue
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -1,14 +1,18 @@
 """Guards against engines that are updated to new weights late or never."""
 
 from mustardtrack.membership.endpoint_list import ListedEndpoint
-from mustardtrack.routing.rollout import (
-    BUSY_QUEUE_MS,
-    MAX_DRAIN_MS,
-    ORDER_TIMEOUT_MS,
-    Rollout,
-)
+from mustardtrack.routing import rollout as rollout_module
+from mustardtrack.routing.loadtimes import LoadTimes
+from mustardtrack.routing.rollout import BUSY_QUEUE_MS, MAX_DRAIN_MS
 
 LIMIT_MS = 15_000
+LOAD_MS = 2600
+
+
+def Rollout(limit_ms):  # noqa: N802
+    load_times = LoadTimes()
+    load_times.record("s", 0, LOAD_MS)
+    return rollout_module.Rollout(limit_ms, load_times)
 
 
 def engine(name, version):
@@ -50,7 +54,7 @@
 def test_lost_order_is_issued_again():
     rollout = Rollout(LIMIT_MS)
     rollout.plan([engine("a", 1)], {"m": 2}, idle, 0, 0)
-    later_ms = ORDER_TIMEOUT_MS + 1
+    later_ms = MAX_DRAIN_MS + int(rollout.order_timeout_ms("s")) + 1
     assert names(rollout.plan([engine("a", 1)], {"m": 2}, idle, 0, later_ms)) == ["a"]
 
 
