Send no new requests to endpoints that announce that they leave

Cause: the header with which an endpoint announces its leave was decoded nowhere, so routers learned of it from the platform's list, seconds later, and a stale placement, a retry, a resumption or a request held back by a limit could still choose it. Change: routing/endpointnotices.py keeps announcements by identity, address and start time. The router checks them after the leader's placement and again before a request that was held back is sent; the leader hears of them with the progress reports and publishes the endpoint as draining to the other routers.

--- a/mustardtrack/platform/headers.py
+++ b/mustardtrack/platform/headers.py
@@ -13,6 +13,7 @@
 # The endpoint's signature over its response; a response without it did not come
 # from the endpoint.
 SIGNATURE = b"response-seal"
+LEAVING = b"server-leaving"
 
 _EXPECT_INSTANCE = b"expect-instance"
 _BEARER_PREFIX = b"bearer "
@@ -106,6 +107,7 @@
         weights_version: Weights version that served the request, None if not stated.
         max_requests_per_s: Requests per second that the endpoint takes from all hosts
             together, None if it names no limit.
+        is_leaving: Whether the endpoint announces that it is about to leave.
     """
 
     is_signed: bool
@@ -115,6 +117,7 @@
     keep_alive_s: float | None
     weights_version: int | None
     max_requests_per_s: float | None = None
+    is_leaving: bool = False
 
 
 def decode_request_headers(target: bytes, headers: Headers) -> RequestMetadata:
@@ -148,6 +151,7 @@
         keep_alive_s=_parse_keep_alive(values.get(b"keep-alive")),
         weights_version=parse_count(values.get(b"weight-versions")),
         max_requests_per_s=parse_decimal(values.get(b"server-limit")),
+        is_leaving=parse_count(values.get(LEAVING)) == 1,
     )
 
 
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -7,6 +7,7 @@
 from mustardtrack.admission.ratelimits import Observation
 from mustardtrack.membership.endpoint_list import EndpointList
 from mustardtrack.membership.endpoint_list_changes import EndpointListChange
+from mustardtrack.routing.endpointnotices import Incarnation
 
 
 class SyncRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -86,7 +87,7 @@
     whose endpoint closed the connection while it ran them.
     ``refused`` holds an engine for each request that it did not run.
     ``parts`` reports lost and answered prompts, ``limits`` the limits of endpoints that
-    were observed.
+    were observed, and ``leaving`` the endpoints that announced that they leave.
     """
 
     prefilled: list[str]
@@ -96,3 +97,4 @@
     refused: list[str] = []
     parts: PartReport = PartReport()
     limits: dict[str, Observation] = {}
+    leaving: list[Incarnation] = []
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -252,6 +252,9 @@
             self._forwarder.limits.observe(
                 self._endpoint.id, limit, self._clock.now_ms()
             )
+        if response.is_leaving:
+            listed, now_ms = self._endpoint.listed, self._clock.now_ms()
+            self._forwarder.notices.record_leaving(listed, now_ms)
         if response.load is not None:
             load = response.load
             self._endpoint.record_load(load.running, load.waiting, self._clock.now_ms())
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -24,6 +24,7 @@
     RetryObstacle,
 )
 from mustardtrack.requests.time_limits import RequestTimeLimit, TimeLimit
+from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import Prompt
 from mustardtrack.routing.placements import Placement
@@ -158,6 +159,7 @@
     metrics: InMemoryMetrics
     reuse_limit: IdleReuseLimit
     limits: RateLimits
+    notices: EndpointNotices
 
     @abstractmethod
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -46,15 +46,19 @@
         """Return the refusal reason of a request that is not sent."""
         if endpoint is not None:
             return "retry_budget"
-        listed = self._control_sync.view.endpoints.accepting_endpoints(
-            admitted.service.name
-        )
+        listed = self.accepting_endpoints(admitted)
         endpoints = self._connectable_endpoints(admitted.service, listed)
         if listed and not endpoints:
             return "connections"
         is_limited = endpoints and not self._endpoints_with_token(endpoints)
         return "rate_limited" if is_limited else "no_endpoint"
 
+    def accepting_endpoints(self, admitted: AdmittedRequest) -> list[EndpointState]:
+        """Return the endpoints that accept a request now."""
+        return self._control_sync.view.endpoints.accepting_endpoints(
+            admitted.service.name, self._clock.now_ms()
+        )
+
     def _endpoints_with_token(
         self, endpoints: list[EndpointState]
     ) -> list[EndpointState]:
@@ -79,13 +83,8 @@
 
         The leader chooses the engine of a prompt if it answers in time.
         """
-        listed = self._control_sync.view.endpoints.accepting_endpoints(
-            admitted.service.name
-        )
-        endpoints = self._connectable_endpoints(admitted.service, listed)
-        if len(endpoints) < len(listed):
-            full = {state.id for state in listed} - {state.id for state in endpoints}
-            tried = [*tried, *sorted(full)]
+        endpoints, excluded = self._find_usable(admitted)
+        tried = [*tried, *excluded]
         zone = self._settings.zone
         if admitted.prompt is None:
             usable = self._endpoints_with_token(endpoints)
@@ -98,6 +97,8 @@
         if placement is not None:
             if not placement.endpoint:
                 return None, placement
+            # Endpoints may have announced that they leave while the leader answered.
+            endpoints, _ = self._find_usable(admitted)
             for state in endpoints:
                 if state.id == placement.endpoint:
                     return state, placement
@@ -113,6 +114,18 @@
         self._take_token(chosen)
         return chosen, None
 
+    def _find_usable(
+        self, admitted: AdmittedRequest
+    ) -> tuple[list[EndpointState], list[str]]:
+        """Return the usable endpoints and the ids of those that only others may use."""
+        accepting = self.accepting_endpoints(admitted)
+        usable = self._connectable_endpoints(admitted.service, accepting)
+        excluded = {state.id for state in accepting} - {state.id for state in usable}
+        excluded |= self._control_sync.view.endpoints.withheld_endpoints(
+            admitted.service.name, self._clock.now_ms()
+        )
+        return usable, sorted(excluded)
+
     def _connectable_endpoints(
         self, service: Service, endpoints: list[EndpointState]
     ) -> list[EndpointState]:
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -154,12 +154,19 @@
         raise ValueError(f"more than {MAX_LIST_PAGES} pages")
 
     def _merge_reported_weights(self) -> None:
-        """Merge the platform's list with newer weights versions reported by engines."""
+        """Merge the platform's list with newer weights versions reported by engines.
+
+        Endpoints that announced to a router that they leave count as draining.
+        """
+        notices, now_ms = self._control.placements.notices, self._control.now_ms()
         known = {entry.id for entry in self._platform_entries}
         for endpoint_id in [one for one in self._reported_weights if one not in known]:
             del self._reported_weights[endpoint_id]
         self._endpoints = tuple(
-            _with_reported_weights(entry, self._reported_weights.get(entry.id))
+            _with_announcement(
+                _with_reported_weights(entry, self._reported_weights.get(entry.id)),
+                notices.is_leaving(entry, now_ms),
+            )
             for entry in self._platform_entries
         )
 
@@ -322,6 +329,12 @@
     return msgspec.structs.replace(endpoint, is_loading=True)
 
 
+def _with_announcement(endpoint: ListedEndpoint, is_leaving: bool) -> ListedEndpoint:
+    if not is_leaving or endpoint.is_draining:
+        return endpoint
+    return msgspec.structs.replace(endpoint, is_draining=True)
+
+
 def _with_reported_weights(
     endpoint: ListedEndpoint, reported: dict[str, int] | None
 ) -> ListedEndpoint:
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -129,6 +129,7 @@
         self.metrics = metrics
         self.reuse_limit = IdleReuseLimit()
         self.limits = control_sync.view.limits
+        self.notices = control_sync.view.endpoints.notices
         self._rng = rng or random.Random()
         self._chooser = EndpointChooser(
             settings, control_sync, pool, clock, placements, self._rng
@@ -466,9 +467,8 @@
         if endpoint is None or placement is None or not placement.delay_ms:
             return endpoint
         await asyncio.sleep(placement.delay_ms / 1000)
-        service = admitted.service.name
-        accepting = self._control_sync.view.endpoints.accepting_endpoints(service)
-        return endpoint if endpoint in accepting else None
+        is_accepted = endpoint in self._chooser.accepting_endpoints(admitted)
+        return endpoint if is_accepted else None
 
     async def _choose_untried(
         self, admitted: AdmittedRequest, progress: ForwardedRequest
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -158,13 +158,16 @@
         while True:
             await asyncio.sleep(PROGRESS_PERIOD_S)
             leader = view.leader
-            parts, limits = PartReport(), {}
+            parts, limits, leaving = PartReport(), {}, []
             if leader:
+                notices = view.endpoints.notices
                 if leader != told_leader:
                     view.limits.report_again()
+                    notices.report_again()
                     told_leader = leader
                 parts = view.parts.take_report(leader, self._clock.now_ms())
                 limits = view.limits.take_report(self._clock.now_ms())
+                leaving = notices.take_leaving_report()
             progress = PromptProgress(
                 self._first_tokens,
                 self._ended,
@@ -173,6 +176,7 @@
                 self._not_run,
                 parts,
                 limits,
+                leaving,
             )
             if progress == EMPTY_PROGRESS:
                 continue
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -411,21 +411,21 @@
         return msgspec.msgpack.encode(placement)
 
     async def _receive_queued(self, sender: str, body: bytes) -> bytes:
-        request_id = msgspec.msgpack.decode(body, type=str)
-        is_queued = self.is_leader() and self.placements.is_queued(
-            request_id, self.now_ms()
-        )
+        request_id, now_ms = msgspec.msgpack.decode(body, type=str), self.now_ms()
+        is_queued = self.is_leader() and self.placements.is_queued(request_id, now_ms)
         return msgspec.msgpack.encode(is_queued)
 
     async def _receive_progress(self, sender: str, body: bytes) -> None:
         progress = msgspec.msgpack.decode(body, type=PromptProgress)
-        self.placements.record_prefilled(progress.prefilled, self.now_ms())
-        self.placements.record_end(progress.ended)
-        self.placements.record_unreachable(progress.unreachable_engines, self.now_ms())
-        self.placements.record_refusal(progress.refused, self.now_ms())
-        self._crashes.record(progress.disconnected_fingerprints, self.now_ms())
+        placements, now_ms = self.placements, self.now_ms()
+        placements.record_prefilled(progress.prefilled, now_ms)
+        placements.record_end(progress.ended)
+        placements.record_unreachable(progress.unreachable_engines, now_ms)
+        placements.record_refusal(progress.refused, now_ms)
+        placements.limits.merge(progress.limits, now_ms)
+        placements.notices.merge_leaving(progress.leaving, now_ms)
+        self._crashes.record(progress.disconnected_fingerprints, now_ms)
         self._record_parts(progress.parts)
-        self.placements.limits.merge(progress.limits, self.now_ms())
 
     def _record_parts(self, report: PartReport) -> None:
         now_ms, crashes = self.now_ms(), self.part_crashes
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -936,6 +936,37 @@
         assert scenario.lines(8951)[0]["reason"] == "rate_limited"
 
 
+LEAVING_HEAD = HEAD[:-2] + b"server-leaving: 1\r\n\r\n"
+
+
+def test_stream_cut_by_a_leaving_endpoint_is_not_resumed_there(monkeypatch):
+    """Guards against a stale placement that names an endpoint which is leaving."""
+    leader = StandInLeader(lambda request: Placement("e1", is_authoritative=True))
+    scenario = Scenario(
+        {"e1": [(50, LEAVING_HEAD + event(1)), (80, CLOSE)], "e2": COMPLETE},
+        leader=leader,
+        monkeypatch=monkeypatch,
+    )
+    scenario.play()
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1", "e2"]
+    assert (scenario.is_whole, scenario.relayed) == (True, [1, 2])
+
+
+def test_prompt_held_back_is_not_sent_to_an_endpoint_that_leaves(monkeypatch):
+    """Guards against a queue of the router that outlives an announcement."""
+    leader = StandInLeader(
+        lambda request: Placement("e1", delay_ms=700, is_authoritative=True)
+    )
+    scenario = Scenario({"e1": COMPLETE}, leader=leader, monkeypatch=monkeypatch)
+
+    def announce(handler):
+        endpoint = ListedEndpoint("e1", 0, "s", "e1:1", "a", 6, False, False, {"m": 1})
+        handler.notices.record_leaving(endpoint, 300)
+
+    scenario.play(actions=[(300, announce)])
+    assert (scenario.status, scenario.pool.runs) == (503, [])
+
+
 @pytest.mark.parametrize("change", ["unlisted", "refused"])
 def test_prompt_held_back_by_a_limit_is_not_sent_after_a_change(monkeypatch, change):
     """Guards against a send to an engine that has left while the prompt waited."""
--- a/mustardtrack/process/tests/test_interrupted_requests.py
+++ b/mustardtrack/process/tests/test_interrupted_requests.py
@@ -19,6 +19,7 @@
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.process.forwarder import Forwarder
 from mustardtrack.requests.shutdown_window import ShutdownWindow
+from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.settings.seeded import RetryBudgetSettings
 
@@ -131,7 +132,9 @@
     view = SimpleNamespace(
         table=RouteTable(1, {"a.example": (ROUTE,)}, {"s1": service}, None),
         endpoints=SimpleNamespace(
-            accepting_endpoints=lambda name: [EndpointState(ENDPOINT)],
+            accepting_endpoints=lambda name, now_ms: [EndpointState(ENDPOINT)],
+            withheld_endpoints=lambda name, now_ms: set(),
+            notices=EndpointNotices(),
             list_version=(1, 1),
         ),
         refused=frozenset(),
--- /dev/null
+++ b/mustardtrack/routing/endpointnotices.py
@@ -0,0 +1,83 @@
+"""What endpoints announce about themselves in their answers.
+
+Load pattern: endpoints are replaced or emptied under load. The platform's list names a
+leaving endpoint only seconds after its own answers do, and a stale placement, a retry
+or a resumption may still choose it. An announcement therefore holds from the answer
+that carries it, whatever the list says.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from mustardtrack.logs import define_event, log_event
+from mustardtrack.membership.endpoint_list import ListedEndpoint
+
+LEAVING_ANNOUNCED = define_event(8831, "INFO", "endpoint announces that it leaves")
+
+# Time after which an announcement is dropped. Endpoints that leave are gone by then.
+LEAVING_LIFETIME_MS = 600_000
+MAX_ANNOUNCEMENTS = 20_000
+
+# Identity, address and start time of an endpoint. One that starts again, or another
+# one at the same address, differs in one of them.
+Incarnation = tuple[str, str, int]
+
+
+def incarnation_of(endpoint: ListedEndpoint) -> Incarnation:
+    """Return what distinguishes an endpoint from earlier and later ones."""
+    return endpoint.id, endpoint.address, endpoint.started_ms
+
+
+class EndpointNotices:
+    """Announcements of endpoints that this host has seen or heard of.
+
+    Examples:
+        >>> one = ListedEndpoint("e", 0, "s", "10.0.0.1:1", "a", 6, False, False, {})
+        >>> notices = EndpointNotices()
+        >>> notices.record_leaving(one, 0)
+        >>> notices.accepts(one, 10)
+        False
+    """
+
+    def __init__(self) -> None:
+        self._leaving_ms: OrderedDict[Incarnation, int] = OrderedDict()
+        self._unreported: set[Incarnation] = set()
+
+    def record_leaving(self, endpoint: ListedEndpoint, now_ms: int) -> None:
+        """Record an answer with which an endpoint announced that it leaves."""
+        incarnation = incarnation_of(endpoint)
+        if incarnation not in self._leaving_ms:
+            self._unreported.add(incarnation)
+            self._add_leaving(incarnation, now_ms)
+
+    def merge_leaving(self, leaving: Iterable[Incarnation], now_ms: int) -> None:
+        """Record what another host reports; it is not reported again."""
+        for incarnation in leaving:
+            if incarnation not in self._leaving_ms:
+                self._add_leaving(incarnation, now_ms)
+
+    def _add_leaving(self, incarnation: Incarnation, now_ms: int) -> None:
+        log_event(LEAVING_ANNOUNCED, endpoint=incarnation[0], address=incarnation[1])
+        self._leaving_ms[incarnation] = now_ms
+        while len(self._leaving_ms) > MAX_ANNOUNCEMENTS:
+            dropped, _ = self._leaving_ms.popitem(last=False)
+            self._unreported.discard(dropped)
+
+    def is_leaving(self, endpoint: ListedEndpoint, now_ms: int) -> bool:
+        """Return whether an endpoint has announced that it leaves."""
+        since_ms = self._leaving_ms.get(incarnation_of(endpoint))
+        return since_ms is not None and now_ms - since_ms < LEAVING_LIFETIME_MS
+
+    def accepts(self, endpoint: ListedEndpoint, now_ms: int) -> bool:
+        """Return whether new requests may be sent to an endpoint."""
+        return not self.is_leaving(endpoint, now_ms)
+
+    def take_leaving_report(self) -> list[Incarnation]:
+        """Return the announcements that were not reported yet."""
+        report = sorted(self._unreported)
+        self._unreported.clear()
+        return report
+
+    def report_again(self) -> None:
+        """Report all announcements with the next report, to another leader."""
+        self._unreported.update(self._leaving_ms)
--- a/mustardtrack/routing/endpointstate.py
+++ b/mustardtrack/routing/endpointstate.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from mustardtrack.membership.endpoint_list import EndpointList, ListedEndpoint
+from mustardtrack.routing.endpointnotices import EndpointNotices
 
 # Age at which a load report has no weight left; its weight decreases linearly until
 # then. Requests take a few hundred milliseconds, so that older reports are obsolete.
@@ -112,12 +113,16 @@
         >>> one = ListedEndpoint("e", 0, "s", "10.0.0.1:1", "a", 6, False, False, {})
         >>> table.update(EndpointList(1, 1, (one,)))
         []
-        >>> [state.id for state in table.accepting_endpoints("s")]
+        >>> [state.id for state in table.accepting_endpoints("s", 0)]
         ['e']
+
+    Attributes:
+        notices: What the endpoints announced in their answers.
     """
 
     def __init__(self) -> None:
         self.listed = EndpointList()
+        self.notices = EndpointNotices()
         self._states: dict[str, EndpointState] = {}
         self._services: dict[str, list[EndpointState]] = {}
 
@@ -157,8 +162,23 @@
         """Return whether an endpoint, and not a later incarnation, is on the list."""
         return self._states.get(state.listed.id) is state
 
-    def accepting_endpoints(self, service: str) -> list[EndpointState]:
+    def accepting_endpoints(self, service: str, now_ms: int) -> list[EndpointState]:
         """Return the endpoints of a service that accept new requests."""
+        return [
+            state
+            for state in self._listed_as_accepting(service)
+            if self.notices.accepts(state.listed, now_ms)
+        ]
+
+    def withheld_endpoints(self, service: str, now_ms: int) -> set[str]:
+        """Return the ids of those that the list allows and their notices forbid."""
+        return {
+            state.id
+            for state in self._listed_as_accepting(service)
+            if not self.notices.accepts(state.listed, now_ms)
+        }
+
+    def _listed_as_accepting(self, service: str) -> list[EndpointState]:
         return [
             state
             for state in self._services.get(service, ())
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -22,6 +22,7 @@
 from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.configuration.routes import Service
 from mustardtrack.membership.endpoint_list import ListedEndpoint
+from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.enginestate import (
     URGENCY_LEVELS,
     EngineState,
@@ -230,6 +231,7 @@
 
     Attributes:
         limits: Limits that engines name for the requests of all hosts together.
+        notices: What the endpoints announced to the routers.
 
     Args:
         weights_limit_ms: Time after a version was named as the newest after which
@@ -239,6 +241,7 @@
     def __init__(self, weights_limit_ms: int) -> None:
         self._weights_limit_ms = weights_limit_ms - WEIGHTS_MARGIN_MS
         self.limits = RateLimits("")
+        self.notices = EndpointNotices()
         self._engines: dict[str, EngineState] = {}
         self._placed: dict[str, PlacedPrompt] = {}
         self._stored: OrderedDict[PartKey, int] = OrderedDict()
--- a/mustardtrack/testing/prompt_engines.py
+++ b/mustardtrack/testing/prompt_engines.py
@@ -41,6 +41,8 @@
         crashing_parts: Engines crash when they begin to answer a prompt with one of
             these parts, and return after ``RESTART_S`` with a new identity.
         limits: Requests per second that an engine names in its answers, by engine.
+        leaving: Engines that announce in their answers that they leave, while the list
+            still names them as ready.
         arrivals: Requests that reached an engine, oldest first.
         crashes_s: Monotonic times of the crashes, oldest first.
     """
@@ -49,6 +51,7 @@
     count: int
     crashing_parts: set[str] = field(default_factory=set)
     limits: dict[int, float] = field(default_factory=dict)
+    leaving: set[int] = field(default_factory=set)
     arrivals: list[Arrival] = field(default_factory=list)
     crashes_s: list[float] = field(default_factory=list)
 
@@ -175,6 +178,8 @@
             "response-seal: s\r\ncontent-type: text/event-stream\r\n"
             f"transfer-encoding: chunked\r\nrequest-id: {request_id}\r\n"
         )
+        if engine in self.leaving:
+            fields += "server-leaving: 1\r\n"
         if engine in self.limits:
             fields += f"server-limit: {self.limits[engine]}\r\n"
         writer.write(_encode_head(200, fields.encode()))
@@ -189,6 +194,11 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    def replace(self, engine: int) -> None:
+        """Replace an engine by one with a new identity at the same address."""
+        self._boots[engine] += 1
+        self.leaving.discard(engine)
+
     def _crash(self, engine: int) -> None:
         server = self._servers.pop(engine, None)
         if server is None:
