Leave endpoints alone for the time that they name when they refuse

Cause: the Retry-After of an endpoint's 503 was decoded nowhere; routers sent on to an engine that had asked for a pause. Change: endpointnotices.py keeps the pause of each endpoint for this host, at most 10 minutes; a longer one replaces a shorter one. Paused endpoints are named to the leader as excluded. If all endpoints of a service are paused, callers are refused at once (endpoints_paused) and return when the first pause ends. The times after which refused callers return move to admission/retryafter.py.

--- a/mustardtrack/platform/headers.py
+++ b/mustardtrack/platform/headers.py
@@ -14,6 +14,7 @@
 # from the endpoint.
 SIGNATURE = b"response-seal"
 LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 
 _EXPECT_INSTANCE = b"expect-instance"
 _BEARER_PREFIX = b"bearer "
@@ -108,6 +109,8 @@
         max_requests_per_s: Requests per second that the endpoint takes from all hosts
             together, None if it names no limit.
         is_leaving: Whether the endpoint announces that it is about to leave.
+        retry_after_s: Time after which the endpoint wants to be asked again, None if
+            it is missing or no number of seconds.
     """
 
     is_signed: bool
@@ -118,6 +121,7 @@
     weights_version: int | None
     max_requests_per_s: float | None = None
     is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 def decode_request_headers(target: bytes, headers: Headers) -> RequestMetadata:
@@ -152,6 +156,7 @@
         weights_version=parse_count(values.get(b"weight-versions")),
         max_requests_per_s=parse_decimal(values.get(b"server-limit")),
         is_leaving=parse_count(values.get(LEAVING)) == 1,
+        retry_after_s=_parse_retry_after(values.get(_RETRY_AFTER)),
     )
 
 
@@ -224,7 +229,7 @@
 
 def retry_after_header(seconds: float) -> tuple[bytes, bytes]:
     """Return the header with the retry delay; fractions of a second are allowed."""
-    return b"retry-after", b"%.2f" % seconds
+    return _RETRY_AFTER, b"%.2f" % seconds
 
 
 def _first_values(headers: Headers) -> dict[bytes, bytes]:
@@ -277,6 +282,12 @@
     return None
 
 
+def _parse_retry_after(value: bytes | None) -> float | None:
+    seconds = parse_decimal(value)
+    # Numbers too long for a decimal count as very large, and dates are not supported.
+    return parse_count(value) if seconds is None else seconds
+
+
 def _connection_options(headers: Iterable[tuple[bytes, bytes]]) -> frozenset[bytes]:
     names = set()
     for name, value in headers:
--- a/mustardtrack/platform/tests/test_headers.py
+++ b/mustardtrack/platform/tests/test_headers.py
@@ -1,5 +1,6 @@
 """Guards against headers that are wrongly trusted, dropped or misinterpreted."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -11,6 +12,7 @@
     filter_request_headers,
     filter_response_headers,
 )
+from mustardtrack.platform.values import MAX_HEADER_INTEGER
 
 HEADERS = [
     (b"host", b"A.example:80"),
@@ -99,3 +101,28 @@
 def test_arbitrary_header_values_never_raise(prefix, usage):
     decode_request_headers(b"/", [(b"prefix-hash", prefix), (b"token-usage", usage)])
     decode_response_headers([(b"instance-load", prefix), (b"keep-alive", usage)])
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"2.5", 2.5),
+        (b"0", 0.0),
+        (b"-3", None),
+        (b"soon", None),
+        (b"1e9", None),
+        (b"Wed, 21 Oct 2015 07:28:00 GMT", None),
+        (b"9" * 400, MAX_HEADER_INTEGER),
+    ],
+)
+def test_only_a_number_of_seconds_is_a_time_to_return(value, expected):
+    """Guards against a pause without end by an odd value."""
+    assert decode_response_headers([(b"retry-after", value)]).retry_after_s == expected
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"), [(b"1", True), (b"0", False), (b"", False), (b"x", False)]
+)
+def test_only_the_stated_value_announces_a_leave(value, expected):
+    response = decode_response_headers([(b"server-leaving", value)])
+    assert response.is_leaving is expected
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -57,6 +57,7 @@
 # Longest wait for the headers or first event before a stream is retried elsewhere.
 FIRST_EVENT_TIMEOUT_MS = 2500
 MIN_FAILURE_STATUS = 500
+UNAVAILABLE_STATUS = 503
 EVENT_DELIMITER = b"\n\n"
 
 
@@ -252,13 +253,19 @@
             self._forwarder.limits.observe(
                 self._endpoint.id, limit, self._clock.now_ms()
             )
-        if response.is_leaving:
-            listed, now_ms = self._endpoint.listed, self._clock.now_ms()
-            self._forwarder.notices.record_leaving(listed, now_ms)
+        self._record_notices(head, response)
         if response.load is not None:
             load = response.load
             self._endpoint.record_load(load.running, load.waiting, self._clock.now_ms())
 
+    def _record_notices(self, head: ResponseHead, response: ResponseMetadata) -> None:
+        notices, listed = self._forwarder.notices, self._endpoint.listed
+        now_ms, pause_s = self._clock.now_ms(), response.retry_after_s
+        if response.is_leaving:
+            notices.record_leaving(listed, now_ms)
+        if head.status == UNAVAILABLE_STATUS and pause_s is not None:
+            notices.record_pause(listed, pause_s, now_ms)
+
     async def _finish_not_run(
         self, connection: UpstreamConnection, head: ResponseHead
     ) -> Outcome:
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -5,6 +5,7 @@
 from mustardtrack.adapters.upstream import ConnectionPool
 from mustardtrack.admission.connections import connections_per_router
 from mustardtrack.admission.ratelimits import RateLimits
+from mustardtrack.admission.retryafter import ENDPOINTS_PAUSED
 from mustardtrack.configuration.routes import Service
 from mustardtrack.ports import Clock
 from mustardtrack.process.attempt_state import AdmittedRequest
@@ -50,9 +51,17 @@
         endpoints = self._connectable_endpoints(admitted.service, listed)
         if listed and not endpoints:
             return "connections"
+        if not listed and self.pause_ms(admitted) is not None:
+            return ENDPOINTS_PAUSED
         is_limited = endpoints and not self._endpoints_with_token(endpoints)
         return "rate_limited" if is_limited else "no_endpoint"
 
+    def pause_ms(self, admitted: AdmittedRequest) -> int | None:
+        """Return the time until an endpoint that named a pause can be used again."""
+        return self._control_sync.view.endpoints.pause_ms(
+            admitted.service.name, self._clock.now_ms()
+        )
+
     def accepting_endpoints(self, admitted: AdmittedRequest) -> list[EndpointState]:
         """Return the endpoints that accept a request now."""
         return self._control_sync.view.endpoints.accepting_endpoints(
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -3,11 +3,17 @@
 import asyncio
 import random
 from dataclasses import dataclass
+from typing import Any
 
 from mustardtrack.adapters.h11_server import Exchange
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.upstream import ConnectError, ConnectionPool
 from mustardtrack.admission.partcrashes import LostPrompt
+from mustardtrack.admission.retryafter import (
+    CRASHING_PARTS,
+    ENDPOINTS_PAUSED,
+    choose_retry_after_s,
+)
 from mustardtrack.admission.sharedretries import SharedRetryBudget
 from mustardtrack.configuration.routes import Route, RouteAccount, RouteTable, Service
 from mustardtrack.logs import define_event, log_event
@@ -73,25 +79,6 @@
 MAX_ENDPOINTS_TRIED = 4
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 
-# Refusal reason of prompts whose parts crash the engines that begin to answer them.
-CRASHING_PARTS = "crashing_parts"
-# Retry-After by refusal reason. A process waits about two seconds for control, and
-# callers retry only once.
-RETRY_AFTER_S = {
-    "unconfirmed": 1.5,
-    "no_endpoint": 1.0,
-    "not_run": 0.8,
-    "connections": 0.8,
-    "hopeless": 2.0,
-    "crashes_endpoints": 10.0,
-    CRASHING_PARTS: 10.0,
-    # Other routers can take the request at once.
-    "stopping": 0.1,
-}
-DEFAULT_RETRY_AFTER_S = 0.8
-# Relative jitter that keeps callers refused together from retrying together.
-RETRY_AFTER_JITTER = 0.3
-
 
 @dataclass(frozen=True)
 class _NoAttempt:
@@ -99,6 +86,7 @@
 
     reason: str
     expected_ms: float | None = None
+    pause_ms: int | None = None
 
 
 # Reason in the log of a request that ends after an attempt which allows no other.
@@ -221,7 +209,7 @@
         exchange, progress = admitted.exchange, admitted.progress
         self._placements.record_end(admitted.request_id)
         left_ms = admitted.deadline_ms - self.clock.now_ms()
-        fields: dict[str, object] = {
+        fields: dict[str, Any] = {
             "route": admitted.route.name,
             "sends": progress.sends,
             "left_ms": left_ms,
@@ -449,7 +437,10 @@
         if self._control_sync.view.parts.find_refused(admitted.part_names) is not None:
             return _NoAttempt(CRASHING_PARTS)
         if endpoint is None or (is_retry and not budget.allow_retry(now_ms, count)):
-            return _NoAttempt(self._chooser.no_send_reason(admitted, endpoint))
+            reason = self._chooser.no_send_reason(admitted, endpoint)
+            is_paused = reason == ENDPOINTS_PAUSED
+            pause_ms = self._chooser.pause_ms(admitted) if is_paused else None
+            return _NoAttempt(reason, pause_ms=pause_ms)
         fields = describe_choice(admitted, endpoint, placement, now_ms)
         return PlannedAttempt(endpoint, placement, fields)
 
@@ -596,6 +587,7 @@
                 exchange,
                 admitted.metadata,
                 obstacle.reason,
+                pause_ms=obstacle.pause_ms,
                 route=admitted.route.name,
                 sends=progress.sends,
                 expected_ms=obstacle.expected_ms,
@@ -638,6 +630,7 @@
         exchange: Exchange,
         metadata: RequestMetadata,
         reason: str,
+        pause_ms: int | None = None,
         **inputs: object,
     ) -> None:
         """Respond with status 503 and the time after which to retry."""
@@ -652,8 +645,7 @@
             list=self._control_sync.view.endpoints.list_version,
             **inputs,
         )
-        after_s = RETRY_AFTER_S.get(reason, DEFAULT_RETRY_AFTER_S)
-        after_s *= 1 + self._rng.uniform(-RETRY_AFTER_JITTER, RETRY_AFTER_JITTER)
+        after_s = choose_retry_after_s(reason, pause_ms, self._rng)
         headers = [JSON_CONTENT_TYPE, retry_after_header(after_s)]
         exchange.respond(503, headers, encode_error(reason))
 
--- a/mustardtrack/process/tests/test_endpoint_notices.py
+++ b/mustardtrack/process/tests/test_endpoint_notices.py
@@ -77,3 +77,43 @@
     assert arrivals_at(engines, 0, replaced_s, replaced_s + SETTLE_S)
     statuses = [status for _, _, status in callers.results]
     assert statuses.count(200) >= 0.99 * len(statuses)
+
+
+PAUSE_S = 6.0
+# Time after the first refusal from which the pause binds a router.
+BINDING_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+
+
+@pytest.mark.parametrize("paused", [{0}, {0, 1, 2}])
+def test_engine_that_turns_requests_away_is_left_alone(hosts, engines, paused):
+    """Guards against routers that send on to an engine which named a pause."""
+    wait_until_serving(hosts, "account")
+    callers = Callers(ROUTERS)
+    sending = send_for(callers, PAUSE_S + 2 * SETTLE_S)
+    time.sleep(SETTLE_S)
+    first_s = time.monotonic()
+    engines.pauses_s = dict.fromkeys(paused, f"{PAUSE_S:.1f}")
+    time.sleep(SETTLE_S)
+    # Every router has been turned away by now.
+    engines.pauses_s = {}
+    sending.join()
+    callers.join()
+    for engine in paused:
+        arrivals = arrivals_at(
+            engines, engine, first_s + SETTLE_S / 2, first_s + PAUSE_S
+        )
+        assert len(arrivals) <= MAX_REQUESTS_IN_PAUSE * len(ROUTERS)
+    in_pause = [
+        status
+        for at_s, _, status in callers.results
+        if first_s + SETTLE_S <= at_s < first_s + PAUSE_S - BINDING_S
+    ]
+    after = [
+        status
+        for at_s, _, status in callers.results
+        if at_s >= first_s + PAUSE_S + SETTLE_S
+    ]
+    expected = 503 if len(paused) == ENGINE_COUNT else 200
+    assert in_pause.count(expected) >= 0.99 * len(in_pause)
+    assert after.count(200) >= 0.99 * len(after)
--- a/mustardtrack/routing/endpointnotices.py
+++ b/mustardtrack/routing/endpointnotices.py
@@ -4,6 +4,9 @@
 leaving endpoint only seconds after its own answers do, and a stale placement, a retry
 or a resumption may still choose it. An announcement therefore holds from the answer
 that carries it, whatever the list says.
+
+An endpoint that turns a request away may name a time in which it wants nothing from
+the host that sent it. Each host keeps such pauses of its own endpoints.
 """
 
 from collections import OrderedDict
@@ -13,10 +16,15 @@
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 
 LEAVING_ANNOUNCED = define_event(8831, "INFO", "endpoint announces that it leaves")
+PAUSE_REQUESTED = define_event(
+    8832, "INFO", "endpoint wants no requests from this host for some time"
+)
 
 # Time after which an announcement is dropped. Endpoints that leave are gone by then.
 LEAVING_LIFETIME_MS = 600_000
 MAX_ANNOUNCEMENTS = 20_000
+# Longest pause that is kept; an endpoint that names a longer one is asked again then.
+MAX_PAUSE_MS = 600_000
 
 # Identity, address and start time of an endpoint. One that starts again, or another
 # one at the same address, differs in one of them.
@@ -42,6 +50,7 @@
     def __init__(self) -> None:
         self._leaving_ms: OrderedDict[Incarnation, int] = OrderedDict()
         self._unreported: set[Incarnation] = set()
+        self._paused_until_ms: OrderedDict[Incarnation, int] = OrderedDict()
 
     def record_leaving(self, endpoint: ListedEndpoint, now_ms: int) -> None:
         """Record an answer with which an endpoint announced that it leaves."""
@@ -68,9 +77,32 @@
         since_ms = self._leaving_ms.get(incarnation_of(endpoint))
         return since_ms is not None and now_ms - since_ms < LEAVING_LIFETIME_MS
 
+    def record_pause(
+        self, endpoint: ListedEndpoint, pause_s: float, now_ms: int
+    ) -> None:
+        """Record a pause that an endpoint named; the one that ends last counts."""
+        incarnation = incarnation_of(endpoint)
+        until_ms = now_ms + round(min(MAX_PAUSE_MS, pause_s * 1000))
+        if until_ms <= self._paused_until_ms.get(incarnation, now_ms):
+            return
+        log_event(PAUSE_REQUESTED, endpoint=endpoint.id, pause_s=pause_s)
+        self._paused_until_ms[incarnation] = until_ms
+        self._paused_until_ms.move_to_end(incarnation)
+        while len(self._paused_until_ms) > MAX_ANNOUNCEMENTS:
+            self._paused_until_ms.popitem(last=False)
+
+    def pause_ms(self, endpoint: ListedEndpoint, now_ms: int) -> int:
+        """Return the time until the pause of an endpoint ends, 0 without a pause."""
+        incarnation = incarnation_of(endpoint)
+        left_ms = self._paused_until_ms.get(incarnation, now_ms) - now_ms
+        if left_ms <= 0:
+            self._paused_until_ms.pop(incarnation, None)
+        return max(0, left_ms)
+
     def accepts(self, endpoint: ListedEndpoint, now_ms: int) -> bool:
         """Return whether new requests may be sent to an endpoint."""
-        return not self.is_leaving(endpoint, now_ms)
+        is_paused = self.pause_ms(endpoint, now_ms) > 0
+        return not is_paused and not self.is_leaving(endpoint, now_ms)
 
     def take_leaving_report(self) -> list[Incarnation]:
         """Return the announcements that were not reported yet."""
--- a/mustardtrack/routing/endpointstate.py
+++ b/mustardtrack/routing/endpointstate.py
@@ -178,6 +178,19 @@
             if not self.notices.accepts(state.listed, now_ms)
         }
 
+    def pause_ms(self, service: str, now_ms: int) -> int | None:
+        """Return the time until the first pause of an endpoint ends.
+
+        Returns:
+            None if no endpoint of the service is paused.
+        """
+        pauses_ms = (
+            self.notices.pause_ms(state.listed, now_ms)
+            for state in self._listed_as_accepting(service)
+            if not self.notices.is_leaving(state.listed, now_ms)
+        )
+        return min((pause for pause in pauses_ms if pause), default=None)
+
     def _listed_as_accepting(self, service: str) -> list[EndpointState]:
         return [
             state
--- a/mustardtrack/routing/tests/test_endpointnotices.py
+++ b/mustardtrack/routing/tests/test_endpointnotices.py
@@ -61,3 +61,41 @@
     assert not notices.is_leaving(listed("e0"), 10)
     assert notices.is_leaving(listed("e9"), 10)
     assert len(notices.take_leaving_report()) == 3
+
+
+def test_pause_ends_with_its_time_and_the_longer_one_counts():
+    table = EndpointTable()
+    table.update(EndpointList(1, 1, (listed("e"), listed("f", "10.0.0.2:1"))))
+    notices = table.notices
+    notices.record_pause(listed("e"), 2.0, 0)
+    notices.record_pause(listed("e"), 0.5, 100)
+    assert accepted(table, 1999) == ["f"]
+    assert accepted(table, 2000) == ["e", "f"]
+    notices.record_pause(listed("e"), 1.0, 3000)
+    notices.record_pause(listed("e"), 5.0, 3500)
+    assert (accepted(table, 8499), accepted(table, 8500)) == (["f"], ["e", "f"])
+
+
+def test_first_end_of_a_pause_is_known():
+    """Guards against callers that return before an endpoint can take them."""
+    table = EndpointTable()
+    other = listed("f", "10.0.0.2:1")
+    table.update(EndpointList(1, 1, (listed("e"), other)))
+    assert table.pause_ms("s", 0) is None
+    table.notices.record_pause(listed("e"), 3.0, 0)
+    table.notices.record_pause(other, 2.0, 0)
+    assert table.pause_ms("s", 500) == 1500
+    table.notices.record_leaving(other, 600)
+    assert table.pause_ms("s", 600) == 2400
+
+
+def test_pauses_are_bounded(monkeypatch):
+    """Guards against one answer that keeps an endpoint out of service for good."""
+    notices = EndpointNotices()
+    notices.record_pause(listed(), 1e12, 0)
+    assert notices.pause_ms(listed(), 0) == endpointnotices.MAX_PAUSE_MS
+    monkeypatch.setattr(endpointnotices, "MAX_ANNOUNCEMENTS", 3)
+    for number in range(10):
+        notices.record_pause(listed(f"e{number}"), 5.0, number)
+    assert notices.accepts(listed("e0"), 10)
+    assert not notices.accepts(listed("e9"), 10)
--- a/mustardtrack/testing/prompt_engines.py
+++ b/mustardtrack/testing/prompt_engines.py
@@ -43,6 +43,8 @@
         limits: Requests per second that an engine names in its answers, by engine.
         leaving: Engines that announce in their answers that they leave, while the list
             still names them as ready.
+        pauses_s: Time in seconds that an engine names when it turns a request away, by
+            engine; an engine with an entry turns all requests away.
         arrivals: Requests that reached an engine, oldest first.
         crashes_s: Monotonic times of the crashes, oldest first.
     """
@@ -52,6 +54,7 @@
     crashing_parts: set[str] = field(default_factory=set)
     limits: dict[int, float] = field(default_factory=dict)
     leaving: set[int] = field(default_factory=set)
+    pauses_s: dict[int, str] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     crashes_s: list[float] = field(default_factory=list)
 
@@ -165,6 +168,11 @@
         parts = tuple(entry.partition(":")[0] for entry in entries)
         request_id = headers["request-id"]
         self.arrivals.append(Arrival(time.monotonic(), engine, request_id, parts))
+        if engine in self.pauses_s:
+            fields = f"not-executed: 1\r\nretry-after: {self.pauses_s[engine]}\r\n"
+            fields += f"request-id: {request_id}\r\ncontent-length: 0\r\n"
+            writer.write(_encode_head(503, fields.encode()))
+            return
         await self._stream_answer(engine, writer, request_id, parts)
 
     async def _stream_answer(
