Read the other entries of a list beside one that cannot be read

Cause: the list of endpoints, cache events and engine reports were decoded as a whole. An entry that is nested 5,000 deep, holds a number of 5,000 digits, NaN or invalid bytes made the page unreadable, and the leader kept its old list as long as the entry stayed. Names that are no IP addresses were accepted as addresses. A list without a clear structure is refused as before, since a part of it must not pass for the whole. The leader logs the number of unusable entries when it changes (8935).

--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -2,10 +2,12 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, TypeGuard
 from urllib.parse import urlencode
 
 from mustardtrack.membership.endpoint_list import CacheEvents, ListedEndpoint
+from mustardtrack.platform.listings import load_listing
 from mustardtrack.platform.values import (
     is_header_text,
     is_integer,
@@ -22,22 +24,40 @@
     return f"/instances{query}".encode()
 
 
-def decode_endpoint_list_page(body: bytes) -> tuple[list[ListedEndpoint], str | None]:
-    """Decode one page of the endpoint list and the token of the next page.
+@dataclass(frozen=True)
+class EndpointListPage:
+    """One page of the endpoint list.
+
+    Attributes:
+        entries: Endpoints on the page.
+        next_token: Token of the next page, None on the last one.
+        skipped: Number of entries that name no endpoint to use.
+    """
+
+    entries: list[ListedEndpoint]
+    next_token: str | None
+    skipped: int
+
+
+def decode_endpoint_list_page(body: bytes) -> EndpointListPage:
+    """Decode one page of the endpoint list.
 
     Malformed entries are skipped; they do not affect the other entries.
 
     Raises:
         ValueError: If the page is not a JSON object with a list of instances.
     """
-    data = load_object(body, "endpoint list page")
+    listing = load_listing(body, "instances", "endpoint list page")
+    data = listing.data
     if not isinstance(data.get("instances"), list):
         raise ValueError("endpoint list page has no 'instances' list")
-    entries = (_decode_endpoint(item) for item in data["instances"])
+    decoded = [_decode_endpoint(item) for item in data["instances"]]
+    entries = [entry for entry in decoded if entry is not None]
     next_token = data.get("next-token")
-    return (
-        [entry for entry in entries if entry is not None],
+    return EndpointListPage(
+        entries,
         next_token if isinstance(next_token, str) and next_token else None,
+        skipped=listing.skipped + len(decoded) - len(entries),
     )
 
 
@@ -133,7 +153,7 @@
 def _decode_cache_changes(
     body: bytes, key: str, decode_item: Callable[[list[Any]], CacheChange | None]
 ) -> CacheEvents:
-    data = load_object(body, "KV cache response")
+    data = load_listing(body, key, "KV cache response").data
     if not is_integer(data.get("next-token")):
         raise ValueError("KV cache response has no integer 'next-token'")
     listed = [] if data.get(key) is None else data[key]
@@ -178,7 +198,7 @@
     Raises:
         ValueError: If the report is not a JSON object.
     """
-    data = load_object(body, "the engine report")
+    data = load_listing(body, "models", "the engine report").data
     return _decode_weights(data.get("models"))
 
 
--- a/mustardtrack/platform/tests/test_bad_input.py
+++ b/mustardtrack/platform/tests/test_bad_input.py
@@ -114,6 +114,10 @@
         ("address", "10.0.0.1:http"),
         ("address", "10.0.0.1:99999"),
         ("address", ":80"),
+        ("address", "not an ip!:8000"),
+        ("address", "10.0.0.256:80"),
+        ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.1:70000"),
         ("service", "\ud800"),
         ("zone", "\udfff"),
         ("slots", HUGE),
@@ -122,7 +126,7 @@
 )
 def test_entry_that_names_no_usable_endpoint_is_left_out(key, value):
     page = {"instances": [changed(ENTRY, [key], value), ENTRY], "next-token": None}
-    entries, _ = decode_endpoint_list_page(json.dumps(page).encode())
+    entries = decode_endpoint_list_page(json.dumps(page).encode()).entries
     assert [entry.id for entry in entries] == ["i-1"]
 
 
@@ -138,11 +142,58 @@
 )
 def test_bad_optional_value_does_not_prevent_replication_of_the_list(path, value):
     page = {"instances": [changed(ENTRY, path, value)]}
-    entries, _ = decode_endpoint_list_page(json.dumps(page).encode())
+    entries = decode_endpoint_list_page(json.dumps(page).encode()).entries
     assert msgspec.msgpack.encode(entries)
     assert entries[0].started_ms in (0, 5) and entries[0].weights in ({}, {"m": 1})
 
 
+ODD_ENTRIES = {
+    "deep list": b"[" * 5000 + b"]" * 5000,
+    "deep object": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+    "long number": b'{"id": "i-2", "slots": ' + b"9" * 5000 + b"}",
+    "no number": b'{"id": "i-2", "slots": NaN}',
+    "bytes": b'{"id": "\xff\xfe"}',
+    "control character": b'{"id": "\x01"}',
+    "no JSON": b"{id: i-2, 'a, b': [}]}".replace(b"[}]", b"[{}]"),
+    "brackets in text": b'{"id": "]}, {", "slots": NaN}',
+}
+
+
+@pytest.mark.parametrize("kind", ODD_ENTRIES)
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_odd_entry_hides_no_other_entry(kind, position):
+    """Guards against a list that is not followed while an odd entry is on it."""
+    entries = [json.dumps(changed(ENTRY, ["id"], f"i-{n}")).encode() for n in (0, 1)]
+    entries.insert(position, ODD_ENTRIES[kind])
+    body = b'{"instances": [%s], "next-token": "p"}' % b", ".join(entries)
+    page = decode_endpoint_list_page(body)
+    assert [entry.id for entry in page.entries] == ["i-0", "i-1"]
+    assert (page.next_token, page.skipped) == ("p", 1)
+
+
+@pytest.mark.parametrize("kind", ODD_ENTRIES)
+@pytest.mark.parametrize("key", ["events", "held"])
+def test_odd_change_hides_no_other_change_of_a_cache(kind, key):
+    """Guards against cache events that are read again and again without progress."""
+    change = b'[7, "+", "s", "b", 5, "m"]' if key == "events" else b'["s", "b", 5, "m"]'
+    body = b'{"boot-epoch": 1, "next-token": 3, "%s": [%s, %s]}' % (
+        key.encode(),
+        ODD_ENTRIES[kind],
+        change,
+    )
+    decode = decode_cache_events if key == "events" else decode_cache_snapshot
+    decoded = decode(body)
+    assert (decoded.changes, decoded.following) == ([("s", "b", 5)], 3)
+
+
+def test_list_without_a_clear_structure_is_refused():
+    """Guards against taking a part of a list for the whole."""
+    entry = json.dumps(ENTRY).encode()
+    for odd in (b'{"id": 1', b'"id', b"]", b"}"):
+        with pytest.raises(ValueError, match="JSON"):
+            decode_endpoint_list_page(b'{"instances": [%s, %s]}' % (odd, entry))
+
+
 @pytest.mark.parametrize("key", ["events", "held"])
 @pytest.mark.parametrize("value", [5, "x", {"a": 1}, True])
 def test_cache_answer_without_a_list_is_refused(key, value):
--- a/mustardtrack/platform/tests/test_endpoints.py
+++ b/mustardtrack/platform/tests/test_endpoints.py
@@ -43,16 +43,18 @@
 
 
 def test_endpoint_list_entry_is_decoded():
-    [endpoint], next_token = decode_endpoint_list_page(encode_page([ENTRY], "p-50"))
+    page = decode_endpoint_list_page(encode_page([ENTRY], "p-50"))
+    [endpoint] = page.entries
     assert (endpoint.id, endpoint.started_ms, endpoint.weights) == ("i-1", 17, {"m": 3})
     assert not endpoint.is_draining
-    assert next_token == "p-50"
+    assert (page.next_token, page.skipped) == ("p-50", 0)
 
 
 @pytest.mark.parametrize("entry", MALFORMED_ENTRIES)
 def test_malformed_entry_is_skipped(entry):
-    endpoints, _ = decode_endpoint_list_page(encode_page([entry, ENTRY]))
-    assert [endpoint.id for endpoint in endpoints] == ["i-1"]
+    page = decode_endpoint_list_page(encode_page([entry, ENTRY]))
+    assert [endpoint.id for endpoint in page.entries] == ["i-1"]
+    assert page.skipped == 1
 
 
 def test_page_without_instance_list_is_an_error():
@@ -68,10 +70,8 @@
 
 @given(st.sampled_from(sorted(ENTRY)), JSON_VALUES)
 def test_unexpected_field_value_never_raises(key, value):
-    endpoints, _ = decode_endpoint_list_page(
-        encode_page([{**ENTRY, key: value}, ENTRY])
-    )
-    assert endpoints[-1].id == "i-1"
+    page = decode_endpoint_list_page(encode_page([{**ENTRY, key: value}, ENTRY]))
+    assert page.entries[-1].id == "i-1"
 
 
 def test_weights_order_contains_holder_and_fencing_token():
--- a/mustardtrack/platform/values.py
+++ b/mustardtrack/platform/values.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from ipaddress import ip_address
 from typing import Any, NoReturn, TypeGuard
 
 # Messages between processes carry integers of 64 bits.
@@ -24,7 +25,7 @@
         ValueError: If the body is no JSON object, or is nested too deeply to be read.
     """
     try:
-        data = json.loads(body, parse_constant=_refuse_constant)
+        data = json.loads(body, parse_constant=refuse_constant)
     except RecursionError as error:
         raise ValueError(f"{what} is nested too deeply") from error
     except ValueError as error:
@@ -34,7 +35,12 @@
     return data
 
 
-def _refuse_constant(name: str) -> NoReturn:
+def refuse_constant(name: str) -> NoReturn:
+    """Refuse a constant such as NaN, which is no JSON number.
+
+    Raises:
+        ValueError: In any case.
+    """
     raise ValueError(f"{name} is not a JSON number")
 
 
@@ -65,7 +71,7 @@
 
 
 def is_network_address(value: object) -> TypeGuard[str]:
-    """Return whether a value has the form ``HOST:PORT``.
+    """Return whether a value has the form ``IP:PORT``.
 
     Examples:
         >>> is_network_address("10.0.0.1:80"), is_network_address("10.0.0.1:http")
@@ -74,7 +80,11 @@
     if not is_header_text(value):
         return False
     host, _, port = value.rpartition(":")
-    return bool(host) and port.isdigit() and len(port) <= 5 and 0 < int(port) < 2**16
+    try:
+        ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return port.isdigit() and len(port) <= 5 and 0 < int(port) < 2**16
 
 
 def parse_count(value: bytes | None) -> int | None:
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -33,6 +33,9 @@
     8931, "WARNING", "platform's endpoint list could not be read"
 )
 LIST_CHANGED = define_event(8932, "INFO", "endpoint list changed")
+ENTRIES_SKIPPED = define_event(
+    8935, "WARNING", "entries of the platform's list name no usable endpoint"
+)
 REPORT_READ_FAILED = define_event(
     8934, "WARNING", "engine's weights report could not be read"
 )
@@ -76,6 +79,7 @@
         self._platform_entries: tuple[ListedEndpoint, ...] = ()
         self._endpoints: tuple[ListedEndpoint, ...] = ()
         self._reported_weights: dict[str, dict[str, int]] = {}
+        self._skipped_entries = 0
         self._has_list = False
         self._last_published: tuple[ListedEndpoint, ...] = ()
         self._next_publish_ms = 0
@@ -137,14 +141,18 @@
         entries: list[ListedEndpoint] = []
         tokens: set[str] = set()
         page: str | None = None
+        skipped = 0
         for _ in range(MAX_LIST_PAGES):
             target = endpoint_list_target(page)
             status, body = await self._call(address, b"GET", target, b"")
             if status != 200:
                 raise ValueError(f"status {status}")
-            found, page = decode_endpoint_list_page(body)
-            entries += found
+            decoded = decode_endpoint_list_page(body)
+            page = decoded.next_token
+            entries += decoded.entries
+            skipped += decoded.skipped
             if page is None:
+                self._log_skipped_entries(skipped)
                 return entries
             if page in tokens:
                 raise ValueError("a page of the list comes again")
@@ -153,6 +161,12 @@
             tokens.add(page)
         raise ValueError(f"more than {MAX_LIST_PAGES} pages")
 
+    def _log_skipped_entries(self, skipped: int) -> None:
+        """Log the number of unusable entries whenever it changes."""
+        if skipped != self._skipped_entries:
+            self._skipped_entries = skipped
+            log_event(ENTRIES_SKIPPED, skipped=skipped)
+
     def _merge_reported_weights(self) -> None:
         """Merge the platform's list with newer weights versions reported by engines.
 
--- a/mustardtrack/testing/prompt_engines.py
+++ b/mustardtrack/testing/prompt_engines.py
@@ -43,6 +43,7 @@
         limits: Requests per second that an engine names in its answers, by engine.
         leaving: Engines that announce in their answers that they leave, while the list
             still names them as ready.
+        odd_entries: Encoded entries of another writer on the platform's list.
         pauses_s: Time in seconds that an engine names when it turns a request away, by
             engine; an engine with an entry turns all requests away.
         arrivals: Requests that reached an engine, oldest first.
@@ -54,6 +55,7 @@
     crashing_parts: set[str] = field(default_factory=set)
     limits: dict[int, float] = field(default_factory=dict)
     leaving: set[int] = field(default_factory=set)
+    odd_entries: list[bytes] = field(default_factory=list)
     pauses_s: dict[int, str] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     crashes_s: list[float] = field(default_factory=list)
@@ -135,7 +137,8 @@
             }
             for engine in range(self.count)
         ]
-        body = json.dumps({"instances": entries, "next-token": None}).encode()
+        encoded = [*self.odd_entries, *(json.dumps(one).encode() for one in entries)]
+        body = b'{"instances": [%s], "next-token": null}' % b", ".join(encoded)
         return _encode_head(200, b"content-length: %d\r\n" % len(body)) + body
 
     async def _serve(
