Wait for engines that finish answers before a load, not for lost ones

Cause: an order counted as lost a fixed time after it was issued. Change: routing/loadprogress.py tells from the reports of an engine whether its order is in progress, completed or lost, or the engine is unreachable; it then leaves its place to another engine. Of the engines with the oldest weights, the one with the fewest requests loads first.

--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -192,14 +192,27 @@
 WEIGHTS_REPORT_TARGET = b"/v1/report"
 
 
-def decode_weights_report(body: bytes) -> dict[str, int]:
-    """Decode the loaded weights versions by model that an engine reports.
+@dataclass(frozen=True)
+class WeightsReport:
+    """What an engine reports of its weights.
+
+    Attributes:
+        weights: Loaded weights version of each model.
+        is_busy: Whether it is carrying out an order.
+    """
+
+    weights: dict[str, int]
+    is_busy: bool = False
+
+
+def decode_weights_report(body: bytes) -> WeightsReport:
+    """Decode the report of an engine.
 
     Raises:
         ValueError: If the report is not a JSON object.
     """
     data = load_listing(body, "models", "the engine report").data
-    return _decode_weights(data.get("models"))
+    return WeightsReport(_decode_weights(data.get("models")), data.get("busy") is True)
 
 
 def encode_weights_order(model: str, version: int, holder: str, fence: int) -> bytes:
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -22,6 +22,7 @@
     endpoint_list_target,
 )
 from mustardtrack.platform.headers import expect_instance_header
+from mustardtrack.routing.loadprogress import LoadProgress, LoadStep
 from mustardtrack.routing.loadtimes import LoadTimes
 from mustardtrack.routing.rollout import Rollout, WeightsOrder
 
@@ -50,6 +51,8 @@
 # Answers to an order after which its effect is awaited. Without an answer (0), the
 # engine may have received the order; with 409, an earlier order is in progress.
 AWAITED_STATUSES = frozenset({0, 200, 202, 409})
+# Stands for the status of an order that could not be sent.
+NOT_SENT_STATUS = -1
 # An answer may arrive in parts over this time.
 CALL_DURATION_S = 2.0
 MAX_ANSWER_BYTES = 4_194_304
@@ -250,6 +253,7 @@
             self._endpoints,
             weights,
             placements.count_not_started,
+            placements.outstanding,
             placements.mean_queue_ms(),
             now_ms,
         )
@@ -270,8 +274,10 @@
             status, _ = await self._call(
                 order.endpoint.address, b"POST", WEIGHTS_ORDER_TARGET, body, headers
             )
-        except (ConnectionBrokenError, ConnectError) as failure:
+        except ConnectionBrokenError as failure:
             error = str(failure)
+        except ConnectError as failure:
+            error, status = str(failure), NOT_SENT_STATUS
         log_event(
             ORDER_ANSWERED,
             endpoint=order.endpoint.id,
@@ -283,38 +289,60 @@
         )
         if status in AWAITED_STATUSES:
             await self._wait_for_load(order, term)
+        elif term == self._term and status == NOT_SENT_STATUS:
+            self._rollout.defer_order(order.endpoint.id, self._control.now_ms())
         elif term == self._term:
             self._rollout.discard_order(order.endpoint.id)
 
     async def _wait_for_load(self, order: WeightsOrder, term: int) -> None:
         """Poll the engine until it reports the load, since the platform's list lags."""
-        service = order.endpoint.service
+        endpoint = order.endpoint
         clock = asyncio.get_running_loop().time
         start_s = clock()
         waited_ms = 0.0
-        timeout_ms = self._rollout.order_timeout_ms(service)
-        for time_ms in self._load_times.report_times_ms(service, timeout_ms):
+        progress = LoadProgress(order.model, order.version)
+        limit_ms = self._settings.bounds.weights_ms
+        for time_ms in self._load_times.report_times_ms(endpoint.service, limit_ms):
             await asyncio.sleep(max(0.0, start_s + time_ms / 1000 - clock()))
             if term != self._term or not self._control.is_leader():
                 return
-            weights = await self._read_report(order.endpoint)
+            weights, is_busy = await self._read_report(endpoint)
             elapsed_ms = (clock() - start_s) * 1000
-            if weights.get(order.model, 0) >= order.version:
-                self._load_times.record(service, waited_ms, elapsed_ms)
-                self._reported_weights[order.endpoint.id] = weights
+            step = progress.record_report(weights, is_busy, elapsed_ms)
+            if step is LoadStep.COMPLETED:
+                assert weights is not None
+                self._load_times.record(endpoint.service, waited_ms, elapsed_ms)
+                self._reported_weights[endpoint.id] = weights
+            if not self._apply_step(step, endpoint.id):
                 return
             waited_ms = elapsed_ms
 
-    async def _read_report(self, endpoint: ListedEndpoint) -> dict[str, int]:
-        """Return the weights versions that an engine reports, empty if it does not."""
+    def _apply_step(self, step: LoadStep, endpoint_id: str) -> bool:
+        """Tell the rollout of a report and return whether to ask for another one."""
+        now_ms = self._control.now_ms()
+        if step is LoadStep.LOST:
+            self._rollout.discard_order(endpoint_id)
+        elif step is LoadStep.UNREACHABLE:
+            self._rollout.defer_order(endpoint_id, now_ms)
+        elif step is LoadStep.IN_PROGRESS:
+            self._rollout.renew_order(endpoint_id, now_ms)
+        return step in (LoadStep.IN_PROGRESS, LoadStep.UNCLEAR)
+
+    async def _read_report(
+        self, endpoint: ListedEndpoint
+    ) -> tuple[dict[str, int] | None, bool]:
+        """Return the weights, None without a report, and whether an order is active."""
         try:
             status, body = await self._call(
                 endpoint.address, b"GET", WEIGHTS_REPORT_TARGET, b""
             )
-            return decode_weights_report(body) if status == 200 else {}
+            if status != 200:
+                raise ValueError(f"status {status}")
+            report = decode_weights_report(body)
         except UNREADABLE_ERRORS as error:
             log_event(REPORT_READ_FAILED, endpoint=endpoint.id, error=str(error))
-            return {}
+            return None, False
+        return report.weights, report.is_busy
 
     async def _call(
         self,
--- a/mustardtrack/process/tests/test_endpoint_watch.py
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -122,7 +122,7 @@
         settings = SimpleNamespace(
             bounds=SimpleNamespace(weights_ms=6000), host_list="10.0.0.1:1"
         )
-        control = SimpleNamespace(is_leader=lambda: True)
+        control = SimpleNamespace(is_leader=lambda: True, now_ms=lambda: 0)
         watch = EndpointWatch(control, settings)
         watch._pool = EngineReports(load_s)
         endpoint = ListedEndpoint(
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -36,6 +36,8 @@
 MIN_ORDER_TIMEOUT_MS = 2000
 # Fraction of the time limit after which such an order is issued again at the latest.
 ORDER_TIMEOUT_FRACTION = 0.5
+# Time in which no order goes to an engine that could not be reached.
+UNREACHABLE_PAUSE_MS = 1000
 
 
 @dataclass(frozen=True)
@@ -70,6 +72,7 @@
         self._completion_limit_ms = COMPLETION_FRACTION * limit_ms
         self._load_times = load_times
         self._pending: dict[str, _PendingOrder] = {}
+        self._deferred_until_ms: dict[str, int] = {}
         self._weights_history = WeightsVersionHistory()
 
     def pending_endpoints(self) -> frozenset[str]:
@@ -91,6 +94,7 @@
         endpoints: Sequence[ListedEndpoint],
         newest_versions: Mapping[str, int],
         count_not_started: Callable[[str], int],
+        count_running: Callable[[str], int],
         mean_queue_ms: float,
         now_ms: int,
     ) -> list[WeightsOrder]:
@@ -101,6 +105,7 @@
             newest_versions: Newest version of each model.
             count_not_started: Function that returns the number of requests that
                 have not started at an endpoint.
+            count_running: Function that returns the number of all its requests.
             mean_queue_ms: Mean time to prefill the prompts placed on an engine.
             now_ms: Monotonic time.
         """
@@ -111,9 +116,13 @@
             for model, version in newest_versions.items()
             if endpoint.weights.get(model, version) < version
         ]
+        self._drop_ended_pauses(now_ms)
         # The oldest weights go first: in a fixed order, engines at the end would never
-        # be updated while new versions follow each other quickly.
-        outdated.sort(key=lambda item: item[0].weights[item[1]])
+        # be updated while new versions follow each other quickly. A load begins when
+        # the running requests have ended.
+        outdated.sort(
+            key=lambda item: (item[0].weights[item[1]], count_running(item[0].id))
+        )
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL_LOADS, int(engines * MAX_LOADING_FRACTION))
         self._weights_history.update(newest_versions, now_ms)
@@ -122,7 +131,7 @@
         for endpoint, _, version in outdated:
             if len(self._pending) >= limit:
                 break
-            if endpoint.id not in self._pending and not endpoint.is_draining:
+            if self._may_load(endpoint):
                 self._pending[endpoint.id] = _PendingOrder(version, now_ms)
         orders: list[WeightsOrder] = []
         for endpoint, model, version in outdated:
@@ -166,8 +175,34 @@
         )
 
     def discard_order(self, endpoint_id: str) -> None:
-        """Discard an order that the endpoint did not accept."""
+        """Discard an order that the endpoint did not accept or has lost."""
+        self._pending.pop(endpoint_id, None)
+
+    def renew_order(self, endpoint_id: str, now_ms: int) -> None:
+        """Record that an endpoint is still carrying out its order."""
+        if endpoint_id in self._pending:
+            self._pending[endpoint_id].drain_started_ms = now_ms
+
+    def defer_order(self, endpoint_id: str, now_ms: int) -> None:
+        """Discard the order of an endpoint that could not be reached.
+
+        Its place is free for other engines, and its next order waits for a while.
+        """
         self._pending.pop(endpoint_id, None)
+        self._deferred_until_ms[endpoint_id] = now_ms + UNREACHABLE_PAUSE_MS
+
+    def _may_load(self, endpoint: ListedEndpoint) -> bool:
+        is_known = endpoint.id in self._pending or endpoint.id in (
+            self._deferred_until_ms
+        )
+        return not is_known and not endpoint.is_draining
+
+    def _drop_ended_pauses(self, now_ms: int) -> None:
+        pauses = self._deferred_until_ms
+        for endpoint_id in [
+            one for one, until_ms in pauses.items() if until_ms <= now_ms
+        ]:
+            del pauses[endpoint_id]
 
     def _remove_completed(
         self, endpoints: Sequence[ListedEndpoint], now_ms: int
--- a/mustardtrack/routing/tests/test_loadtimes.py
+++ b/mustardtrack/routing/tests/test_loadtimes.py
@@ -72,7 +72,12 @@
                 for name, known in self.versions.items()
             ]
             for order in self.rollout.plan(
-                endpoints, {"m": version}, lambda name: 1, self.queue_ms, now_ms
+                endpoints,
+                {"m": version},
+                lambda name: 1,
+                lambda name: 1,
+                self.queue_ms,
+                now_ms,
             ):
                 report_times = self.times.report_times_ms("s", self.limit_ms)
                 self.loads.append([order, now_ms, 0.0, report_times, None])
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -32,39 +32,46 @@
 def test_oldest_weights_load_first_when_versions_follow_quickly():
     """Guards against engines at the end of the list that are never updated."""
     engines = [engine("a", 3), engine("b", 3), engine("c", 2), engine("d", 1)]
-    assert names(Rollout(LIMIT_MS).plan(engines, {"m": 4}, idle, 0, 0)) == ["d", "c"]
+    assert names(Rollout(LIMIT_MS).plan(engines, {"m": 4}, idle, idle, 0, 0)) == [
+        "d",
+        "c",
+    ]
 
 
 def test_concurrent_loads_stay_within_the_limit():
     engines = [engine(f"e{n}", 1) for n in range(9)]
     rollout = Rollout(LIMIT_MS)
-    assert len(rollout.plan(engines, {"m": 2}, idle, 0, 0)) == 3
-    assert rollout.plan(engines, {"m": 2}, idle, 0, 10) == []
+    assert len(rollout.plan(engines, {"m": 2}, idle, idle, 0, 0)) == 3
+    assert rollout.plan(engines, {"m": 2}, idle, idle, 0, 10) == []
 
 
 def test_engine_is_drained_before_its_order():
     """Guards against placing prompts on an engine that is about to load weights."""
     rollout = Rollout(LIMIT_MS)
-    assert rollout.plan([engine("a", 1)], {"m": 2}, lambda name: 1, 0, 0) == []
+    assert rollout.plan([engine("a", 1)], {"m": 2}, lambda name: 1, idle, 0, 0) == []
     assert rollout.pending_endpoints() == {"a"}
-    orders = rollout.plan([engine("a", 1)], {"m": 2}, lambda name: 1, 0, MAX_DRAIN_MS)
+    orders = rollout.plan(
+        [engine("a", 1)], {"m": 2}, lambda name: 1, idle, 0, MAX_DRAIN_MS
+    )
     assert names(orders) == ["a"]
 
 
 def test_lost_order_is_issued_again():
     rollout = Rollout(LIMIT_MS)
-    rollout.plan([engine("a", 1)], {"m": 2}, idle, 0, 0)
+    rollout.plan([engine("a", 1)], {"m": 2}, idle, idle, 0, 0)
     later_ms = MAX_DRAIN_MS + int(rollout.order_timeout_ms("s")) + 1
-    assert names(rollout.plan([engine("a", 1)], {"m": 2}, idle, 0, later_ms)) == ["a"]
+    assert names(rollout.plan([engine("a", 1)], {"m": 2}, idle, idle, 0, later_ms)) == [
+        "a"
+    ]
 
 
 def test_updated_and_removed_engines_free_capacity_for_further_loads():
     rollout = Rollout(LIMIT_MS)
     engines = [engine(f"e{n}", 1) for n in range(4)]
-    first = names(rollout.plan(engines, {"m": 2}, idle, 0, 0))
+    first = names(rollout.plan(engines, {"m": 2}, idle, idle, 0, 0))
     assert len(first) == 2
     rest = [engine(first[0], 2)] + [one for one in engines if one.id not in first]
-    assert len(rollout.plan(rest, {"m": 2}, idle, 0, 10)) == 2
+    assert len(rollout.plan(rest, {"m": 2}, idle, idle, 0, 10)) == 2
 
 
 def test_busy_engines_load_one_by_one_while_the_time_limit_allows():
@@ -72,9 +79,9 @@
     engines = [engine(f"e{n}", 1) for n in range(9)]
     rollout = Rollout(LIMIT_MS)
     busy_ms = BUSY_QUEUE_MS + 1
-    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, 0)) == 1
-    assert rollout.plan(engines, {"m": 2}, idle, busy_ms, 1000) == []
-    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, LIMIT_MS // 2)) == 2
+    assert len(rollout.plan(engines, {"m": 2}, idle, idle, busy_ms, 0)) == 1
+    assert rollout.plan(engines, {"m": 2}, idle, idle, busy_ms, 1000) == []
+    assert len(rollout.plan(engines, {"m": 2}, idle, idle, busy_ms, LIMIT_MS // 2)) == 2
 
 
 def test_time_limit_begins_with_the_first_version_that_an_engine_lacks():
@@ -82,8 +89,8 @@
     engines = [engine(f"e{n}", 1) for n in range(9)]
     rollout = Rollout(LIMIT_MS)
     busy_ms = BUSY_QUEUE_MS + 1
-    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, 0)) == 1
-    assert len(rollout.plan(engines, {"m": 3}, idle, busy_ms, LIMIT_MS // 2)) == 2
+    assert len(rollout.plan(engines, {"m": 2}, idle, idle, busy_ms, 0)) == 1
+    assert len(rollout.plan(engines, {"m": 3}, idle, idle, busy_ms, LIMIT_MS // 2)) == 2
 
 
 def test_many_busy_engines_load_several_at_a_time():
@@ -91,4 +98,36 @@
     engines = [engine(f"e{n}", 1) for n in range(30)]
     rollout = Rollout(LIMIT_MS)
     busy_ms = BUSY_QUEUE_MS + 1
-    assert len(rollout.plan(engines, {"m": 2}, idle, busy_ms, 0)) == 6
+    assert len(rollout.plan(engines, {"m": 2}, idle, idle, busy_ms, 0)) == 6
+
+
+def test_engine_with_the_fewest_requests_loads_first():
+    """Guards against waiting for long answers while another engine is nearly idle."""
+    engines = [engine("a", 1), engine("b", 1), engine("c", 1)]
+    running = {"a": 9, "b": 0, "c": 4}.__getitem__
+    orders = Rollout(LIMIT_MS).plan(engines, {"m": 2}, idle, running, 0, 0)
+    assert names(orders) == ["b", "c"]
+
+
+def test_unreachable_engine_leaves_its_place_to_another():
+    """Guards against a crashed engine that holds one of the concurrent loads."""
+    rollout = Rollout(LIMIT_MS)
+    engines = [engine(f"e{n}", 1) for n in range(4)]
+    first = names(rollout.plan(engines, {"m": 2}, idle, idle, 0, 0))
+    rollout.defer_order(first[0], 100)
+    others = names(rollout.plan(engines, {"m": 2}, idle, idle, 0, 100))
+    assert len(others) == 1 and first[0] not in others
+    rollout.discard_order(first[1])
+    rollout.discard_order(others[0])
+    later_ms = 100 + rollout_module.UNREACHABLE_PAUSE_MS
+    assert first[0] in names(rollout.plan(engines, {"m": 2}, idle, idle, 0, later_ms))
+
+
+def test_order_in_progress_is_not_issued_again():
+    """Guards against a second load of an engine that waits for long answers."""
+    rollout = Rollout(LIMIT_MS)
+    engines = [engine("a", 1)]
+    rollout.plan(engines, {"m": 2}, idle, idle, 0, 0)
+    for now_ms in range(0, 3 * LIMIT_MS, 500):
+        rollout.renew_order("a", now_ms)
+        assert rollout.plan(engines, {"m": 2}, idle, idle, 0, now_ms) == []
