Use engines up to the time limit of their weights, and withdraw prompts there

Cause: engines got no prompts from 2 s before their superseded weights reached the time limit, a third of a limit of 6 s. A router that placed prompts itself kept no limit at all, and a prompt that waited longer than estimated began after it. Local choices keep the same limit. Tests: both new cases of test_forwarder.py fail before.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -119,6 +119,8 @@
         self._sent_ms = 0
         self._last_byte_ms = 0
         self._obstacle: RetryObstacle | None = None
+        self._weights_version: int | None = None
+        self._is_withdrawn = False
 
     async def run(self) -> Outcome:
         """Run the attempt and record its result in the endpoint state."""
@@ -142,8 +144,9 @@
         self._send(connection)
         self._admitted.connection = connection
         self._exchange.on_disconnect = connection.wake
+        withdrawal = self._schedule_withdrawal(connection)
         try:
-            outcome = await self._receive(connection)
+            outcome = self._explain(await self._receive(connection))
             # The leader already knows of the placement that replaces this one.
             if outcome.replacement is None:
                 self._record_first_byte()
@@ -151,6 +154,8 @@
             connection.abort()
             raise
         finally:
+            if withdrawal is not None:
+                withdrawal.cancel()
             self._exchange.on_disconnect = None
             self._admitted.connection = None
             self._record_prefill_end()
@@ -158,6 +163,38 @@
         outcome.silent_ms = self._clock.now_ms() - self._last_byte_ms
         return outcome
 
+    def _schedule_withdrawal(
+        self, connection: UpstreamConnection
+    ) -> asyncio.TimerHandle | None:
+        """Schedule the end of the attempt at the time limit of its weights.
+
+        An engine drops a waiting prompt when its connection closes.
+        """
+        version = self._weights_version
+        if version is None:
+            return None
+        left_ms = self._forwarder.weights_limit.left_to_wait_ms(
+            self._admitted.metadata.model, version, self._clock.now_ms()
+        )
+        if math.isinf(left_ms):
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.call_later(left_ms / 1000, self._withdraw, connection)
+
+    def _withdraw(self, connection: UpstreamConnection) -> None:
+        if self._is_first_byte_pending:
+            self._is_withdrawn = True
+            connection.abort()
+
+    def _explain(self, outcome: Outcome) -> Outcome:
+        """Return the outcome; that of a withdrawn attempt is no lost connection."""
+        if not self._is_withdrawn or outcome.end is not AttemptFailure.CONNECTION_LOST:
+            return outcome
+        note = "withdrawn: the time limit of the engine's weights is reached"
+        return replace(
+            outcome, end=AttemptFailure.TIMED_OUT, note=note, limit=TimeLimit.WEIGHTS
+        )
+
     def _connect_limit(self) -> tuple[TimeLimit, int]:
         left_ms = self._time_left_ms()
         if left_ms < CONNECT_TIMEOUT_MS:
@@ -197,6 +234,7 @@
         if admitted.prompt is not None:
             model = admitted.prompt.model
             version = self._endpoint.listed.weights.get(model)
+            self._weights_version = version
             salt = cache_salt(model, version, admitted.isolated_account)
             urgency = engine_urgency(admitted.rank, admitted.route.objective_ms)
             placement = self._progress.placement
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -28,6 +28,7 @@
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import Prompt
 from mustardtrack.routing.placements import Placement
+from mustardtrack.routing.weightslimit import WeightsLimit
 
 
 @dataclass
@@ -160,6 +161,7 @@
     reuse_limit: IdleReuseLimit
     limits: RateLimits
     notices: EndpointNotices
+    weights_limit: WeightsLimit
 
     @abstractmethod
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -17,6 +17,7 @@
 from mustardtrack.ports import Clock
 from mustardtrack.ports.sync_messages import SyncReply, SyncRequest
 from mustardtrack.routing.endpointstate import EndpointState, EndpointTable
+from mustardtrack.routing.weightslimit import WeightsLimit
 from mustardtrack.settings import SeededSettings
 
 TABLE_ADOPTED = define_event(8941, "INFO", "route table adopted")
@@ -52,6 +53,7 @@
         refused: Fingerprints of requests that crash the endpoints that run them.
         parts: Prompt parts that crash the engines that begin to answer them.
         limits: Limits that endpoints have named.
+        weights_limit: Time that is left to begin requests on superseded weights.
     """
 
     table: RouteTable | None = None
@@ -64,6 +66,7 @@
     refused: frozenset[str] = frozenset()
     parts: PartWatch = field(default_factory=PartWatch)
     limits: RateLimits = field(default_factory=lambda: RateLimits(""))
+    weights_limit: WeightsLimit = field(default_factory=lambda: WeightsLimit(0))
 
     def confirmation_age_ms(self, now_ms: int) -> int | None:
         """Return the time since the last confirmation."""
@@ -96,7 +99,10 @@
         self._max_unconfirmed_ms = int(
             settings.bounds.revoke_ms * CONFIRMATION_FRACTION
         )
-        self.view = ControlView(limits=RateLimits(settings.name))
+        self.view = ControlView(
+            limits=RateLimits(settings.name),
+            weights_limit=WeightsLimit(settings.bounds.weights_ms),
+        )
         self._sync_tasks: dict[str, asyncio.Task[None]] = {}
         self._unreachable: set[str] = set()
         self._was_confirmed = False
@@ -205,6 +211,7 @@
             self._on_table_adopted(view.table)
         if reply.revision > view.revision:
             view.weights = reply.weights
+            view.weights_limit.update(reply.weights, self._clock.now_ms())
             if reply.document_version <= self._table_version():
                 view.revision = reply.revision
         self._apply_endpoints(reply)
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -79,6 +79,20 @@
             if self._limits.tokens(state.id, count, now_ms) >= 1
         ]
 
+    def _within_weights_limit(
+        self, admitted: AdmittedRequest, endpoints: list[EndpointState]
+    ) -> list[EndpointState]:
+        """Return the engines on whose weights a prompt may still begin."""
+        limit, now_ms = self._control_sync.view.weights_limit, self._clock.now_ms()
+        model, newest = admitted.metadata.model, admitted.weights_version
+        return [
+            state
+            for state in endpoints
+            if limit.left_to_send_ms(
+                model, state.listed.weights.get(model, newest), now_ms
+            )
+        ]
+
     def _take_token(self, endpoint: EndpointState | None) -> None:
         """Count a request that this router sends without asking the leader."""
         if endpoint is not None:
@@ -112,7 +126,7 @@
                 if state.id == placement.endpoint:
                     return state, placement
         chosen = choose_engine(
-            self._endpoints_with_token(endpoints),
+            self._endpoints_with_token(self._within_weights_limit(admitted, endpoints)),
             admitted.prompt,
             admitted.weights_version,
             tried,
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -118,6 +118,7 @@
         self.reuse_limit = IdleReuseLimit()
         self.limits = control_sync.view.limits
         self.notices = control_sync.view.endpoints.notices
+        self.weights_limit = control_sync.view.weights_limit
         self._rng = rng or random.Random()
         self._chooser = EndpointChooser(
             settings, control_sync, pool, clock, placements, self._rng
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -28,6 +28,7 @@
 from mustardtrack.process.forwarder import Forwarder
 from mustardtrack.routing.endpointstate import EndpointTable
 from mustardtrack.routing.placements import Placement
+from mustardtrack.routing.weightslimit import WeightsLimit
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\ntransfer-encoding: chunked\r\n"
@@ -37,6 +38,7 @@
 END = b"0\r\n\r\n"
 CLOSE = b""
 ROUTE_TIMEOUT_MS = 12_000
+WEIGHTS_LIMIT_MS = 6000
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
@@ -287,6 +289,7 @@
         self.log = []
         self.parts = PartWatch()
         self.limits = RateLimits("r1")
+        self.weights_limit = WeightsLimit(WEIGHTS_LIMIT_MS)
         self.monkeypatch = monkeypatch
 
     def play(self, for_ms=15_000, leave_ms=None, actions=()):
@@ -376,6 +379,7 @@
             parts=self.parts,
             limits=self.limits,
             weights={"m": 1},
+            weights_limit=self.weights_limit,
             router_count=1,
             endpoints=states,
             confirmation_age_ms=lambda now_ms: 0,
@@ -936,6 +940,34 @@
         assert scenario.lines(8951)[0]["reason"] == "rate_limited"
 
 
+def test_waiting_prompt_is_withdrawn_at_the_time_limit_of_its_weights(monkeypatch):
+    """Guards against a prompt that begins long after newer weights were named."""
+    scenario = Scenario(
+        {"e1": [(3000, HEAD + event(1) + END)], "e2": COMPLETE},
+        leader=StandInLeader(
+            lambda request: Placement(
+                "e2" if request.tried else "e1", is_authoritative=True
+            ),
+            is_queued=True,
+        ),
+        monkeypatch=monkeypatch,
+    )
+    scenario.weights_limit.update({"m": 2}, 1000 - WEIGHTS_LIMIT_MS)
+    scenario.play()
+    run = scenario.run_of("e1")
+    assert run.transport.end == "reset"
+    assert run.transport.ended_s <= 1.0
+    assert (scenario.leader.lost, scenario.lines(8952)[0]["limit"]) == ([], "weights")
+
+
+def test_engine_past_the_time_limit_of_its_weights_is_not_chosen(monkeypatch):
+    """Guards against local choices by a router that cannot ask the leader."""
+    scenario = Scenario({"e1": COMPLETE}, monkeypatch=monkeypatch)
+    scenario.weights_limit.update({"m": 2}, -WEIGHTS_LIMIT_MS)
+    scenario.play()
+    assert (scenario.status, scenario.pool.runs) == (503, [])
+
+
 LEAVING_HEAD = HEAD[:-2] + b"server-leaving: 1\r\n\r\n"
 
 
--- a/mustardtrack/process/tests/test_interrupted_requests.py
+++ b/mustardtrack/process/tests/test_interrupted_requests.py
@@ -21,6 +21,7 @@
 from mustardtrack.requests.shutdown_window import ShutdownWindow
 from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.endpointstate import EndpointState
+from mustardtrack.routing.weightslimit import WeightsLimit
 from mustardtrack.settings.seeded import RetryBudgetSettings
 
 ENDPOINT = ListedEndpoint("i-1", 0, "s1", "10.0.0.1:80", "a", 4, False, False, {"m": 1})
@@ -142,6 +143,7 @@
         limits=RateLimits("r1"),
         router_count=1,
         weights={},
+        weights_limit=WeightsLimit(15_000),
         confirmation_age_ms=lambda now_ms: 0,
     )
     settings = SimpleNamespace(name="n", zone="a", retries=RetryBudgetSettings())
--- a/mustardtrack/requests/time_limits.py
+++ b/mustardtrack/requests/time_limits.py
@@ -12,6 +12,7 @@
     FIRST_EVENT = "first_event"
     EVENT_GAP = "event_gap"
     CONNECT = "connect"
+    WEIGHTS = "weights"
 
 
 @dataclass(frozen=True)
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -33,7 +33,7 @@
     sum_leading_parts,
 )
 from mustardtrack.routing.rendezvous import rank_endpoints
-from mustardtrack.routing.weightsversions import WeightsVersionHistory
+from mustardtrack.routing.weightslimit import WeightsLimit
 
 # Prefill rate of an engine beside other work; the specification states twice this rate
 # for an otherwise idle engine.
@@ -96,9 +96,8 @@
 # Weight of the time until an engine takes a request under the limit that it names. With
 # the weight of relaxed objectives alone, such requests would queue for seconds.
 LIMIT_WAIT_WEIGHT = 2.0
-# An engine gets no more prompts this long before its superseded weights reach their
-# time limit, since a placed prompt may wait before it begins.
-WEIGHTS_MARGIN_MS = 2000
+# Multiple of an estimate after which a prompt has begun in nearly all cases.
+BEGIN_UNCERTAINTY_FACTOR = 1.5
 # Urgency levels per work class.
 URGENCY_STEP = 2
 # Objective from which a prompt is queued behind those of its class with shorter
@@ -239,7 +238,6 @@
     """
 
     def __init__(self, weights_limit_ms: int) -> None:
-        self._weights_limit_ms = weights_limit_ms - WEIGHTS_MARGIN_MS
         self.limits = RateLimits("")
         self.notices = EndpointNotices()
         self._engines: dict[str, EngineState] = {}
@@ -248,7 +246,7 @@
         self._pending_saves: set[PartKey] = set()
         self._stored_tokens = 0
         self._store_link = TransferLink()
-        self._weights_history = WeightsVersionHistory()
+        self._weights_limit = WeightsLimit(weights_limit_ms)
         self._next_expiry_ms = 0
 
     def update(self, endpoints: Iterable[ListedEndpoint]) -> None:
@@ -287,7 +285,7 @@
             now_ms: Monotonic time.
         """
         self._expire(now_ms)
-        self._weights_history.update(newest_versions, now_ms)
+        self._weights_limit.update(newest_versions, now_ms)
         context = _PlacementContext(request, service, store, newest_versions, now_ms)
         usable = self._find_usable(context)
         if not usable:
@@ -446,21 +444,23 @@
     ) -> bool:
         """Return whether requests may no longer begin on an engine's weights."""
         version = engine.listed.weights.get(context.request.model, 0)
-        superseded_for_ms = self._superseded_for_ms(context, version)
-        return (
-            superseded_for_ms is not None
-            and superseded_for_ms >= self._weights_limit_ms
-        )
+        return self._left_to_send_ms(context, version) <= 0
+
+    def _left_to_send_ms(self, context: "_PlacementContext", version: int) -> float:
+        """Return the time in which the prompt must begin on a weights version."""
+        if version not in context.left_to_send_ms:
+            context.left_to_send_ms[version] = self._weights_limit.left_to_send_ms(
+                context.request.model, version, context.now_ms
+            )
+        return context.left_to_send_ms[version]
 
     def _superseded_for_ms(
         self, context: "_PlacementContext", version: int
     ) -> int | None:
         """Return the time since a newer version was named, None if there is none."""
         if version not in context.superseded_for_ms:
-            context.superseded_for_ms[version] = (
-                self._weights_history.superseded_for_ms(
-                    context.request.model, version, context.now_ms
-                )
+            context.superseded_for_ms[version] = self._weights_limit.superseded_for_ms(
+                context.request.model, version, context.now_ms
             )
         return context.superseded_for_ms[version]
 
@@ -494,10 +494,8 @@
         superseded_for_ms = self._superseded_for_ms(context, version)
         if superseded_for_ms is not None and superseded_for_ms >= OLD_WEIGHTS_GRACE_MS:
             cost_ms += OLD_WEIGHTS_PENALTY_MS
-        if (
-            superseded_for_ms is not None
-            and superseded_for_ms + first_token_ms > self._weights_limit_ms
-        ):
+        begin_ms = BEGIN_UNCERTAINTY_FACTOR * first_token_ms
+        if begin_ms > self._left_to_send_ms(context, version):
             cost_ms = math.inf
         cost_ms += REFUSAL_PENALTY_MS * engine.recent_refusals(context.now_ms)
         if engine.listed.zone != request.zone:
@@ -723,6 +721,7 @@
         self.preferred: frozenset[str] = frozenset()
         self.holders: dict[int, list[tuple[int, EngineState]]] = {}
         self.superseded_for_ms: dict[int, int | None] = {}
+        self.left_to_send_ms: dict[int, float] = {}
         self._parts: dict[int, PartSizes] = {}
         self._shared: dict[int, PartSizes] = {}
 
