--- a/mustardtrack/process/attempt_log.py
+++ b/mustardtrack/process/attempt_log.py
@@ -3,7 +3,7 @@
 from mustardtrack.process.attempt_state import AdmittedRequest, Outcome
 from mustardtrack.requests.forwarding import ForwardedRequest
 from mustardtrack.routing.endpointstate import EndpointState
-from mustardtrack.routing.placements import Placement
+from mustardtrack.routing.placementmessages import Placement
 
 
 def describe_choice(
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -27,7 +27,7 @@
 from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import Prompt
-from mustardtrack.routing.placements import Placement
+from mustardtrack.routing.placementmessages import Placement
 from mustardtrack.routing.weightslimit import WeightsLimit
 
 
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -14,7 +14,7 @@
 from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import choose_engine
-from mustardtrack.routing.placements import Placement, PlacementRequest
+from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.settings import SeededSettings
 
 
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -61,7 +61,7 @@
 from mustardtrack.requests.time_limits import RequestTimeLimit
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import Prompt
-from mustardtrack.routing.placements import Placement
+from mustardtrack.routing.placementmessages import Placement
 from mustardtrack.settings import SeededSettings
 
 REQUEST_ENDED = define_event(8951, "INFO", "request ended")
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -13,7 +13,7 @@
 from mustardtrack.ports import Clock
 from mustardtrack.ports.sync_messages import PromptProgress
 from mustardtrack.process.control_sync import ControlSync
-from mustardtrack.routing.placements import Placement, PlacementRequest
+from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 
 PLACEMENT_TIMED_OUT = define_event(
     8961, "WARNING", "leader did not answer in time; placing prompts without it"
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -62,11 +62,8 @@
 from mustardtrack.process.metrics import count_events
 from mustardtrack.process.replica_task import ReplicaTask
 from mustardtrack.process.settings_watch import SettingsWatch
-from mustardtrack.routing.placements import (
-    Placement,
-    PlacementRequest,
-    PlacementTable,
-)
+from mustardtrack.routing.placementmessages import Placement, PlacementRequest
+from mustardtrack.routing.placements import PlacementTable
 from mustardtrack.settings import SeededSettings, split_address
 
 TASK_FAILED = define_event(
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -27,7 +27,7 @@
 from mustardtrack.process import attempt, forwarder
 from mustardtrack.process.forwarder import Forwarder
 from mustardtrack.routing.endpointstate import EndpointTable
-from mustardtrack.routing.placements import Placement
+from mustardtrack.routing.placementmessages import Placement
 from mustardtrack.routing.weightslimit import WeightsLimit
 
 HEAD = (
--- a/mustardtrack/process/tests/test_placement_client.py
+++ b/mustardtrack/process/tests/test_placement_client.py
@@ -9,7 +9,7 @@
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.zeromq import BusTimeoutError
 from mustardtrack.process.placement_client import PlacementClient
-from mustardtrack.routing.placements import Placement, PlacementRequest
+from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 
 REQUEST = PlacementRequest(
     "r", "s", "m", [("o", 100), ("p", 10)], "", 110, 10, 0, 1000, 5000, "a", []
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -9,7 +9,7 @@
 
 from mustardtrack.configuration.routes import Route
 from mustardtrack.logs import define_event, require_invariant
-from mustardtrack.routing.placements import Placement
+from mustardtrack.routing.placementmessages import Placement
 
 REFUSED_AFTER_RUN = define_event(
     7101, "ERROR", "refusal reports not_run although the request may have run"
--- /dev/null
+++ b/mustardtrack/routing/placementmessages.py
@@ -0,0 +1,63 @@
+"""Messages with which routers ask the leading control host for placements."""
+
+import msgspec
+
+
+class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Prompt to be placed on an engine.
+
+    Attributes:
+        parts: Digest and tokens of each part of the prompt, in order; the last
+            part is not shared with other requests.
+        isolated_account: Client account whose cache is isolated, empty for a
+            shared cache.
+        tokens: Tokens of the whole prompt.
+        output_tokens: Maximum number of generated tokens.
+        rank: Rank of the work class, 0 most urgent.
+        objective_ms: Objective for the time to first token.
+        time_left_ms: Time after which the request has ended in any case.
+        zone: Availability zone of the router.
+        tried: Engines on which the request was already attempted.
+        router: Router that sends the request.
+    """
+
+    request_id: str
+    service: str
+    model: str
+    parts: list[tuple[str, int]]
+    isolated_account: str
+    tokens: int
+    output_tokens: int
+    rank: int
+    objective_ms: int
+    time_left_ms: int
+    zone: str
+    tried: list[str]
+    router: str = ""
+
+
+class Placement(msgspec.Struct, frozen=True, array_like=True):
+    """Placement decision for a prompt.
+
+    Attributes:
+        endpoint: Engine, empty if there is none to use.
+        fetch_from: Address from which the engine can fetch further cached parts.
+        save_to: Address of the store to which the engine saves the parts.
+        expected_ms: Estimated time to first token.
+        prefill_tokens: Tokens that the engine is expected to prefill.
+        urgency: Scheduling level at the engine, 0 most urgent.
+        exceeds_caller_timeout: Whether no engine can respond in time.
+        delay_ms: Time after which the prompt may be sent, so that the engine gets no
+            more requests than the limit that it names.
+        is_authoritative: Whether the sender leads and knows engines of the service.
+    """
+
+    endpoint: str = ""
+    fetch_from: str = ""
+    save_to: str = ""
+    expected_ms: float = 0.0
+    prefill_tokens: int = 0
+    urgency: int = 0
+    exceeds_caller_timeout: bool = False
+    is_authoritative: bool = False
+    delay_ms: int = 0
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -16,7 +16,6 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-import msgspec
 from xxhash import xxh3_64_intdigest
 
 from mustardtrack.admission.ratelimits import RateLimits
@@ -32,7 +31,14 @@
     TransferLink,
     sum_leading_parts,
 )
+from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.routing.rendezvous import rank_endpoints
+from mustardtrack.routing.transfers import (
+    NO_FETCH_SOURCE,
+    FetchSource,
+    plan_transfer,
+    transfer_ms,
+)
 from mustardtrack.routing.weightslimit import WeightsLimit
 
 # Prefill rate of an engine beside other work; the specification states twice this rate
@@ -42,10 +48,6 @@
 BASE_FIRST_TOKEN_MS = 40.0
 # Delay that each running request adds to the time to first token of another.
 RUNNING_REQUEST_MS = 2.0
-# Duration of a transfer between availability zones relative to one within a zone.
-CROSS_ZONE_TRANSFER_FACTOR = 2
-# Longest wait of a fetch for a link; recomputing a prefix takes about as long.
-MAX_FETCH_WAIT_MS = 300
 # Cached tokens below which a fetch from an engine costs more than recomputing them.
 MIN_FETCH_TOKENS = 64
 # Shared prefix tokens below which the KV cache store is not used, because its link is
@@ -150,79 +152,6 @@
     return objective_ms >= RELAXED_OBJECTIVE_MS
 
 
-class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Prompt to be placed on an engine.
-
-    Attributes:
-        parts: Digest and tokens of each part of the prompt, in order; the last
-            part is not shared with other requests.
-        isolated_account: Client account whose cache is isolated, empty for a
-            shared cache.
-        tokens: Tokens of the whole prompt.
-        output_tokens: Maximum number of generated tokens.
-        rank: Rank of the work class, 0 most urgent.
-        objective_ms: Objective for the time to first token.
-        time_left_ms: Time after which the request has ended in any case.
-        zone: Availability zone of the router.
-        tried: Engines on which the request was already attempted.
-        router: Router that sends the request.
-    """
-
-    request_id: str
-    service: str
-    model: str
-    parts: list[tuple[str, int]]
-    isolated_account: str
-    tokens: int
-    output_tokens: int
-    rank: int
-    objective_ms: int
-    time_left_ms: int
-    zone: str
-    tried: list[str]
-    router: str = ""
-
-
-class Placement(msgspec.Struct, frozen=True, array_like=True):
-    """Placement decision for a prompt.
-
-    Attributes:
-        endpoint: Engine, empty if there is none to use.
-        fetch_from: Address from which the engine can fetch further cached parts.
-        save_to: Address of the store to which the engine saves the parts.
-        expected_ms: Estimated time to first token.
-        prefill_tokens: Tokens that the engine is expected to prefill.
-        urgency: Scheduling level at the engine, 0 most urgent.
-        exceeds_caller_timeout: Whether no engine can respond in time.
-        delay_ms: Time after which the prompt may be sent, so that the engine gets no
-            more requests than the limit that it names.
-        is_authoritative: Whether the sender leads and knows engines of the service.
-    """
-
-    endpoint: str = ""
-    fetch_from: str = ""
-    save_to: str = ""
-    expected_ms: float = 0.0
-    prefill_tokens: int = 0
-    urgency: int = 0
-    exceeds_caller_timeout: bool = False
-    is_authoritative: bool = False
-    delay_ms: int = 0
-
-
-@dataclass(frozen=True)
-class _FetchSource:
-    """Source from which an engine can fetch cached parts of a prompt."""
-
-    address: str = ""
-    held_tokens: int = 0
-    transfer_ms: float = 0.0
-    link: TransferLink | None = None
-
-
-NO_FETCH_SOURCE = _FetchSource()
-
-
 class PlacementTable:
     """Engines of a deployment with their estimated loads and caches.
 
@@ -516,7 +445,7 @@
         context: "_PlacementContext",
         version: int,
         cached: int,
-    ) -> _FetchSource:
+    ) -> FetchSource:
         """Return the engine that holds most of the parts, or else the store."""
         limits = context.service.engine
         if limits is None or context.shared_tokens - cached < MIN_FETCH_TOKENS:
@@ -526,7 +455,7 @@
                 break
             if other is engine:
                 continue
-            found = _plan_transfer(
+            found = plan_transfer(
                 other.listed.address,
                 held,
                 (held - cached) * limits.kv_bytes_per_token,
@@ -562,14 +491,14 @@
         context: "_PlacementContext",
         version: int,
         cached: int,
-    ) -> _FetchSource:
+    ) -> FetchSource:
         store, limits = context.store, context.service.engine
         if store is None or limits is None:
             return NO_FETCH_SOURCE
         held = self._stored_prefix(context, version)
         if held < cached + MIN_STORE_TOKENS:
             return NO_FETCH_SOURCE
-        found = _plan_transfer(
+        found = plan_transfer(
             store.kv_store_address or "",
             held,
             (held - cached) * limits.kv_bytes_per_token,
@@ -653,7 +582,7 @@
             return ""
         size_bytes = sum(size for _, size in parts) * limits.kv_bytes_per_token
         is_same_zone = store.kv_store_zone == engine.listed.zone
-        duration_ms = _transfer_ms(size_bytes, store.kv_store_link_mbps, is_same_zone)
+        duration_ms = transfer_ms(size_bytes, store.kv_store_link_mbps, is_same_zone)
         self._store_link.add(duration_ms, context.now_ms)
         for key, size in shared:
             if key not in self._stored:
@@ -687,7 +616,7 @@
     cost_ms: float
     first_token_ms: float
     engine: EngineState
-    source: _FetchSource
+    source: FetchSource
     prefill_tokens: int
     version: int
     delay_ms: float
@@ -796,30 +725,6 @@
     return frozenset(rank_endpoints(digest, names)[:PREFERRED_ENGINES])
 
 
-def _transfer_ms(size_bytes: int, link_mbps: float, is_same_zone: bool) -> float:
-    if link_mbps <= 0:
-        return 0.0
-    duration_ms = size_bytes * 8 / (link_mbps * 1000)
-    return duration_ms if is_same_zone else duration_ms * CROSS_ZONE_TRANSFER_FACTOR
-
-
-def _plan_transfer(
-    address: str,
-    held_tokens: int,
-    size_bytes: int,
-    link_mbps: float,
-    is_same_zone: bool,
-    links: tuple[TransferLink, TransferLink],
-    now_ms: int,
-) -> _FetchSource | None:
-    """Return a source with its transfer time, None if a link is busy too long."""
-    wait_ms = max(link.wait_ms(now_ms) for link in links)
-    if wait_ms > MAX_FETCH_WAIT_MS:
-        return None
-    transfer_ms = wait_ms + _transfer_ms(size_bytes, link_mbps, is_same_zone)
-    return _FetchSource(address, held_tokens, transfer_ms, links[0])
-
-
 def salted_parts(request: PlacementRequest, version: int) -> PartSizes:
     """Return the parts of a prompt as engines cache them under a version."""
     salt = cache_salt(request.model, version, request.isolated_account)
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -4,7 +4,8 @@
 
 from mustardtrack.configuration.routes import EngineLimits, Service
 from mustardtrack.membership.endpoint_list import ListedEndpoint
-from mustardtrack.routing.placements import PlacementRequest, PlacementTable
+from mustardtrack.routing.placementmessages import PlacementRequest
+from mustardtrack.routing.placements import PlacementTable
 
 SERVICE = Service("s", 370, EngineLimits(64, 160_000, 35_136, ("m",), 180_000.0))
 STORE = Service(
