Learn how fast engines prefill prompts

Cause: placement held the prefill rate of the first deployment, 33 tokens per ms centrally and 60 in local choices. Engines that prefill 101 tokens per ms looked full at a third of what they can do; prompts that could have been in time were put behind others or refused. Change: routing/prefillrates.py learns the rate of each service, and how an engine deviates from it, from the tokens and times between first tokens; no calls are added. It starts from 33, bounds each sample, forgets the deviation of an engine without samples, is handed to the other control hosts with the endpoint list and to routers with their syncs. The charge for recomputing cached tokens is a multiple of the time it takes. Work since the last first token counts as done, up to 200 ms.

--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -43,7 +43,8 @@
     ``endpoints`` is the full list if the sender no longer has the router's version.
     ``content`` is the compressed document, empty if the router has it already.
     ``crash_evidence`` is set by the leader if the router does not have it; ``limits``
-    are the limits of endpoints that the leader knows.
+    are the limits of endpoints that the leader knows, and ``prefill_rates`` the tokens
+    that the engines of each service prefill per ms.
     """
 
     stale_ms: int
@@ -59,6 +60,7 @@
     change: EndpointListChange | None = None
     crash_evidence: CrashEvidence | None = None
     limits: dict[str, Observation] = {}
+    prefill_rates: dict[str, float] = {}
 
 
 class DocumentReadReply(msgspec.Struct, frozen=True, array_like=True):
@@ -70,11 +72,15 @@
 
 
 class ControlHosts(msgspec.Struct, frozen=True, array_like=True):
-    """Control hosts and endpoint list of the leader, sent to the other replicas."""
+    """What the leader knows of hosts and endpoints, sent to the other replicas.
+
+    ``prefill_rates`` are the tokens that the engines of each service prefill per ms.
+    """
 
     term: int
     names: list[str]
     endpoints: EndpointList
+    prefill_rates: dict[str, float] = {}
 
 
 class PromptProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -53,6 +53,8 @@
         refused: Fingerprints of requests that crash the endpoints that run them.
         parts: Prompt parts that crash the engines that begin to answer them.
         limits: Limits that endpoints have named.
+        prefill_rates: Learned prefill rate of the engines of each service, in tokens
+            per ms.
         weights_limit: Time that is left to begin requests on superseded weights.
     """
 
@@ -66,6 +68,7 @@
     refused: frozenset[str] = frozenset()
     parts: PartWatch = field(default_factory=PartWatch)
     limits: RateLimits = field(default_factory=lambda: RateLimits(""))
+    prefill_rates: dict[str, float] = field(default_factory=dict)
     weights_limit: WeightsLimit = field(default_factory=lambda: WeightsLimit(0))
 
     def confirmation_age_ms(self, now_ms: int) -> int | None:
@@ -222,6 +225,7 @@
             if reply.crash_evidence is not None:
                 view.parts.receive(reply.crash_evidence, self._clock.now_ms())
             view.limits.merge(reply.limits, self._clock.now_ms())
+            view.prefill_rates = reply.prefill_rates
         view.router_count = max(1, reply.router_count)
         # The reply is not older than its request, and its state was confirmed
         # ``stale_ms`` before the reply.
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -15,6 +15,7 @@
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import choose_engine
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
+from mustardtrack.routing.prefillrates import PRIOR_TOKENS_PER_MS
 from mustardtrack.settings import SeededSettings
 
 
@@ -133,6 +134,9 @@
             zone,
             now_ms,
             self._rng,
+            self._control_sync.view.prefill_rates.get(
+                admitted.service.name, PRIOR_TOKENS_PER_MS
+            ),
         )
         self._take_token(chosen)
         return chosen, None
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -254,7 +254,7 @@
             weights,
             placements.count_not_started,
             placements.outstanding,
-            placements.mean_queue_ms(),
+            placements.mean_queue_ms(now_ms),
             now_ms,
         )
         for order in orders:
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -264,7 +264,8 @@
         names = [replica.name for replica in (*status.voters, *status.learners)]
         self._control_names, self._control_names_term = sorted(set(names)), status.term
         self._apply_endpoint_list(endpoints)
-        message = ControlHosts(status.term, self._control_names, endpoints)
+        rates = self.placements.rates.service_rates()
+        message = ControlHosts(status.term, self._control_names, endpoints, rates)
         body = msgspec.msgpack.encode(message)
         for name in self._control_names:
             if name != self._name:
@@ -315,6 +316,7 @@
     async def _receive_hosts(self, sender: str, body: bytes) -> None:
         hosts = msgspec.msgpack.decode(body, type=ControlHosts)
         if hosts.term >= self._control_names_term:
+            self.placements.rates.adopt(hosts.prefill_rates)
             self._control_names, self._control_names_term = hosts.names, hosts.term
         self._apply_endpoint_list(hosts.endpoints)
 
@@ -378,6 +380,7 @@
             limits=self.placements.limits.due_observations(self.now_ms())
             if self.is_leader()
             else {},
+            prefill_rates=self.placements.rates.service_rates(),
         )
 
     def _compress_document(self) -> bytes:
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -380,6 +380,7 @@
             limits=self.limits,
             weights={"m": 1},
             weights_limit=self.weights_limit,
+            prefill_rates={},
             router_count=1,
             endpoints=states,
             confirmation_age_ms=lambda now_ms: 0,
--- a/mustardtrack/process/tests/test_interrupted_requests.py
+++ b/mustardtrack/process/tests/test_interrupted_requests.py
@@ -144,6 +144,7 @@
         router_count=1,
         weights={},
         weights_limit=WeightsLimit(15_000),
+        prefill_rates={},
         confirmation_age_ms=lambda now_ms: 0,
     )
     settings = SimpleNamespace(name="n", zone="a", retries=RetryBudgetSettings())
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -12,6 +12,7 @@
 
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.routing.engineprogress import EngineProgress
+from mustardtrack.routing.prefillrates import PrefillSampler
 
 # Urgency levels that engines accept, 0 to 9.
 URGENCY_LEVELS = 10
@@ -24,6 +25,12 @@
 # interleaved with prefill chunks of other prompts.
 SLOT_HOLD_MS = 1000.0
 
+# Longest work since the last first token that counts as done.
+MAX_UNREPORTED_WORK_MS = 200
+# Time without a first token after which a busy engine may have stalled, so that none of
+# its work counts as done.
+MAX_SILENCE_MS = 1000
+
 # Cache salt and digest of one prompt part, and a list of parts with their tokens.
 PartKey = tuple[str, str]
 PartSizes = list[tuple[PartKey, int]]
@@ -82,6 +89,9 @@
         output_tokens: Tokens that running requests may generate.
         backoff_until_ms: Time before which nothing is placed on the engine.
         refusals: Decayed number of refused requests at ``refused_ms``.
+        sampler: Measures its prefill rate.
+        busy_since_ms: Time of the last first token or, if later, of the placement that
+            ended its idleness.
     """
 
     listed: ListedEndpoint
@@ -100,6 +110,8 @@
     refused_ms: int = 0
     link: TransferLink = field(default_factory=TransferLink)
     progress: EngineProgress = field(default_factory=EngineProgress)
+    sampler: PrefillSampler = field(default_factory=PrefillSampler)
+    busy_since_ms: int = 0
 
     @property
     def unevictable_tokens(self) -> int:
@@ -122,6 +134,13 @@
         """Return the tokens to be prefilled before a prompt of this urgency."""
         return sum(self.pending_prefill_tokens[: urgency + 1])
 
+    def unreported_work_ms(self, now_ms: int) -> int:
+        """Return the time of prefill that no first token has shown yet."""
+        silent_ms = now_ms - self.busy_since_ms
+        if silent_ms > MAX_SILENCE_MS or not any(self.pending_prefill_tokens):
+            return 0
+        return min(MAX_UNREPORTED_WORK_MS, max(0, silent_ms))
+
     def slot_wait_ms(self, slots: int) -> float:
         """Return the estimated wait of a new prompt for a batch slot."""
         if not slots:
@@ -137,6 +156,8 @@
     ) -> None:
         """Record a placed prompt, and evict parts that no longer fit."""
         self.placed[request_id] = prompt
+        if not any(self.pending_prefill_tokens):
+            self.busy_since_ms = prompt.placed_ms
         self.pending_prefill_tokens[prompt.urgency] += prompt.prefill_tokens
         self.output_tokens += prompt.output_tokens
         for key, size in parts:
@@ -168,13 +189,30 @@
         self.resident_tokens -= self.cache.pop(key, 0)
         self.incomplete.discard(key)
 
-    def mark_prefilled(self, prompt: PlacedPrompt, now_ms: int) -> None:
-        """Record the end of a prefill; other engines can fetch the parts now."""
+    def mark_prefilled(
+        self, prompt: PlacedPrompt, overhead_ms: float, now_ms: int
+    ) -> tuple[int, float] | None:
+        """Record the end of a prefill; other engines can fetch the parts now.
+
+        Args:
+            prompt: Prompt whose first token has arrived.
+            overhead_ms: Time to a first token at an idle engine, without prefill.
+            now_ms: Monotonic time.
+
+        Returns:
+            Tokens and milliseconds of a sample of the prefill rate, None without one.
+        """
+        sample = None
         if not prompt.is_prefilled:
+            sample = self.sampler.record_first_token(
+                prompt.prefill_tokens, prompt.placed_ms, overhead_ms, now_ms
+            )
+            self.busy_since_ms = now_ms
             self.progress.record_first_token(prompt.urgency, prompt.placed_ms, now_ms)
             prompt.is_prefilled = True
             self.pending_prefill_tokens[prompt.urgency] -= prompt.prefill_tokens
             self.incomplete.difference_update(prompt.keys)
+        return sample
 
     def remove(self, request_id: str) -> None:
         """Record the end of a request and unpin its parts."""
--- a/mustardtrack/routing/localplacement.py
+++ b/mustardtrack/routing/localplacement.py
@@ -14,6 +14,7 @@
 from xxhash import xxh3_64_intdigest
 
 from mustardtrack.routing.endpointstate import EndpointState
+from mustardtrack.routing.prefillrates import PRIOR_TOKENS_PER_MS
 from mustardtrack.routing.rendezvous import rank_endpoints
 
 # Shared prefixes below this size are cheaper to recompute than to route by affinity.
@@ -23,8 +24,6 @@
 # Difference in time to first token beyond which the next engine is used instead of
 # the preferred one. Fetching a cached prefix takes about 50 ms, prefill 200 ms.
 AFFINITY_MARGIN_MS = 150.0
-# Specified prefill rate of an engine.
-PREFILL_TOKENS_PER_MS = 60.0
 # Delay that each running and each waiting request adds to the time to first token.
 RUNNING_REQUEST_MS = 10.0
 WAITING_REQUEST_MS = 60.0
@@ -67,6 +66,7 @@
     zone: str,
     now_ms: int,
     rng: random.Random,
+    tokens_per_ms: float = PRIOR_TOKENS_PER_MS,
 ) -> EndpointState | None:
     """Return the engine for a prompt, None if all were tried.
 
@@ -78,6 +78,7 @@
         zone: Availability zone of this router.
         now_ms: Monotonic time.
         rng: Breaks ties between engines.
+        tokens_per_ms: Prefill rate of the engines.
     """
     untried = [state for state in engines if state.id not in tried]
     usable = [state for state in untried if not state.is_backing_off(now_ms)] or untried
@@ -85,7 +86,8 @@
         return None
 
     def cost(state: EndpointState) -> float:
-        return _cost_ms(state, prompt.model, newest_version, zone, now_ms)
+        cost_ms = _cost_ms(state, prompt.model, newest_version, zone, now_ms)
+        return cost_ms + state.pending_prefill_tokens / tokens_per_ms
 
     if prompt.uses_prefix_affinity:
         by_id = {state.id: state for state in usable}
@@ -106,7 +108,6 @@
 ) -> float:
     cost_ms = RUNNING_REQUEST_MS * state.estimated_outstanding(now_ms)
     cost_ms += WAITING_REQUEST_MS * state.estimated_queued(now_ms)
-    cost_ms += state.pending_prefill_tokens / PREFILL_TOKENS_PER_MS
     if state.listed.weights.get(model, newest_version) < newest_version:
         cost_ms += OLD_WEIGHTS_PENALTY_MS
     if state.listed.zone != zone:
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -32,6 +32,7 @@
     sum_leading_parts,
 )
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
+from mustardtrack.routing.prefillrates import PrefillRates
 from mustardtrack.routing.rendezvous import rank_endpoints
 from mustardtrack.routing.transfers import (
     NO_FETCH_SOURCE,
@@ -41,9 +42,6 @@
 )
 from mustardtrack.routing.weightslimit import WeightsLimit
 
-# Prefill rate of an engine beside other work; the specification states twice this rate
-# for an otherwise idle engine.
-PREFILL_TOKENS_PER_MS = 33.0
 # Time to first token at an idle engine, without prefill.
 BASE_FIRST_TOKEN_MS = 40.0
 # Delay that each running request adds to the time to first token of another.
@@ -59,9 +57,9 @@
 # Delay charged for an engine other than the one that rendezvous hashing prefers for a
 # prefix. A new leader then finds prefixes where the previous leader placed them.
 AFFINITY_PENALTY_MS = 40.0
-# Delay charged for recomputing cached tokens. Recomputing a long prefix costs most of
-# the value of its request, as much as half a second of delay.
-RECOMPUTE_MS_PER_TOKEN = 0.04
+# Delay charged for recomputing cached tokens, as a multiple of the time it takes. It
+# occupies an engine that other prompts wait for.
+RECOMPUTE_WEIGHT = 1.3
 # Fraction of the objective beyond which an estimate counts as late, since estimates are
 # rough.
 LATE_OBJECTIVE_FRACTION = 0.7
@@ -160,6 +158,7 @@
     Attributes:
         limits: Limits that engines name for the requests of all hosts together.
         notices: What the endpoints announced to the routers.
+        rates: Learned prefill rates of the engines.
 
     Args:
         weights_limit_ms: Time after a version was named as the newest after which
@@ -169,6 +168,7 @@
     def __init__(self, weights_limit_ms: int) -> None:
         self.limits = RateLimits("")
         self.notices = EndpointNotices()
+        self.rates = PrefillRates()
         self._engines: dict[str, EngineState] = {}
         self._placed: dict[str, PlacedPrompt] = {}
         self._stored: OrderedDict[PartKey, int] = OrderedDict()
@@ -191,6 +191,7 @@
                 engine.clear()
             engine.listed = listed
             engines[listed.id] = engine
+        self.rates.forget_engines(set(engines))
         for removed in self._engines.values():
             for request_id in removed.placed:
                 self._placed.pop(request_id, None)
@@ -253,7 +254,10 @@
                 continue
             engine = self._engines.get(prompt.engine)
             if engine is not None:
-                engine.mark_prefilled(prompt, now_ms)
+                sample = engine.mark_prefilled(prompt, BASE_FIRST_TOKEN_MS, now_ms)
+                if sample is not None:
+                    listed = engine.listed
+                    self.rates.record(listed.service, listed.id, *sample, now_ms)
             self._pending_saves.difference_update(prompt.keys)
 
     def is_queued(self, request_id: str, now_ms: int) -> bool:
@@ -340,13 +344,20 @@
         prompts = engine.placed.values() if engine else ()
         return sum(1 for prompt in prompts if not prompt.is_prefilled)
 
-    def mean_queue_ms(self) -> float:
+    def mean_queue_ms(self, now_ms: int) -> float:
         """Return the mean time in which engines prefill their placed prompts."""
         engines = [
             engine for engine in self._engines.values() if not engine.listed.is_loading
         ]
-        pending_tokens = sum(sum(engine.pending_prefill_tokens) for engine in engines)
-        return pending_tokens / PREFILL_TOKENS_PER_MS / max(1, len(engines))
+        queues_ms = (
+            sum(engine.pending_prefill_tokens) / self._tokens_per_ms(engine, now_ms)
+            for engine in engines
+        )
+        return sum(queues_ms) / max(1, len(engines))
+
+    def _tokens_per_ms(self, engine: EngineState, now_ms: int) -> float:
+        listed = engine.listed
+        return self.rates.tokens_per_ms(listed.service, listed.id, now_ms)
 
     def _find_usable(self, context: "_PlacementContext") -> list[EngineState]:
         request = context.request
@@ -411,15 +422,17 @@
         source = self._find_source(engine, context, version, cached)
         held = max(cached, source.held_tokens)
         uncached_tokens = max(1, request.tokens - held)
-        first_token_ms = BASE_FIRST_TOKEN_MS + uncached_tokens / PREFILL_TOKENS_PER_MS
-        first_token_ms += _wait_ms(engine, context, urgency)
+        tokens_per_ms = self._tokens_per_ms(engine, context.now_ms)
+        first_token_ms = BASE_FIRST_TOKEN_MS + uncached_tokens / tokens_per_ms
+        first_token_ms += _wait_ms(engine, context, urgency, tokens_per_ms)
         first_token_ms += source.transfer_ms + RUNNING_REQUEST_MS * len(engine.placed)
         delay_ms = self.limits.wait_ms(engine.listed.id, 1, context.now_ms)
         first_token_ms += delay_ms
         late_ms = first_token_ms - LATE_OBJECTIVE_FRACTION * request.objective_ms
         cost_ms = context.wait_weight * first_token_ms + LIMIT_WAIT_WEIGHT * delay_ms
         cost_ms += LATENESS_WEIGHT * max(0.0, late_ms)
-        cost_ms += RECOMPUTE_MS_PER_TOKEN * max(0, context.shared_tokens - held)
+        recompute_ms = max(0, context.shared_tokens - held) / tokens_per_ms
+        cost_ms += RECOMPUTE_WEIGHT * recompute_ms
         superseded_for_ms = self._superseded_for_ms(context, version)
         if superseded_for_ms is not None and superseded_for_ms >= OLD_WEIGHTS_GRACE_MS:
             cost_ms += OLD_WEIGHTS_PENALTY_MS
@@ -671,9 +684,15 @@
         return shared
 
 
-def _wait_ms(engine: EngineState, context: _PlacementContext, urgency: int) -> float:
+def _wait_ms(
+    engine: EngineState,
+    context: _PlacementContext,
+    urgency: int,
+    tokens_per_ms: float,
+) -> float:
     """Return the estimated time until an engine begins to prefill a prompt."""
-    wait_ms = engine.prefill_tokens_ahead(urgency) / PREFILL_TOKENS_PER_MS
+    wait_ms = engine.prefill_tokens_ahead(urgency) / tokens_per_ms
+    wait_ms = max(0.0, wait_ms - engine.unreported_work_ms(context.now_ms))
     wait_ms += engine.slot_wait_ms(context.slots)
     if urgency > context.urgency:
         wait_ms *= DEMOTED_WAIT_FACTOR
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -421,3 +421,29 @@
     windows = [sum(0 <= t - s < 4000 for t in sends["1"]) for s in sends["1"]]
     assert max(windows) <= 1.5 * 4.0 * 4 + 5
     assert refused >= 250
+
+
+def test_burst_at_fast_engines_is_not_refused():
+    """Guards against refusals by the speed of another deployment.
+
+    Engines that prefill 101 tokens per ms get prompts of 2,400 tokens at 85% of what
+    they can prefill.
+    """
+    table, rate, period_ms = make("1", "2"), 101.0, 14
+    free_ms = {"1": 0.0, "2": 0.0}
+    pending = []
+    results = Counter()
+    for number in range(1500):
+        now_ms = number * period_ms
+        for name, done_ms in [one for one in pending if one[1] + 60 <= now_ms]:
+            pending.remove((name, done_ms))
+            table.record_prefilled([name], now_ms)
+            table.record_end([name])
+        request = prompt(f"r{number}", f"o{number}", tokens=2400, objective_ms=250)
+        placed = place(table, request, now_ms)
+        results[number // 500, bool(placed.endpoint), placed.urgency] += 1
+        if placed.endpoint:
+            begin_ms = max(free_ms[placed.endpoint], now_ms + 2)
+            free_ms[placed.endpoint] = begin_ms + 2400 / rate
+            pending.append((request.request_id, free_ms[placed.endpoint]))
+    assert results[2, True, 0] == 500
