Keep engines in service for short answers until their long ones end

Change: engines wind down before an order. They keep taking prompts with short answers; a prompt is charged the expected time of its answer there. The order follows when what runs would end within half a load, or after a fifth of the time limit. Times of answers are learned from ended requests (routing/answertimes.py). Tests: test_engine_stays_in_service_until_its_long_answers_end, test_long_answers_avoid_an_engine_that_is_about_to_load_weights.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -241,6 +241,7 @@
     async def _manage_weight_loads(self) -> None:
         weights = self._control.document_store.weights
         if not self._rollout.has_work(self._endpoints, weights):
+            self._control.placements.winding_down = frozenset()
             await self._release_order_claim()
         elif await self._acquire_order_claim():
             self._send_due_orders()
@@ -253,10 +254,11 @@
             self._endpoints,
             weights,
             placements.count_not_started,
-            placements.outstanding,
+            lambda endpoint_id: placements.remaining_answer_ms(endpoint_id, now_ms),
             placements.mean_queue_ms(now_ms),
             now_ms,
         )
+        placements.winding_down = self._rollout.winding_down()
         for order in orders:
             self._last_order_ms = now_ms
             task = asyncio.ensure_future(self._send_order(order, self._term))
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -419,7 +419,7 @@
         progress = msgspec.msgpack.decode(body, type=PromptProgress)
         placements, now_ms = self.placements, self.now_ms()
         placements.record_prefilled(progress.prefilled, now_ms)
-        placements.record_end(progress.ended)
+        placements.record_end(progress.ended, now_ms)
         placements.record_unreachable(progress.unreachable_engines, now_ms)
         placements.record_refusal(progress.refused, now_ms)
         placements.limits.merge(progress.limits, now_ms)
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -46,7 +46,7 @@
         expires_ms: Monotonic time after which the request has ended in any case.
         placed_ms: Monotonic time of the placement.
         keys: Parts of the prompt, which stay in memory until the request ends.
-        is_prefilled: Whether its first token has arrived.
+        first_token_ms: Monotonic time of its first token, None before it.
     """
 
     engine: str
@@ -56,7 +56,12 @@
     expires_ms: int
     placed_ms: int = 0
     keys: tuple[PartKey, ...] = ()
-    is_prefilled: bool = False
+    first_token_ms: int | None = None
+
+    @property
+    def is_prefilled(self) -> bool:
+        """Whether its first token has arrived."""
+        return self.first_token_ms is not None
 
 
 @dataclass
@@ -134,6 +139,19 @@
         """Return the tokens to be prefilled before a prompt of this urgency."""
         return sum(self.pending_prefill_tokens[: urgency + 1])
 
+    def remaining_answer_ms(self, token_ms: float, now_ms: int) -> float:
+        """Return the expected time until all placed requests have ended.
+
+        Args:
+            token_ms: Expected time of an output token.
+            now_ms: Monotonic time.
+        """
+        ends_ms = (
+            (prompt.first_token_ms or now_ms) + token_ms * prompt.output_tokens
+            for prompt in self.placed.values()
+        )
+        return max(0.0, max(ends_ms, default=0.0) - now_ms)
+
     def unreported_work_ms(self, now_ms: int) -> int:
         """Return the time of prefill that no first token has shown yet."""
         silent_ms = now_ms - self.busy_since_ms
@@ -209,7 +227,7 @@
             )
             self.busy_since_ms = now_ms
             self.progress.record_first_token(prompt.urgency, prompt.placed_ms, now_ms)
-            prompt.is_prefilled = True
+            prompt.first_token_ms = now_ms
             self.pending_prefill_tokens[prompt.urgency] -= prompt.prefill_tokens
             self.incomplete.difference_update(prompt.keys)
         return sample
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -21,6 +21,7 @@
 from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.configuration.routes import Service
 from mustardtrack.membership.endpoint_list import ListedEndpoint
+from mustardtrack.routing.answertimes import AnswerTimes
 from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.enginestate import (
     URGENCY_LEVELS,
@@ -159,6 +160,8 @@
         limits: Limits that engines name for the requests of all hosts together.
         notices: What the endpoints announced to the routers.
         rates: Learned prefill rates of the engines.
+        answer_times: Learned times of answers.
+        winding_down: Engines that are about to load weights when their answers end.
 
     Args:
         weights_limit_ms: Time after a version was named as the newest after which
@@ -169,6 +172,8 @@
         self.limits = RateLimits("")
         self.notices = EndpointNotices()
         self.rates = PrefillRates()
+        self.answer_times = AnswerTimes()
+        self.winding_down: frozenset[str] = frozenset()
         self._engines: dict[str, EngineState] = {}
         self._placed: dict[str, PlacedPrompt] = {}
         self._stored: OrderedDict[PartKey, int] = OrderedDict()
@@ -270,9 +275,15 @@
             prompt.urgency, prompt.placed_ms, now_ms
         )
 
-    def record_end(self, request_ids: Iterable[str]) -> None:
-        """Remove requests that have ended."""
+    def record_end(self, request_ids: Iterable[str], now_ms: int | None = None) -> None:
+        """Remove requests that have ended, at a known time if it is given."""
         for request_id in request_ids:
+            prompt = self._placed.get(request_id)
+            engine = self._engines.get(prompt.engine) if prompt else None
+            if prompt and engine and prompt.first_token_ms and now_ms is not None:
+                duration_ms = now_ms - prompt.first_token_ms
+                service = engine.listed.service
+                self.answer_times.record(service, prompt.output_tokens, duration_ms)
             self._remove(request_id)
 
     def record_unreachable(self, endpoint_ids: Iterable[str], now_ms: int) -> None:
@@ -344,6 +355,14 @@
         prompts = engine.placed.values() if engine else ()
         return sum(1 for prompt in prompts if not prompt.is_prefilled)
 
+    def remaining_answer_ms(self, endpoint_id: str, now_ms: int) -> float:
+        """Return the expected time until all requests on an engine have ended."""
+        engine = self._engines.get(endpoint_id)
+        if engine is None:
+            return 0.0
+        token_ms = self.answer_times.token_ms(engine.listed.service)
+        return engine.remaining_answer_ms(token_ms, now_ms)
+
     def mean_queue_ms(self, now_ms: int) -> float:
         """Return the mean time in which engines prefill their placed prompts."""
         engines = [
@@ -439,6 +458,9 @@
         begin_ms = BEGIN_UNCERTAINTY_FACTOR * first_token_ms
         if begin_ms > self._left_to_send_ms(context, version):
             cost_ms = math.inf
+        if engine.listed.id in self.winding_down:
+            token_ms = self.answer_times.token_ms(request.service)
+            cost_ms += token_ms * request.output_tokens
         cost_ms += REFUSAL_PENALTY_MS * engine.recent_refusals(context.now_ms)
         if engine.listed.zone != request.zone:
             cost_ms += ZONE_PENALTY_MS
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -36,6 +36,13 @@
 MIN_ORDER_TIMEOUT_MS = 2000
 # Fraction of the time limit after which such an order is issued again at the latest.
 ORDER_TIMEOUT_FRACTION = 0.5
+# Time of running answers, as a fraction of a load, up to which an engine is ordered to
+# load. Until then it stays in service for short answers.
+READY_LOAD_FRACTION = 0.5
+# Longest time for which an engine winds down, as a fraction of the time limit.
+MAX_WIND_DOWN_FRACTION = 0.2
+# Engines that wind down or load, as a multiple of the concurrent loads.
+WIND_DOWN_FACTOR = 1.5
 # Time in which no order goes to an engine that could not be reached.
 UNREACHABLE_PAUSE_MS = 1000
 
@@ -73,12 +80,17 @@
         self._load_times = load_times
         self._pending: dict[str, _PendingOrder] = {}
         self._deferred_until_ms: dict[str, int] = {}
+        self._winding_down_ms: dict[str, int] = {}
         self._weights_history = WeightsVersionHistory()
 
     def pending_endpoints(self) -> frozenset[str]:
         """Return the endpoints that drain for an order or have not completed it."""
         return frozenset(self._pending)
 
+    def winding_down(self) -> frozenset[str]:
+        """Return the endpoints that get an order when their long answers end."""
+        return frozenset(self._winding_down_ms)
+
     def has_work(
         self, endpoints: Sequence[ListedEndpoint], newest_versions: Mapping[str, int]
     ) -> bool:
@@ -94,7 +106,7 @@
         endpoints: Sequence[ListedEndpoint],
         newest_versions: Mapping[str, int],
         count_not_started: Callable[[str], int],
-        count_running: Callable[[str], int],
+        remaining_ms: Callable[[str], float],
         mean_queue_ms: float,
         now_ms: int,
     ) -> list[WeightsOrder]:
@@ -105,7 +117,8 @@
             newest_versions: Newest version of each model.
             count_not_started: Function that returns the number of requests that
                 have not started at an endpoint.
-            count_running: Function that returns the number of all its requests.
+            remaining_ms: Function that returns the expected time until all requests
+                of an endpoint have ended.
             mean_queue_ms: Mean time to prefill the prompts placed on an engine.
             now_ms: Monotonic time.
         """
@@ -121,17 +134,19 @@
         # be updated while new versions follow each other quickly. A load begins when
         # the running requests have ended.
         outdated.sort(
-            key=lambda item: (item[0].weights[item[1]], count_running(item[0].id))
+            key=lambda item: (item[0].weights[item[1]], remaining_ms(item[0].id))
         )
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL_LOADS, int(engines * MAX_LOADING_FRACTION))
         self._weights_history.update(newest_versions, now_ms)
         if mean_queue_ms > BUSY_QUEUE_MS and self._has_slack(outdated, limit, now_ms):
             limit = max(1, int(BUSY_LIMIT_FACTOR * limit))
+        self._wind_down(outdated, limit, now_ms)
         for endpoint, _, version in outdated:
             if len(self._pending) >= limit:
                 break
-            if self._may_load(endpoint):
+            if self._is_ready(endpoint, remaining_ms, now_ms):
+                del self._winding_down_ms[endpoint.id]
                 self._pending[endpoint.id] = _PendingOrder(version, now_ms)
         orders: list[WeightsOrder] = []
         for endpoint, model, version in outdated:
@@ -144,6 +159,42 @@
                 orders.append(WeightsOrder(endpoint, model, version))
         return orders
 
+    def _wind_down(
+        self,
+        outdated: Sequence[tuple[ListedEndpoint, str, int]],
+        limit: int,
+        now_ms: int,
+    ) -> None:
+        """Choose the engines that are ordered to load next."""
+        eligible = [
+            endpoint.id for endpoint, _, _ in outdated if self._may_load(endpoint)
+        ]
+        known = self._winding_down_ms
+        self._winding_down_ms = {
+            endpoint_id: since_ms
+            for endpoint_id, since_ms in known.items()
+            if endpoint_id in eligible
+        }
+        most = math.ceil(WIND_DOWN_FACTOR * limit)
+        for endpoint_id in eligible:
+            if len(self._pending) + len(self._winding_down_ms) >= most:
+                return
+            self._winding_down_ms.setdefault(endpoint_id, now_ms)
+
+    def _is_ready(
+        self,
+        endpoint: ListedEndpoint,
+        remaining_ms: Callable[[str], float],
+        now_ms: int,
+    ) -> bool:
+        """Return whether an engine that winds down is ordered to load now."""
+        since_ms = self._winding_down_ms.get(endpoint.id)
+        if since_ms is None:
+            return False
+        load_ms = self._load_times.expected_ms(endpoint.service)
+        is_overdue = now_ms - since_ms >= MAX_WIND_DOWN_FRACTION * self._limit_ms
+        return is_overdue or remaining_ms(endpoint.id) <= READY_LOAD_FRACTION * load_ms
+
     def _has_slack(
         self,
         outdated: Sequence[tuple[ListedEndpoint, str, int]],
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -447,3 +447,15 @@
             free_ms[placed.endpoint] = begin_ms + 2400 / rate
             pending.append((request.request_id, free_ms[placed.endpoint]))
     assert results[2, True, 0] == 500
+
+
+def test_long_answers_avoid_an_engine_that_is_about_to_load_weights():
+    """Guards against a load that waits for answers which began just before it."""
+    table = make("1", "2")
+    table.winding_down = frozenset({"1"})
+    placed = [place(table, prompt(f"l{n}", f"o{n}", tokens=400)) for n in range(4)]
+    assert {one.endpoint for one in placed} == {"2"}
+    table.record_prefilled([f"l{n}" for n in range(4)], 100)
+    assert table.remaining_answer_ms("2", 200) > table.remaining_answer_ms("1", 200)
+    table.record_end([f"l{n}" for n in range(4)], 300)
+    assert table.remaining_answer_ms("2", 300) == 0
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -101,14 +101,35 @@
     assert len(rollout.plan(engines, {"m": 2}, idle, idle, busy_ms, 0)) == 6
 
 
-def test_engine_with_the_fewest_requests_loads_first():
+def test_engine_whose_answers_end_first_loads_first():
     """Guards against waiting for long answers while another engine is nearly idle."""
     engines = [engine("a", 1), engine("b", 1), engine("c", 1)]
-    running = {"a": 9, "b": 0, "c": 4}.__getitem__
-    orders = Rollout(LIMIT_MS).plan(engines, {"m": 2}, idle, running, 0, 0)
+    remaining = {"a": 900, "b": 0, "c": 400}.__getitem__
+    orders = Rollout(LIMIT_MS).plan(engines, {"m": 2}, idle, remaining, 0, 0)
     assert names(orders) == ["b", "c"]
 
 
+def test_engine_stays_in_service_until_its_long_answers_end():
+    """Guards against engines that refuse all prompts while they decode for seconds."""
+    rollout = Rollout(LIMIT_MS)
+    engines = [engine(f"e{n}", 1) for n in range(6)]
+    remaining = {one.id: 4 * LOAD_MS for one in engines}
+    assert rollout.plan(engines, {"m": 2}, idle, remaining.get, 0, 0) == []
+    assert rollout.pending_endpoints() == frozenset()
+    chosen = rollout.winding_down()
+    assert len(chosen) == 3
+    first = sorted(chosen)[0]
+    remaining[first] = 100
+    assert names(rollout.plan(engines, {"m": 2}, idle, remaining.get, 0, 500)) == [
+        first
+    ]
+    # The others are not waited for without end.
+    later_ms = int(rollout_module.MAX_WIND_DOWN_FRACTION * LIMIT_MS)
+    orders = rollout.plan(engines, {"m": 2}, idle, remaining.get, 0, later_ms)
+    assert len(orders) == 1
+    assert rollout.pending_endpoints() >= {first}
+
+
 def test_unreachable_engine_leaves_its_place_to_another():
     """Guards against a crashed engine that holds one of the concurrent loads."""
     rollout = Rollout(LIMIT_MS)
