Let engines wind down while a new leader may not order yet

Change: engines wind down from the election on. Test: test_engines_wind_down_while_no_orders_may_be_issued.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -243,10 +243,10 @@
         if not self._rollout.has_work(self._endpoints, weights):
             self._control.placements.winding_down = frozenset()
             await self._release_order_claim()
-        elif await self._acquire_order_claim():
-            self._send_due_orders()
+        else:
+            self._send_due_orders(may_order=await self._acquire_order_claim())
 
-    def _send_due_orders(self) -> None:
+    def _send_due_orders(self, may_order: bool) -> None:
         now_ms = self._control.now_ms()
         weights = self._control.document_store.weights
         placements = self._control.placements
@@ -257,6 +257,7 @@
             lambda endpoint_id: placements.remaining_answer_ms(endpoint_id, now_ms),
             placements.mean_queue_ms(now_ms),
             now_ms,
+            may_order,
         )
         placements.winding_down = self._rollout.winding_down()
         for order in orders:
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -109,6 +109,7 @@
         remaining_ms: Callable[[str], float],
         mean_queue_ms: float,
         now_ms: int,
+        may_order: bool = True,
     ) -> list[WeightsOrder]:
         """Return the orders to issue now and record them as issued.
 
@@ -121,6 +122,7 @@
                 of an endpoint have ended.
             mean_queue_ms: Mean time to prefill the prompts placed on an engine.
             now_ms: Monotonic time.
+            may_order: Whether orders may be issued; if not, engines only wind down.
         """
         self._remove_completed(endpoints, now_ms)
         outdated = [
@@ -142,6 +144,8 @@
         if mean_queue_ms > BUSY_QUEUE_MS and self._has_slack(outdated, limit, now_ms):
             limit = max(1, int(BUSY_LIMIT_FACTOR * limit))
         self._wind_down(outdated, limit, now_ms)
+        if not may_order:
+            return []
         for endpoint, _, version in outdated:
             if len(self._pending) >= limit:
                 break
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -152,3 +152,21 @@
     for now_ms in range(0, 3 * LIMIT_MS, 500):
         rollout.renew_order("a", now_ms)
         assert rollout.plan(engines, {"m": 2}, idle, idle, 0, now_ms) == []
+
+
+def test_engines_wind_down_while_no_orders_may_be_issued():
+    """Guards against a new leader that loses the time until its first order."""
+    rollout = Rollout(LIMIT_MS)
+    engines = [engine(f"e{n}", 1) for n in range(6)]
+
+    def plan(now_ms, may_order):
+        long = 4 * LOAD_MS
+        return rollout.plan(
+            engines, {"m": 2}, idle, lambda name: long, 0, now_ms, may_order
+        )
+
+    assert plan(0, may_order=False) == []
+    assert len(rollout.winding_down()) == 3
+    later_ms = int(rollout_module.MAX_WIND_DOWN_FRACTION * LIMIT_MS)
+    assert plan(later_ms, may_order=False) == []
+    assert len(plan(later_ms, may_order=True)) == 2
