Send no order to an engine after the leadership that allowed it

Cause: the leader checked its lease before it opened a connection for an order. Change: calls check a condition once the connection is open, immediately before they send; orders check the lease and the term. Test: test_call_is_not_sent_after_its_permission_has_ended. The calls had no such condition before.

--- a/mustardtrack/adapters/tests/test_upstream.py
+++ b/mustardtrack/adapters/tests/test_upstream.py
@@ -464,6 +464,26 @@
     run_scenario(scenario)
 
 
+def test_call_is_not_sent_after_its_permission_has_ended(monkeypatch):
+    """Guards against an order of a process that was paused while it connected."""
+
+    async def scenario():
+        connection = connect()
+
+        async def open_connection(*arguments):
+            return connection
+
+        monkeypatch.setattr(upstream, "open_connection", open_connection)
+        pool = ConnectionPool(None)
+        arguments = ("10.0.0.1:1", b"POST", b"/x", [], b"{}", 0.5, 0.5)
+        with pytest.raises(ConnectError, match="permission"):
+            await pool.call(*arguments, may_send=lambda: False)
+        assert connection.transport.written == b""
+        assert pool.has_idle("10.0.0.1:1")
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("is_lost", [False, True])
 def test_connection_with_bytes_before_the_request_is_not_used(monkeypatch, is_lost):
     """Guards against requests counted as sent on a connection that is closed."""
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -651,6 +651,7 @@
         read_timeout_s: float,
         total_timeout_s: float = MAX_CALL_DURATION_S,
         max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and the body of the response.
 
@@ -664,14 +665,21 @@
             read_timeout_s: Longest time between two events of the response.
             total_timeout_s: Time limit for the response.
             max_body_bytes: Largest accepted response body.
+            may_send: Checked once the connection is open, immediately before the
+                request is sent.
 
         Raises:
-            ConnectError: If a new connection cannot be opened.
+            ConnectError: If a new connection cannot be opened, or the request may not
+                be sent any more.
             ConnectionBrokenError: If no complete response arrived.
         """
         connection = self.take(address)
         if connection is None:
             connection = await self.open(address, connect_timeout_s)
+            connection.is_reusable = True
+        if not may_send():
+            self.put(address, connection)
+            raise ConnectError("not sent: the permission has ended")
         request_headers = [(b"host", address.encode()), *headers]
         if body:
             request_headers.append((b"content-type", b"application/json"))
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -1,6 +1,7 @@
 """Leader task that reads the platform's endpoint list and orders weight loads."""
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -274,8 +275,14 @@
         error = ""
         status = 0
         try:
+            # Leadership may end while the connection is opened.
             status, _ = await self._call(
-                order.endpoint.address, b"POST", WEIGHTS_ORDER_TARGET, body, headers
+                order.endpoint.address,
+                b"POST",
+                WEIGHTS_ORDER_TARGET,
+                body,
+                headers,
+                may_send=lambda: self._leads_in(term),
             )
         except ConnectionBrokenError as failure:
             error = str(failure)
@@ -347,6 +354,9 @@
             return None, False
         return report.weights, report.is_busy
 
+    def _leads_in(self, term: int) -> bool:
+        return self._control.is_leader() and self._control.term() == term
+
     async def _call(
         self,
         address: str,
@@ -354,6 +364,7 @@
         target: bytes,
         body: bytes,
         headers: list[tuple[bytes, bytes]] | None = None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
         return await self._pool.call(
             address,
@@ -365,6 +376,7 @@
             CALL_TIMEOUT_S,
             CALL_DURATION_S,
             MAX_ANSWER_BYTES,
+            may_send,
         )
 
 
