Refuse prompts whose estimate is near the time at which callers leave

Change: the fraction is 0.7. The factor for demoted prompts stays at 2; with 3, prompts of a short burst were refused instead of demoted, which two tests rule out.

--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -125,7 +125,7 @@
 MIN_CALLER_TIMEOUT_MS = 2000
 # Fraction of the caller's timeout beyond which an estimate leads to a refusal, since
 # estimates are rough and the caller may retry.
-CALLER_TIMEOUT_FRACTION = 0.9
+CALLER_TIMEOUT_FRACTION = 0.7
 
 
 def cache_salt(model: str, version: int | None, isolated_account: str) -> str:
