Keep orders of engines that do not say whether they are busy

Cause, by reading: an engine whose report has no 'busy' field counted as idle, and its order as lost after a second, so that it would have been ordered again and again. An engine that wound down for one version kept that time for the next one. Change: only a stated false counts as idle; the rollout forgets engines that wind down when all have the newest weights. Tests: test_engine_that_does_not_say_whether_it_is_busy_keeps_its_order, test_next_version_does_not_find_engines_that_wound_down_before.

--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -198,11 +198,11 @@
 
     Attributes:
         weights: Loaded weights version of each model.
-        is_busy: Whether it is carrying out an order.
+        is_busy: Whether it is carrying out an order, None if it does not say.
     """
 
     weights: dict[str, int]
-    is_busy: bool = False
+    is_busy: bool | None = None
 
 
 def decode_weights_report(body: bytes) -> WeightsReport:
@@ -212,7 +212,10 @@
         ValueError: If the report is not a JSON object.
     """
     data = load_listing(body, "models", "the engine report").data
-    return WeightsReport(_decode_weights(data.get("models")), data.get("busy") is True)
+    busy = data.get("busy")
+    return WeightsReport(
+        _decode_weights(data.get("models")), busy if isinstance(busy, bool) else None
+    )
 
 
 def encode_weights_order(model: str, version: int, holder: str, fence: int) -> bytes:
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -242,6 +242,7 @@
     async def _manage_weight_loads(self) -> None:
         weights = self._control.document_store.weights
         if not self._rollout.has_work(self._endpoints, weights):
+            self._rollout.end_wind_down()
             self._control.placements.winding_down = frozenset()
             await self._release_order_claim()
         else:
@@ -340,7 +341,7 @@
 
     async def _read_report(
         self, endpoint: ListedEndpoint
-    ) -> tuple[dict[str, int] | None, bool]:
+    ) -> tuple[dict[str, int] | None, bool | None]:
         """Return the weights, None without a report, and whether an order is active."""
         try:
             status, body = await self._call(
@@ -351,7 +352,7 @@
             report = decode_weights_report(body)
         except UNREADABLE_ERRORS as error:
             log_event(REPORT_READ_FAILED, endpoint=endpoint.id, error=str(error))
-            return None, False
+            return None, None
         return report.weights, report.is_busy
 
     def _leads_in(self, term: int) -> bool:
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -63,6 +63,10 @@
         """Whether its first token has arrived."""
         return self.first_token_ms is not None
 
+    def answered_for_ms(self, now_ms: int) -> int:
+        """Return the time since the first token, 0 before it."""
+        return 0 if self.first_token_ms is None else now_ms - self.first_token_ms
+
 
 @dataclass
 class TransferLink:
@@ -146,11 +150,11 @@
             token_ms: Expected time of an output token.
             now_ms: Monotonic time.
         """
-        ends_ms = (
-            (prompt.first_token_ms or now_ms) + token_ms * prompt.output_tokens
+        remaining_ms = (
+            token_ms * prompt.output_tokens - prompt.answered_for_ms(now_ms)
             for prompt in self.placed.values()
         )
-        return max(0.0, max(ends_ms, default=0.0) - now_ms)
+        return max(0.0, max(remaining_ms, default=0.0))
 
     def unreported_work_ms(self, now_ms: int) -> int:
         """Return the time of prefill that no first token has shown yet."""
--- a/mustardtrack/routing/loadprogress.py
+++ b/mustardtrack/routing/loadprogress.py
@@ -46,13 +46,17 @@
     idle_reports: int = 0
 
     def record_report(
-        self, weights: Mapping[str, int] | None, is_busy: bool, elapsed_ms: float
+        self,
+        weights: Mapping[str, int] | None,
+        is_busy: bool | None,
+        elapsed_ms: float,
     ) -> LoadStep:
         """Return what a report shows.
 
         Args:
             weights: Reported versions, None if the engine did not answer.
-            is_busy: Whether the engine reports that it carries out an order.
+            is_busy: Whether the engine reports that it carries out an order, None if
+                it does not say.
             elapsed_ms: Time since the order.
         """
         if weights is None:
@@ -65,7 +69,7 @@
         if is_busy:
             self.idle_reports = 0
             return LoadStep.IN_PROGRESS
-        if elapsed_ms >= MIN_IDLE_MS:
+        if is_busy is False and elapsed_ms >= MIN_IDLE_MS:
             self.idle_reports += 1
         is_lost = self.idle_reports >= MAX_IDLE_REPORTS
         return LoadStep.LOST if is_lost else LoadStep.UNCLEAR
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -278,14 +278,19 @@
     def record_end(self, request_ids: Iterable[str], now_ms: int | None = None) -> None:
         """Remove requests that have ended, at a known time if it is given."""
         for request_id in request_ids:
-            prompt = self._placed.get(request_id)
-            engine = self._engines.get(prompt.engine) if prompt else None
-            if prompt and engine and prompt.first_token_ms and now_ms is not None:
-                duration_ms = now_ms - prompt.first_token_ms
-                service = engine.listed.service
-                self.answer_times.record(service, prompt.output_tokens, duration_ms)
+            if now_ms is not None:
+                self._learn_answer_time(request_id, now_ms)
             self._remove(request_id)
 
+    def _learn_answer_time(self, request_id: str, now_ms: int) -> None:
+        prompt = self._placed.get(request_id)
+        engine = self._engines.get(prompt.engine) if prompt else None
+        if prompt is None or engine is None or prompt.first_token_ms is None:
+            return
+        duration_ms = now_ms - prompt.first_token_ms
+        service = engine.listed.service
+        self.answer_times.record(service, prompt.output_tokens, duration_ms)
+
     def record_unreachable(self, endpoint_ids: Iterable[str], now_ms: int) -> None:
         """Start a backoff for engines that a router could not reach."""
         for endpoint_id in endpoint_ids:
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -246,6 +246,10 @@
         self._pending.pop(endpoint_id, None)
         self._deferred_until_ms[endpoint_id] = now_ms + UNREACHABLE_PAUSE_MS
 
+    def end_wind_down(self) -> None:
+        """Forget the engines that wind down, as all have the newest weights."""
+        self._winding_down_ms.clear()
+
     def _may_load(self, endpoint: ListedEndpoint) -> bool:
         is_known = endpoint.id in self._pending or endpoint.id in (
             self._deferred_until_ms
--- a/mustardtrack/routing/tests/test_loadprogress.py
+++ b/mustardtrack/routing/tests/test_loadprogress.py
@@ -35,3 +35,9 @@
     late = [(OLD, False, 1000 + 200 * n) for n in range(MAX_IDLE_REPORTS)]
     assert LoadStep.LOST not in steps(*early)
     assert steps(*early, *late)[-1] is LoadStep.LOST
+
+
+def test_engine_that_does_not_say_whether_it_is_busy_keeps_its_order():
+    """Guards against an order every second to an engine that loads for long."""
+    reports = [(OLD, None, 500 * n) for n in range(1, 20)]
+    assert set(steps(*reports)) == {LoadStep.UNCLEAR}
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -170,3 +170,23 @@
     later_ms = int(rollout_module.MAX_WIND_DOWN_FRACTION * LIMIT_MS)
     assert plan(later_ms, may_order=False) == []
     assert len(plan(later_ms, may_order=True)) == 2
+
+
+def test_next_version_does_not_find_engines_that_wound_down_before():
+    """Guards against orders without a wind-down for the next version."""
+    rollout = Rollout(LIMIT_MS)
+    engines = [engine("a", 1), engine("b", 1)]
+
+    def plan(version, now_ms):
+        long = 4 * LOAD_MS
+        return rollout.plan(
+            engines, {"m": version}, idle, lambda name: long, 0, now_ms, False
+        )
+
+    plan(2, 0)
+    rollout.end_wind_down()
+    plan(3, 10 * LIMIT_MS)
+    orders = rollout.plan(
+        engines, {"m": 3}, idle, lambda name: 4 * LOAD_MS, 0, 10 * LIMIT_MS + 50
+    )
+    assert orders == []
