--- a/mustardtrack/routing/endpointnotices.py
+++ b/mustardtrack/routing/endpointnotices.py
@@ -101,6 +101,8 @@
 
     def accepts(self, endpoint: ListedEndpoint, now_ms: int) -> bool:
         """Return whether new requests may be sent to an endpoint."""
+        if not self._leaving_ms and not self._paused_until_ms:
+            return True  # Routers ask this for each endpoint and request.
         is_paused = self.pause_ms(endpoint, now_ms) > 0
         return not is_paused and not self.is_leaving(endpoint, now_ms)
 
