Let engines with short answers wind down only for a free place

Cause: half as many engines again as may load at once were charged for long prompts while they waited for a place. Change: beyond the free places, only engines whose answers last longer than a load wind down. Test: test_engines_with_short_answers_wind_down_only_for_a_free_place.

--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -41,7 +41,8 @@
 READY_LOAD_FRACTION = 0.5
 # Longest time for which an engine winds down, as a fraction of the time limit.
 MAX_WIND_DOWN_FRACTION = 0.2
-# Engines that wind down or load, as a multiple of the concurrent loads.
+# Engines that wind down or load, as a multiple of the concurrent loads, if answers last
+# longer than a load. Otherwise only engines that can load at once wind down.
 WIND_DOWN_FACTOR = 1.5
 # Time in which no order goes to an engine that could not be reached.
 UNREACHABLE_PAUSE_MS = 1000
@@ -143,7 +144,7 @@
         self._weights_history.update(newest_versions, now_ms)
         if mean_queue_ms > BUSY_QUEUE_MS and self._has_slack(outdated, limit, now_ms):
             limit = max(1, int(BUSY_LIMIT_FACTOR * limit))
-        self._wind_down(outdated, limit, now_ms)
+        self._wind_down(outdated, limit, remaining_ms, now_ms)
         if not may_order:
             return []
         for endpoint, _, version in outdated:
@@ -167,12 +168,15 @@
         self,
         outdated: Sequence[tuple[ListedEndpoint, str, int]],
         limit: int,
+        remaining_ms: Callable[[str], float],
         now_ms: int,
     ) -> None:
         """Choose the engines that are ordered to load next."""
-        eligible = [
-            endpoint.id for endpoint, _, _ in outdated if self._may_load(endpoint)
-        ]
+        eligible = {
+            endpoint.id: endpoint.service
+            for endpoint, _, _ in outdated
+            if self._may_load(endpoint)
+        }
         known = self._winding_down_ms
         self._winding_down_ms = {
             endpoint_id: since_ms
@@ -180,10 +184,13 @@
             if endpoint_id in eligible
         }
         most = math.ceil(WIND_DOWN_FACTOR * limit)
-        for endpoint_id in eligible:
-            if len(self._pending) + len(self._winding_down_ms) >= most:
+        for endpoint_id, service in eligible.items():
+            busy = len(self._pending) + len(self._winding_down_ms)
+            if busy >= most:
                 return
-            self._winding_down_ms.setdefault(endpoint_id, now_ms)
+            load_ms = self._load_times.expected_ms(service)
+            if busy < limit or remaining_ms(endpoint_id) > load_ms:
+                self._winding_down_ms.setdefault(endpoint_id, now_ms)
 
     def _is_ready(
         self,
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -190,3 +190,14 @@
         engines, {"m": 3}, idle, lambda name: 4 * LOAD_MS, 0, 10 * LIMIT_MS + 50
     )
     assert orders == []
+
+
+def test_engines_with_short_answers_wind_down_only_for_a_free_place():
+    """Guards against a fleet that keeps long prompts off engines for no reason."""
+    rollout = Rollout(LIMIT_MS)
+    engines = [engine(f"e{n}", 1) for n in range(10)]
+    short = LOAD_MS / 4
+    orders = rollout.plan(engines, {"m": 2}, idle, lambda name: short, 0, 0)
+    assert len(orders) == 4
+    rollout.plan(engines, {"m": 2}, idle, lambda name: short, 0, 100)
+    assert rollout.winding_down() == frozenset()
