Log engines that return to older weights and versions that are outdated

Whether an engine has old weights because it was never ordered to load newer ones, or because it went back to older ones, could not be told from the log. 8936 names an engine whose listed version falls; 8932 names the engines without the newest versions. The merge of the list and the reports moves to a module of its own, unchanged.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -23,6 +23,7 @@
     endpoint_list_target,
 )
 from mustardtrack.platform.headers import expect_instance_header
+from mustardtrack.routing.engineweights import EngineWeights
 from mustardtrack.routing.loadprogress import LoadProgress, LoadStep
 from mustardtrack.routing.loadtimes import LoadTimes
 from mustardtrack.routing.rollout import Rollout, WeightsOrder
@@ -41,6 +42,9 @@
 REPORT_READ_FAILED = define_event(
     8934, "WARNING", "engine's weights report could not be read"
 )
+WEIGHTS_RETURNED = define_event(
+    8936, "WARNING", "engine has older weights than it had before"
+)
 ORDER_ANSWERED = define_event(8933, "INFO", "weight load order answered or failed")
 
 # The JSON decoder raises RecursionError for deeply nested bytes.
@@ -82,7 +86,7 @@
         self._next_list_read_ms = 0
         self._platform_entries: tuple[ListedEndpoint, ...] = ()
         self._endpoints: tuple[ListedEndpoint, ...] = ()
-        self._reported_weights: dict[str, dict[str, int]] = {}
+        self._engine_weights = EngineWeights()
         self._skipped_entries = 0
         self._has_list = False
         self._last_published: tuple[ListedEndpoint, ...] = ()
@@ -104,7 +108,7 @@
                 self._next_list_read_ms = now_ms + self._settings.timing.list_period_ms
                 await self._read_list()
             if self._has_list and self._control.is_leader():
-                self._merge_reported_weights()
+                self._merge_engine_state()
                 await self._manage_weight_loads()
                 self._publish()
 
@@ -117,7 +121,7 @@
         self._list_sequence = 0
         self._rollout = Rollout(self._settings.bounds.weights_ms, self._load_times)
         self._has_list = False
-        self._reported_weights = {}
+        self._engine_weights = EngineWeights()
         self._last_published = ()
 
     async def _read_list(self) -> None:
@@ -130,6 +134,14 @@
             log_event(LIST_READ_FAILED, error=str(error))
             return
         self._platform_entries = tuple(sorted(entries, key=lambda entry: entry.id))
+        for found in self._engine_weights.record_list(self._platform_entries):
+            log_event(
+                WEIGHTS_RETURNED,
+                endpoint=found.endpoint_id,
+                model=found.model,
+                version=found.version,
+                previous_version=found.previous_version,
+            )
         self._has_list = True
 
     async def _fetch_pages(self) -> list[ListedEndpoint]:
@@ -171,19 +183,15 @@
             self._skipped_entries = skipped
             log_event(ENTRIES_SKIPPED, skipped=skipped)
 
-    def _merge_reported_weights(self) -> None:
-        """Merge the platform's list with newer weights versions reported by engines.
+    def _merge_engine_state(self) -> None:
+        """Merge the platform's list with what engines report and announce.
 
         Endpoints that announced to a router that they leave count as draining.
         """
         notices, now_ms = self._control.placements.notices, self._control.now_ms()
-        known = {entry.id for entry in self._platform_entries}
-        for endpoint_id in [one for one in self._reported_weights if one not in known]:
-            del self._reported_weights[endpoint_id]
         self._endpoints = tuple(
             _with_announcement(
-                _with_reported_weights(entry, self._reported_weights.get(entry.id)),
-                notices.is_leaving(entry, now_ms),
+                self._engine_weights.merge(entry), notices.is_leaving(entry, now_ms)
             )
             for entry in self._platform_entries
         )
@@ -209,11 +217,25 @@
                 endpoints=len(listed),
                 draining=[one.id for one in listed if one.is_draining],
                 loading=[one.id for one in listed if one.is_loading],
+                outdated=self._outdated_weights(listed),
             )
         self._control.publish_endpoints(
             EndpointList(self._term, self._list_sequence, listed)
         )
 
+    def _outdated_weights(
+        self, listed: tuple[ListedEndpoint, ...]
+    ) -> dict[str, dict[str, int]]:
+        """Return the versions of the engines that do not have the newest ones."""
+        newest = self._control.document_store.weights
+        return {
+            one.id: one.weights
+            for one in listed
+            if any(
+                one.weights.get(model, last) < last for model, last in newest.items()
+            )
+        }
+
     async def _acquire_order_claim(self) -> bool:
         """Return whether this leader may send orders now.
 
@@ -323,7 +345,7 @@
             if step is LoadStep.COMPLETED:
                 assert weights is not None
                 self._load_times.record(endpoint.service, waited_ms, elapsed_ms)
-                self._reported_weights[endpoint.id] = weights
+                self._engine_weights.record_report(endpoint.id, weights)
             if not self._apply_step(step, endpoint.id):
                 return
             waited_ms = elapsed_ms
@@ -391,15 +413,3 @@
     if not is_leaving or endpoint.is_draining:
         return endpoint
     return msgspec.structs.replace(endpoint, is_draining=True)
-
-
-def _with_reported_weights(
-    endpoint: ListedEndpoint, reported: dict[str, int] | None
-) -> ListedEndpoint:
-    if not reported:
-        return endpoint
-    newest = {
-        model: max(version, reported.get(model, 0))
-        for model, version in endpoint.weights.items()
-    }
-    return msgspec.structs.replace(endpoint, weights=newest)
--- a/mustardtrack/process/tests/test_endpoint_watch.py
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -131,7 +131,7 @@
         loop = asyncio.get_running_loop()
         start_s = loop.time()
         await watch._wait_for_load(WeightsOrder(endpoint, "m", 2), 0)
-        assert watch._reported_weights["e"] == {"m": 2}
+        assert watch._engine_weights.merge(endpoint).weights == {"m": 2}
         return loop.time() - start_s
 
     assert asyncio.run(measure()) < 3 * load_s
