--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -100,17 +100,21 @@
         self._pool = ConnectionPool(reactor)
         while True:
             await asyncio.sleep(WATCH_PERIOD_S)
-            if not self._control.is_leader() or self._settings.host_list is None:
-                continue
-            self._reset_for_new_term()
-            now_ms = self._control.now_ms()
-            if now_ms >= self._next_list_read_ms:
-                self._next_list_read_ms = now_ms + self._settings.timing.list_period_ms
-                await self._read_list()
-            if self._has_list and self._control.is_leader():
-                self._merge_engine_state()
-                await self._manage_weight_loads()
-                self._publish()
+            await self.advance()
+
+    async def advance(self) -> None:
+        """Read the list if it is due, send the due orders and publish the list."""
+        if not self._control.is_leader() or self._settings.host_list is None:
+            return
+        self._reset_for_new_term()
+        now_ms = self._control.now_ms()
+        if now_ms >= self._next_list_read_ms:
+            self._next_list_read_ms = now_ms + self._settings.timing.list_period_ms
+            await self._read_list()
+        if self._has_list and self._control.is_leader():
+            self._merge_engine_state()
+            await self._manage_weight_loads()
+            self._publish()
 
     def _reset_for_new_term(self) -> None:
         term = self._control.term()
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -29,6 +29,7 @@
 from mustardtrack.routing.endpointstate import EndpointTable
 from mustardtrack.routing.placementmessages import Placement
 from mustardtrack.routing.weightslimit import WeightsLimit
+from mustardtrack.testing.virtualtime import VirtualTimeLoop
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\ntransfer-encoding: chunked\r\n"
@@ -41,27 +42,6 @@
 WEIGHTS_LIMIT_MS = 6000
 
 
-class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """Event loop whose clock jumps to the next timer when nothing is ready."""
-
-    def __init__(self):
-        super().__init__()
-        self._now_s = 0.0
-        self._wait = self._selector.select
-        self._selector.select = self._skip
-
-    def time(self):
-        """Return the virtual time in seconds."""
-        return self._now_s
-
-    def _skip(self, timeout_s=None):
-        if timeout_s is None:
-            raise AssertionError("the scenario waits without a timer")
-        # The loop runs a timer that is due within the resolution of its clock.
-        self._now_s += max(0.0, timeout_s)
-        return self._wait(0)
-
-
 class StandInSocket:
     """Socket that accepts every option."""
 
--- /dev/null
+++ b/mustardtrack/process/tests/test_late_orders.py
@@ -0,0 +1,119 @@
+"""Guards against engines that stay on old weights after an order came late.
+
+The leader's task that orders weight loads is real; the engines, the platform's list and
+the replicated state are stand-ins, and virtual time runs them without waiting.
+"""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from mustardtrack.process.endpoint_watch import EndpointWatch
+from mustardtrack.routing.placements import PlacementTable
+from mustardtrack.settings.seeded import Bounds, SeededTiming
+from mustardtrack.testing.virtualtime import VirtualTimeLoop
+from mustardtrack.testing.weight_engines import LIST_ADDRESS, MODEL, WeightEngines
+
+LIMIT_MS = 15_000
+STEP_S = 0.05
+ENGINES = 3
+
+
+class Leader:
+    """Control host that leads, with replicated state in memory."""
+
+    name = "leader"
+
+    def __init__(self):
+        self.document_store = SimpleNamespace(weights={}, order_holder="")
+        self.placements = PlacementTable(LIMIT_MS)
+        self.published = None
+
+    def now_ms(self):
+        """Return the virtual time."""
+        return round(asyncio.get_running_loop().time() * 1000)
+
+    def is_leader(self):
+        """Return whether this host leads."""
+        return True
+
+    def term(self):
+        """Return the term."""
+        return 1
+
+    async def commit(self, command):
+        """Apply a claim of orders."""
+        self.document_store.order_holder = getattr(command, "holder", "")
+        return True
+
+    def publish_endpoints(self, endpoints):
+        """Adopt a list."""
+        self.published = endpoints
+        self.placements.update(endpoints.endpoints)
+
+
+class Rollout:
+    """The leader's task, the engines and the virtual time."""
+
+    def __init__(self):
+        self.engines = WeightEngines(ENGINES)
+        self.leader = Leader()
+        settings = SimpleNamespace(
+            bounds=Bounds(weights_ms=LIMIT_MS),
+            host_list=LIST_ADDRESS,
+            timing=SeededTiming(),
+        )
+        self._watch = EndpointWatch(self.leader, settings)
+        self._watch._pool = self.engines
+
+    async def name_version(self, version, at_s):
+        """Run the task until a time, and name a version then."""
+        await self.run_until(at_s)
+        self.leader.document_store.weights = {MODEL: version}
+
+    async def run_until(self, time_s):
+        """Run the task until a time of the loop."""
+        while asyncio.get_running_loop().time() < time_s:
+            await self._watch.advance()
+            await asyncio.sleep(STEP_S)
+
+
+def play(scenario):
+    """Run a scenario in virtual time."""
+    loop = VirtualTimeLoop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+@pytest.mark.parametrize("delay_ms", [2000, 4000, 6000, 9000, 12_000])
+def test_order_that_is_carried_out_late_leaves_no_engine_on_old_weights(delay_ms):
+    """Guards against an older order that undoes a newer one unnoticed."""
+
+    async def scenario():
+        rollout = Rollout()
+        for engine in rollout.engines.engines.values():
+            engine.late_orders = {0: delay_ms}
+        await rollout.name_version(2, at_s=2)
+        await rollout.name_version(3, at_s=5)
+        await rollout.run_until(5 + 1.5 * LIMIT_MS / 1000)
+        return rollout.engines.versions()
+
+    assert play(scenario) == [3] * ENGINES
+
+
+def test_engine_that_returns_to_old_weights_is_ordered_again():
+    """Guards against a report that hides an older version of the list for ever."""
+
+    async def scenario():
+        rollout = Rollout()
+        await rollout.name_version(2, at_s=1)
+        await rollout.run_until(10)
+        loaded = rollout.engines.versions()
+        rollout.engines.set_version("10.0.0.1:1", 1)
+        await rollout.run_until(18)
+        return loaded, rollout.engines.versions()
+
+    assert play(scenario) == ([2] * ENGINES, [2] * ENGINES)
