Let a list that is newer than a report show older weights of an engine

A report now counts until a list has been read that cannot be older, by the lag that the platform states (bounds.list_lag_ms).

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -86,7 +86,7 @@
         self._next_list_read_ms = 0
         self._platform_entries: tuple[ListedEndpoint, ...] = ()
         self._endpoints: tuple[ListedEndpoint, ...] = ()
-        self._engine_weights = EngineWeights()
+        self._engine_weights = EngineWeights(settings.bounds.list_lag_ms)
         self._skipped_entries = 0
         self._has_list = False
         self._last_published: tuple[ListedEndpoint, ...] = ()
@@ -125,10 +125,11 @@
         self._list_sequence = 0
         self._rollout = Rollout(self._settings.bounds.weights_ms, self._load_times)
         self._has_list = False
-        self._engine_weights = EngineWeights()
+        self._engine_weights = EngineWeights(self._settings.bounds.list_lag_ms)
         self._last_published = ()
 
     async def _read_list(self) -> None:
+        read_ms = self._control.now_ms()
         try:
             entries = await asyncio.wait_for(self._fetch_pages(), LIST_TIMEOUT_S)
         except TimeoutError:
@@ -138,7 +139,7 @@
             log_event(LIST_READ_FAILED, error=str(error))
             return
         self._platform_entries = tuple(sorted(entries, key=lambda entry: entry.id))
-        for found in self._engine_weights.record_list(self._platform_entries):
+        for found in self._engine_weights.record_list(self._platform_entries, read_ms):
             log_event(
                 WEIGHTS_RETURNED,
                 endpoint=found.endpoint_id,
@@ -349,7 +350,9 @@
             if step is LoadStep.COMPLETED:
                 assert weights is not None
                 self._load_times.record(endpoint.service, waited_ms, elapsed_ms)
-                self._engine_weights.record_report(endpoint.id, weights)
+                self._engine_weights.record_report(
+                    endpoint.id, weights, self._control.now_ms()
+                )
             if not self._apply_step(step, endpoint.id):
                 return
             waited_ms = elapsed_ms
--- a/mustardtrack/process/tests/test_endpoint_watch.py
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -10,6 +10,7 @@
 from mustardtrack.process import endpoint_watch
 from mustardtrack.process.endpoint_watch import EndpointWatch
 from mustardtrack.routing.rollout import WeightsOrder
+from mustardtrack.settings.seeded import Bounds
 
 PAGE_ENTRIES = 50
 
@@ -45,10 +46,9 @@
 
 
 def read_list(pool):
-    settings = SimpleNamespace(
-        bounds=SimpleNamespace(weights_ms=1000), host_list="10.0.0.1:1"
-    )
-    watch = EndpointWatch(None, settings)
+    settings = SimpleNamespace(bounds=Bounds(weights_ms=1000), host_list="10.0.0.1:1")
+    control = SimpleNamespace(now_ms=lambda: 0)
+    watch = EndpointWatch(control, settings)
     watch._pool = pool
     asyncio.run(watch._read_list())
     return watch
@@ -120,7 +120,7 @@
 
     async def measure():
         settings = SimpleNamespace(
-            bounds=SimpleNamespace(weights_ms=6000), host_list="10.0.0.1:1"
+            bounds=Bounds(weights_ms=6000), host_list="10.0.0.1:1"
         )
         control = SimpleNamespace(is_leader=lambda: True, now_ms=lambda: 0)
         watch = EndpointWatch(control, settings)
--- a/mustardtrack/routing/engineweights.py
+++ b/mustardtrack/routing/engineweights.py
@@ -6,7 +6,7 @@
 carried out seconds later, after a newer one.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -24,19 +24,55 @@
     previous_version: int
 
 
+@dataclass(frozen=True)
+class _Report:
+    weights: Mapping[str, int]
+    received_ms: int
+
+
 class EngineWeights:
-    """Newest known weights versions of the listed engines."""
+    """Newest known weights versions of the listed engines.
+
+    A report counts until a list that cannot be older has been read. Times are
+    monotonic milliseconds.
 
-    def __init__(self) -> None:
-        self._reported: dict[str, dict[str, int]] = {}
+    Args:
+        list_lag_ms: Greatest age of what the list shows when it is read.
+
+    Examples:
+        >>> engine = ListedEndpoint("e", 0, "s", "", "a", 8, False, False, {"m": 1})
+        >>> weights = EngineWeights(800)
+        >>> weights.record_report("e", {"m": 2}, 100)
+        >>> weights.record_list([engine], 500)
+        []
+        >>> weights.merge(engine).weights
+        {'m': 2}
+        >>> weights.record_list([engine], 900)
+        []
+        >>> weights.merge(engine).weights
+        {'m': 1}
+    """
+
+    def __init__(self, list_lag_ms: int) -> None:
+        self._list_lag_ms = list_lag_ms
+        self._reports: dict[str, _Report] = {}
         self._listed: dict[str, ListedEndpoint] = {}
 
-    def record_report(self, endpoint_id: str, weights: dict[str, int]) -> None:
+    def record_report(
+        self, endpoint_id: str, weights: Mapping[str, int], now_ms: int
+    ) -> None:
         """Record the versions that an engine reports."""
-        self._reported[endpoint_id] = weights
+        self._reports[endpoint_id] = _Report(weights, now_ms)
+
+    def record_list(
+        self, entries: Sequence[ListedEndpoint], read_ms: int
+    ) -> list[WeightsReturn]:
+        """Record a list and return the engines that have older weights than before.
 
-    def record_list(self, entries: Sequence[ListedEndpoint]) -> list[WeightsReturn]:
-        """Record a list and return the engines that have older weights than before."""
+        Args:
+            entries: Content of the list.
+            read_ms: Time at which reading it began.
+        """
         returns = [
             WeightsReturn(entry.id, model, version, previous_version)
             for entry in entries
@@ -45,21 +81,21 @@
             if (previous_version := previous.weights.get(model, 0)) > version
         ]
         self._listed = {entry.id: entry for entry in entries}
-        known = self._listed.keys()
-        self._reported = {
-            endpoint_id: weights
-            for endpoint_id, weights in self._reported.items()
-            if endpoint_id in known
+        self._reports = {
+            endpoint_id: report
+            for endpoint_id, report in self._reports.items()
+            if endpoint_id in self._listed
+            and read_ms < report.received_ms + self._list_lag_ms
         }
         return returns
 
     def merge(self, entry: ListedEndpoint) -> ListedEndpoint:
         """Return a listed engine with the newest known versions."""
-        reported = self._reported.get(entry.id)
-        if not reported:
+        report = self._reports.get(entry.id)
+        if report is None:
             return entry
         newest = {
-            model: max(version, reported.get(model, 0))
+            model: max(version, report.weights.get(model, 0))
             for model, version in entry.weights.items()
         }
         return msgspec.structs.replace(entry, weights=newest)
--- a/mustardtrack/settings/seeded.py
+++ b/mustardtrack/settings/seeded.py
@@ -59,13 +59,18 @@
 
 
 class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """Time limits that the deployment guarantees."""
+    """Time limits that the deployment guarantees.
+
+    Attributes:
+        list_lag_ms: Greatest age of what the platform's list shows when it is read.
+    """
 
     grace_s: Seconds = 8.0
     revoke_ms: Milliseconds = 5000
     order_lease_ms: Milliseconds = 3000
     directory_ttl_s: Seconds = 5.0
     weights_ms: Milliseconds = 15_000
+    list_lag_ms: Milliseconds = 1000
 
 
 class SeededTiming(
