--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -6,27 +6,22 @@
 
 import msgspec
 
-from mustardtrack.adapters.upstream import (
-    ConnectError,
-    ConnectionBrokenError,
-    ConnectionPool,
-)
+from mustardtrack.adapters.upstream import ConnectionPool
 from mustardtrack.configuration.documents import ClaimOrders, ReleaseOrders
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list import EndpointList, ListedEndpoint
 from mustardtrack.platform.endpoints import (
-    WEIGHTS_ORDER_TARGET,
-    WEIGHTS_REPORT_TARGET,
     decode_endpoint_list_page,
-    decode_weights_report,
-    encode_weights_order,
     endpoint_list_target,
 )
-from mustardtrack.platform.headers import expect_instance_header
+from mustardtrack.process.load_orders import (
+    UNREADABLE_ERRORS,
+    LeaderCalls,
+    LoadOrders,
+)
 from mustardtrack.routing.engineweights import EngineWeights
-from mustardtrack.routing.loadprogress import LoadProgress, LoadStep
 from mustardtrack.routing.loadtimes import LoadTimes
-from mustardtrack.routing.rollout import Rollout, WeightsOrder
+from mustardtrack.routing.rollout import Rollout
 
 if TYPE_CHECKING:
     from mustardtrack.process.seeded_control import SeededControlProcess
@@ -39,25 +34,13 @@
 ENTRIES_SKIPPED = define_event(
     8935, "WARNING", "entries of the platform's list name no usable endpoint"
 )
-REPORT_READ_FAILED = define_event(
-    8934, "WARNING", "engine's weights report could not be read"
-)
 WEIGHTS_RETURNED = define_event(
     8936, "WARNING", "engine has older weights than it had before"
 )
-ORDER_ANSWERED = define_event(8933, "INFO", "weight load order answered or failed")
-
-# The JSON decoder raises RecursionError for deeply nested bytes.
-UNREADABLE_ERRORS = (ConnectError, ConnectionBrokenError, ValueError, RecursionError)
 
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
 WATCH_PERIOD_S = 0.05
-# Answers to an order after which its effect is awaited. Without an answer (0), the
-# engine may have received the order; with 409, an earlier order is in progress.
-AWAITED_STATUSES = frozenset({0, 200, 202, 409})
-# Stands for the status of an order that could not be sent.
-NOT_SENT_STATUS = -1
 # An answer may arrive in parts over this time.
 CALL_DURATION_S = 2.0
 MAX_ANSWER_BYTES = 4_194_304
@@ -71,14 +54,13 @@
 ORDER_LEASE_MARGIN_MS = 500
 
 
-class EndpointWatch:
+class EndpointWatch(LeaderCalls):
     """Reads the endpoint list and sends load orders while this replica is leader."""
 
     def __init__(self, control: "SeededControlProcess", settings: "SeededSettings"):
         self._control = control
         self._settings = settings
         self._load_times = LoadTimes()
-        self._rollout = Rollout(settings.bounds.weights_ms, self._load_times)
         self._term = 0
         self._leader_since_ms = 0
         self._last_order_ms = 0
@@ -86,12 +68,11 @@
         self._next_list_read_ms = 0
         self._platform_entries: tuple[ListedEndpoint, ...] = ()
         self._endpoints: tuple[ListedEndpoint, ...] = ()
-        self._engine_weights = EngineWeights(settings.bounds.list_lag_ms)
         self._skipped_entries = 0
         self._has_list = False
         self._last_published: tuple[ListedEndpoint, ...] = ()
         self._next_publish_ms = 0
-        self._order_tasks: set[asyncio.Task[None]] = set()
+        self._begin_rollout()
 
     async def run(self) -> None:
         """Read the list and send orders until cancelled."""
@@ -123,11 +104,24 @@
         self._term = term
         self._leader_since_ms = self._last_order_ms = self._control.now_ms()
         self._list_sequence = 0
-        self._rollout = Rollout(self._settings.bounds.weights_ms, self._load_times)
+        self._begin_rollout()
         self._has_list = False
-        self._engine_weights = EngineWeights(self._settings.bounds.list_lag_ms)
         self._last_published = ()
 
+    def _begin_rollout(self) -> None:
+        """Forget the orders and reports of an earlier term."""
+        bounds = self._settings.bounds
+        self._rollout = Rollout(bounds.weights_ms, self._load_times)
+        self._engine_weights = EngineWeights(bounds.list_lag_ms)
+        self._load_orders = LoadOrders(
+            self,
+            self._term,
+            self._rollout,
+            self._load_times,
+            self._engine_weights,
+            bounds.weights_ms,
+        )
+
     async def _read_list(self) -> None:
         read_ms = self._control.now_ms()
         try:
@@ -291,102 +285,38 @@
         placements.winding_down = self._rollout.winding_down()
         for order in orders:
             self._last_order_ms = now_ms
-            task = asyncio.ensure_future(self._send_order(order, self._term))
-            self._order_tasks.add(task)
-            task.add_done_callback(self._order_tasks.discard)
+            self._load_orders.send(order)
 
-    async def _send_order(self, order: WeightsOrder, term: int) -> None:
-        body = encode_weights_order(
-            order.model, order.version, self._control.name, term
-        )
-        headers = [expect_instance_header(order.endpoint.id)]
-        error = ""
-        status = 0
-        try:
-            # Leadership may end while the connection is opened.
-            status, _ = await self._call(
-                order.endpoint.address,
-                b"POST",
-                WEIGHTS_ORDER_TARGET,
-                body,
-                headers,
-                may_send=lambda: self._leads_in(term),
-            )
-        except ConnectionBrokenError as failure:
-            error = str(failure)
-        except ConnectError as failure:
-            error, status = str(failure), NOT_SENT_STATUS
-        log_event(
-            ORDER_ANSWERED,
-            endpoint=order.endpoint.id,
-            model=order.model,
-            version=order.version,
-            fence=term,
-            status=status,
-            error=error,
-        )
-        if status in AWAITED_STATUSES:
-            await self._wait_for_load(order, term)
-        elif term == self._term and status == NOT_SENT_STATUS:
-            self._rollout.defer_order(order.endpoint.id, self._control.now_ms())
-        elif term == self._term:
-            self._rollout.discard_order(order.endpoint.id)
-
-    async def _wait_for_load(self, order: WeightsOrder, term: int) -> None:
-        """Poll the engine until it reports the load, since the platform's list lags."""
-        endpoint = order.endpoint
-        clock = asyncio.get_running_loop().time
-        start_s = clock()
-        waited_ms = 0.0
-        progress = LoadProgress(order.model, order.version)
-        limit_ms = self._settings.bounds.weights_ms
-        for time_ms in self._load_times.report_times_ms(endpoint.service, limit_ms):
-            await asyncio.sleep(max(0.0, start_s + time_ms / 1000 - clock()))
-            if term != self._term or not self._control.is_leader():
-                return
-            weights, is_busy = await self._read_report(endpoint)
-            elapsed_ms = (clock() - start_s) * 1000
-            step = progress.record_report(weights, is_busy, elapsed_ms)
-            if step is LoadStep.COMPLETED:
-                assert weights is not None
-                self._load_times.record(endpoint.service, waited_ms, elapsed_ms)
-                self._engine_weights.record_report(
-                    endpoint.id, weights, self._control.now_ms()
-                )
-            if not self._apply_step(step, endpoint.id):
-                return
-            waited_ms = elapsed_ms
-
-    def _apply_step(self, step: LoadStep, endpoint_id: str) -> bool:
-        """Tell the rollout of a report and return whether to ask for another one."""
-        now_ms = self._control.now_ms()
-        if step is LoadStep.LOST:
-            self._rollout.discard_order(endpoint_id)
-        elif step is LoadStep.UNREACHABLE:
-            self._rollout.defer_order(endpoint_id, now_ms)
-        elif step is LoadStep.IN_PROGRESS:
-            self._rollout.renew_order(endpoint_id, now_ms)
-        return step in (LoadStep.IN_PROGRESS, LoadStep.UNCLEAR)
-
-    async def _read_report(
-        self, endpoint: ListedEndpoint
-    ) -> tuple[dict[str, int] | None, bool | None]:
-        """Return the weights, None without a report, and whether an order is active."""
-        try:
-            status, body = await self._call(
-                endpoint.address, b"GET", WEIGHTS_REPORT_TARGET, b""
-            )
-            if status != 200:
-                raise ValueError(f"status {status}")
-            report = decode_weights_report(body)
-        except UNREADABLE_ERRORS as error:
-            log_event(REPORT_READ_FAILED, endpoint=endpoint.id, error=str(error))
-            return None, None
-        return report.weights, report.is_busy
+    # Calls that the delivery of orders makes
+
+    @property
+    def name(self) -> str:
+        """Name of this control host."""
+        return self._control.name
 
-    def _leads_in(self, term: int) -> bool:
+    def now_ms(self) -> int:
+        """Return monotonic milliseconds."""
+        return self._control.now_ms()
+
+    def leads_in(self, term: int) -> bool:
+        """Return whether this host leads in a term."""
         return self._control.is_leader() and self._control.term() == term
 
+    async def call_engine(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+        headers: list[tuple[bytes, bytes]],
+        term: int,
+    ) -> tuple[int, bytes]:
+        """Call an engine, while this host leads in a term."""
+        # Leadership may end while the connection is opened.
+        return await self._call(
+            address, method, target, body, headers, lambda: self.leads_in(term)
+        )
+
     async def _call(
         self,
         address: str,
--- a/mustardtrack/process/tests/test_endpoint_watch.py
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -122,7 +122,9 @@
         settings = SimpleNamespace(
             bounds=Bounds(weights_ms=6000), host_list="10.0.0.1:1"
         )
-        control = SimpleNamespace(is_leader=lambda: True, now_ms=lambda: 0)
+        control = SimpleNamespace(
+            is_leader=lambda: True, now_ms=lambda: 0, term=lambda: 0
+        )
         watch = EndpointWatch(control, settings)
         watch._pool = EngineReports(load_s)
         endpoint = ListedEndpoint(
@@ -130,7 +132,7 @@
         )
         loop = asyncio.get_running_loop()
         start_s = loop.time()
-        await watch._wait_for_load(WeightsOrder(endpoint, "m", 2), 0)
+        await watch._load_orders.wait_for_load(WeightsOrder(endpoint, "m", 2))
         assert watch._engine_weights.merge(endpoint).weights == {"m": 2}
         return loop.time() - start_s
 
--- a/mustardtrack/settings/seeded.py
+++ b/mustardtrack/settings/seeded.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+Delay = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
 Milliseconds = Annotated[int, msgspec.Meta(gt=0, le=86_400_000)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -70,7 +71,7 @@
     order_lease_ms: Milliseconds = 3000
     directory_ttl_s: Seconds = 5.0
     weights_ms: Milliseconds = 15_000
-    list_lag_ms: Milliseconds = 1000
+    list_lag_ms: Delay = 1000
 
 
 class SeededTiming(
