Name the number of accepted orders in each order to load weights

It checks the expected number of accepted orders when it carries an order out, but the leader did not name it.

One more report is read for each order.

--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -199,10 +199,13 @@
     Attributes:
         weights: Loaded weights version of each model.
         is_busy: Whether it is carrying out an order, None if it does not say.
+        accepted_orders: Number of orders that it has accepted since its start, None
+            if it does not say.
     """
 
     weights: dict[str, int]
     is_busy: bool | None = None
+    accepted_orders: int | None = None
 
 
 def decode_weights_report(body: bytes) -> WeightsReport:
@@ -212,18 +215,29 @@
         ValueError: If the report is not a JSON object.
     """
     data = load_listing(body, "models", "the engine report").data
-    busy = data.get("busy")
+    busy, accepted = data.get("busy"), data.get("seq")
     return WeightsReport(
-        _decode_weights(data.get("models")), busy if isinstance(busy, bool) else None
+        _decode_weights(data.get("models")),
+        busy if isinstance(busy, bool) else None,
+        accepted if is_integer(accepted) else None,
     )
 
 
-def encode_weights_order(model: str, version: int, holder: str, fence: int) -> bytes:
+def encode_weights_order(
+    model: str, version: int, holder: str, fence: int, accepted_orders: int | None
+) -> bytes:
     """Encode the order to load weights after all running requests have finished.
 
-    ``fence`` is the fencing token of ``holder``.
+    Args:
+        model: Model whose weights are loaded.
+        version: Version to load.
+        holder: Control host that sends the order.
+        fence: Fencing token of ``holder``.
+        accepted_orders: Number of orders that the engine has accepted before this one;
+            it refuses the order otherwise, also if it carries it out late. None if the
+            number is not known.
     """
-    order = {
+    order: dict[str, Any] = {
         "op": "version",
         "model": model,
         "version": version,
@@ -231,6 +245,8 @@
         "holder": holder,
         "fence": fence,
     }
+    if accepted_orders is not None:
+        order["expected-revision"] = accepted_orders
     return json.dumps(order).encode()
 
 
--- a/mustardtrack/platform/tests/test_endpoints.py
+++ b/mustardtrack/platform/tests/test_endpoints.py
@@ -10,6 +10,7 @@
     decode_cache_events,
     decode_cache_snapshot,
     decode_endpoint_list_page,
+    decode_weights_report,
     decode_weights_request,
     encode_weights_order,
     endpoint_list_target,
@@ -75,8 +76,24 @@
 
 
 def test_weights_order_contains_holder_and_fencing_token():
-    order = json.loads(encode_weights_order("m", 2, "c1", 9))
+    order = json.loads(encode_weights_order("m", 2, "c1", 9, None))
     assert (order["holder"], order["fence"], order["switch-mode"]) == ("c1", 9, "queue")
+    assert "expected-revision" not in order
+
+
+def test_weights_order_names_the_orders_that_the_engine_reported():
+    """Guards against orders that an engine carries out after newer ones."""
+    body = b'{"models": [], "busy": false, "seq": 4}'
+    accepted_orders = decode_weights_report(body).accepted_orders
+    order = json.loads(encode_weights_order("m", 2, "c1", 9, accepted_orders))
+    assert order["expected-revision"] == 4
+
+
+@pytest.mark.parametrize("seq", ["true", "-1", '"4"', "null", "4.5", "1e999"])
+def test_count_of_orders_that_is_no_number_is_not_known(seq):
+    """Guards against orders that an engine refuses because of an odd report."""
+    body = b'{"models": [], "seq": %s}' % seq.encode()
+    assert decode_weights_report(body).accepted_orders is None
 
 
 def test_weights_request_requires_model_and_version():
--- a/mustardtrack/process/load_orders.py
+++ b/mustardtrack/process/load_orders.py
@@ -103,7 +103,9 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _send(self, order: WeightsOrder) -> None:
-        status = await self._deliver(order)
+        report = await self._read_report(order.endpoint)
+        accepted_orders = report.accepted_orders if report else None
+        status = await self._deliver(order, accepted_orders)
         if status in AWAITED_STATUSES:
             await self.wait_for_load(order)
         elif status == NOT_SENT_STATUS:
@@ -111,10 +113,16 @@
         else:
             self._rollout.discard_order(order.endpoint.id)
 
-    async def _deliver(self, order: WeightsOrder) -> int:
-        """Send an order and return the status of the answer."""
+    async def _deliver(self, order: WeightsOrder, accepted_orders: int | None) -> int:
+        """Send an order and return the status of the answer.
+
+        Args:
+            order: Order to send.
+            accepted_orders: Orders that the engine has accepted. An order without an
+                answer may be carried out after a newer one; the engine then refuses it.
+        """
         body = encode_weights_order(
-            order.model, order.version, self._calls.name, self._term
+            order.model, order.version, self._calls.name, self._term, accepted_orders
         )
         headers = [expect_instance_header(order.endpoint.id)]
         error = ""
@@ -138,6 +146,7 @@
             model=order.model,
             version=order.version,
             fence=self._term,
+            accepted_orders=accepted_orders,
             status=status,
             error=error,
         )
--- a/mustardtrack/process/tests/test_late_orders.py
+++ b/mustardtrack/process/tests/test_late_orders.py
@@ -56,8 +56,8 @@
 class Rollout:
     """The leader's task, the engines and the virtual time."""
 
-    def __init__(self):
-        self.engines = WeightEngines(ENGINES)
+    def __init__(self, engines=ENGINES):
+        self.engines = WeightEngines(engines)
         self.leader = Leader()
         settings = SimpleNamespace(
             bounds=Bounds(weights_ms=LIMIT_MS),
@@ -104,6 +104,26 @@
     assert play(scenario) == [3] * ENGINES
 
 
+@pytest.mark.parametrize("delay_ms", [2000, 4000, 6000, 9000, 12_000])
+def test_no_engine_goes_back_to_an_older_version(delay_ms):
+    """Guards against an older order that is carried out after a newer one."""
+
+    async def scenario():
+        rollout = Rollout()
+        for engine in rollout.engines.engines.values():
+            engine.late_orders = {0: delay_ms}
+        await rollout.name_version(2, at_s=2)
+        await rollout.name_version(3, at_s=5)
+        await rollout.run_until(5 + 1.5 * LIMIT_MS / 1000)
+        return [
+            [version for _, version in engine.history]
+            for engine in rollout.engines.engines.values()
+        ]
+
+    for versions in play(scenario):
+        assert versions == sorted(versions)
+
+
 def test_engine_that_returns_to_old_weights_is_ordered_again():
     """Guards against a report that hides an older version of the list for ever."""
 
