Send an order again at once if it gets no answer

The leader waited for the effect of an order without an answer for at least 1 s and three reports before it sent another one, and held one of the places among the loads meanwhile.

An order that names the accepted orders is carried out at most once, so it is sent up to four times in a row, after a report that shows no order in progress. test_unanswered_orders_do_not_delay_the_rollout_beyond_its_limit failed before: six of nine engines had old weights at the limit.

--- a/mustardtrack/process/load_orders.py
+++ b/mustardtrack/process/load_orders.py
@@ -26,11 +26,15 @@
 
 # The JSON decoder raises RecursionError for deeply nested bytes.
 UNREADABLE_ERRORS = (ConnectError, ConnectionBrokenError, ValueError, RecursionError)
-# Answers to an order after which its effect is awaited. Without an answer (0), the
-# engine may have received the order; with 409, an earlier order is in progress.
-AWAITED_STATUSES = frozenset({0, 200, 202, 409})
+NO_ANSWER_STATUS = 0
+IN_PROGRESS_STATUS = 409
+# Answers to an order after which its effect is awaited. Without an answer, the engine
+# may have received the order.
+AWAITED_STATUSES = frozenset({NO_ANSWER_STATUS, 200, 202, IN_PROGRESS_STATUS})
 # Stands for the status of an order that could not be sent.
 NOT_SENT_STATUS = -1
+# Sends of an order that gets no answer. The engine then waits as one without an effect.
+MAX_SENDS = 4
 
 
 class LeaderCalls(ABC):
@@ -103,15 +107,28 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _send(self, order: WeightsOrder) -> None:
-        report = await self._read_report(order.endpoint)
-        accepted_orders = report.accepted_orders if report else None
-        status = await self._deliver(order, accepted_orders)
+        """Send an order until it is answered, and follow its load.
+
+        An order that names the accepted orders is carried out at most once, however
+        often it is sent.
+        """
+        endpoint_id = order.endpoint.id
+        for _ in range(MAX_SENDS):
+            report = await self._read_report(order.endpoint)
+            if report is not None and report.is_busy:
+                status = IN_PROGRESS_STATUS
+                break
+            accepted_orders = report.accepted_orders if report else None
+            status = await self._deliver(order, accepted_orders)
+            if status != NO_ANSWER_STATUS or accepted_orders is None:
+                break
+            self._rollout.renew_order(endpoint_id, self._calls.now_ms())
         if status in AWAITED_STATUSES:
             await self.wait_for_load(order)
         elif status == NOT_SENT_STATUS:
-            self._rollout.defer_order(order.endpoint.id, self._calls.now_ms())
+            self._rollout.defer_order(endpoint_id, self._calls.now_ms())
         else:
-            self._rollout.discard_order(order.endpoint.id)
+            self._rollout.discard_order(endpoint_id)
 
     async def _deliver(self, order: WeightsOrder, accepted_orders: int | None) -> int:
         """Send an order and return the status of the answer.
@@ -126,7 +143,7 @@
         )
         headers = [expect_instance_header(order.endpoint.id)]
         error = ""
-        status = 0
+        status = NO_ANSWER_STATUS
         try:
             status, _ = await self._calls.call_engine(
                 order.endpoint.address,
--- a/mustardtrack/process/tests/test_late_orders.py
+++ b/mustardtrack/process/tests/test_late_orders.py
@@ -124,6 +124,20 @@
         assert versions == sorted(versions)
 
 
+def test_unanswered_orders_do_not_delay_the_rollout_beyond_its_limit():
+    """Guards against a rollout that waits for the effect of lost orders in turn."""
+
+    async def scenario():
+        rollout = Rollout(engines=9)
+        for engine in rollout.engines.engines.values():
+            engine.late_orders = {0: 12_000, 1: 12_000}
+        await rollout.name_version(2, at_s=2)
+        await rollout.run_until(2 + LIMIT_MS / 1000)
+        return rollout.engines.versions()
+
+    assert play(scenario) == [2] * 9
+
+
 def test_engine_that_returns_to_old_weights_is_ordered_again():
     """Guards against a report that hides an older version of the list for ever."""
 
