Complete an order by the version of its own model

An order counted as completed if any model of the engine had a version as large, so that an engine with two models was ordered again in each round of the plan while it loaded the one with the lower version.

--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -59,6 +59,7 @@
 
 @dataclass
 class _PendingOrder:
+    model: str
     version: int
     drain_started_ms: int
     is_issued: bool = False
@@ -147,12 +148,12 @@
         self._wind_down(outdated, limit, remaining_ms, now_ms)
         if not may_order:
             return []
-        for endpoint, _, version in outdated:
+        for endpoint, model, version in outdated:
             if len(self._pending) >= limit:
                 break
             if self._is_ready(endpoint, remaining_ms, now_ms):
                 del self._winding_down_ms[endpoint.id]
-                self._pending[endpoint.id] = _PendingOrder(version, now_ms)
+                self._pending[endpoint.id] = _PendingOrder(model, version, now_ms)
         orders: list[WeightsOrder] = []
         for endpoint, model, version in outdated:
             order = self._pending.get(endpoint.id)
@@ -160,7 +161,7 @@
                 continue
             is_drained = count_not_started(endpoint.id) == 0
             if is_drained or now_ms - order.drain_started_ms >= MAX_DRAIN_MS:
-                order.version, order.is_issued = version, True
+                order.model, order.version, order.is_issued = model, version, True
                 orders.append(WeightsOrder(endpoint, model, version))
         return orders
 
@@ -282,7 +283,7 @@
     def _is_completed(
         self, order: _PendingOrder, endpoint: ListedEndpoint, now_ms: int
     ) -> bool:
-        version = max(endpoint.weights.values(), default=0)
+        version = endpoint.weights.get(order.model, order.version)
         timeout_ms = MAX_DRAIN_MS + self.order_timeout_ms(endpoint.service)
         is_overdue = now_ms - order.drain_started_ms > timeout_ms
         return version >= order.version or is_overdue
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -1,5 +1,7 @@
 """Guards against engines that are updated to new weights late or never."""
 
+import msgspec
+
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.routing import rollout as rollout_module
 from mustardtrack.routing.loadtimes import LoadTimes
@@ -65,6 +67,18 @@
     ]
 
 
+def test_order_of_one_model_is_not_completed_by_another_model():
+    """Guards against orders that are sent again while an engine loads."""
+    rollout = Rollout(LIMIT_MS)
+    newest = {"m": 2, "n": 5}
+    old = msgspec.structs.replace(engine("a", 1), weights={"m": 1, "n": 5})
+    assert names(rollout.plan([old], newest, idle, idle, 0, 0)) == ["a"]
+    assert rollout.plan([old], newest, idle, idle, 0, 100) == []
+    new = msgspec.structs.replace(old, weights=newest)
+    assert rollout.plan([new], newest, idle, idle, 0, 200) == []
+    assert rollout.pending_endpoints() == frozenset()
+
+
 def test_updated_and_removed_engines_free_capacity_for_further_loads():
     rollout = Rollout(LIMIT_MS)
     engines = [engine(f"e{n}", 1) for n in range(4)]
