Exchange the ages of weights versions between processes

Each router, each control host and each rollout counted the time limit of superseded weights from when it saw a version first. A process that started or began to lead counted the whole limit anew, and one that never saw version 2 counted version 1 from the naming of version 3.

Control hosts now count from the time at which they apply a version, and syncs and the leader's messages carry the ages of versions; the longest one counts, since a message can only shorten an age. The plan of loads and the placement of prompts share one history.

--- a/mustardtrack/configuration/documents.py
+++ b/mustardtrack/configuration/documents.py
@@ -47,6 +47,13 @@
 DocumentCommand = PutDocument | NameWeights | ClaimOrders | ReleaseOrders
 
 
+def summarize_command(command: DocumentCommand) -> str:
+    """Return a summary of a command for the log, without the document itself."""
+    if isinstance(command, PutDocument):
+        return f"version {command.version}, {len(command.content)} bytes"
+    return repr(command)
+
+
 class DocumentOutcome(msgspec.Struct, frozen=True, tag="document_kept"):
     """Current version after a command, and whether the command had an effect."""
 
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -8,6 +8,7 @@
 from mustardtrack.membership.endpoint_list import EndpointList
 from mustardtrack.membership.endpoint_list_changes import EndpointListChange
 from mustardtrack.routing.endpointnotices import Incarnation
+from mustardtrack.routing.weightsversions import VersionAges
 
 
 class SyncRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -17,7 +18,8 @@
     the term and sequence of the endpoint list are those that the router has. The reply
     may be delayed by up to ``hold_ms`` until there is something newer.
     ``crash_revision`` is that of its evidence on crashes, and ``refused_parts`` are
-    the refusals in that evidence, for a host that has none.
+    the refusals in that evidence, for a host that has none. ``weights_ages`` are the
+    times in ms since weights versions were named.
     """
 
     name: str
@@ -31,6 +33,7 @@
     hold_ms: int
     crash_revision: str = ""
     refused_parts: list[RefusedParts] = []
+    weights_ages: VersionAges = {}
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
@@ -44,7 +47,8 @@
     ``content`` is the compressed document, empty if the router has it already.
     ``crash_evidence`` is set by the leader if the router does not have it; ``limits``
     are the limits of endpoints that the leader knows, and ``prefill_rates`` the tokens
-    that the engines of each service prefill per ms.
+    that the engines of each service prefill per ms. ``weights_ages`` are the times in
+    ms since weights versions were named.
     """
 
     stale_ms: int
@@ -61,6 +65,7 @@
     crash_evidence: CrashEvidence | None = None
     limits: dict[str, Observation] = {}
     prefill_rates: dict[str, float] = {}
+    weights_ages: VersionAges = {}
 
 
 class DocumentReadReply(msgspec.Struct, frozen=True, array_like=True):
@@ -74,13 +79,15 @@
 class ControlHosts(msgspec.Struct, frozen=True, array_like=True):
     """What the leader knows of hosts and endpoints, sent to the other replicas.
 
-    ``prefill_rates`` are the tokens that the engines of each service prefill per ms.
+    ``prefill_rates`` are the tokens that the engines of each service prefill per ms,
+    ``weights_ages`` the times in ms since weights versions were named.
     """
 
     term: int
     names: list[str]
     endpoints: EndpointList
     prefill_rates: dict[str, float] = {}
+    weights_ages: VersionAges = {}
 
 
 class PromptProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -201,6 +201,7 @@
             hold_ms=hold_ms,
             crash_revision=view.parts.revision,
             refused_parts=view.parts.offers(sent_ms),
+            weights_ages=view.weights_limit.ages(sent_ms),
         )
         body = msgspec.msgpack.encode(request)
         answer = await self._bus.request(name, "sync", body, timeout_ms)
@@ -212,6 +213,7 @@
             view.table = decode_manifest(zlib.decompress(reply.content))
             log_event(TABLE_ADOPTED, version=view.table.version, control=name)
             self._on_table_adopted(view.table)
+        view.weights_limit.adopt(reply.weights_ages, self._clock.now_ms())
         if reply.revision > view.revision:
             view.weights = reply.weights
             view.weights_limit.update(reply.weights, self._clock.now_ms())
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -111,7 +111,9 @@
     def _begin_rollout(self) -> None:
         """Forget the orders and reports of an earlier term."""
         bounds = self._settings.bounds
-        self._rollout = Rollout(bounds.weights_ms, self._load_times)
+        self._rollout = Rollout(
+            self._control.placements.weights_limit, self._load_times
+        )
         self._engine_weights = EngineWeights(bounds.list_lag_ms)
         self._load_orders = LoadOrders(
             self,
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -37,7 +37,7 @@
     DocumentCommand,
     DocumentOutcome,
     DocumentStore,
-    PutDocument,
+    summarize_command,
 )
 from mustardtrack.configuration.outcomes import decode_outcome
 from mustardtrack.configuration.routes import RouteTable
@@ -265,7 +265,8 @@
         self._control_names, self._control_names_term = sorted(set(names)), status.term
         self._apply_endpoint_list(endpoints)
         rates = self.placements.rates.service_rates()
-        message = ControlHosts(status.term, self._control_names, endpoints, rates)
+        ages = self.placements.weights_limit.ages(self.now_ms())
+        message = ControlHosts(status.term, self._control_names, endpoints, rates, ages)
         body = msgspec.msgpack.encode(message)
         for name in self._control_names:
             if name != self._name:
@@ -287,6 +288,8 @@
             await self._replica_task.wait_for_revision(
                 self.document_store.revision, 10_000
             )
+            limit = self.placements.weights_limit
+            limit.update(self.document_store.weights, self.now_ms())
             self._notify_waiters()
 
     # Formation
@@ -315,6 +318,7 @@
 
     async def _receive_hosts(self, sender: str, body: bytes) -> None:
         hosts = msgspec.msgpack.decode(body, type=ControlHosts)
+        self.placements.weights_limit.adopt(hosts.weights_ages, self.now_ms())
         if hosts.term >= self._control_names_term:
             self.placements.rates.adopt(hosts.prefill_rates)
             self._control_names, self._control_names_term = hosts.names, hosts.term
@@ -332,6 +336,7 @@
             )
         )
         self.part_crashes.adopt(request.refused_parts, self.now_ms())
+        self.placements.weights_limit.adopt(request.weights_ages, self.now_ms())
         if not self._has_updates_for(request):
             try:
                 async with asyncio.timeout(request.hold_ms / 1000):
@@ -381,6 +386,7 @@
             if self.is_leader()
             else {},
             prefill_rates=self.placements.rates.service_rates(),
+            weights_ages=self.placements.weights_limit.ages(self.now_ms()),
         )
 
     def _compress_document(self) -> bytes:
@@ -516,7 +522,7 @@
                 log_event(
                     COMMAND_COMMITTED,
                     command=type(command).__name__,
-                    content=_summarize_command(command),
+                    content=summarize_command(command),
                     in_force=outcome.version,
                     changed=outcome.changed,
                 )
@@ -525,7 +531,7 @@
         log_event(
             COMMAND_UNCONFIRMED,
             command=type(command).__name__,
-            content=_summarize_command(command),
+            content=summarize_command(command),
         )
         return None
 
@@ -605,10 +611,3 @@
     def _apply_settings(self, settings: SeededSettings) -> None:
         names = {*settings.seed_bus_addresses(), *self._control_names}
         self._replica.set_join_targets(sorted(names))
-
-
-def _summarize_command(command: DocumentCommand) -> str:
-    """Return a summary of a command for the log, without the document itself."""
-    if isinstance(command, PutDocument):
-        return f"version {command.version}, {len(command.content)} bytes"
-    return repr(command)
--- a/mustardtrack/process/tests/test_endpoint_watch.py
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -9,6 +9,7 @@
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.process import endpoint_watch
 from mustardtrack.process.endpoint_watch import EndpointWatch
+from mustardtrack.routing.placements import PlacementTable
 from mustardtrack.routing.rollout import WeightsOrder
 from mustardtrack.settings.seeded import Bounds
 
@@ -47,7 +48,7 @@
 
 def read_list(pool):
     settings = SimpleNamespace(bounds=Bounds(weights_ms=1000), host_list="10.0.0.1:1")
-    control = SimpleNamespace(now_ms=lambda: 0)
+    control = SimpleNamespace(now_ms=lambda: 0, placements=PlacementTable(1000))
     watch = EndpointWatch(control, settings)
     watch._pool = pool
     asyncio.run(watch._read_list())
@@ -123,7 +124,10 @@
             bounds=Bounds(weights_ms=6000), host_list="10.0.0.1:1"
         )
         control = SimpleNamespace(
-            is_leader=lambda: True, now_ms=lambda: 0, term=lambda: 0
+            is_leader=lambda: True,
+            now_ms=lambda: 0,
+            term=lambda: 0,
+            placements=PlacementTable(6000),
         )
         watch = EndpointWatch(control, settings)
         watch._pool = EngineReports(load_s)
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -164,11 +164,11 @@
         notices: What the endpoints announced to the routers.
         rates: Learned prefill rates of the engines.
         answer_times: Learned times of answers.
+        weights_limit: Time that is left to begin requests on each weights version.
         winding_down: Engines that are about to load weights when their answers end.
 
     Args:
-        weights_limit_ms: Time after a version was named as the newest after which
-            no request may begin on an older one.
+        weights_limit_ms: Time limit to begin requests on superseded weights.
     """
 
     def __init__(self, weights_limit_ms: int) -> None:
@@ -183,7 +183,7 @@
         self._pending_saves: set[PartKey] = set()
         self._stored_tokens = 0
         self._store_link = TransferLink()
-        self._weights_limit = WeightsLimit(weights_limit_ms)
+        self.weights_limit = WeightsLimit(weights_limit_ms)
         self._next_expiry_ms = 0
 
     def update(self, endpoints: Iterable[ListedEndpoint]) -> None:
@@ -223,7 +223,7 @@
             now_ms: Monotonic time.
         """
         self._expire(now_ms)
-        self._weights_limit.update(newest_versions, now_ms)
+        self.weights_limit.update(newest_versions, now_ms)
         context = _PlacementContext(request, service, store, newest_versions, now_ms)
         usable = self._find_usable(context)
         if not usable:
@@ -418,7 +418,7 @@
     def _left_to_send_ms(self, context: "_PlacementContext", version: int) -> float:
         """Return the time in which the prompt must begin on a weights version."""
         if version not in context.left_to_send_ms:
-            context.left_to_send_ms[version] = self._weights_limit.left_to_send_ms(
+            context.left_to_send_ms[version] = self.weights_limit.left_to_send_ms(
                 context.request.model, version, context.now_ms
             )
         return context.left_to_send_ms[version]
@@ -428,7 +428,7 @@
     ) -> int | None:
         """Return the time since a newer version was named, None if there is none."""
         if version not in context.superseded_for_ms:
-            context.superseded_for_ms[version] = self._weights_limit.superseded_for_ms(
+            context.superseded_for_ms[version] = self.weights_limit.superseded_for_ms(
                 context.request.model, version, context.now_ms
             )
         return context.superseded_for_ms[version]
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -12,7 +12,7 @@
 
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.routing.loadtimes import LoadTimes
-from mustardtrack.routing.weightsversions import WeightsVersionHistory
+from mustardtrack.routing.weightslimit import WeightsLimit
 
 # Fraction of the engines that may load concurrently. The platform names no bound; more
 # concurrent loads slow each other and leave too few engines for the traffic.
@@ -71,19 +71,18 @@
     One instance serves for one leadership term and starts without pending orders.
 
     Args:
-        limit_ms: Time after a version was named as the newest after which no
-            request may begin on an older one.
+        weights_limit: Time that is left to begin requests on each version.
         load_times: Learned load times of the engines.
     """
 
-    def __init__(self, limit_ms: int, load_times: LoadTimes) -> None:
-        self._limit_ms = limit_ms
-        self._completion_limit_ms = COMPLETION_FRACTION * limit_ms
+    def __init__(self, weights_limit: WeightsLimit, load_times: LoadTimes) -> None:
+        self._weights_limit = weights_limit
+        self._limit_ms = weights_limit.limit_ms
+        self._completion_limit_ms = COMPLETION_FRACTION * self._limit_ms
         self._load_times = load_times
         self._pending: dict[str, _PendingOrder] = {}
         self._deferred_until_ms: dict[str, int] = {}
         self._winding_down_ms: dict[str, int] = {}
-        self._weights_history = WeightsVersionHistory()
 
     def pending_endpoints(self) -> frozenset[str]:
         """Return the endpoints that drain for an order or have not completed it."""
@@ -142,7 +141,7 @@
         )
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL_LOADS, int(engines * MAX_LOADING_FRACTION))
-        self._weights_history.update(newest_versions, now_ms)
+        self._weights_limit.update(newest_versions, now_ms)
         if mean_queue_ms > BUSY_QUEUE_MS and self._has_slack(outdated, limit, now_ms):
             limit = max(1, int(BUSY_LIMIT_FACTOR * limit))
         self._wind_down(outdated, limit, remaining_ms, now_ms)
@@ -221,7 +220,7 @@
         for position, (endpoint, model, _) in enumerate(outdated):
             version = endpoint.weights[model]
             superseded_for_ms = (
-                self._weights_history.superseded_for_ms(model, version, now_ms) or 0
+                self._weights_limit.superseded_for_ms(model, version, now_ms) or 0
             )
             load_ms = MAX_DRAIN_MS + self._load_times.expected_ms(endpoint.service)
             needed_ms = math.ceil((position + 1) / limit) * load_ms
--- a/mustardtrack/routing/tests/test_loadtimes.py
+++ b/mustardtrack/routing/tests/test_loadtimes.py
@@ -7,6 +7,7 @@
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.routing.loadtimes import LoadTimes
 from mustardtrack.routing.rollout import Rollout
+from mustardtrack.routing.weightslimit import WeightsLimit
 
 STEP_MS = 50
 REPORT_LAG_MS = 200
@@ -53,7 +54,7 @@
     def __init__(self, engines, load_ms, limit_ms, queue_ms):
         self.versions = {f"e{n}": 1 for n in range(engines)}
         self.times = LoadTimes()
-        self.rollout = Rollout(limit_ms, self.times)
+        self.rollout = Rollout(WeightsLimit(limit_ms), self.times)
         self.load_ms = load_ms
         self.queue_ms = queue_ms
         self.limit_ms = limit_ms
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -6,6 +6,7 @@
 from mustardtrack.routing import rollout as rollout_module
 from mustardtrack.routing.loadtimes import LoadTimes
 from mustardtrack.routing.rollout import BUSY_QUEUE_MS, MAX_DRAIN_MS
+from mustardtrack.routing.weightslimit import WeightsLimit
 
 LIMIT_MS = 15_000
 LOAD_MS = 2600
@@ -14,7 +15,7 @@
 def Rollout(limit_ms):  # noqa: N802
     load_times = LoadTimes()
     load_times.record("s", 0, LOAD_MS)
-    return rollout_module.Rollout(limit_ms, load_times)
+    return rollout_module.Rollout(WeightsLimit(limit_ms), load_times)
 
 
 def engine(name, version):
--- a/mustardtrack/routing/weightslimit.py
+++ b/mustardtrack/routing/weightslimit.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Mapping
 
-from mustardtrack.routing.weightsversions import WeightsVersionHistory
+from mustardtrack.routing.weightsversions import VersionAges, WeightsVersionHistory
 
 # A prompt is not sent if it would begin later than this before the limit, since
 # estimates are rough.
@@ -19,12 +19,14 @@
 # A prompt that waits is withdrawn this long before the limit, which covers the way to
 # the engine.
 WITHDRAW_MARGIN_MS = 150
+# Other processes are told of versions up to this age, as a multiple of the limit.
+SHARED_AGE_LIMITS = 2
 
 
 class WeightsLimit:
     """Time that is left to begin requests on a weights version.
 
-    Args:
+    Attributes:
         limit_ms: Time after a version was named as the newest after which no request
             may begin on an older one.
 
@@ -36,7 +38,7 @@
     """
 
     def __init__(self, limit_ms: int) -> None:
-        self._limit_ms = limit_ms
+        self.limit_ms = limit_ms
         self._send_margin_ms = min(SEND_MARGIN_MS, SEND_MARGIN_FRACTION * limit_ms)
         self._history = WeightsVersionHistory()
 
@@ -44,6 +46,14 @@
         """Record the newest version of each model."""
         self._history.update(newest_versions, now_ms)
 
+    def ages(self, now_ms: int) -> VersionAges:
+        """Return the ages of versions that other processes need."""
+        return self._history.ages(SHARED_AGE_LIMITS * self.limit_ms, now_ms)
+
+    def adopt(self, ages: Mapping[str, Mapping[int, int]], now_ms: int) -> None:
+        """Adopt the ages of versions that another process knows."""
+        self._history.adopt(ages, now_ms)
+
     def superseded_for_ms(self, model: str, version: int, now_ms: int) -> int | None:
         """Return the time since a newer version was named, None if there is none."""
         return self._history.superseded_for_ms(model, version, now_ms)
@@ -53,7 +63,7 @@
         superseded_for_ms = self.superseded_for_ms(model, version, now_ms)
         if superseded_for_ms is None:
             return math.inf
-        return self._limit_ms - superseded_for_ms
+        return self.limit_ms - superseded_for_ms
 
     def left_to_send_ms(self, model: str, version: int, now_ms: int) -> float:
         """Return the time in which a request that is sent must begin, 0 if none."""
--- a/mustardtrack/testing/seeded_hosts.py
+++ b/mustardtrack/testing/seeded_hosts.py
@@ -37,6 +37,7 @@
         host_list_address: Address of the stand-in for the platform's host list.
         running: Process of each host whose daemon runs or is paused.
         log_offsets: Size of each host's log file at the last start of its daemon.
+        bounds: Settings under ``bounds`` that differ from their defaults.
     """
 
     folder: Path
@@ -45,6 +46,7 @@
     host_list_address: str
     running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     log_offsets: dict[str, int] = field(default_factory=dict)
+    bounds: dict[str, int] = field(default_factory=dict)
 
     def data_folder(self, host: str) -> Path:
         """Return the data folder of a control host."""
@@ -81,6 +83,7 @@
             "internal_ports": [BUS_PORT, BUS_PORT + 9],
             "host_list": self.host_list_address,
             "listen": {"operators": f"{host}:{OPERATOR_PORT}"},
+            "bounds": self.bounds,
         }
         if host in self.routers:
             settings["listen"] = {
@@ -148,6 +151,14 @@
     return call(address, "POST", path, content, timeout_s=CALL_TIMEOUT_S)[0]
 
 
+def name_weights(host: str, model: str, version: int) -> int:
+    """Name a weights version at a control host and return the status."""
+    address = f"{host}:{OPERATOR_PORT}"
+    body = {"model": model, "version": version}
+    path = "/v1/version-put"
+    return call(address, "POST", path, body, timeout_s=CALL_TIMEOUT_S)[0]
+
+
 def read_document(host: str) -> Any:
     """Return the newest document, None if the host can't confirm that it is newest."""
     address = f"{host}:{OPERATOR_PORT}"
