Withdraw waiting prompts when weights are named after they were sent

The time at which a waiting prompt is withdrawn was read only when the prompt was sent. One that was sent before newer weights were named had none, and could begin on the old weights after their limit wherever callers wait longer than the limit.

test_prompt_sent_before_new_weights_were_named_is_withdrawn_at_their_limit failed before: the prompt waited on.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -121,6 +121,7 @@
         self._obstacle: RetryObstacle | None = None
         self._weights_version: int | None = None
         self._is_withdrawn = False
+        self._withdrawal: asyncio.TimerHandle | None = None
 
     async def run(self) -> Outcome:
         """Run the attempt and record its result in the endpoint state."""
@@ -144,7 +145,7 @@
         self._send(connection)
         self._admitted.connection = connection
         self._exchange.on_disconnect = connection.wake
-        withdrawal = self._schedule_withdrawal(connection)
+        self._schedule_withdrawal(connection)
         try:
             outcome = self._explain(await self._receive(connection))
             # The leader already knows of the placement that replaces this one.
@@ -154,8 +155,8 @@
             connection.abort()
             raise
         finally:
-            if withdrawal is not None:
-                withdrawal.cancel()
+            if self._withdrawal is not None:
+                self._withdrawal.cancel()
             self._exchange.on_disconnect = None
             self._admitted.connection = None
             self._record_prefill_end()
@@ -163,23 +164,24 @@
         outcome.silent_ms = self._clock.now_ms() - self._last_byte_ms
         return outcome
 
-    def _schedule_withdrawal(
-        self, connection: UpstreamConnection
-    ) -> asyncio.TimerHandle | None:
+    def _schedule_withdrawal(self, connection: UpstreamConnection) -> None:
         """Schedule the end of the attempt at the time limit of its weights.
 
-        An engine drops a waiting prompt when its connection closes.
+        An engine drops a waiting prompt when its connection closes. Newer weights that
+        are named later leave at least the whole limit from now.
         """
         version = self._weights_version
         if version is None:
-            return None
-        left_ms = self._forwarder.weights_limit.left_to_wait_ms(
-            self._admitted.metadata.model, version, self._clock.now_ms()
+            return
+        limit, now_ms = self._forwarder.weights_limit, self._clock.now_ms()
+        model = self._admitted.metadata.model
+        left_ms = limit.left_to_wait_ms(model, version, now_ms)
+        is_limited = not math.isinf(left_ms)
+        self._withdrawal = asyncio.get_running_loop().call_later(
+            (left_ms if is_limited else limit.longest_wait_ms) / 1000,
+            self._withdraw if is_limited else self._schedule_withdrawal,
+            connection,
         )
-        if math.isinf(left_ms):
-            return None
-        loop = asyncio.get_running_loop()
-        return loop.call_later(left_ms / 1000, self._withdraw, connection)
 
     def _withdraw(self, connection: UpstreamConnection) -> None:
         if self._is_first_byte_pending:
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -941,6 +941,30 @@
     assert (scenario.leader.lost, scenario.lines(8952)[0]["limit"]) == ([], "weights")
 
 
+def test_prompt_sent_before_new_weights_were_named_is_withdrawn_at_their_limit(
+    monkeypatch,
+):
+    """Guards against a limit that is read only when a prompt is sent."""
+    named_ms = 500
+
+    def place(request):
+        if not request.tried:
+            asyncio.get_running_loop().call_later(
+                named_ms / 1000, scenario.weights_limit.update, {"m": 2}, named_ms
+            )
+        return Placement("e2" if request.tried else "e1", is_authoritative=True)
+
+    scenario = Scenario(
+        {"e1": [(9000, HEAD + event(1) + END)], "e2": COMPLETE},
+        leader=StandInLeader(place, is_queued=True),
+        monkeypatch=monkeypatch,
+    )
+    scenario.play()
+    run = scenario.run_of("e1")
+    assert run.transport.end == "reset"
+    assert run.transport.ended_s <= (named_ms + WEIGHTS_LIMIT_MS) / 1000
+
+
 def test_engine_past_the_time_limit_of_its_weights_is_not_chosen(monkeypatch):
     """Guards against local choices by a router that cannot ask the leader."""
     scenario = Scenario({"e1": COMPLETE}, monkeypatch=monkeypatch)
--- a/mustardtrack/routing/weightslimit.py
+++ b/mustardtrack/routing/weightslimit.py
@@ -42,6 +42,11 @@
         self._send_margin_ms = min(SEND_MARGIN_MS, SEND_MARGIN_FRACTION * limit_ms)
         self._history = WeightsVersionHistory()
 
+    @property
+    def longest_wait_ms(self) -> float:
+        """Time that a request may wait on weights that are superseded right now."""
+        return max(1.0, self.limit_ms - WITHDRAW_MARGIN_MS)
+
     def update(self, newest_versions: Mapping[str, int], now_ms: int) -> None:
         """Record the newest version of each model."""
         self._history.update(newest_versions, now_ms)
