Keep the claim of orders for a lease after the last send

The claim was kept from the time at which an order was planned. An order that is repeated is sent up to some seconds later, so that another host could get the claim and send an order to the same engine within the lease. The time is now taken when an order is sent, and an order is not sent without the claim.

test_claim_of_orders_is_kept_for_a_lease_after_the_last_send failed before: the claim ended 0.64 s after the last send.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -11,9 +11,14 @@
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list import EndpointList, ListedEndpoint
 from mustardtrack.platform.endpoints import (
+    WEIGHTS_ORDER_TARGET,
+    WEIGHTS_REPORT_TARGET,
+    WeightsReport,
     decode_endpoint_list_page,
+    decode_weights_report,
     endpoint_list_target,
 )
+from mustardtrack.platform.headers import expect_instance_header
 from mustardtrack.process.load_orders import (
     UNREADABLE_ERRORS,
     LeaderCalls,
@@ -21,7 +26,7 @@
 )
 from mustardtrack.routing.engineweights import EngineWeights
 from mustardtrack.routing.loadtimes import LoadTimes
-from mustardtrack.routing.rollout import Rollout
+from mustardtrack.routing.rollout import Rollout, WeightsOrder
 
 if TYPE_CHECKING:
     from mustardtrack.process.seeded_control import SeededControlProcess
@@ -237,6 +242,9 @@
             )
         }
 
+    def _holds_order_claim(self) -> bool:
+        return self._control.document_store.order_holder == self._control.name
+
     async def _acquire_order_claim(self) -> bool:
         """Return whether this leader may send orders now.
 
@@ -244,9 +252,9 @@
         since that host may have sent an order just before it lost leadership.
         """
         control = self._control
-        holder = control.document_store.order_holder
-        if holder == control.name:
+        if self._holds_order_claim():
             return True
+        holder = control.document_store.order_holder
         now_ms = control.now_ms()
         wait_ms = self._settings.bounds.order_lease_ms + ORDER_LEASE_MARGIN_MS
         if holder and now_ms - self._leader_since_ms < wait_ms:
@@ -256,7 +264,7 @@
 
     async def _release_order_claim(self) -> None:
         control = self._control
-        if control.document_store.order_holder != control.name:
+        if not self._holds_order_claim():
             return
         wait_ms = self._settings.bounds.order_lease_ms + ORDER_LEASE_MARGIN_MS
         if control.now_ms() - self._last_order_ms >= wait_ms:
@@ -286,7 +294,6 @@
         )
         placements.winding_down = self._rollout.winding_down()
         for order in orders:
-            self._last_order_ms = now_ms
             self._load_orders.send(order)
 
     # Calls that the delivery of orders makes
@@ -304,20 +311,32 @@
         """Return whether this host leads in a term."""
         return self._control.is_leader() and self._control.term() == term
 
-    async def call_engine(
-        self,
-        address: str,
-        method: bytes,
-        target: bytes,
-        body: bytes,
-        headers: list[tuple[bytes, bytes]],
-        term: int,
-    ) -> tuple[int, bytes]:
-        """Call an engine, while this host leads in a term."""
-        # Leadership may end while the connection is opened.
-        return await self._call(
-            address, method, target, body, headers, lambda: self.leads_in(term)
+    async def send_order(self, order: WeightsOrder, body: bytes, term: int) -> int:
+        """Send an order while this host leads in a term, and return the status."""
+
+        def may_send() -> bool:
+            # Leadership or the claim may end while the connection is opened.
+            self._last_order_ms = self.now_ms()
+            return self.leads_in(term) and self._holds_order_claim()
+
+        status, _ = await self._call(
+            order.endpoint.address,
+            b"POST",
+            WEIGHTS_ORDER_TARGET,
+            body,
+            [expect_instance_header(order.endpoint.id)],
+            may_send,
+        )
+        return status
+
+    async def read_report(self, endpoint: ListedEndpoint) -> WeightsReport:
+        """Return the report of an engine."""
+        status, body = await self._call(
+            endpoint.address, b"GET", WEIGHTS_REPORT_TARGET, b""
         )
+        if status != 200:
+            raise ValueError(f"status {status}")
+        return decode_weights_report(body)
 
     async def _call(
         self,
--- a/mustardtrack/process/load_orders.py
+++ b/mustardtrack/process/load_orders.py
@@ -7,13 +7,9 @@
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.platform.endpoints import (
-    WEIGHTS_ORDER_TARGET,
-    WEIGHTS_REPORT_TARGET,
     WeightsReport,
-    decode_weights_report,
     encode_weights_order,
 )
-from mustardtrack.platform.headers import expect_instance_header
 from mustardtrack.routing.engineweights import EngineWeights
 from mustardtrack.routing.loadprogress import LoadProgress, LoadStep
 from mustardtrack.routing.loadtimes import LoadTimes
@@ -54,20 +50,22 @@
         """Return whether this host leads in a term."""
 
     @abstractmethod
-    async def call_engine(
-        self,
-        address: str,
-        method: bytes,
-        target: bytes,
-        body: bytes,
-        headers: list[tuple[bytes, bytes]],
-        term: int,
-    ) -> tuple[int, bytes]:
-        """Call an engine, while this host leads in a term.
+    async def send_order(self, order: WeightsOrder, body: bytes, term: int) -> int:
+        """Send an order while this host leads in a term, and return the status.
+
+        Raises:
+            ConnectError: If the order was not sent.
+            ConnectionBrokenError: If no complete answer arrived.
+        """
+
+    @abstractmethod
+    async def read_report(self, endpoint: ListedEndpoint) -> WeightsReport:
+        """Return the report of an engine.
 
         Raises:
             ConnectError: If the call was not sent.
             ConnectionBrokenError: If no complete answer arrived.
+            ValueError: If the answer is no report.
         """
 
 
@@ -141,18 +139,10 @@
         body = encode_weights_order(
             order.model, order.version, self._calls.name, self._term, accepted_orders
         )
-        headers = [expect_instance_header(order.endpoint.id)]
         error = ""
         status = NO_ANSWER_STATUS
         try:
-            status, _ = await self._calls.call_engine(
-                order.endpoint.address,
-                b"POST",
-                WEIGHTS_ORDER_TARGET,
-                body,
-                headers,
-                self._term,
-            )
+            status = await self._calls.send_order(order, body, self._term)
         except ConnectionBrokenError as failure:
             error = str(failure)
         except ConnectError as failure:
@@ -210,12 +200,7 @@
     async def _read_report(self, endpoint: ListedEndpoint) -> WeightsReport | None:
         """Return the report of an engine, None if it cannot be read."""
         try:
-            status, body = await self._calls.call_engine(
-                endpoint.address, b"GET", WEIGHTS_REPORT_TARGET, b"", [], self._term
-            )
-            if status != 200:
-                raise ValueError(f"status {status}")
-            return decode_weights_report(body)
+            return await self._calls.read_report(endpoint)
         except UNREADABLE_ERRORS as error:
             log_event(REPORT_READ_FAILED, endpoint=endpoint.id, error=str(error))
             return None
--- a/mustardtrack/process/tests/test_late_orders.py
+++ b/mustardtrack/process/tests/test_late_orders.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from mustardtrack.configuration.documents import ClaimOrders
 from mustardtrack.process.endpoint_watch import EndpointWatch
 from mustardtrack.routing.placements import PlacementTable
 from mustardtrack.settings.seeded import Bounds, SeededTiming
@@ -28,7 +29,7 @@
     def __init__(self):
         self.document_store = SimpleNamespace(weights={}, order_holder="")
         self.placements = PlacementTable(LIMIT_MS)
-        self.published = None
+        self.released_s = None
 
     def now_ms(self):
         """Return the virtual time."""
@@ -43,21 +44,24 @@
         return 1
 
     async def commit(self, command):
-        """Apply a claim of orders."""
-        self.document_store.order_holder = getattr(command, "holder", "")
+        """Apply a claim of orders or its release."""
+        if isinstance(command, ClaimOrders):
+            self.document_store.order_holder = command.holder
+        else:
+            self.document_store.order_holder = ""
+            self.released_s = asyncio.get_running_loop().time()
         return True
 
     def publish_endpoints(self, endpoints):
         """Adopt a list."""
-        self.published = endpoints
         self.placements.update(endpoints.endpoints)
 
 
 class Rollout:
     """The leader's task, the engines and the virtual time."""
 
-    def __init__(self, engines=ENGINES):
-        self.engines = WeightEngines(engines)
+    def __init__(self, engines=ENGINES, load_ms=1900):
+        self.engines = WeightEngines(engines, load_ms)
         self.leader = Leader()
         settings = SimpleNamespace(
             bounds=Bounds(weights_ms=LIMIT_MS),
@@ -138,6 +142,21 @@
     assert play(scenario) == [2] * 9
 
 
+def test_claim_of_orders_is_kept_for_a_lease_after_the_last_send():
+    """Guards against two hosts whose orders to one engine follow each other closely."""
+
+    async def scenario():
+        rollout = Rollout(engines=1, load_ms=300)
+        engine = rollout.engines.engines["10.0.0.1:1"]
+        engine.late_orders = dict.fromkeys(range(3), 12_000)
+        await rollout.name_version(2, at_s=2)
+        await rollout.run_until(20)
+        assert rollout.engines.versions() == [2]
+        return rollout.leader.released_s - engine.received[-1][0]
+
+    assert play(scenario) >= Bounds().order_lease_ms / 1000
+
+
 def test_engine_that_returns_to_old_weights_is_ordered_again():
     """Guards against a report that hides an older version of the list for ever."""
 
--- a/mustardtrack/testing/weight_engines.py
+++ b/mustardtrack/testing/weight_engines.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from mustardtrack.adapters.upstream import ConnectionBrokenError
+from mustardtrack.adapters.upstream import ConnectError, ConnectionBrokenError
 
 LIST_ADDRESS = "10.0.0.100:1"
 SERVICE, MODEL = "pool", "m"
@@ -102,9 +102,12 @@
         """Answer a call to an engine or to the platform.
 
         Raises:
+            ConnectError: If the call may not be sent.
             ConnectionBrokenError: If an order gets no answer.
         """
         await asyncio.sleep(0.002)
+        if not may_send():
+            raise ConnectError("not sent: the permission has ended")
         if address == LIST_ADDRESS:
             return 200, self._encode_list()
         if method == b"GET":
