Let engines without an answer hold no places of others

An engine that answered nothing held a place among the concurrent loads for the time-outs of an order and of two reports, was put off for 1 s, and then went first again, since its weights were the oldest.

An engine that does not answer a report gets no order; the time until its next order doubles up to a fifth of the limit; after a second failure it goes behind the others; an order is sent twice in a row before another engine gets the place.

--- a/mustardtrack/process/load_orders.py
+++ b/mustardtrack/process/load_orders.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import Enum
 
 from mustardtrack.adapters.upstream import ConnectError, ConnectionBrokenError
 from mustardtrack.logs import define_event, log_event
@@ -23,14 +25,35 @@
 # The JSON decoder raises RecursionError for deeply nested bytes.
 UNREADABLE_ERRORS = (ConnectError, ConnectionBrokenError, ValueError, RecursionError)
 NO_ANSWER_STATUS = 0
-IN_PROGRESS_STATUS = 409
-# Answers to an order after which its effect is awaited. Without an answer, the engine
-# may have received the order.
-AWAITED_STATUSES = frozenset({NO_ANSWER_STATUS, 200, 202, IN_PROGRESS_STATUS})
 # Stands for the status of an order that could not be sent.
 NOT_SENT_STATUS = -1
-# Sends of an order that gets no answer. The engine then waits as one without an effect.
-MAX_SENDS = 4
+# Sends of an order that gets no answer, after which another engine takes its place.
+MAX_SENDS = 2
+
+
+class Delivery(Enum):
+    """Result of sending an order to an engine."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+
+
+# With 409, an earlier order is in progress; its end is awaited before another one.
+DELIVERY_BY_STATUS = {
+    200: Delivery.ACCEPTED,
+    202: Delivery.ACCEPTED,
+    409: Delivery.ACCEPTED,
+    NOT_SENT_STATUS: Delivery.UNREACHABLE,
+}
+
+
+@dataclass(frozen=True)
+class _ReportAnswer:
+    """Whether an engine answered a call for its report, and the report if readable."""
+
+    has_arrived: bool
+    report: WeightsReport | None = None
 
 
 class LeaderCalls(ABC):
@@ -105,28 +128,38 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _send(self, order: WeightsOrder) -> None:
-        """Send an order until it is answered, and follow its load.
+        endpoint_id, now_ms = order.endpoint.id, self._calls.now_ms
+        delivery = await self._send_repeatedly(order)
+        if delivery is Delivery.ACCEPTED:
+            self._rollout.record_reached(endpoint_id)
+            await self.wait_for_load(order)
+        elif delivery is Delivery.UNREACHABLE:
+            self._rollout.defer_order(endpoint_id, now_ms())
+        else:
+            self._rollout.discard_order(endpoint_id)
+
+    async def _send_repeatedly(self, order: WeightsOrder) -> Delivery:
+        """Send an order until it is answered.
 
         An order that names the accepted orders is carried out at most once, however
         often it is sent.
         """
-        endpoint_id = order.endpoint.id
         for _ in range(MAX_SENDS):
-            report = await self._read_report(order.endpoint)
+            answer = await self._read_report(order.endpoint)
+            if not answer.has_arrived:
+                return Delivery.UNREACHABLE
+            report = answer.report
             if report is not None and report.is_busy:
-                status = IN_PROGRESS_STATUS
-                break
+                return Delivery.ACCEPTED
             accepted_orders = report.accepted_orders if report else None
             status = await self._deliver(order, accepted_orders)
-            if status != NO_ANSWER_STATUS or accepted_orders is None:
-                break
-            self._rollout.renew_order(endpoint_id, self._calls.now_ms())
-        if status in AWAITED_STATUSES:
-            await self.wait_for_load(order)
-        elif status == NOT_SENT_STATUS:
-            self._rollout.defer_order(endpoint_id, self._calls.now_ms())
-        else:
-            self._rollout.discard_order(endpoint_id)
+            if status != NO_ANSWER_STATUS:
+                return DELIVERY_BY_STATUS.get(status, Delivery.REFUSED)
+            if accepted_orders is None:
+                # The engine may have received the order, and may carry out each copy.
+                return Delivery.ACCEPTED
+            self._rollout.renew_order(order.endpoint.id, self._calls.now_ms())
+        return Delivery.UNREACHABLE
 
     async def _deliver(self, order: WeightsOrder, accepted_orders: int | None) -> int:
         """Send an order and return the status of the answer.
@@ -171,7 +204,7 @@
             await asyncio.sleep(max(0.0, start_s + time_ms / 1000 - clock()))
             if not self._calls.leads_in(self._term):
                 return
-            report = await self._read_report(endpoint)
+            report = (await self._read_report(endpoint)).report
             elapsed_ms = (clock() - start_s) * 1000
             weights = report.weights if report else None
             is_busy = report.is_busy if report else None
@@ -197,10 +230,14 @@
             self._rollout.renew_order(endpoint_id, now_ms)
         return step in (LoadStep.IN_PROGRESS, LoadStep.UNCLEAR)
 
-    async def _read_report(self, endpoint: ListedEndpoint) -> WeightsReport | None:
-        """Return the report of an engine, None if it cannot be read."""
+    async def _read_report(self, endpoint: ListedEndpoint) -> _ReportAnswer:
+        error: Exception
         try:
-            return await self._calls.read_report(endpoint)
-        except UNREADABLE_ERRORS as error:
-            log_event(REPORT_READ_FAILED, endpoint=endpoint.id, error=str(error))
-            return None
+            report = await self._calls.read_report(endpoint)
+            return _ReportAnswer(has_arrived=True, report=report)
+        except (ConnectError, ConnectionBrokenError) as failure:
+            error, has_arrived = failure, False
+        except (ValueError, RecursionError) as failure:
+            error, has_arrived = failure, True
+        log_event(REPORT_READ_FAILED, endpoint=endpoint.id, error=str(error))
+        return _ReportAnswer(has_arrived)
--- a/mustardtrack/process/tests/test_late_orders.py
+++ b/mustardtrack/process/tests/test_late_orders.py
@@ -142,6 +142,23 @@
     assert play(scenario) == [2] * 9
 
 
+@pytest.mark.parametrize("answers_reports", [False, True])
+def test_silent_engines_do_not_delay_the_others(answers_reports):
+    """Guards against engines without an answer that hold the places of others."""
+
+    async def scenario():
+        rollout = Rollout(engines=9)
+        engines = list(rollout.engines.engines.values())
+        for engine in engines[:3]:
+            engine.is_silent = not answers_reports
+            engine.late_orders = dict.fromkeys(range(99), 60_000)
+        await rollout.name_version(2, at_s=2)
+        await rollout.run_until(2 + 0.75 * LIMIT_MS / 1000)
+        return [engine.version for engine in engines[3:]]
+
+    assert play(scenario) == [2] * 6
+
+
 def test_claim_of_orders_is_kept_for_a_lease_after_the_last_send():
     """Guards against two hosts whose orders to one engine follow each other closely."""
 
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -44,8 +44,11 @@
 # Engines that wind down or load, as a multiple of the concurrent loads, if answers last
 # longer than a load. Otherwise only engines that can load at once wind down.
 WIND_DOWN_FACTOR = 1.5
-# Time in which no order goes to an engine that could not be reached.
+# Time in which no order goes to an engine that could not be reached. It doubles with
+# each further failure, since such an engine holds the place of another one.
 UNREACHABLE_PAUSE_MS = 1000
+# Longest such time, as a fraction of the time limit.
+MAX_UNREACHABLE_PAUSE_FRACTION = 0.2
 
 
 @dataclass(frozen=True)
@@ -65,6 +68,12 @@
     is_issued: bool = False
 
 
+@dataclass
+class _Deferral:
+    failures: int
+    until_ms: int
+
+
 class Rollout:
     """Updates all engines to the newest weights with limited concurrency.
 
@@ -81,7 +90,7 @@
         self._completion_limit_ms = COMPLETION_FRACTION * self._limit_ms
         self._load_times = load_times
         self._pending: dict[str, _PendingOrder] = {}
-        self._deferred_until_ms: dict[str, int] = {}
+        self._deferrals: dict[str, _Deferral] = {}
         self._winding_down_ms: dict[str, int] = {}
 
     def pending_endpoints(self) -> frozenset[str]:
@@ -132,12 +141,16 @@
             for model, version in newest_versions.items()
             if endpoint.weights.get(model, version) < version
         ]
-        self._drop_ended_pauses(now_ms)
         # The oldest weights go first: in a fixed order, engines at the end would never
         # be updated while new versions follow each other quickly. A load begins when
-        # the running requests have ended.
+        # the running requests have ended. Engines that could not be reached repeatedly
+        # go last, or they would hold the places of those that can load.
         outdated.sort(
-            key=lambda item: (item[0].weights[item[1]], remaining_ms(item[0].id))
+            key=lambda item: (
+                self._is_repeatedly_deferred(item[0].id),
+                item[0].weights[item[1]],
+                remaining_ms(item[0].id),
+            )
         )
         engines = sum(1 for endpoint in endpoints if endpoint.weights)
         limit = max(MIN_PARALLEL_LOADS, int(engines * MAX_LOADING_FRACTION))
@@ -175,7 +188,7 @@
         eligible = {
             endpoint.id: endpoint.service
             for endpoint, _, _ in outdated
-            if self._may_load(endpoint)
+            if self._may_load(endpoint, now_ms)
         }
         known = self._winding_down_ms
         self._winding_down_ms = {
@@ -251,24 +264,31 @@
         Its place is free for other engines, and its next order waits for a while.
         """
         self._pending.pop(endpoint_id, None)
-        self._deferred_until_ms[endpoint_id] = now_ms + UNREACHABLE_PAUSE_MS
+        previous = self._deferrals.get(endpoint_id)
+        failures = previous.failures + 1 if previous else 1
+        pause_ms = min(
+            UNREACHABLE_PAUSE_MS * 2 ** (failures - 1),
+            round(MAX_UNREACHABLE_PAUSE_FRACTION * self._limit_ms),
+        )
+        self._deferrals[endpoint_id] = _Deferral(failures, now_ms + pause_ms)
+
+    def record_reached(self, endpoint_id: str) -> None:
+        """Record that an endpoint has answered."""
+        self._deferrals.pop(endpoint_id, None)
 
     def end_wind_down(self) -> None:
         """Forget the engines that wind down, as all have the newest weights."""
         self._winding_down_ms.clear()
 
-    def _may_load(self, endpoint: ListedEndpoint) -> bool:
-        is_known = endpoint.id in self._pending or endpoint.id in (
-            self._deferred_until_ms
-        )
-        return not is_known and not endpoint.is_draining
+    def _is_repeatedly_deferred(self, endpoint_id: str) -> bool:
+        deferral = self._deferrals.get(endpoint_id)
+        return deferral is not None and deferral.failures > 1
 
-    def _drop_ended_pauses(self, now_ms: int) -> None:
-        pauses = self._deferred_until_ms
-        for endpoint_id in [
-            one for one, until_ms in pauses.items() if until_ms <= now_ms
-        ]:
-            del pauses[endpoint_id]
+    def _may_load(self, endpoint: ListedEndpoint, now_ms: int) -> bool:
+        deferral = self._deferrals.get(endpoint.id)
+        is_deferred = deferral is not None and now_ms < deferral.until_ms
+        is_pending = endpoint.id in self._pending
+        return not is_pending and not is_deferred and not endpoint.is_draining
 
     def _remove_completed(
         self, endpoints: Sequence[ListedEndpoint], now_ms: int
@@ -278,6 +298,8 @@
             endpoint = listed.get(endpoint_id)
             if endpoint is None or self._is_completed(order, endpoint, now_ms):
                 del self._pending[endpoint_id]
+        for endpoint_id in self._deferrals.keys() - listed.keys():
+            del self._deferrals[endpoint_id]
 
     def _is_completed(
         self, order: _PendingOrder, endpoint: ListedEndpoint, now_ms: int
--- a/mustardtrack/testing/weight_engines.py
+++ b/mustardtrack/testing/weight_engines.py
@@ -14,7 +14,7 @@
 
 LIST_ADDRESS = "10.0.0.100:1"
 SERVICE, MODEL = "pool", "m"
-# Time after which a caller gives up an order that is not answered.
+# Time after which a caller gives up a call that is not answered.
 NO_ANSWER_S = 1.0
 
 
@@ -29,6 +29,7 @@
         late_orders: Delays in milliseconds of orders that get no answer and are
             carried out later, by the number of the order that reaches the engine.
         received: Orders received, with the loop time in seconds.
+        is_silent: Whether it answers nothing.
         history: Versions, newest last, with the loop time in seconds of each change.
     """
 
@@ -36,6 +37,7 @@
     accepted_orders: int = 0
     ordered_version: int | None = None
     late_orders: dict[int, float] = field(default_factory=dict)
+    is_silent: bool = False
     received: list[tuple[float, dict[str, Any]]] = field(default_factory=list)
     history: list[tuple[float, int]] = field(default_factory=list)
 
@@ -103,13 +105,16 @@
 
         Raises:
             ConnectError: If the call may not be sent.
-            ConnectionBrokenError: If an order gets no answer.
+            ConnectionBrokenError: If the call gets no answer.
         """
         await asyncio.sleep(0.002)
         if not may_send():
             raise ConnectError("not sent: the permission has ended")
         if address == LIST_ADDRESS:
             return 200, self._encode_list()
+        if self.engines[address].is_silent:
+            await asyncio.sleep(NO_ANSWER_S)
+            raise ConnectionBrokenError("response timed out")
         if method == b"GET":
             return 200, self._encode_report(address)
         return await self._receive_order(address, json.loads(body))
