--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -12,10 +12,10 @@
 LOAD_MS = 2600
 
 
-def Rollout(limit_ms):  # noqa: N802
+def Rollout(limit_ms, weights_limit=None):  # noqa: N802
     load_times = LoadTimes()
     load_times.record("s", 0, LOAD_MS)
-    return rollout_module.Rollout(WeightsLimit(limit_ms), load_times)
+    return rollout_module.Rollout(weights_limit or WeightsLimit(limit_ms), load_times)
 
 
 def engine(name, version):
@@ -108,6 +108,16 @@
     assert len(rollout.plan(engines, {"m": 3}, idle, idle, busy_ms, LIMIT_MS // 2)) == 2
 
 
+def test_new_leader_counts_the_time_limit_from_the_naming():
+    """Guards against a new leader that takes its first plan for the time of a naming."""
+    engines = [engine(f"e{n}", 1) for n in range(9)]
+    weights_limit = WeightsLimit(LIMIT_MS)
+    weights_limit.adopt({"m": {2: LIMIT_MS // 2}}, 0)
+    rollout = Rollout(LIMIT_MS, weights_limit)
+    busy_ms = BUSY_QUEUE_MS + 1
+    assert len(rollout.plan(engines, {"m": 2}, idle, idle, busy_ms, 0)) == 3
+
+
 def test_many_busy_engines_load_several_at_a_time():
     """Guards against 30 engines that load one by one and then all at once."""
     engines = [engine(f"e{n}", 1) for n in range(30)]
