--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -109,7 +109,7 @@
 
 
 def test_new_leader_counts_the_time_limit_from_the_naming():
-    """Guards against a new leader that takes its first plan for the time of a naming."""
+    """Guards against a leader that takes its first plan for the time of a naming."""
     engines = [engine(f"e{n}", 1) for n in range(9)]
     weights_limit = WeightsLimit(LIMIT_MS)
     weights_limit.adopt({"m": {2: LIMIT_MS // 2}}, 0)
