Add failing tests of orders, ages and sends around new weights

The stand-in engines ask may_send, as the real pool does. The stand-in leader took a release of the claim for a claim.

--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -271,6 +271,12 @@
         self.limits = RateLimits("r1")
         self.weights_limit = WeightsLimit(WEIGHTS_LIMIT_MS)
         self.monkeypatch = monkeypatch
+        self.newest_weights = {"m": 1}
+        self._listed_weights = {}
+
+    def list_weights(self, endpoint, version):
+        """Set the version that the list names for an endpoint, None for none."""
+        self._listed_weights[endpoint] = {} if version is None else {"m": version}
 
     def play(self, for_ms=15_000, leave_ms=None, actions=()):
         """Send the request and run everything that follows.
@@ -343,8 +349,9 @@
     def _build_forwarder(self, loop):
         states = EndpointTable()
         listed = [
-            ListedEndpoint(name, 0, "s", f"{name}:1", "a", 6, False, False, {"m": 1})
+            ListedEndpoint(name, 0, "s", f"{name}:1", "a", 6, False, False, weights)
             for name in self.endpoints
+            for weights in [self._listed_weights.get(name, {"m": 1})]
         ]
         states.update(EndpointList(1, 1, tuple(listed)))
         if self.unlist_ms is not None:
@@ -358,7 +365,7 @@
             refused=(),
             parts=self.parts,
             limits=self.limits,
-            weights={"m": 1},
+            weights=self.newest_weights,
             weights_limit=self.weights_limit,
             prefill_rates={},
             router_count=1,
@@ -973,6 +980,40 @@
     assert (scenario.status, scenario.pool.runs) == (503, [])
 
 
+def place_on_first(request):
+    """Place a prompt on the first engine, and on the second one after that."""
+    return Placement("e2" if request.tried else "e1", is_authoritative=True)
+
+
+# Times from the start of a scenario at which the limit of the old weights is reached.
+@pytest.mark.parametrize("limit_reached_ms", [0, 200])
+def test_placed_prompt_is_not_sent_after_the_limit_of_its_weights(
+    monkeypatch, limit_reached_ms
+):
+    """Guards against a leader that knows less, and a connection that opens slowly."""
+    scenario = Scenario(
+        {"e1": COMPLETE, "e2": COMPLETE},
+        leader=StandInLeader(place_on_first),
+        connect_ms={"e1": 250},
+        monkeypatch=monkeypatch,
+    )
+    scenario.weights_limit.update({"m": 2}, limit_reached_ms - WEIGHTS_LIMIT_MS)
+    scenario.list_weights("e2", 2)
+    scenario.play()
+    assert [run.endpoint for run in scenario.pool.runs] == ["e2"]
+    assert scenario.is_whole
+
+
+def test_engine_without_listed_weights_is_not_chosen_after_their_limit(monkeypatch):
+    """Guards against a prompt that names no version to an engine with any weights."""
+    scenario = Scenario({"e1": COMPLETE}, monkeypatch=monkeypatch)
+    scenario.list_weights("e1", None)
+    scenario.newest_weights = {"m": 2}
+    scenario.weights_limit.update({"m": 2}, -WEIGHTS_LIMIT_MS)
+    scenario.play()
+    assert (scenario.status, scenario.pool.runs) == (503, [])
+
+
 LEAVING_HEAD = HEAD[:-2] + b"server-leaving: 1\r\n\r\n"
 
 
--- a/mustardtrack/process/tests/test_late_orders.py
+++ b/mustardtrack/process/tests/test_late_orders.py
@@ -9,13 +9,23 @@
 
 import pytest
 
+from mustardtrack.configuration.documents import ReleaseOrders
 from mustardtrack.process.endpoint_watch import EndpointWatch
+from mustardtrack.routing.loadtimes import LoadTimes
 from mustardtrack.routing.placements import PlacementTable
 from mustardtrack.settings.seeded import Bounds, SeededTiming
 from mustardtrack.testing.virtualtime import VirtualTimeLoop
-from mustardtrack.testing.weight_engines import LIST_ADDRESS, MODEL, WeightEngines
+from mustardtrack.testing.weight_engines import (
+    LIST_ADDRESS,
+    MODEL,
+    SERVICE,
+    WeightEngines,
+)
 
 LIMIT_MS = 15_000
+LOAD_MS = 1900
+# A load that ends before an order without an answer is given up.
+SHORT_LOAD_MS = 300
 STEP_S = 0.05
 ENGINES = 3
 
@@ -29,6 +39,7 @@
         self.document_store = SimpleNamespace(weights={}, order_holder="")
         self.placements = PlacementTable(LIMIT_MS)
         self.published = None
+        self.released_s = []
 
     def now_ms(self):
         """Return the virtual time."""
@@ -43,8 +54,11 @@
         return 1
 
     async def commit(self, command):
-        """Apply a claim of orders."""
-        self.document_store.order_holder = getattr(command, "holder", "")
+        """Apply the claim of orders or its release."""
+        is_release = isinstance(command, ReleaseOrders)
+        if is_release:
+            self.released_s.append(asyncio.get_running_loop().time())
+        self.document_store.order_holder = "" if is_release else command.holder
         return True
 
     def publish_endpoints(self, endpoints):
@@ -56,17 +70,22 @@
 class Rollout:
     """The leader's task, the engines and the virtual time."""
 
-    def __init__(self, engines=ENGINES):
-        self.engines = WeightEngines(engines)
+    def __init__(self, engines=ENGINES, load_ms=LOAD_MS):
+        self.engines = WeightEngines(engines, load_ms)
         self.leader = Leader()
         settings = SimpleNamespace(
             bounds=Bounds(weights_ms=LIMIT_MS),
             host_list=LIST_ADDRESS,
             timing=SeededTiming(),
         )
+        self.bounds = settings.bounds
         self._watch = EndpointWatch(self.leader, settings)
         self._watch._pool = self.engines
 
+    def expected_load_ms(self):
+        """Return the load time that the task has learned."""
+        return self._watch._load_times.expected_ms(SERVICE)
+
     async def name_version(self, version, at_s):
         """Run the task until a time, and name a version then."""
         await self.run_until(at_s)
@@ -151,3 +170,87 @@
         return loaded, rollout.engines.versions()
 
     assert play(scenario) == ([2] * ENGINES, [2] * ENGINES)
+
+
+def test_order_is_not_sent_without_the_number_of_accepted_orders():
+    """Guards against an order that undoes a newer one because a report was lost."""
+
+    async def scenario():
+        rollout = Rollout()
+        for engine in rollout.engines.engines.values():
+            engine.late_orders = {0: 9000}
+            engine.reports_lost_until_s = 4.0
+        await rollout.name_version(2, at_s=2)
+        await rollout.name_version(3, at_s=5)
+        await rollout.run_until(30)
+        return [
+            [version for _, version in engine.history]
+            for engine in rollout.engines.engines.values()
+        ]
+
+    for versions in play(scenario):
+        assert versions == sorted(versions)
+
+
+def test_order_is_not_repeated_after_a_newer_one():
+    """Guards against an unanswered order that is sent again after a newer one."""
+
+    async def scenario():
+        rollout = Rollout(engines=1, load_ms=SHORT_LOAD_MS)
+        (engine,) = rollout.engines.engines.values()
+        engine.late_orders = {0: 20, 1: 20, 2: 20}
+        await rollout.name_version(2, at_s=2)
+        await rollout.name_version(3, at_s=4.2)
+        await rollout.run_until(20)
+        return [version for _, version in engine.history]
+
+    versions = play(scenario)
+    assert versions == sorted(versions)
+
+
+def test_claim_is_held_for_the_lease_after_the_last_repeated_order():
+    """Guards against another host that sends orders within the lease of this one."""
+
+    async def scenario():
+        rollout = Rollout(engines=1, load_ms=SHORT_LOAD_MS)
+        (engine,) = rollout.engines.engines.values()
+        engine.late_orders = dict.fromkeys(range(4), 20)
+        await rollout.name_version(2, at_s=2)
+        await rollout.run_until(15)
+        sent_s = [at_s for at_s, _ in engine.received]
+        lease_s = rollout.bounds.order_lease_ms / 1000
+        return rollout.leader.released_s[0] - max(sent_s) - lease_s
+
+    assert play(scenario) >= 0
+
+
+def test_load_that_began_with_an_unanswered_order_is_not_learned_as_shorter():
+    """Guards against a plan that takes loads for shorter than they are."""
+
+    async def scenario():
+        rollout = Rollout()
+        for engine in rollout.engines.engines.values():
+            engine.late_orders = {0: 20}
+        await rollout.name_version(2, at_s=2)
+        await rollout.run_until(12)
+        unknown_ms = LoadTimes().expected_ms(SERVICE)
+        return rollout.expected_load_ms(), unknown_ms
+
+    expected_ms, unknown_ms = play(scenario)
+    assert expected_ms == unknown_ms or expected_ms >= LOAD_MS
+
+
+@pytest.mark.parametrize("silent", [2, 3, 4])
+def test_silent_engines_do_not_delay_the_others_beyond_the_limit(silent):
+    """Guards against engines that hold places among the loads without answering."""
+
+    async def scenario():
+        rollout = Rollout(engines=9)
+        engines = list(rollout.engines.engines.values())
+        for engine in engines[:silent]:
+            engine.is_silent = True
+        await rollout.name_version(2, at_s=2)
+        await rollout.run_until(2 + LIMIT_MS / 1000)
+        return [engine.version for engine in engines[silent:]]
+
+    assert play(scenario) == [2] * (9 - silent)
--- a/mustardtrack/routing/tests/test_weightsversions.py
+++ b/mustardtrack/routing/tests/test_weightsversions.py
@@ -54,3 +54,26 @@
     assert ages == {"m": {4: 2000, 3: 8000}}
     superseded_ms = [started.superseded_for_ms("m", one, 14_000) for one in (1, 2, 3)]
     assert superseded_ms == [8000, 8000, 2000]
+
+
+def test_exchange_of_ages_between_rounded_clocks_does_not_lengthen_them():
+    """Guards against an age that grows with each exchange on a fast network.
+
+    Clocks of two hosts tick at different times; messages take less than a millisecond.
+    """
+    histories = WeightsVersionHistory(), WeightsVersionHistory()
+    phases_ms = 0.0, 0.5
+
+    def now_ms(host, time_ms):
+        return int(time_ms + phases_ms[host])
+
+    histories[0].update({"m": 2}, now_ms(0, 1000.0))
+    for exchange in range(200):
+        time_ms = 1000.0 + exchange
+        for sender, sent_ms in ((0, time_ms), (1, time_ms + 0.6)):
+            ages = histories[sender].ages(HORIZON_MS, now_ms(sender, sent_ms))
+            received_ms = now_ms(1 - sender, sent_ms + 0.05)
+            histories[1 - sender].adopt(ages, received_ms)
+    known_ms = histories[0].superseded_for_ms("m", 1, now_ms(0, 1200.0))
+    # Each clock rounds by up to one millisecond.
+    assert known_ms <= 200 + 1
--- a/mustardtrack/testing/weight_engines.py
+++ b/mustardtrack/testing/weight_engines.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from mustardtrack.adapters.upstream import ConnectionBrokenError
+from mustardtrack.adapters.upstream import ConnectError, ConnectionBrokenError
 
 LIST_ADDRESS = "10.0.0.100:1"
 SERVICE, MODEL = "pool", "m"
@@ -30,6 +30,8 @@
             carried out later, by the number of the order that reaches the engine.
         received: Orders received, with the loop time in seconds.
         history: Versions, newest last, with the loop time in seconds of each change.
+        is_silent: Whether it answers no call.
+        reports_lost_until_s: Loop time in seconds until which its reports are lost.
     """
 
     version: int = 1
@@ -38,6 +40,8 @@
     late_orders: dict[int, float] = field(default_factory=dict)
     received: list[tuple[float, dict[str, Any]]] = field(default_factory=list)
     history: list[tuple[float, int]] = field(default_factory=list)
+    is_silent: bool = False
+    reports_lost_until_s: float = 0.0
 
     def version_at(self, time_s: float) -> int:
         """Return the version that it had at a time of the loop."""
@@ -102,12 +106,21 @@
         """Answer a call to an engine or to the platform.
 
         Raises:
-            ConnectionBrokenError: If an order gets no answer.
+            ConnectError: If the call may not be sent any more.
+            ConnectionBrokenError: If the call gets no answer.
         """
         await asyncio.sleep(0.002)
+        if not may_send():
+            raise ConnectError("not sent: the permission has ended")
         if address == LIST_ADDRESS:
             return 200, self._encode_list()
-        if method == b"GET":
+        engine = self.engines[address]
+        is_report = method == b"GET"
+        is_lost = is_report and self._loop.time() < engine.reports_lost_until_s
+        if engine.is_silent or is_lost:
+            await asyncio.sleep(NO_ANSWER_S)
+            raise ConnectionBrokenError("response timed out")
+        if is_report:
             return 200, self._encode_report(address)
         return await self._receive_order(address, json.loads(body))
 
