Send orders only after a report, and none that a report shows as done

An order whose preceding report could not be read was sent without the number of accepted orders, so that the engine carried it out after a newer one (versions 1, 3, 2, 3 in the test). A repeated order named the number that a newer order had set, and undid that one (1, 2, 3, 2, 3). Without a report no order is sent now, and the engine is asked again after the pause of one that could not be reached. An order whose version the report shows is complete and is not sent. A load is timed only if the engine accepted the order just now; one that began with an unanswered order was learned as 1143 ms instead of 1900 ms.

An engine whose reports can never be read gets no order any more.

--- a/mustardtrack/process/load_orders.py
+++ b/mustardtrack/process/load_orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 
 from mustardtrack.adapters.upstream import ConnectError, ConnectionBrokenError
 from mustardtrack.logs import define_event, log_event
@@ -27,10 +28,13 @@
 # The JSON decoder raises RecursionError for deeply nested bytes.
 UNREADABLE_ERRORS = (ConnectError, ConnectionBrokenError, ValueError, RecursionError)
 NO_ANSWER_STATUS = 0
+ACCEPTED_STATUS = 202
 IN_PROGRESS_STATUS = 409
 # Answers to an order after which its effect is awaited. Without an answer, the engine
 # may have received the order.
-AWAITED_STATUSES = frozenset({NO_ANSWER_STATUS, 200, 202, IN_PROGRESS_STATUS})
+AWAITED_STATUSES = frozenset(
+    {NO_ANSWER_STATUS, 200, ACCEPTED_STATUS, IN_PROGRESS_STATUS}
+)
 # Stands for the status of an order that could not be sent.
 NOT_SENT_STATUS = -1
 # Sends of an order that gets no answer. The engine then waits as one without an effect.
@@ -110,21 +114,28 @@
         """Send an order until it is answered, and follow its load.
 
         An order that names the accepted orders is carried out at most once, however
-        often it is sent.
+        often it is sent. Without a report it is not sent: it could be carried out
+        after a newer one.
         """
         endpoint_id = order.endpoint.id
+        status = NOT_SENT_STATUS
         for _ in range(MAX_SENDS):
             report = await self._read_report(order.endpoint)
-            if report is not None and report.is_busy:
+            if report is None:
+                status = NOT_SENT_STATUS
+                break
+            if report.is_busy:
                 status = IN_PROGRESS_STATUS
                 break
-            accepted_orders = report.accepted_orders if report else None
-            status = await self._deliver(order, accepted_orders)
-            if status != NO_ANSWER_STATUS or accepted_orders is None:
+            if report.weights.get(order.model, 0) >= order.version:
+                self._record_weights(endpoint_id, report.weights)
+                return
+            status = await self._deliver(order, report.accepted_orders)
+            if status != NO_ANSWER_STATUS or report.accepted_orders is None:
                 break
             self._rollout.renew_order(endpoint_id, self._calls.now_ms())
         if status in AWAITED_STATUSES:
-            await self.wait_for_load(order)
+            await self.wait_for_load(order, is_timed=status == ACCEPTED_STATUS)
         elif status == NOT_SENT_STATUS:
             self._rollout.defer_order(endpoint_id, self._calls.now_ms())
         else:
@@ -169,8 +180,13 @@
         )
         return status
 
-    async def wait_for_load(self, order: WeightsOrder) -> None:
-        """Poll the engine until it reports the load, since the platform's list lags."""
+    async def wait_for_load(self, order: WeightsOrder, is_timed: bool = True) -> None:
+        """Poll the engine until it reports the load, since the platform's list lags.
+
+        Args:
+            order: Order that the engine carries out.
+            is_timed: Whether the load begins now, so that its time is learned.
+        """
         endpoint = order.endpoint
         clock = asyncio.get_running_loop().time
         start_s = clock()
@@ -188,14 +204,16 @@
             step = progress.record_report(weights, is_busy, elapsed_ms)
             if step is LoadStep.COMPLETED:
                 assert weights is not None
-                self._load_times.record(endpoint.service, waited_ms, elapsed_ms)
-                self._engine_weights.record_report(
-                    endpoint.id, weights, self._calls.now_ms()
-                )
+                if is_timed:
+                    self._load_times.record(endpoint.service, waited_ms, elapsed_ms)
+                self._record_weights(endpoint.id, weights)
             if not self._apply_step(step, endpoint.id):
                 return
             waited_ms = elapsed_ms
 
+    def _record_weights(self, endpoint_id: str, weights: Mapping[str, int]) -> None:
+        self._engine_weights.record_report(endpoint_id, weights, self._calls.now_ms())
+
     def _apply_step(self, step: LoadStep, endpoint_id: str) -> bool:
         """Tell the rollout of a report and return whether to ask for another one."""
         now_ms = self._calls.now_ms()
