Count the claim of orders from the time at which the last one was sent

The leader took the time of the plan for that of the order. Since the report before an order and the repetitions of an unanswered one, an order may leave seconds later, and the claim was released within the lease of that order (0.49 s after a repeated order on; 2.60 s after one that waited 0.9 s for a report; lease 3 s). A leader that followed could then order the same engine at once. The time is now taken immediately before the order is sent.

test_claim_is_held_for_the_lease_after_the_last_order[0.9] failed before.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -11,6 +11,7 @@
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list import EndpointList, ListedEndpoint
 from mustardtrack.platform.endpoints import (
+    WEIGHTS_ORDER_TARGET,
     decode_endpoint_list_page,
     endpoint_list_target,
 )
@@ -314,10 +315,16 @@
         term: int,
     ) -> tuple[int, bytes]:
         """Call an engine, while this host leads in a term."""
-        # Leadership may end while the connection is opened.
-        return await self._call(
-            address, method, target, body, headers, lambda: self.leads_in(term)
-        )
+
+        def may_send() -> bool:
+            # Leadership may end while the connection is opened.
+            if not self.leads_in(term):
+                return False
+            if target == WEIGHTS_ORDER_TARGET:
+                self._last_order_ms = self.now_ms()
+            return True
+
+        return await self._call(address, method, target, body, headers, may_send)
 
     async def _call(
         self,
--- a/mustardtrack/process/tests/test_late_orders.py
+++ b/mustardtrack/process/tests/test_late_orders.py
@@ -208,13 +208,18 @@
     assert versions == sorted(versions)
 
 
-def test_claim_is_held_for_the_lease_after_the_last_repeated_order():
-    """Guards against another host that sends orders within the lease of this one."""
+@pytest.mark.parametrize("report_s", [0.0, 0.9])
+def test_claim_is_held_for_the_lease_after_the_last_order(report_s):
+    """Guards against another host that sends orders within the lease of this one.
+
+    The last order may be a repeated one, or one that waited for a report.
+    """
 
     async def scenario():
         rollout = Rollout(engines=1, load_ms=SHORT_LOAD_MS)
         (engine,) = rollout.engines.engines.values()
-        engine.late_orders = dict.fromkeys(range(4), 20)
+        engine.late_orders = dict.fromkeys(range(4), 20) if not report_s else {}
+        engine.report_s = report_s
         await rollout.name_version(2, at_s=2)
         await rollout.run_until(15)
         sent_s = [at_s for at_s, _ in engine.received]
--- a/mustardtrack/testing/weight_engines.py
+++ b/mustardtrack/testing/weight_engines.py
@@ -32,6 +32,7 @@
         history: Versions, newest last, with the loop time in seconds of each change.
         is_silent: Whether it answers no call.
         reports_lost_until_s: Loop time in seconds until which its reports are lost.
+        report_s: Time in seconds that an answer with its report takes.
     """
 
     version: int = 1
@@ -42,6 +43,7 @@
     history: list[tuple[float, int]] = field(default_factory=list)
     is_silent: bool = False
     reports_lost_until_s: float = 0.0
+    report_s: float = 0.0
 
     def version_at(self, time_s: float) -> int:
         """Return the version that it had at a time of the loop."""
@@ -121,6 +123,7 @@
             await asyncio.sleep(NO_ANSWER_S)
             raise ConnectionBrokenError("response timed out")
         if is_report:
+            await asyncio.sleep(engine.report_s)
             return 200, self._encode_report(address)
         return await self._receive_order(address, json.loads(body))
 
