Allow for the rounding of clocks in ages of weights versions

Ages are differences of whole milliseconds. Between hosts whose clocks tick at different times and whose messages take less than a millisecond, each round trip lengthened an age by one millisecond, without end (400 ms after 200 ms and 200 round trips). An adopted age is now shorter by the rounding. Processes of one machine share a clock and were not affected.

--- a/mustardtrack/routing/weightsversions.py
+++ b/mustardtrack/routing/weightsversions.py
@@ -5,6 +5,10 @@
 # Versions retained for a model; no engine lags that many versions behind.
 MAX_VERSIONS = 50
 
+# An age is a difference of times that are rounded to milliseconds, and may be too long
+# by up to this much. Hosts that return ages to each other would add it up.
+ROUNDING_MS = 1
+
 # Milliseconds since each version of each model was named.
 VersionAges = dict[str, dict[int, int]]
 
@@ -13,7 +17,7 @@
     """Times at which each version was named as the newest.
 
     A process that starts does not know when versions were named, so processes exchange
-    the ages that they know. An age in a message is too short by the time that the
+    the ages that they know. An age that is adopted is too short by the time that the
     message takes, never too long, so the longest one counts.
 
     Examples:
@@ -26,7 +30,7 @@
         True
         >>> history.adopt({"m": {2: 900, 3: 50}}, 500)
         >>> [history.superseded_for_ms("m", version, 500) for version in (1, 2)]
-        [900, 100]
+        [899, 100]
     """
 
     def __init__(self) -> None:
@@ -43,8 +47,9 @@
         for model, by_version in ages.items():
             for version, age_ms in by_version.items():
                 known_ms = self._times.get(model, {}).get(version)
-                if known_ms is None or now_ms - age_ms < known_ms:
-                    self._record(model, version, now_ms - age_ms)
+                named_ms = now_ms - max(0, age_ms - ROUNDING_MS)
+                if known_ms is None or named_ms < known_ms:
+                    self._record(model, version, named_ms)
 
     def ages(self, horizon_ms: int, now_ms: int) -> VersionAges:
         """Return the ages of the versions that were named within a time.
