Check the limit of the weights immediately before a prompt is sent

Only the leader checked the limit of a prompt that it placed. A router that knew a longer age, and one whose connection opened while the limit passed, sent the prompt all the same and withdrew it in the next moment; an idle engine begins at once. The attempt now ends as not run, and another engine is chosen.

An engine whose listed weights lack the model was chosen without any check if the leader did not answer, and the request named no version. It counts as one with the oldest weights now, as it does at the leader.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -142,6 +142,10 @@
         if self._exchange.is_disconnected:
             self._forwarder.pool.put(endpoint.id, connection)
             return Outcome(note="caller disconnected before the request was sent")
+        if self._is_past_weights_limit():
+            self._forwarder.pool.put(endpoint.id, connection)
+            note = "not sent: the time limit of the engine's weights is reached"
+            return Outcome(AttemptFailure.NOT_RUN, note=note, limit=TimeLimit.WEIGHTS)
         self._send(connection)
         self._admitted.connection = connection
         self._exchange.on_disconnect = connection.wake
@@ -164,6 +168,20 @@
         outcome.silent_ms = self._clock.now_ms() - self._last_byte_ms
         return outcome
 
+    def _is_past_weights_limit(self) -> bool:
+        """Return whether the prompt may no longer begin on the engine's weights.
+
+        The time or the list may have changed since the leader placed it, while the
+        connection was opened or the prompt was held back. An engine whose weights are
+        not listed may have any version.
+        """
+        prompt = self._admitted.prompt
+        if prompt is None:
+            return False
+        version = self._endpoint.listed.weights.get(prompt.model, 0)
+        limit, now_ms = self._forwarder.weights_limit, self._clock.now_ms()
+        return limit.left_to_wait_ms(prompt.model, version, now_ms) <= 0
+
     def _schedule_withdrawal(self, connection: UpstreamConnection) -> None:
         """Schedule the end of the attempt at the time limit of its weights.
 
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -83,15 +83,16 @@
     def _within_weights_limit(
         self, admitted: AdmittedRequest, endpoints: list[EndpointState]
     ) -> list[EndpointState]:
-        """Return the engines on whose weights a prompt may still begin."""
+        """Return the engines on whose weights a prompt may still begin.
+
+        An engine whose weights are not listed may have any version.
+        """
         limit, now_ms = self._control_sync.view.weights_limit, self._clock.now_ms()
-        model, newest = admitted.metadata.model, admitted.weights_version
+        model = admitted.metadata.model
         return [
             state
             for state in endpoints
-            if limit.left_to_send_ms(
-                model, state.listed.weights.get(model, newest), now_ms
-            )
+            if limit.left_to_send_ms(model, state.listed.weights.get(model, 0), now_ms)
         ]
 
     def _take_token(self, endpoint: EndpointState | None) -> None:
