--- a/mustardtrack/process/load_orders.py
+++ b/mustardtrack/process/load_orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -35,15 +36,17 @@
     """Result of sending an order to an engine."""
 
     ACCEPTED = "accepted"
+    IN_PROGRESS = "in progress"
+    COMPLETED = "completed"
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
 
 
 # With 409, an earlier order is in progress; its end is awaited before another one.
 DELIVERY_BY_STATUS = {
-    200: Delivery.ACCEPTED,
+    200: Delivery.IN_PROGRESS,
     202: Delivery.ACCEPTED,
-    409: Delivery.ACCEPTED,
+    409: Delivery.IN_PROGRESS,
     NOT_SENT_STATUS: Delivery.UNREACHABLE,
 }
 
@@ -130,9 +133,9 @@
     async def _send(self, order: WeightsOrder) -> None:
         endpoint_id, now_ms = order.endpoint.id, self._calls.now_ms
         delivery = await self._send_repeatedly(order)
-        if delivery is Delivery.ACCEPTED:
+        if delivery in (Delivery.ACCEPTED, Delivery.IN_PROGRESS):
             self._rollout.record_reached(endpoint_id)
-            await self.wait_for_load(order)
+            await self.wait_for_load(order, is_timed=delivery is Delivery.ACCEPTED)
         elif delivery is Delivery.UNREACHABLE:
             self._rollout.defer_order(endpoint_id, now_ms())
         else:
@@ -150,14 +153,17 @@
                 return Delivery.UNREACHABLE
             report = answer.report
             if report is not None and report.is_busy:
-                return Delivery.ACCEPTED
+                return Delivery.IN_PROGRESS
+            if report is not None and _shows(report, order):
+                self._record_weights(order.endpoint.id, report.weights)
+                return Delivery.COMPLETED
             accepted_orders = report.accepted_orders if report else None
             status = await self._deliver(order, accepted_orders)
             if status != NO_ANSWER_STATUS:
                 return DELIVERY_BY_STATUS.get(status, Delivery.REFUSED)
             if accepted_orders is None:
                 # The engine may have received the order, and may carry out each copy.
-                return Delivery.ACCEPTED
+                return Delivery.IN_PROGRESS
             self._rollout.renew_order(order.endpoint.id, self._calls.now_ms())
         return Delivery.UNREACHABLE
 
@@ -192,8 +198,13 @@
         )
         return status
 
-    async def wait_for_load(self, order: WeightsOrder) -> None:
-        """Poll the engine until it reports the load, since the platform's list lags."""
+    async def wait_for_load(self, order: WeightsOrder, is_timed: bool = True) -> None:
+        """Poll the engine until it reports the load, since the platform's list lags.
+
+        Args:
+            order: Order that the engine carries out.
+            is_timed: Whether the load begins now, so that its time is learned.
+        """
         endpoint = order.endpoint
         clock = asyncio.get_running_loop().time
         start_s = clock()
@@ -211,14 +222,16 @@
             step = progress.record_report(weights, is_busy, elapsed_ms)
             if step is LoadStep.COMPLETED:
                 assert weights is not None
-                self._load_times.record(endpoint.service, waited_ms, elapsed_ms)
-                self._engine_weights.record_report(
-                    endpoint.id, weights, self._calls.now_ms()
-                )
+                if is_timed:
+                    self._load_times.record(endpoint.service, waited_ms, elapsed_ms)
+                self._record_weights(endpoint.id, weights)
             if not self._apply_step(step, endpoint.id):
                 return
             waited_ms = elapsed_ms
 
+    def _record_weights(self, endpoint_id: str, weights: Mapping[str, int]) -> None:
+        self._engine_weights.record_report(endpoint_id, weights, self._calls.now_ms())
+
     def _apply_step(self, step: LoadStep, endpoint_id: str) -> bool:
         """Tell the rollout of a report and return whether to ask for another one."""
         now_ms = self._calls.now_ms()
@@ -241,3 +254,8 @@
             error, has_arrived = failure, True
         log_event(REPORT_READ_FAILED, endpoint=endpoint.id, error=str(error))
         return _ReportAnswer(has_arrived)
+
+
+def _shows(report: WeightsReport, order: WeightsOrder) -> bool:
+    """Return whether a report shows the effect of an order."""
+    return report.weights.get(order.model, 0) >= order.version
--- a/mustardtrack/testing/weight_engines.py
+++ b/mustardtrack/testing/weight_engines.py
@@ -14,7 +14,7 @@
 
 LIST_ADDRESS = "10.0.0.100:1"
 SERVICE, MODEL = "pool", "m"
-# Time after which a caller gives up a call that is not answered.
+# Time after which a caller gives up an order that is not answered.
 NO_ANSWER_S = 1.0
 
 
@@ -29,17 +29,21 @@
         late_orders: Delays in milliseconds of orders that get no answer and are
             carried out later, by the number of the order that reaches the engine.
         received: Orders received, with the loop time in seconds.
-        is_silent: Whether it answers nothing.
         history: Versions, newest last, with the loop time in seconds of each change.
+        is_silent: Whether it answers no call.
+        reports_lost_until_s: Loop time in seconds until which its reports are lost.
+        report_s: Time in seconds that an answer with its report takes.
     """
 
     version: int = 1
     accepted_orders: int = 0
     ordered_version: int | None = None
     late_orders: dict[int, float] = field(default_factory=dict)
-    is_silent: bool = False
     received: list[tuple[float, dict[str, Any]]] = field(default_factory=list)
     history: list[tuple[float, int]] = field(default_factory=list)
+    is_silent: bool = False
+    reports_lost_until_s: float = 0.0
+    report_s: float = 0.0
 
     def version_at(self, time_s: float) -> int:
         """Return the version that it had at a time of the loop."""
@@ -104,7 +108,7 @@
         """Answer a call to an engine or to the platform.
 
         Raises:
-            ConnectError: If the call may not be sent.
+            ConnectError: If the call may not be sent any more.
             ConnectionBrokenError: If the call gets no answer.
         """
         await asyncio.sleep(0.002)
@@ -112,10 +116,14 @@
             raise ConnectError("not sent: the permission has ended")
         if address == LIST_ADDRESS:
             return 200, self._encode_list()
-        if self.engines[address].is_silent:
+        engine = self.engines[address]
+        is_report = method == b"GET"
+        is_lost = is_report and self._loop.time() < engine.reports_lost_until_s
+        if engine.is_silent or is_lost:
             await asyncio.sleep(NO_ANSWER_S)
             raise ConnectionBrokenError("response timed out")
-        if method == b"GET":
+        if is_report:
+            await asyncio.sleep(engine.report_s)
             return 200, self._encode_report(address)
         return await self._receive_order(address, json.loads(body))
 
