--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -254,7 +254,7 @@
         self._pending.pop(endpoint_id, None)
 
     def renew_order(self, endpoint_id: str, now_ms: int) -> None:
-        """Record that an endpoint is still carrying out its order."""
+        """Record that an endpoint is carrying out its order or gets it again."""
         if endpoint_id in self._pending:
             self._pending[endpoint_id].drain_started_ms = now_ms
 
