--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -185,8 +185,9 @@
     def _schedule_withdrawal(self, connection: UpstreamConnection) -> None:
         """Schedule the end of the attempt at the time limit of its weights.
 
-        An engine drops a waiting prompt when its connection closes. Newer weights that
-        are named later leave at least the whole limit from now.
+        An engine drops a waiting prompt when its connection closes. If newer weights
+        are named later, the prompt has at least the whole limit from now, so the time
+        is read again then.
         """
         version = self._weights_version
         if version is None:
--- a/mustardtrack/routing/engineweights.py
+++ b/mustardtrack/routing/engineweights.py
@@ -15,8 +15,8 @@
 
 
 @dataclass(frozen=True)
-class WeightsReturn:
-    """Engine whose listed version of a model is older than the one listed before."""
+class WeightsRollback:
+    """Change of an engine to an older version of a model than the one listed before."""
 
     endpoint_id: str
     model: str
@@ -66,15 +66,15 @@
 
     def record_list(
         self, entries: Sequence[ListedEndpoint], read_ms: int
-    ) -> list[WeightsReturn]:
+    ) -> list[WeightsRollback]:
         """Record a list and return the engines that have older weights than before.
 
         Args:
             entries: Content of the list.
             read_ms: Time at which reading it began.
         """
-        returns = [
-            WeightsReturn(entry.id, model, version, previous_version)
+        rollbacks = [
+            WeightsRollback(entry.id, model, version, previous_version)
             for entry in entries
             if (previous := self._listed.get(entry.id)) is not None
             for model, version in entry.weights.items()
@@ -87,7 +87,7 @@
             if endpoint_id in self._listed
             and read_ms < report.received_ms + self._list_lag_ms
         }
-        return returns
+        return rollbacks
 
     def merge(self, entry: ListedEndpoint) -> ListedEndpoint:
         """Return a listed engine with the newest known versions."""
--- a/mustardtrack/routing/weightslimit.py
+++ b/mustardtrack/routing/weightslimit.py
@@ -19,7 +19,8 @@
 # A prompt that waits is withdrawn this long before the limit, which covers the way to
 # the engine.
 WITHDRAW_MARGIN_MS = 150
-# Other processes are told of versions up to this age, as a multiple of the limit.
+# Messages hold the versions up to this age, as a multiple of the limit. Engines lack
+# versions for longer than the limit only after a failure.
 SHARED_AGE_LIMITS = 2
 
 
