Name the expected engine when its report is read

A report was taken from whatever engine answers at the address. While the list still names an engine that is gone, another engine at the same address could complete its order. test_report_of_another_engine_at_the_same_address_does_not_count failed before.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -332,7 +332,11 @@
     async def read_report(self, endpoint: ListedEndpoint) -> WeightsReport:
         """Return the report of an engine."""
         status, body = await self._call(
-            endpoint.address, b"GET", WEIGHTS_REPORT_TARGET, b""
+            endpoint.address,
+            b"GET",
+            WEIGHTS_REPORT_TARGET,
+            b"",
+            [expect_instance_header(endpoint.id)],
         )
         if status != 200:
             raise ValueError(f"status {status}")
--- a/mustardtrack/process/tests/test_late_orders.py
+++ b/mustardtrack/process/tests/test_late_orders.py
@@ -38,6 +38,7 @@
     def __init__(self):
         self.document_store = SimpleNamespace(weights={}, order_holder="")
         self.placements = PlacementTable(LIMIT_MS)
+        self.published = None
         self.released_s = []
 
     def now_ms(self):
@@ -62,6 +63,7 @@
 
     def publish_endpoints(self, endpoints):
         """Adopt a list."""
+        self.published = endpoints
         self.placements.update(endpoints.endpoints)
 
 
@@ -96,12 +98,21 @@
             await asyncio.sleep(STEP_S)
 
 
+async def cancel_tasks():
+    """Cancel the tasks that follow the loads."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def play(scenario):
     """Run a scenario in virtual time."""
     loop = VirtualTimeLoop()
     try:
         return loop.run_until_complete(scenario())
     finally:
+        loop.run_until_complete(cancel_tasks())
         loop.close()
 
 
@@ -274,3 +285,19 @@
         return [engine.version for engine in engines[silent:]]
 
     assert play(scenario) == [2] * (9 - silent)
+
+
+def test_report_of_another_engine_at_the_same_address_does_not_count():
+    """Guards against a reused address while the list names the old engine."""
+
+    async def scenario():
+        rollout = Rollout(engines=1)
+        await rollout.name_version(2, at_s=0.5)
+        rollout.engines.engines["10.0.0.1:1"].instance = "i-other"
+        rollout.engines.set_version("10.0.0.1:1", 2)
+        # The list, which lags by 800 ms, still shows version 1.
+        await rollout.run_until(1.2)
+        (engine,) = rollout.leader.published.endpoints
+        return engine.weights[MODEL]
+
+    assert play(scenario) == 1
--- a/mustardtrack/testing/weight_engines.py
+++ b/mustardtrack/testing/weight_engines.py
@@ -30,6 +30,7 @@
             carried out later, by the number of the order that reaches the engine.
         received: Orders received, with the loop time in seconds.
         history: Versions, newest last, with the loop time in seconds of each change.
+        instance: Identity of the engine, None for the one that the list names.
         is_silent: Whether it answers no call.
         reports_lost_until_s: Loop time in seconds until which its reports are lost.
         report_s: Time in seconds that an answer with its report takes.
@@ -41,6 +42,7 @@
     late_orders: dict[int, float] = field(default_factory=dict)
     received: list[tuple[float, dict[str, Any]]] = field(default_factory=list)
     history: list[tuple[float, int]] = field(default_factory=list)
+    instance: str | None = None
     is_silent: bool = False
     reports_lost_until_s: float = 0.0
     report_s: float = 0.0
@@ -117,6 +119,12 @@
         if address == LIST_ADDRESS:
             return 200, self._encode_list()
         engine = self.engines[address]
+        instance = engine.instance or f"i-{address}"
+        if (
+            dict(headers).get(b"expect-instance", instance.encode())
+            != instance.encode()
+        ):
+            return 421, b""
         is_report = method == b"GET"
         is_lost = is_report and self._loop.time() < engine.reports_lost_until_s
         if engine.is_silent or is_lost:
