Measure the wait for an event of a stream between events

Cause: every piece of data began the wait for the first or the next event anew, so an endpoint that sent its head and then some bytes without an event now and then was never replaced, up to the limit of the request. Report of another operator: stalled streams that sent a byte now and then never ended. Here they end at the limit of the request; this was not shown by a test.

Change: the wait counts from the last complete event. Another attempt is prepared again only after another limit has passed, so that a large event which arrives slowly causes one preparation per limit.

Result: test_answer_that_goes_on_byte_by_byte_ends_at_its_limit passes before and after (20 cases), and fails if the limit of the request is taken out of the wait and of the check of arriving data. test_stream_that_does_not_begin_is_retried_although_bytes_arrive failed before for an answer whose head had arrived.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -364,15 +364,24 @@
     ) -> Outcome:
         progress = self._progress
         splitter = EventStreamSplitter(progress.resume_after)
+        waits_since_ms = self._clock.now_ms()
         while True:
             if self._exchange.is_started:
                 limit, limit_ms = TimeLimit.EVENT_GAP, STREAM_IDLE_TIMEOUT_MS
             else:
                 limit, limit_ms = TimeLimit.FIRST_EVENT, FIRST_EVENT_TIMEOUT_MS
-            event = await self._next_event(connection, limit_ms, limit)
+            # Bytes without an event do not prove that the stream goes on.
+            waited_ms = self._clock.now_ms() - waits_since_ms
+            event = await self._next_event(
+                connection, limit_ms, limit, waited_ms=waited_ms
+            )
+            if self._clock.now_ms() - waits_since_ms >= limit_ms:
+                # Another attempt is prepared again only after another limit.
+                waits_since_ms = self._clock.now_ms()
             if isinstance(event, ResponseData):
                 complete_events = splitter.feed(event.data)
                 if complete_events:
+                    waits_since_ms = self._clock.now_ms()
                     self._record_first_byte()
                     self._start_response(head)
                     self._exchange.write(complete_events)
@@ -429,6 +438,7 @@
         limit_ms: float,
         limit: TimeLimit,
         ends_at_limit: bool = False,
+        waited_ms: int = 0,
     ) -> ResponseEvent | Outcome:
         """Return the next response event, or the outcome if there is none.
 
@@ -438,8 +448,9 @@
                 another attempt can begin at once.
             limit: Kind of this limit.
             ends_at_limit: Whether the attempt ends after ``limit_ms`` in any case.
+            waited_ms: Part of ``limit_ms`` that has passed already.
         """
-        left_ms = min(limit_ms, self._time_left_ms())
+        left_ms = min(max(0, limit_ms - waited_ms), self._time_left_ms())
         event = await connection.next_event(left_ms / 1000)
         replacement = None
         if event is None and not ends_at_limit:
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -432,6 +432,55 @@
     assert {name: line[name] for name in expected} == expected
 
 
+def send_slowly(until_ms, data):
+    """Return steps that send data again and again."""
+    return [(at_ms, data) for at_ms in range(400, until_ms, 400)]
+
+
+# Parts of an answer that an endpoint can send for ever without an event or an end.
+SLOW_PARTS = {
+    "headers": [(100, HEAD[:-2]), *send_slowly(60_000, b"x: y\r\n")],
+    "first event": [(100, HEAD), *send_slowly(60_000, b"1\r\n:\r\n")],
+    "chunk size": [(100, HEAD), *send_slowly(60_000, b"0")],
+    "comments": [(100, HEAD + event(1)), *send_slowly(60_000, b"1\r\n:\r\n")],
+    "empty events": [(100, HEAD + event(1)), *send_slowly(60_000, b"2\r\n\n\n\r\n")],
+}
+
+
+@pytest.mark.parametrize("part", SLOW_PARTS)
+@pytest.mark.parametrize("kind", [RetrySafety.STREAM, RetrySafety.AT_MOST_ONCE])
+@pytest.mark.parametrize("budget_ms", [3000, None])
+def test_answer_that_goes_on_byte_by_byte_ends_at_its_limit(
+    monkeypatch, part, kind, budget_ms
+):
+    """Guards against a stalled answer that never ends because it sends some bytes."""
+    scenario = Scenario(
+        {"e1": SLOW_PARTS[part]},
+        kind=kind,
+        max_attempts=1,
+        budget_ms=budget_ms,
+        monkeypatch=monkeypatch,
+    ).play()
+    limit_ms = budget_ms or ROUTE_TIMEOUT_MS
+    (line,) = scenario.lines(8951)
+    assert line["limit"] == ("caller" if budget_ms else "route")
+    assert line["limit_ms"] == limit_ms
+    assert not scenario.is_pending
+    (run,) = scenario.pool.runs
+    assert run.transport.end == "reset"
+    assert run.transport.ended_s == pytest.approx(limit_ms / 1000, abs=0.5)
+
+
+@pytest.mark.parametrize("part", ["headers", "first event"])
+def test_stream_that_does_not_begin_is_retried_although_bytes_arrive(monkeypatch, part):
+    """Guards against a stall that bytes without an event hide from its retry."""
+    scenario = Scenario(
+        {"e1": SLOW_PARTS[part], "e2": COMPLETE}, monkeypatch=monkeypatch
+    ).play()
+    assert scenario.is_whole
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1", "e2"]
+
+
 @pytest.mark.parametrize(
     ("script", "options", "expected"),
     [
