Keep the order claim while an order is still being sent

Cause: the time of the last order was taken when an order was planned. An order without an answer is sent up to four times over several seconds, but the claim was released 3.5 s after the first send once the platform's list showed the loads as completed. A leader elected then found no claim and ordered at once, 0.8 to 2.0 s after the last order of the old one, where engines count an order of another host within the order lease (3 s) as one of a second holder.

Change: the claim stays while an order is sent or followed, and its age counts from the last order that went out.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -258,6 +258,8 @@
         control = self._control
         if control.document_store.order_holder != control.name:
             return
+        if self._load_orders.has_open_orders:
+            return  # An order without an answer may be sent again.
         wait_ms = self._settings.bounds.order_lease_ms + ORDER_LEASE_MARGIN_MS
         if control.now_ms() - self._last_order_ms >= wait_ms:
             await control.commit(ReleaseOrders(control.name))
@@ -286,7 +288,6 @@
         )
         placements.winding_down = self._rollout.winding_down()
         for order in orders:
-            self._last_order_ms = now_ms
             self._load_orders.send(order)
 
     # Calls that the delivery of orders makes
@@ -314,10 +315,15 @@
         term: int,
     ) -> tuple[int, bytes]:
         """Call an engine, while this host leads in a term."""
-        # Leadership may end while the connection is opened.
-        return await self._call(
-            address, method, target, body, headers, lambda: self.leads_in(term)
-        )
+
+        def may_send() -> bool:
+            # Leadership may end while the connection is opened.
+            leads = self.leads_in(term)
+            if leads and method == b"POST":
+                self._last_order_ms = self._control.now_ms()
+            return leads
+
+        return await self._call(address, method, target, body, headers, may_send)
 
     async def _call(
         self,
--- a/mustardtrack/process/load_orders.py
+++ b/mustardtrack/process/load_orders.py
@@ -100,6 +100,11 @@
         self._limit_ms = limit_ms
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def has_open_orders(self) -> bool:
+        """Whether an order is being sent or its load followed."""
+        return bool(self._tasks)
+
     def send(self, order: WeightsOrder) -> None:
         """Send an order and follow it in the background."""
         task = asyncio.ensure_future(self._send(order))
