--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -266,6 +266,8 @@
         control = self._control
         if not self._holds_order_claim():
             return
+        if self._load_orders.has_open_orders:
+            return  # An order without an answer may be sent again.
         wait_ms = self._settings.bounds.order_lease_ms + ORDER_LEASE_MARGIN_MS
         if control.now_ms() - self._last_order_ms >= wait_ms:
             await control.commit(ReleaseOrders(control.name))
