Count only pauses of a leader that are shorter than an election

After a longer pause another replica may lead, and the paused one must not take commands as the leader. test_leader_that_was_paused_for_longer_than_an_election_steps_down_at_once failed before this change, which follows the one that subtracts pauses.

--- a/mustardtrack/agreement/leader.py
+++ b/mustardtrack/agreement/leader.py
@@ -128,9 +128,11 @@
 
     def _paused_ms(self, since_ms: int, now_ms: int) -> int:
         """Return the time since ``since_ms`` in which heartbeats were overdue."""
-        overdue_ms = now_ms - self._ticked_ms - self._core.timing.heartbeat_ms
+        timing = self._core.timing
+        overdue_ms = now_ms - self._ticked_ms - timing.heartbeat_ms
         self._ticked_ms = now_ms
-        if overdue_ms > 0:
+        # After a longer pause, another replica may lead.
+        if 0 < overdue_ms < timing.election_timeout_ms:
             self._pauses.append((now_ms, overdue_ms))
         self._pauses = [pause for pause in self._pauses if pause[0] > since_ms]
         return sum(length_ms for _, length_ms in self._pauses)
--- a/mustardtrack/agreement/tests/test_faults.py
+++ b/mustardtrack/agreement/tests/test_faults.py
@@ -289,6 +289,19 @@
     assert leader.replica.status(0).term == term
 
 
+def test_leader_that_was_paused_for_longer_than_an_election_steps_down_at_once():
+    """Guards against a host that takes commands as the leader after another one."""
+    group = make_group(3)
+    old = group.leader()
+    others = set(group.nodes) - {old.name}
+    group.network.blocked = {(other, old.name) for other in others}
+    old.paused = True
+    group.run(3 * FAST_TIMING.election_timeout_ms)
+    old.paused = False
+    group.run(STEP_MS)
+    assert old.replica.status(0).role != "leader"
+
+
 def test_leader_that_is_paused_again_and_again_without_replies_steps_down():
     """Guards against a leader without a majority that its pauses keep in office."""
     group = make_group(3)
