Load engines past the time limit of their weights without waiting for a place

Engines whose limit has passed get no requests, but waited for one of the places that protect the traffic.

They are ordered at once now, up to twice the usual loads. test_engines_past_the_time_limit_of_their_weights_do_not_wait_for_a_place failed before. test_next_version_does_not_find_engines_that_wound_down_before kept its engines on version 1 for ten limits after the naming of version 2, where an order without a wind-down is right now; they have version 2 before version 3 is named, as end_wind_down says. It fails as before if end_wind_down does nothing.

--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -18,6 +18,10 @@
 # concurrent loads slow each other and leave too few engines for the traffic.
 MAX_LOADING_FRACTION = 0.4
 MIN_PARALLEL_LOADS = 2
+# Concurrent loads, as a multiple of the usual ones, while some of the engines are past
+# the time limit of their weights. Those get no requests, so that they lose nothing by
+# loading, but each further load slows the others.
+OUT_OF_SERVICE_FACTOR = 2
 # Mean time to prefill the prompts placed on an engine, above which the engines are
 # needed for traffic: fewer of them load unless the time limit requires more.
 BUSY_QUEUE_MS = 150.0
@@ -161,10 +165,12 @@
         if not may_order:
             return []
         for endpoint, model, version in outdated:
-            if len(self._pending) >= limit:
-                break
-            if self._is_ready(endpoint, remaining_ms, now_ms):
-                del self._winding_down_ms[endpoint.id]
+            is_idle = self._is_out_of_service(endpoint, now_ms)
+            most = OUT_OF_SERVICE_FACTOR * limit if is_idle else limit
+            if len(self._pending) >= most:
+                continue
+            if is_idle or self._is_ready(endpoint, remaining_ms, now_ms):
+                self._winding_down_ms.pop(endpoint.id, None)
                 self._pending[endpoint.id] = _PendingOrder(model, version, now_ms)
         orders: list[WeightsOrder] = []
         for endpoint, model, version in outdated:
@@ -205,6 +211,13 @@
             if busy < limit or remaining_ms(endpoint_id) > load_ms:
                 self._winding_down_ms.setdefault(endpoint_id, now_ms)
 
+    def _is_out_of_service(self, endpoint: ListedEndpoint, now_ms: int) -> bool:
+        """Return whether an engine gets no requests until it has loaded."""
+        return self._may_load(endpoint, now_ms) and not any(
+            self._weights_limit.left_to_send_ms(model, version, now_ms)
+            for model, version in endpoint.weights.items()
+        )
+
     def _is_ready(
         self,
         endpoint: ListedEndpoint,
--- a/mustardtrack/routing/tests/test_rollout.py
+++ b/mustardtrack/routing/tests/test_rollout.py
@@ -118,6 +118,17 @@
     assert len(rollout.plan(engines, {"m": 2}, idle, idle, busy_ms, 0)) == 3
 
 
+def test_engines_past_the_time_limit_of_their_weights_do_not_wait_for_a_place():
+    """Guards against engines that neither take requests nor load."""
+    engines = [engine(f"e{n}", 1) for n in range(6)] + [engine("new", 2)] * 3
+    weights_limit = WeightsLimit(LIMIT_MS)
+    weights_limit.adopt({"m": {2: LIMIT_MS}}, 0)
+    rollout = Rollout(LIMIT_MS, weights_limit)
+    busy = {"remaining_ms": lambda name: 3000.0, "mean_queue_ms": 2 * BUSY_QUEUE_MS}
+    orders = rollout.plan(engines, {"m": 2}, idle, now_ms=0, **busy)
+    assert sorted(names(orders)) == [f"e{n}" for n in range(6)]
+
+
 def test_many_busy_engines_load_several_at_a_time():
     """Guards against 30 engines that load one by one and then all at once."""
     engines = [engine(f"e{n}", 1) for n in range(30)]
@@ -210,6 +221,7 @@
 
     plan(2, 0)
     rollout.end_wind_down()
+    engines = [engine("a", 2), engine("b", 2)]
     plan(3, 10 * LIMIT_MS)
     orders = rollout.plan(
         engines, {"m": 3}, idle, lambda name: 4 * LOAD_MS, 0, 10 * LIMIT_MS + 50
