--- a/mustardtrack/process/tests/test_superseded_weights.py
+++ b/mustardtrack/process/tests/test_superseded_weights.py
@@ -32,6 +32,7 @@
 
 RESTARTED = {
     "no process": (),
+    "routers": (ROUTERS[:1], ROUTERS[1:]),
     "one control host after the other": (CONTROLS[:1], CONTROLS[1:2], CONTROLS[2:]),
     "all control hosts": (CONTROLS,),
     "routers and two control hosts": (CONTROLS[:1], (*ROUTERS, CONTROLS[1])),
