Remove a frame whose write or sync failed from the log of a replica

Cause: a failed sync leaves the frame in the page cache, marked as clean. The restarted replica read it, its own sync succeeded without writing it, and it acknowledged the frame. After a loss of power the frame was gone, or, once another frame followed it, the log was damaged before its end and the replica refused to start.

Ruled out: refused writes, also half done ones, refused new names and refused file replacements; these leave a torn frame or a temporary file, which load removes.

Change: a failed append cuts the log back to the end of the last synced frame, which needs no room. The simulated file system of the tests gets a disk that is full, either at the write or at the sync after it, and syncs only what no earlier sync failed for.

Conclusion: the sync of a load can fail in the same way after a kill; that remains.

--- a/mustardtrack/adapters/disk.py
+++ b/mustardtrack/adapters/disk.py
@@ -75,6 +75,7 @@
         self._state = StoredState(disk="")
         self._identity_fd = -1
         self._log_fd = -1
+        self._log_bytes = 0
         self._sequence = 1
         self._unsynced: list[PersistOp] = []
         self._failed = False
@@ -122,8 +123,8 @@
         only the last one incomplete.
 
         Raises:
-            OSError: If a write or sync fails. The content of the file is then
-                unknown, and every later call fails until ``load``.
+            OSError: If a write or sync fails. Each operation is then either stored
+                or not, and every later call fails until ``load``.
         """
         if self._failed or self._log_fd < 0:
             raise OSError("the log is closed or a write failed, restart the replica")
@@ -163,8 +164,16 @@
         if not operations:
             return
         payload = _ENCODER.encode(_Record(self._state.base_index, operations))
-        _write_all(self._log_fd, encode_frame(self._sequence, payload))
-        os.fsync(self._log_fd)
+        frame = encode_frame(self._sequence, payload)
+        try:
+            _write_all(self._log_fd, frame)
+            os.fsync(self._log_fd)
+        except OSError:
+            # After a failed sync Linux keeps the frame readable and does not write it
+            # again: a restarted replica would acknowledge a frame that is on no disk.
+            os.ftruncate(self._log_fd, self._log_bytes)
+            raise
+        self._log_bytes += len(frame)
         self._sequence += 1
 
     def _replace_snapshot(self, snapshot: Snapshot) -> None:
@@ -179,7 +188,9 @@
         if state.entries:
             operations.append(SaveEntries(tuple(state.entries)))
         record = _Record(state.base_index, operations)
-        self._write_file("log", encode_frame(1, _ENCODER.encode(record)))
+        frame = encode_frame(1, _ENCODER.encode(record))
+        self._write_file("log", frame)
+        self._log_bytes = len(frame)
         self._sequence = 2
         self._open_log()
 
@@ -226,6 +237,7 @@
         for sequence, payload, end_offset in read_frames(data, 1):
             base_index = self._replay(replayed, payload)
             self._sequence, end = sequence + 1, end_offset
+        self._log_bytes = end
         if end < len(data):
             self._truncate_torn_write(data, end)
         self._merge_log_state(replayed, base_index)
--- a/mustardtrack/adapters/tests/test_power_loss.py
+++ b/mustardtrack/adapters/tests/test_power_loss.py
@@ -1,6 +1,7 @@
-"""Tests that the files of a replica survive process kills and losses of power."""
+"""Tests that the files of a replica survive kills, losses of power and full disks."""
 
 import contextlib
+import errno
 import os
 import random
 import shutil
@@ -42,8 +43,17 @@
         self.content = _apply_change(self.content, kind, offset, data)
 
     def sync(self):
-        """Make the content durable."""
-        self.synced, self.unsynced = self.content, []
+        """Make the changes since the last sync durable."""
+        for kind, offset, data in self.unsynced:
+            self.synced = _apply_change(self.synced, kind, offset, data)
+        self.unsynced = []
+
+    def fail_sync(self):
+        """Report the unsynced changes as failed; later syncs do not retry them.
+
+        As on Linux, they stay readable until the power is lost.
+        """
+        self.unsynced = []
 
     def lose_power(self, rng):
         """Keep, drop or tear each write since the last sync."""
@@ -55,8 +65,8 @@
                 data = data[: rng.randint(0, len(data))]
             if fate != "missing":
                 content = _apply_change(content, kind, offset, data)
-        self.content = content
-        self.sync()
+        self.content = self.synced = content
+        self.unsynced = []
 
 
 def _apply_change(content, kind, offset, data):
@@ -71,6 +81,9 @@
     A created or renamed name is durable once its folder has been synced; until then
     each is kept or lost on its own. A write is durable once its file has been synced;
     until then each is kept, lost or torn.
+
+    A full disk refuses new names and either writes, the first of them half done, or
+    the sync after a write.
     """
 
     def __init__(self, root, monkeypatch):
@@ -82,6 +95,8 @@
         self._open_files = {}
         self._real = {}
         self.operations_until_kill = None
+        self.operations_until_full = None
+        self.has_late_errors = False
         for name in ("open", "write", "fsync", "replace", "ftruncate", "mkdir"):
             self._real[name] = getattr(os, name)
             monkeypatch.setattr(os, name, getattr(self, f"_{name}"))
@@ -131,6 +146,16 @@
         if self._is_killed():
             raise ProcessKilledError
 
+    def _is_full(self):
+        if self.operations_until_full is None:
+            return False
+        self.operations_until_full -= 1
+        return self.operations_until_full < 0
+
+    def _check_full(self):
+        if self._is_full():
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
     def _is_outside(self, path):
         return not Path(path).is_relative_to(self._root)
 
@@ -139,6 +164,8 @@
             return self._real["open"](path, flags, *args, **options)
         self._check_kill()
         path = Path(path)
+        if flags & os.O_CREAT:
+            self._check_full()
         descriptor = self._real["open"](path, flags, *args, **options)
         if path.is_dir():
             self._open_files[descriptor] = path
@@ -157,7 +184,10 @@
             return self._real["write"](descriptor, data)
         data = bytes(data)
         is_killed = self._is_killed()
-        if is_killed:
+        is_refused = not self.has_late_errors and self._is_full()
+        if is_refused and self.operations_until_full < -1:
+            data = b""
+        elif is_killed or is_refused:
             data = data[: len(data) // 2]
         # All files are written from their end.
         file.change("write", len(file.content), data)
@@ -165,12 +195,17 @@
         assert written == len(data)
         if is_killed:
             raise ProcessKilledError
+        if is_refused:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         return written
 
     def _fsync(self, descriptor):
         self._check_kill()
         target = self._open_files[descriptor]
         if isinstance(target, SimulatedFile):
+            if self.has_late_errors and target.unsynced and self._is_full():
+                target.fail_sync()
+                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
             target.sync()
         else:
             self._sync_folder(target)
@@ -191,6 +226,7 @@
 
     def _replace(self, source, target):
         self._check_kill()
+        self._check_full()
         self._real["replace"](source, target)
         file = self._names.pop(Path(source))
         self._names[Path(target)] = file
@@ -204,6 +240,7 @@
     def _mkdir(self, path, *args, **options):
         if not self._is_outside(path) and not Path(path).exists():
             self._check_kill()
+            self._check_full()
             self._unsynced_names.append(("mkdir", Path(path), None))
         return self._real["mkdir"](path, *args, **options)
 
@@ -364,3 +401,79 @@
             state = load_and_close(folder)
             assert state.base_index + len(state.entries) == 3
             assert state.snapshot in (None, snapshot)
+
+
+def fail_on_full_disk(file_system, action, room_operations, has_late_errors):
+    """Run an action on a disk with room for some operations; return its result."""
+    file_system.operations_until_full = room_operations
+    file_system.has_late_errors = has_late_errors
+    try:
+        return action()
+    except OSError as error:
+        assert error.errno == errno.ENOSPC
+        return None
+    finally:
+        file_system.operations_until_full = None
+
+
+@pytest.mark.parametrize("has_late_errors", [False, True])
+@pytest.mark.parametrize("operation_kind", ["vote", "entries", "snapshot"])
+def test_write_refused_by_a_full_disk_is_not_vouched_for_after_a_restart(
+    operation_kind, has_late_errors, tmp_path, file_system
+):
+    """Guards against an entry that a restarted replica acknowledges and then loses."""
+    folder = tmp_path / "replica"
+    disk = DiskStorage(folder)
+    disk.load()
+    disk.persist([SaveEntries(make_entries(1, 2))])
+    refused = {
+        "vote": SaveVote(1, A),
+        "entries": SaveEntries(make_entries(3, 3)),
+        "snapshot": SaveSnapshot(Snapshot(2, 1, (A,), b"state")),
+    }[operation_kind]
+    fail_on_full_disk(file_system, lambda: disk.persist([refused]), 0, has_late_errors)
+    assert disk._failed
+    disk.close()
+    loaded = load_and_close(folder)
+    file_system.lose_power(LoseEverything())
+    assert load_and_close(folder) == loaded
+
+
+@pytest.mark.parametrize("has_late_errors", [False, True])
+@pytest.mark.parametrize("seed", range(40))
+def test_replica_that_restarts_with_room_stores_what_it_acknowledges(
+    seed, has_late_errors, tmp_path, file_system
+):
+    """Guards against a storage that stays failed, or is lost, after a full disk."""
+    rng = random.Random(seed)
+    folder = tmp_path / "replica"
+    possible = None
+    for _ in range(12):
+        disk = DiskStorage(folder)
+        room_operations = rng.choice([0, 2, 6, 1000])
+        loaded = fail_on_full_disk(
+            file_system, disk.load, room_operations, has_late_errors
+        )
+        if loaded is None:
+            disk.close()
+            disk = DiskStorage(folder)
+            loaded = disk.load()
+        assert possible is None or loaded in possible
+        possible = [copy_state(loaded)]
+        for room_operations in (1000, rng.choice([0, 1, 2, 3, 5, 8])):
+            before = possible[-1]
+            operations = make_operations(rng, copy_state(before))
+            possible = states_between(before, operations)
+            fail_on_full_disk(
+                file_system,
+                lambda disk=disk, operations=operations: disk.persist(operations),
+                room_operations,
+                has_late_errors,
+            )
+            if disk._failed:
+                assert room_operations < 1000
+                break
+            possible = possible[-1:]
+        disk.close()
+        if rng.random() < 0.6:
+            file_system.lose_power(rng)
