Test groups whose disks are full one after another

Cause: no test of the protocol had a disk that refuses writes for a while; the fake disk only failed once.

Change: the fake disk can be full.

--- a/mustardtrack/testing/disks.py
+++ b/mustardtrack/testing/disks.py
@@ -1,5 +1,7 @@
 """In-memory replica storage that simulates disk faults."""
 
+import errno
+import os
 import random
 from collections.abc import Sequence
 
@@ -8,7 +10,7 @@
 
 
 class DiskCrashError(OSError):
-    """The simulated process crashed during a write."""
+    """The simulated process crashed during a write, or the disk refused it."""
 
 
 class MemoryDisk(ReplicaStorage):
@@ -20,6 +22,7 @@
 
     Attributes:
         tear_next_write: Whether the process crashes in the middle of the next write.
+        is_full: Whether every write is refused, a part of it done.
 
     Examples:
         >>> from mustardtrack.agreement import SaveVote
@@ -36,6 +39,7 @@
         self._synced: list[PersistOp] = []
         self._unsynced: list[PersistOp] = []
         self.tear_next_write = False
+        self.is_full = False
 
     @property
     def identity(self) -> str:
@@ -58,10 +62,12 @@
         """Write operations in order.
 
         Raises:
-            DiskCrashError: If ``tear_next_write`` is set; the caller must then call
-                :meth:`crash`.
+            DiskCrashError: If ``tear_next_write`` or ``is_full`` is set; the caller
+                must then call :meth:`crash`.
         """
         self._unsynced.extend(operations)
+        if self.is_full:
+            raise DiskCrashError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         if self.tear_next_write:
             self.tear_next_write = False
             raise DiskCrashError(f"simulated crash during a write to {self.identity}")
