--- a/mustardtrack/testing/seeded_hosts.py
+++ b/mustardtrack/testing/seeded_hosts.py
@@ -38,6 +38,7 @@
         running: Process of each host whose daemon runs or is paused.
         log_offsets: Size of each host's log file at the last start of its daemon.
         bounds: Settings under ``bounds`` that differ from their defaults.
+        daemon_module: Module that runs the daemon.
     """
 
     folder: Path
@@ -47,6 +48,7 @@
     running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     log_offsets: dict[str, int] = field(default_factory=dict)
     bounds: dict[str, int] = field(default_factory=dict)
+    daemon_module: str = "mustardtrack.process.daemon"
 
     def data_folder(self, host: str) -> Path:
         """Return the data folder of a control host."""
@@ -56,7 +58,7 @@
         """Start the daemon of a host."""
         path = self.folder / f"{host}.yaml"
         path.write_text(yaml.safe_dump(self._settings(host, bootstrap)))
-        arguments = ["-m", "mustardtrack.process.daemon", "--config", str(path)]
+        arguments = ["-m", self.daemon_module, "--config", str(path)]
         with self._log_path(host).open("ab") as log:
             self.log_offsets[host] = log.tell()
             self.running[host] = subprocess.Popen(
