--- a/mustardtrack/process/replica_task.py
+++ b/mustardtrack/process/replica_task.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
@@ -259,13 +260,10 @@
             self._change_leadership(effects)
 
     async def _persist(self, effects: Effects) -> None:
-        try:
+        with _storage_failure_logged():
             await asyncio.to_thread(
                 self._storage.persist, effects.persist, effects.needs_sync
             )
-        except OSError as error:
-            log_event(STORAGE_FAILED, error=str(error))
-            raise
 
     def _install_snapshot(self, index: int, state: bytes) -> None:
         self.state_machine = self._restore_state_machine(state)
@@ -326,11 +324,22 @@
         effects = self._replica.compact(
             self._applied_index, self.state_machine.snapshot()
         )
-        self._storage.persist(effects.persist, effects.needs_sync)
+        with _storage_failure_logged():
+            self._storage.persist(effects.persist, effects.needs_sync)
         self._compacted_index = self._applied_index
         self._bytes_since_compaction = 0
 
 
+@contextmanager
+def _storage_failure_logged() -> Iterator[None]:
+    """Log an error of the storage, which ends the replica."""
+    try:
+        yield
+    except OSError as error:
+        log_event(STORAGE_FAILED, error=str(error))
+        raise
+
+
 def _set_result(future: "asyncio.Future[Any]", value: object) -> None:
     if not future.done():
         future.set_result(value)
--- a/mustardtrack/process/tests/test_replica_task.py
+++ b/mustardtrack/process/tests/test_replica_task.py
@@ -4,6 +4,8 @@
 import random
 import threading
 
+import pytest
+
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.agreement import (
     Entry,
@@ -19,9 +21,11 @@
 from mustardtrack.agreement.messages import AppendReply, PreVoteReply, VoteReply
 from mustardtrack.configuration import Proposal, encode_proposal
 from mustardtrack.configuration.documents import DocumentStore, PutDocument
+from mustardtrack.logs import add_event_listener, remove_event_listener
 from mustardtrack.ports import Clock
-from mustardtrack.process.replica_task import ReplicaTask
-from mustardtrack.testing.disks import MemoryDisk
+from mustardtrack.process import replica_task
+from mustardtrack.process.replica_task import STORAGE_FAILED, ReplicaTask
+from mustardtrack.testing.disks import DiskCrashError, MemoryDisk
 
 A, B, C = ReplicaId("a", "a.1"), ReplicaId("b", "b.1"), ReplicaId("c", "c.1")
 LIMIT_S = 5
@@ -62,12 +66,12 @@
 class RestartedReplica:
     """Replica that restarts with document 1 in its snapshot and 2 in its log."""
 
-    def __init__(self):
+    def __init__(self, disk=None):
         store = DocumentStore()
         store.apply(1, PutDocument(1, b"one"), 0)
         snapshot = Snapshot(1, 1, (A, B, C), store.snapshot())
         payload = encode_proposal(Proposal(0, PutDocument(2, b"two")))
-        self.disk = BlockableDisk("a")
+        self.disk = disk or BlockableDisk("a")
         self.disk.persist(
             [
                 SaveVote(1, None),
@@ -139,3 +143,49 @@
     assert during != (True, 1), "reads the document before the acknowledged one"
     assert during[0] is False
     assert after == (True, 2)
+
+
+class RefusingDisk(BlockableDisk):
+    """Disk that refuses operations of one type while the test says so."""
+
+    refused_type: type | None = None
+
+    def persist(self, operations, sync=True):
+        """Refuse a call with an operation of the refused type."""
+        refused = self.refused_type
+        self.is_full = refused is not None and any(
+            isinstance(operation, refused) for operation in operations
+        )
+        super().persist(operations, sync)
+
+
+@pytest.mark.parametrize("refused_type", [SaveEntries, SaveSnapshot])
+def test_refused_write_ends_the_replica_and_is_logged(refused_type, monkeypatch):
+    """Guards against a host that stops without naming its disk as the reason."""
+    monkeypatch.setattr(replica_task, "COMPACTION_ENTRIES", 1)
+    logged = []
+
+    def record(event, fields):
+        logged.append(event)
+
+    async def run_until_refused():
+        restarted = RestartedReplica(RefusingDisk("a"))
+        running = asyncio.ensure_future(restarted.task.run())
+        await restarted.win_election()
+        restarted.disk.refused_type = refused_type
+        submitted = asyncio.ensure_future(restarted.task.submit(PutDocument(3, b"")))
+        await asyncio.sleep(0)
+        restarted.receive(AppendReply(2, True, 3, 3, 3, 1, restarted.clock.time_ms))
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                await running
+        finally:
+            submitted.cancel()
+
+    add_event_listener(record)
+    try:
+        with pytest.raises(DiskCrashError):
+            asyncio.run(run_until_refused())
+    finally:
+        remove_event_listener(record)
+    assert logged.count(STORAGE_FAILED) == 1
