Test a host that restarts with an empty full disk

Cause: no test started a daemon whose data folder could not be formatted at first.

Change: a control host is killed, loses its data folder and is started on a full disk; the group acknowledges a change meanwhile. With room it joins, and the group depends on it for the next change.

--- a/mustardtrack/process/tests/test_full_disks.py
+++ b/mustardtrack/process/tests/test_full_disks.py
@@ -1,6 +1,8 @@
 """Process tests of control hosts whose disks are full one after another."""
 
 import random
+import shutil
+import signal
 import threading
 import time
 from http.client import HTTPException
@@ -139,3 +141,26 @@
     codes = {code for _, code in supervisor.exits}
     assert {host for host, _ in supervisor.exits} == set(CONTROLS)
     assert codes <= {EXIT_TASK_FAILED, EXIT_START_FAILED}
+
+
+def test_host_with_an_empty_full_disk_joins_once_there_is_room(hosts):
+    """Guards against a data folder that a refused format leaves unusable."""
+    operator = Operator(1)
+    operator.change()
+    host = CONTROLS[0]
+    hosts.stop(host, signal.SIGKILL)
+    shutil.rmtree(hosts.data_folder(host))
+    marker = full_disk_marker(hosts.data_folder(host))
+    marker.touch()
+    hosts.start(host, bootstrap=False)
+    with Supervisor(hosts) as supervisor:
+        assert holds_within(lambda: len(supervisor.exits) >= 2, LONGEST_WAIT_S)
+        operator.change()
+        marker.unlink()
+
+        assert holds_within(lambda: hosts.has_started(host), LONGEST_WAIT_S)
+        time.sleep(CATCH_UP_S)
+        # The majority now needs the host that has joined.
+        hosts.send_signal(CONTROLS[1], signal.SIGSTOP)
+        operator.change()
+    assert set(supervisor.exits) == {(host, EXIT_START_FAILED)}
