Answer requests that arrive while a stopping server closes

Cause: at the end of a planned stop the server closed every connection without an open exchange, also one whose caller had just connected or had sent a part of its request, and the port was closed with connections that the kernel had accepted already.

Change: waiting connections are accepted before the port is closed. A connection without a whole request stays open for 300 ms, in which a request gets its answer (a refusal as not run once the stop has ended) and the connection is closed after it. Connections between two requests are closed at once as before.

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -24,6 +24,9 @@
 CALLER_TCP_USER_TIMEOUT_MS = 10_000
 LISTEN_BACKLOG = 512
 CLOSE_POLL_S = 0.02
+# A caller that has connected or begun a request sends the rest within this time; it
+# allows two round trips between availability zones and one retransmission.
+LAST_REQUEST_WAIT_MS = 300
 
 
 class Exchange:
@@ -149,6 +152,17 @@
         has_bytes = bool(self._http.trailing_data[0])
         return is_waiting and not has_bytes and self.last_exchange is not None
 
+    def close_when_answered(self) -> None:
+        """Close the connection after its answer, or after a wait for a first request.
+
+        Closed at once, it would leave a caller that sends its request at this moment
+        without an answer.
+        """
+        if self.is_between_requests():
+            self.transport.loseConnection()
+        elif self.exchange is None:
+            self._restart_timer(LAST_REQUEST_WAIT_MS)
+
     def _read_events(self) -> None:
         while self.exchange is None:
             event = self._http.next_event()
@@ -175,7 +189,8 @@
         self._request = request
         self._body = []
         self._body_bytes = 0
-        self._restart_timer(self._server.limits.idle_timeout_ms)
+        if not self._server.is_closing:
+            self._restart_timer(self._server.limits.idle_timeout_ms)
 
     def _add_body(self, data: bytes) -> None:
         self._body_bytes += len(data)
@@ -322,8 +337,10 @@
         return any(connection._request is not None for connection in self.connections)
 
     def stop_listening(self) -> None:
-        """Stop accepting connections."""
+        """Accept the connections that are waiting, and no others after them."""
         if self._port is not None:
+            # Waiting connections would be reset, with requests on them.
+            self._port.doRead()
             self._port.stopListening()
             self._port = None
 
@@ -337,8 +354,7 @@
         """Close each connection once its open exchange has ended and is sent."""
         self.is_closing = True
         for connection in list(self.connections):
-            if connection.exchange is None:
-                connection.transport.loseConnection()
+            connection.close_when_answered()
 
     async def wait_closed(self, timeout_s: float) -> list[Exchange]:
         """Wait until all connections are closed.
--- a/mustardtrack/adapters/tests/test_h11_server.py
+++ b/mustardtrack/adapters/tests/test_h11_server.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from mustardtrack.adapters.h11_server import HttpServer
+from mustardtrack.adapters.h11_server import LAST_REQUEST_WAIT_MS, HttpServer
+from mustardtrack.testing.virtualtime import VirtualTimeLoop
 
 
 class StandInTransport:
@@ -104,3 +105,87 @@
     run(main)
     """
     assert run_on_reactor(source) == [[5], ["q", 0], 0, 0]
+
+
+def play(scenario):
+    """Run a scenario in virtual time."""
+    loop = VirtualTimeLoop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+def connect(server, received):
+    """Return a new connection on which some bytes have arrived."""
+    connection = server.buildProtocol(None)
+    connection.transport = StandInTransport()
+    connection.connectionMade()
+    if received:
+        connection.dataReceived(received)
+    return connection
+
+
+HEAD = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n"
+
+
+@pytest.mark.parametrize("before", [b"", HEAD[:9], HEAD, HEAD + b"a"])
+def test_request_that_arrives_while_the_server_closes_is_answered(before):
+    """Guards against a request cut because its connection was unused until then."""
+
+    async def scenario():
+        server = HttpServer(refuse)
+        connection = connect(server, before)
+        server.close_connections()
+        await asyncio.sleep(LAST_REQUEST_WAIT_MS / 1000 - 0.01)
+        assert not connection.transport.is_closed
+        connection.dataReceived((HEAD + b"ab")[len(before) :])
+        return connection.transport
+
+    transport = play(scenario)
+    assert transport.written.startswith(b"HTTP/1.1 503")
+    assert transport.is_closed
+
+
+@pytest.mark.parametrize("before", [b"", HEAD[:9], HEAD + b"a"])
+def test_connection_without_a_whole_request_is_closed_in_time(before):
+    """Guards against a stop that waits for a caller which sends nothing."""
+
+    async def scenario():
+        server = HttpServer(refuse)
+        connection = connect(server, before)
+        server.close_connections()
+        if not before:
+            connection.dataReceived(HEAD)
+        await asyncio.sleep(LAST_REQUEST_WAIT_MS / 1000 + 0.01)
+        return connection.transport
+
+    assert play(scenario).is_closed
+
+
+def test_connection_that_was_answered_is_closed_at_once():
+    async def scenario():
+        server = HttpServer(refuse)
+        connection = connect(server, HEAD + b"ab")
+        assert not connection.transport.is_closed
+        server.close_connections()
+        return connection.transport
+
+    assert play(scenario).is_closed
+
+
+def test_waiting_connections_are_accepted_before_the_port_closes():
+    """Guards against requests on connections that the kernel has accepted."""
+    calls = []
+
+    class Port:
+        def doRead(self):  # noqa: N802
+            calls.append("accept")
+
+        def stopListening(self):  # noqa: N802
+            calls.append("close")
+
+    server = HttpServer(refuse)
+    server._port = Port()
+    server.stop_listening()
+    assert calls == ["accept", "close"]
--- a/mustardtrack/process/tests/test_planned_stop.py
+++ b/mustardtrack/process/tests/test_planned_stop.py
@@ -36,6 +36,12 @@
 # A little below the limit of an endpoint's response.
 LARGE_BODY = b"x" * 4_190_000
 READ_BYTES = 65_536
+# Calls at every moment of the grace period, and the time that each takes.
+STEP_S = 0.1
+CALL_S = 0.5
+CALL_LIMIT_MS = 1500
+# Time for which a stopping router accepts every call.
+WITHDRAWAL_S = 2.0
 
 
 class SlowEndpoint(BaseHTTPRequestHandler):
@@ -115,6 +121,7 @@
     """Server that does not report closed connections."""
 
     daemon_threads = True
+    request_queue_size = 128
 
     def handle_error(self, request, client_address):
         """Ignore the error."""
@@ -343,3 +350,52 @@
     hosts.send_signal(ROUTER, signal.SIGINT)
     assert hosts.running[ROUTER].wait(timeout=3) == 0
     assert not log_lines(hosts, 8204)
+
+
+def send_during_grace(number, is_connected_before):
+    """Send a call after a tenth of a second per number; return its answer.
+
+    The answer is None if no connection could be opened.
+    """
+    caller = Caller()
+    start_s = number * STEP_S
+    try:
+        if is_connected_before:
+            time.sleep(max(0.0, start_s - STEP_S))
+            caller.connection.connect()
+            time.sleep(min(start_s, STEP_S))
+        else:
+            time.sleep(start_s)
+            caller.connection.connect()
+    except ConnectionRefusedError:
+        return None
+    return caller.send(f"n{number}", "/call/1", CALL_S, CALL_LIMIT_MS)
+
+
+@pytest.mark.parametrize("is_connected_before", [False, True])
+def test_calls_at_every_moment_of_the_grace_are_answered(hosts, is_connected_before):
+    """Guards against calls that are taken late in a planned stop and then cut."""
+    count = round(GRACE_S / STEP_S)
+    with ThreadPoolExecutor(count) as callers:
+        hosts.send_signal(ROUTER, signal.SIGTERM)
+        pending = [
+            callers.submit(send_during_grace, number, is_connected_before)
+            for number in range(count)
+        ]
+        answers = [answer.result() for answer in pending]
+    assert hosts.running[ROUTER].wait(timeout=STOP_TIMEOUT_S) == 0
+    statuses = {
+        f"n{number}": answer[0] for number, answer in enumerate(answers) if answer
+    }
+    unanswered = {
+        number: answer[1]
+        for number, answer in enumerate(answers)
+        if answer and answer[0] is None
+    }
+    assert not unanswered
+    served = {name for name, status in statuses.items() if status == 200}
+    refused = {name for name, status in statuses.items() if status == 503}
+    assert served <= set(SlowEndpoint.ran)
+    assert not refused.intersection(SlowEndpoint.ran)
+    # Calls that can end in time are served after the withdrawal too.
+    assert any(int(name[1:]) * STEP_S > WITHDRAWAL_S for name in served)
