Skip cache events whose text cannot be sent

Cause: JSON may hold a lone surrogate as an escape. Names of cached parts and the boot epoch of an engine were taken over as they came, and raise UnicodeEncodeError where they are encoded. The list of endpoints refused such text already.

Change: such a part is skipped like other malformed ones, and the epoch, which is only compared and logged, is kept in ASCII.

--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -98,10 +98,12 @@
 
 def _is_encodable_text(value: object) -> TypeGuard[str]:
     """Return whether a value is text that messages between processes can carry."""
-    if not isinstance(value, str) or not value:
-        return False
+    return isinstance(value, str) and bool(value) and _is_encodable(value)
+
+
+def _is_encodable(text: str) -> bool:
     try:
-        value.encode()
+        text.encode()
     except UnicodeEncodeError:  # A lone surrogate, written as an escape in JSON.
         return False
     return True
@@ -162,7 +164,8 @@
     items = (item for item in listed if isinstance(item, list))
     changes = (decode_item(item) for item in items)
     return CacheEvents(
-        epoch=str(data.get("boot-epoch")),
+        # Compared only; text with a lone surrogate could not be sent or logged.
+        epoch=ascii(data.get("boot-epoch")),
         following=data["next-token"],
         # The complete list has no "lost" key, so it never reports a gap.
         has_gap=data.get("lost") is True,
@@ -185,7 +188,10 @@
 def _decode_cached_part(item: list[Any]) -> CacheChange | None:
     if len(item) < 3 or not is_integer(item[2]):
         return None
-    return str(item[0]), str(item[1]), item[2]
+    salt, digest = str(item[0]), str(item[1])
+    if not _is_encodable(salt) or not _is_encodable(digest):
+        return None
+    return salt, digest, item[2]
 
 
 WEIGHTS_ORDER_TARGET = b"/v1/order"
--- a/mustardtrack/platform/tests/test_bad_input.py
+++ b/mustardtrack/platform/tests/test_bad_input.py
@@ -209,6 +209,20 @@
     assert decode_cache_events(body).changes == [("s", "b", 5)]
 
 
+@pytest.mark.parametrize("key", ["events", "held"])
+def test_cache_answer_with_a_lone_surrogate_can_be_sent(key):
+    """Guards against text that raises where it is logged or sent."""
+    odd, sound = ["\ud800", "a", 5, "m"], ["", "b", 5, "m"]
+    changes = [odd, ["s", *odd[:1], 5], sound]
+    if key == "events":
+        changes = [[1, "+", *change] for change in changes]
+    body = json.dumps({"boot-epoch": "\ud800", "next-token": 1, key: changes}).encode()
+    decode = decode_cache_events if key == "events" else decode_cache_snapshot
+    decoded = decode(body)
+    assert msgspec.msgpack.encode(decoded)
+    assert decoded.changes == [("", "b", 5)]
+
+
 def test_deadline_of_thousands_of_digits_is_a_long_deadline():
     headers = [(b"deadline-ms", b"9" * 5000), (b"token-usage", b"9" * 5000 + b",1")]
     metadata = decode_request_headers(b"/x", headers)
