Refuse an endpoint list whose next page cannot be requested

Cause: a page token with a lone surrogate was accepted and raised only when the request for the next page was built.

Change: the page is refused with the name of the key. The list that is in force stays in force, as after any unreadable page.

--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -45,7 +45,8 @@
     Malformed entries are skipped; they do not affect the other entries.
 
     Raises:
-        ValueError: If the page is not a JSON object with a list of instances.
+        ValueError: If the page is not a JSON object with a list of instances, or the
+            token of the next page is no valid text.
     """
     listing = load_listing(body, "instances", "endpoint list page")
     data = listing.data
@@ -54,6 +55,8 @@
     decoded = [_decode_endpoint(item) for item in data["instances"]]
     entries = [entry for entry in decoded if entry is not None]
     next_token = data.get("next-token")
+    if isinstance(next_token, str) and not _is_encodable(next_token):
+        raise ValueError("endpoint list page has a 'next-token' that cannot be sent")
     return EndpointListPage(
         entries,
         next_token if isinstance(next_token, str) and next_token else None,
--- a/mustardtrack/platform/tests/test_bad_input.py
+++ b/mustardtrack/platform/tests/test_bad_input.py
@@ -7,6 +7,7 @@
 
 import copy
 import json
+import random
 
 import msgspec
 import pytest
@@ -223,6 +224,13 @@
     assert decoded.changes == [("", "b", 5)]
 
 
+def test_list_whose_next_page_cannot_be_requested_is_refused():
+    """Guards against a part of a list that is taken for the whole."""
+    page = {"instances": [ENTRY], "next-token": "\ud800"}
+    with pytest.raises(ValueError, match="next-token"):
+        decode_endpoint_list_page(json.dumps(page).encode())
+
+
 def test_deadline_of_thousands_of_digits_is_a_long_deadline():
     headers = [(b"deadline-ms", b"9" * 5000), (b"token-usage", b"9" * 5000 + b",1")]
     metadata = decode_request_headers(b"/x", headers)
@@ -301,9 +309,8 @@
 )
 
 
-@given(DECODERS_AND_BODIES)
-def test_decoders_of_bodies_raise_only_typed_errors(decoder_and_body):
-    decode, body = decoder_and_body
+def check_decoder(decode, body):
+    """Decode a body, and assert that a refusal is a typed error."""
     try:
         decoded = decode(body)
     except ManifestError:
@@ -315,6 +322,74 @@
             msgspec.msgpack.encode(decoded)
 
 
+@given(DECODERS_AND_BODIES)
+def test_decoders_of_bodies_raise_only_typed_errors(decoder_and_body):
+    check_decoder(*decoder_and_body)
+
+
+ODD_VALUES = [
+    *(None, True, False, 0, -1, 2**31, 2**63, 2**64, HUGE, -HUGE, 0.5, -0.0, 1e308),
+    *(float("nan"), float("inf"), "", "m", "s1", "10.0.0.1:80", "\ud800", "\r\n", "\0"),
+    *([], {}, [[]], [None], {"a": []}, "9" * 400, "x" * 300),
+]
+ODD_BYTES = [
+    *(b"[", b"]", b"{", b"}", b",", b":", b'"', b"\\", b"\\u", b"\\ud800", b"\xff"),
+    *(
+        b"\x00",
+        b"\xef\xbb\xbf",
+        b"NaN",
+        b"-Infinity",
+        b"1e999",
+        b"-",
+        b"0x1",
+        b"9" * 400,
+    ),
+    *(b"[" * 200, b'{"a":' * 200, b"null", b"/*", b"\n", b" " * 50),
+]
+PATHS = {decode: list_paths(answer) for decode, answer in ANSWERS.items()}
+MUTATIONS_PER_SEED = 20
+
+
+def mutate_bytes(body, rng):
+    """Return a body with a part removed, repeated, overwritten or inserted."""
+    start = rng.randrange(len(body) + 1)
+    end = min(len(body), start + rng.choice((0, 1, 2, 8, 40)))
+    middle = rng.choice(
+        (
+            b"",
+            body[start:end] * 2,
+            rng.choice(ODD_BYTES),
+            bytes((rng.randrange(256),)),
+            body[end:start:-1],
+        )
+    )
+    return body[:start] + middle + body[end:]
+
+
+def mutate_answer(decode, rng):
+    """Return a body near a valid one, with some values and some bytes replaced."""
+    answer = ANSWERS[decode]
+    for _ in range(rng.randrange(4)):
+        path = rng.choice(PATHS[decode])
+        try:
+            answer = changed(answer, path, rng.choice(ODD_VALUES))
+        except (TypeError, KeyError, IndexError):
+            continue  # A value on the path was replaced before.
+    body = json.dumps(answer).encode()
+    for _ in range(rng.randrange(4)):
+        body = mutate_bytes(body, rng)
+    return body
+
+
+@given(st.integers(0, 2**64 - 1))
+def test_decoders_refuse_mutated_bodies_with_typed_errors(seed):
+    """Guards as above with many more inputs in the same time."""
+    rng = random.Random(seed)
+    for _ in range(MUTATIONS_PER_SEED):
+        decode = rng.choice(list(ANSWERS))
+        check_decoder(decode, mutate_answer(decode, rng))
+
+
 HEADER_NAMES = st.sampled_from(
     [
         b"request-id",
