--- a/mustardtrack/platform/endpoints.py
+++ b/mustardtrack/platform/endpoints.py
@@ -45,7 +45,8 @@
     Malformed entries are skipped; they do not affect the other entries.
 
     Raises:
-        ValueError: If the page is not a JSON object with a list of instances.
+        ValueError: If the page is not a JSON object with a list of instances, or the
+            token of the next page is no valid text.
     """
     listing = load_listing(body, "instances", "endpoint list page")
     data = listing.data
@@ -54,6 +55,8 @@
     decoded = [_decode_endpoint(item) for item in data["instances"]]
     entries = [entry for entry in decoded if entry is not None]
     next_token = data.get("next-token")
+    if isinstance(next_token, str) and not _is_encodable(next_token):
+        raise ValueError("endpoint list page has a 'next-token' that cannot be sent")
     return EndpointListPage(
         entries,
         next_token if isinstance(next_token, str) and next_token else None,
@@ -98,10 +101,12 @@
 
 def _is_encodable_text(value: object) -> TypeGuard[str]:
     """Return whether a value is text that messages between processes can carry."""
-    if not isinstance(value, str) or not value:
-        return False
+    return isinstance(value, str) and bool(value) and _is_encodable(value)
+
+
+def _is_encodable(text: str) -> bool:
     try:
-        value.encode()
+        text.encode()
     except UnicodeEncodeError:  # A lone surrogate, written as an escape in JSON.
         return False
     return True
@@ -162,7 +167,8 @@
     items = (item for item in listed if isinstance(item, list))
     changes = (decode_item(item) for item in items)
     return CacheEvents(
-        epoch=str(data.get("boot-epoch")),
+        # Compared only; text with a lone surrogate could not be sent or logged.
+        epoch=ascii(data.get("boot-epoch")),
         following=data["next-token"],
         # The complete list has no "lost" key, so it never reports a gap.
         has_gap=data.get("lost") is True,
@@ -185,7 +191,10 @@
 def _decode_cached_part(item: list[Any]) -> CacheChange | None:
     if len(item) < 3 or not is_integer(item[2]):
         return None
-    return str(item[0]), str(item[1]), item[2]
+    salt, digest = str(item[0]), str(item[1])
+    if not _is_encodable(salt) or not _is_encodable(digest):
+        return None
+    return salt, digest, item[2]
 
 
 WEIGHTS_ORDER_TARGET = b"/v1/order"
