Bound the unfinished responses of a pool together

Cause: bodies below 1 MiB were never aborted, so many responses without end exceeded the sum of 32 MiB, and the heads were not part of the sum. A head of 64 KiB may have 10,000 lines, whose parsed form takes many times as much. Once the sum was reached, a sound response above 1 MiB was aborted as well. Change: the pool records what each unfinished response keeps (head, unparsed bytes, body; for a relayed stream only what is unread or incomplete). Above 32 MiB it aborts the largest response of the endpoint that has sent most. A response has at most 512 lines before its body.

--- a/mustardtrack/adapters/tests/test_endless_responses.py
+++ b/mustardtrack/adapters/tests/test_endless_responses.py
@@ -166,6 +166,107 @@
     assert server.closed.wait(5)
 
 
+# Memory of a router's host less what a router without requests takes.
+MAX_SUM_GROWTH_BYTES = 83 * 1000 * 1000
+CONNECTIONS_AT_ONCE = 250
+# A sound response is read beside them. Its reader is slower than the endless servers.
+READ_MANY_RESPONSES = (
+    MEASURE
+    + """
+    COUNT = int(sys.argv[4])
+    async def read_one(pool, address, deadline_s):
+        clock = asyncio.get_running_loop().time
+        connection = await pool.open(address, 5.0)
+        headers = [(b"host", b"e"), (b"x-id", b"r1")]
+        connection.send(b"GET", b"/", headers, b"", b"x-id", b"r1")
+        parts = []
+        while (left_s := deadline_s - clock()) > 0:
+            event = await connection.next_event(left_s)
+            if isinstance(event, ResponseData):
+                parts.append(event.data)
+            if isinstance(event, ResponseInterrupted):
+                break
+            if isinstance(event, ResponseEnd):
+                return "complete"
+        connection.abort()
+        return "interrupted" if event else "held until the deadline"
+
+    async def read(pool, address, deadline_s):
+        # The machine may be busy.
+        deadline_s = asyncio.get_running_loop().time() + 10.0
+        sound = asyncio.ensure_future(read_one(pool, sys.argv[5], deadline_s))
+        await asyncio.sleep(0.3)
+        endless = [read_one(pool, address, deadline_s) for _ in range(COUNT)]
+        outcomes = await asyncio.gather(*endless)
+        return [await sound, sorted(set(outcomes))]
+    run(lambda: measure(read))
+"""
+)
+
+
+class SlowServer:
+    """Server that answers with a large body in two halves."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._answer, daemon=True).start()
+
+    def _answer(self) -> None:
+        connection, _ = self._listener.accept()
+        connection.recv(4096)
+        half = KIB * 1024
+        length = b"Content-Length: %d\r\n\r\n" % (2 * len(half))
+        connection.sendall(OK + OWN_ID + length + half)
+        time.sleep(3.0)
+        connection.sendall(half)
+
+
+@pytest.mark.parametrize(
+    "kind", ["body with a length", "body without a length", "chunked body"]
+)
+def test_endless_responses_are_bounded_together(run_on_reactor, kind):
+    """Guards against memory filled by many responses that are small by themselves."""
+    server, sound = EndlessServer(*ENDLESS_RESPONSES[kind]), SlowServer()
+    result = run_on_reactor(
+        READ_MANY_RESPONSES,
+        server.address,
+        str(CLIENT_ADDRESS_SPACE_BYTES),
+        str(DEADLINE_S),
+        str(CONNECTIONS_AT_ONCE),
+        sound.address,
+    )
+    assert result["outcome"] == ["complete", ["interrupted"]], result
+    assert result["growth_bytes"] < MAX_SUM_GROWTH_BYTES, result
+    assert result["open"] == 0, result
+
+
+HEADER_COUNT = 10_000
+MANY_HEADERS = OK + OWN_ID + b"a:b\r\n" * HEADER_COUNT
+
+
+@pytest.mark.parametrize("kind", ["headers of two bytes", "header line that stalls"])
+def test_heads_are_bounded_together(run_on_reactor, kind):
+    """Guards against memory filled by the heads of many responses."""
+    # A head that stalls is just below the limit of a single one.
+    head = {
+        "headers of two bytes": MANY_HEADERS + ENDLESS_LENGTH,
+        "header line that stalls": OK + b"x-filler: " + KIB * 63,
+    }
+    server = EndlessServer(head[kind], b"x", delay_s=0.5)
+    result = run_on_reactor(
+        READ_MANY_RESPONSES,
+        server.address,
+        str(CLIENT_ADDRESS_SPACE_BYTES),
+        str(DEADLINE_S),
+        str(4 * CONNECTIONS_AT_ONCE),
+        SlowServer().address,
+    )
+    assert result["outcome"][0] == "complete", result
+    assert result["growth_bytes"] < MAX_SUM_GROWTH_BYTES, result
+    assert result["open"] == 0, result
+
+
 # The caller of each request is slower than its endpoint.
 LEAVE_UNREAD = (
     MEASURE
--- a/mustardtrack/adapters/tests/test_upstream.py
+++ b/mustardtrack/adapters/tests/test_upstream.py
@@ -558,10 +558,6 @@
         pool = ConnectionPool(None)
         connections = [await pool.open("10.0.0.1:1", 1.0) for _ in range(41)]
         small = connections.pop()
-        most = max(
-            upstream.MAX_UNFINISHED_BYTES,
-            len(connections) * upstream.MAX_BODY_BYTES_WHEN_SHORT,
-        )
         for connection in connections:
             send(connection)
             connection.dataReceived(head % upstream.MAX_RESPONSE_BODY_BYTES)
@@ -571,18 +567,62 @@
                     connection.dataReceived(segment)
             held = [one for one in connections if not one.transport.closed]
             held_bytes = len(held) * count * len(segment)
-            assert held_bytes <= most + len(connections) * len(segment)
+            assert held_bytes <= upstream.MAX_UNFINISHED_BYTES
         # A response of common size is whole meanwhile.
         send(small)
         small.dataReceived(encode_response(b"r1", b"x" * 100_000))
         assert isinstance((await read_all(small))[-1], ResponseEnd)
         for connection in connections:
             connection.connectionLost(ConnectionLostReason(False))
-        assert pool._unfinished.size == 0
+        assert pool._unfinished.total_bytes == 0
         # So is the largest response, once the others are gone.
         send(small)
         small.dataReceived(encode_response(b"r1", LARGEST_BODY))
         assert isinstance((await read_all(small))[-1], ResponseEnd)
-        assert pool._unfinished.size == 0
+        assert pool._unfinished.total_bytes == 0
+
+    run_scenario(scenario)
+
+
+def test_relayed_stream_counts_only_unread_bytes(monkeypatch):
+    """Guards against long streams that are aborted for bytes that nobody keeps."""
+
+    async def fake_open_connection(reactor, host, port, timeout_s):
+        return connect()
+
+    monkeypatch.setattr(upstream, "open_connection", fake_open_connection)
+
+    async def scenario():
+        pool = ConnectionPool(None)
+        connection = await pool.open("10.0.0.1:1", 1.0)
+        send(connection)
+        connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 1000000\r\n\r\n"
+        )
+        await connection.next_event(0.1)
+        head_bytes = pool._unfinished.total_bytes
+        connection.is_relayed = True
+        for _ in range(10):
+            connection.dataReceived(b"data: " + b"x" * 50_000 + b"\n\n")
+            assert pool._unfinished.total_bytes >= 50_000
+            await connection.next_event(0.1)
+            assert pool._unfinished.total_bytes == head_bytes
+
+    run_scenario(scenario)
+
+
+def test_lines_of_a_body_are_not_those_of_a_head():
+    """Guards against sound responses aborted for lines that arrive with the head."""
+
+    async def scenario():
+        body = b"\n" * (2 * upstream.MAX_HEAD_LINES)
+        response = encode_response(b"r1", body)
+        split = response.index(b"\r\n\r\n")
+        for first in range(split - 1, split + 5):
+            connection = connect()
+            send(connection)
+            connection.dataReceived(response[:first])
+            connection.dataReceived(response[first:])
+            assert isinstance((await read_all(connection))[-1], ResponseEnd)
 
     run_scenario(scenario)
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import math
+import re
 import socket
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
@@ -35,10 +36,11 @@
 MAX_HEADER_BYTES = 65_536
 # A response body may be as large as the largest body that callers may send.
 MAX_RESPONSE_BODY_BYTES = 4_194_304
-# Unfinished bodies of one pool; above it, bodies that exceed the second limit are
-# aborted while they grow.
+# Lines of the heads of one response. Parsed headers take many times their size.
+MAX_HEAD_LINES = 512
+# Bytes that all unfinished responses of one pool keep. A router may use 150 MB, of
+# which its libraries need 67 MB.
 MAX_UNFINISHED_BYTES = 33_554_432
-MAX_BODY_BYTES_WHEN_SHORT = 1_048_576
 # A response may have this many bytes outside of its body, and as many more as its
 # body has, for chunks as small as single tokens.
 MAX_FRAMING_BYTES = 2 * MAX_HEADER_BYTES
@@ -52,6 +54,9 @@
 MAX_CHUNK_BURST = 16_384
 MAX_CHUNKS_PER_S = 1000
 EVENT_STREAM_TYPE = b"text/event-stream"
+HEAD_END = re.compile(rb"\n\r?\n")
+# An end of a head may begin this many bytes before the data that completes it.
+MAX_SPLIT_HEAD_END_BYTES = 2
 # Late responses to earlier requests that may precede the expected response.
 MAX_MISMATCHED_RESPONSES = 4
 # Longest time for the answer to a call, however steadily its parts arrive.
@@ -64,6 +69,9 @@
     8990, "WARNING", "response aborted: unfinished responses are too large together"
 )
 BODY_TOO_LARGE = define_event(8992, "WARNING", "response aborted: body too large")
+TOO_MANY_HEAD_LINES = define_event(
+    8985, "WARNING", "response aborted: too many lines before its body"
+)
 TOO_MUCH_FRAMING = define_event(
     8993, "WARNING", "response aborted: too many bytes outside of its body"
 )
@@ -132,11 +140,35 @@
 ResponseEvent = ResponseHead | ResponseData | ResponseEnd | ResponseInterrupted
 
 
-@dataclass
-class UnfinishedBytes:
-    """Size of the unfinished response bodies on a group of connections."""
+class UnfinishedResponses:
+    """Bytes that the unfinished responses on a group of connections keep.
+
+    Attributes:
+        total_bytes: Sum over the connections.
+    """
+
+    def __init__(self) -> None:
+        self.total_bytes = 0
+        self._sizes: dict[UpstreamConnection, int] = {}
 
-    size: int = 0
+    def record(self, connection: "UpstreamConnection", size: int) -> None:
+        """Record the bytes that the response on a connection keeps, 0 for none."""
+        self.total_bytes += size - self._sizes.pop(connection, 0)
+        if size:
+            self._sizes[connection] = size
+
+    def find_largest(self) -> "UpstreamConnection":
+        """Return the connection to abort while there are too many bytes.
+
+        It is the largest of the endpoint that has sent most, so that an endpoint that
+        sends without end does not end the responses of others.
+        """
+        by_address: Counter[str] = Counter()
+        for connection, size in self._sizes.items():
+            by_address[connection.address] += size
+        address = max(by_address, key=by_address.__getitem__)
+        candidates = [one for one in self._sizes if one.address == address]
+        return max(candidates, key=self._sizes.__getitem__)
 
 
 class UpstreamConnection(Protocol):
@@ -149,16 +181,17 @@
         ready: Resolved once the connection is open.
         on_lost: Called once when an open connection is lost.
         idle_before_request_s: Idle time of the connection before the current request.
-        address: Address of the endpoint, for logs.
+        address: Address of the endpoint.
         unfinished: Shared with the other connections of a pool.
+        is_relayed: Whether data of the response is passed on and not kept when read.
     """
 
     transport: Any
 
     def __init__(self, address: str = "") -> None:
         self.address = address
-        self.unfinished = UnfinishedBytes()
-        self._unfinished_bytes = 0
+        self.unfinished = UnfinishedResponses()
+        self.is_relayed = False
         self._http = self._new_http()
         self._events: deque[ResponseEvent] = deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -188,6 +221,10 @@
 
     def _reset_sizes(self) -> None:
         self._received_bytes = 0
+        self._head_bytes = 0
+        self._head_lines = 0
+        self._head_tail = b""
+        self._is_head_complete = False
         self._body_bytes = 0
         self._discarded_bytes = 0
         self._informational_count = 0
@@ -229,6 +266,7 @@
         self._count_read(self._unread_bytes)
         self._release_unfinished()
         self._is_discarding = False
+        self.is_relayed = False
         self._reset_sizes()
         self._id_header = id_header
         self._expected_id = expected_id
@@ -262,6 +300,8 @@
 
     def _count_read(self, size: int) -> None:
         self._unread_bytes -= size
+        if self.is_relayed:
+            self._record_unfinished()
         if self._is_paused and self._unread_bytes <= MAX_UNREAD_BYTES // 2:
             self._is_paused = False
             self.transport.resumeProducing()
@@ -277,6 +317,9 @@
             self.abort()
             return
         self._received_bytes += len(data)
+        if not self._is_head_complete and not self._count_head_lines(data):
+            self._abort_response(TOO_MANY_HEAD_LINES)
+            return
         try:
             self._http.receive_data(data)
             self._read_events()
@@ -287,6 +330,33 @@
         body_bytes = self._body_bytes + self._discarded_bytes
         if self._received_bytes - body_bytes > MAX_FRAMING_BYTES + body_bytes:
             self._abort_response(TOO_MUCH_FRAMING)
+        self._record_unfinished()
+        while self.unfinished.total_bytes > MAX_UNFINISHED_BYTES:
+            self.unfinished.find_largest()._abort_largest()
+
+    def _count_head_lines(self, data: bytes) -> bool:
+        """Count the lines of the heads in the data; return False above the limit."""
+        known = self._head_tail + data
+        end = HEAD_END.search(known)
+        lines = known.count(b"\n", len(self._head_tail), end.end() if end else None)
+        self._head_tail = known[-MAX_SPLIT_HEAD_END_BYTES:]
+        self._head_lines += lines
+        return self._head_lines <= MAX_HEAD_LINES
+
+    def _record_unfinished(self) -> None:
+        """Record the bytes that the response keeps until it ends."""
+        if self._request is None:
+            self._release_unfinished()
+            return
+        unparsed = len(self._http.trailing_data[0])
+        kept = self._body_bytes
+        if self.is_relayed:
+            kept = self._unread_bytes + self._event_bytes
+        self.unfinished.record(self, self._head_bytes + unparsed + kept)
+
+    def _abort_largest(self) -> None:
+        self._abort_response(TOO_MANY_UNFINISHED_BYTES)
+        self._release_unfinished()
 
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
         """End the response; one without a length is complete after a clean close."""
@@ -362,24 +432,14 @@
                 self._abort_response(OTHER_RESPONSE_TOO_LARGE)
             return
         self._body_bytes += len(data)
-        self._unfinished_bytes += len(data)
-        self.unfinished.size += len(data)
         if self._body_bytes > self._max_body_bytes:
             self._queue_data(parts)
             self._abort_response(BODY_TOO_LARGE)
             return
-        if (
-            self.unfinished.size > MAX_UNFINISHED_BYTES
-            and self._body_bytes > MAX_BODY_BYTES_WHEN_SHORT
-        ):
-            self._queue_data(parts)
-            self._abort_response(TOO_MANY_UNFINISHED_BYTES)
-            return
         parts.append(data)
 
     def _release_unfinished(self) -> None:
-        self.unfinished.size -= self._unfinished_bytes
-        self._unfinished_bytes = 0
+        self.unfinished.record(self, 0)
 
     def _is_chunk_rate_exceeded(self) -> bool:
         elapsed_s = asyncio.get_running_loop().time() - self._sent_s
@@ -395,7 +455,7 @@
             self._is_paused = True
             self.transport.pauseProducing()
         self._queue_event(ResponseData(data))
-        if self._is_event_stream:
+        if self._is_event_stream or self.is_relayed:
             self._measure_event(data)
 
     def _measure_event(self, data: bytes) -> None:
@@ -416,6 +476,8 @@
             and echoed_id != self._expected_id
         )
         self._is_discarding = is_mismatched
+        self._is_head_complete = True
+        self._head_bytes = sum(len(name) + len(value) for name, value in head.headers)
         content_type = head.header(b"content-type") or b""
         self._is_event_stream = content_type.lower().startswith(EVENT_STREAM_TYPE)
         if not is_mismatched:
@@ -447,7 +509,8 @@
         ):
             self._interrupt_response("response to another request")
             return
-        self._is_discarding = False
+        self._is_discarding = self._is_head_complete = False
+        self._head_tail = b""
         self._http = self._new_http()
         # The request is already on the wire; only the parser must be told of it.
         self._http.send(
@@ -554,7 +617,7 @@
         self._reactor = reactor
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self._open: Counter[str] = Counter()
-        self._unfinished = UnfinishedBytes()
+        self._unfinished = UnfinishedResponses()
 
     def take(self, key: str, max_idle_s: float = math.inf) -> UpstreamConnection | None:
         """Return the most recently used idle connection of an endpoint.
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -363,6 +363,7 @@
         self, connection: UpstreamConnection, head: ResponseHead
     ) -> Outcome:
         progress = self._progress
+        connection.is_relayed = True
         splitter = EventStreamSplitter(progress.resume_after)
         while True:
             if self._exchange.is_started:
