Bound the responses that callers do not read

Cause: a stream was written to its caller however little the caller read, up to 4 MiB each, and whole answers without any bound on their sum. Nothing counted these bytes once the endpoint had ended its response. A lost connection and its exchange held each other, so its unsent bytes stayed until a garbage collection. Change: a stream waits for its caller once the transport buffers more than it sends, and reading from the endpoint pauses in turn; the deadline and a disconnect end the wait. Above 24 MiB of unread responses the connection whose caller has not read for longest is reset (event 8903). The cycle is gone. The tests of waiting streams failed before, as the caller's state was not known.

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -10,7 +10,9 @@
 from typing import Any
 
 import h11
+from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
+from zope.interface import implementer
 
 from mustardtrack.configuration.routes import CallerLimits
 from mustardtrack.logs import define_event, log_event
@@ -18,10 +20,15 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 REQUEST_MALFORMED = define_event(8901, "INFO", "malformed HTTP request rejected")
+UNSENT_RESPONSES_TOO_LARGE = define_event(
+    8903, "WARNING", "caller's connection reset: unread responses are too large"
+)
 HANDLER_FAILED = define_event(8902, "ERROR", "request handler failed")
 
 # A caller that leaves data unacknowledged for this long counts as disconnected.
 CALLER_TCP_USER_TIMEOUT_MS = 10_000
+# Bytes of all responses that callers do not read; a router may use 150 MB.
+MAX_UNSENT_BYTES = 25_165_824
 LISTEN_BACKLOG = 512
 CLOSE_POLL_S = 0.02
 
@@ -84,6 +91,17 @@
         if data and self.method != b"HEAD" and not self.is_disconnected:
             self._connection.send_event(h11.Data(data=data))
 
+    async def wait_writable(self, timeout_s: float) -> None:
+        """Wait until the caller has read what was written, at most for the timeout.
+
+        Returns immediately if only little is unread, or the caller disconnects.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._connection.writable.wait()
+        except TimeoutError:
+            pass  # The response ends at its deadline.
+
     def finish(self) -> None:
         """End the response."""
         if not self.is_disconnected:
@@ -98,8 +116,13 @@
 Handler = Callable[[Exchange], Any]
 
 
+@implementer(IPushProducer)
 class ServerConnection(Protocol):
-    """Connection of a caller; its requests are handled one after another."""
+    """Connection of a caller; its requests are handled one after another.
+
+    Attributes:
+        writable: Set unless more is written than the transport buffers.
+    """
 
     transport: Any
 
@@ -112,6 +135,9 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._timer: Any = None
+        self._unsent_bytes = 0
+        self.writable = asyncio.Event()
+        self.writable.set()
         self.exchange: Exchange | None = None
         self.last_exchange: Exchange | None = None
 
@@ -122,6 +148,7 @@
         handle.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, CALLER_TCP_USER_TIMEOUT_MS
         )
+        self.transport.registerProducer(self, True)
         self._server.connections.add(self)
         self._restart_timer(self._server.limits.idle_timeout_ms)
 
@@ -136,13 +163,36 @@
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
         """Notify the handler of the request in progress."""
         self._server.connections.discard(self)
+        self._server.unsent.record(self, 0)
         self._stop_timer()
+        self.writable.set()
         exchange, self.exchange = self.exchange, None
+        # Without this cycle, the unsent bytes of the transport are freed at once.
+        self.last_exchange = None
         if exchange is not None:
             exchange.is_disconnected = True
             if exchange.on_disconnect is not None:
                 exchange.on_disconnect()
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that the transport has more to send than it buffers."""
+        self.writable.clear()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Note that the transport has sent everything."""
+        self.writable.set()
+        self._server.unsent.record(self, 0)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Note that the connection is lost."""
+        self.writable.set()
+
+    def close(self) -> None:
+        """Close the connection once everything is sent."""
+        # A transport with a paused producer would not close.
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
     def is_between_requests(self) -> bool:
         """Return whether a response was sent and no byte of another request came."""
         is_waiting = self.exchange is None and self._request is None
@@ -168,7 +218,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._complete_request()
             elif isinstance(event, h11.ConnectionClosed):
-                self.transport.loseConnection()
+                self.close()
                 return
 
     def _begin_request(self, request: h11.Request) -> None:
@@ -221,7 +271,7 @@
             head = [(b"content-length", b"0"), (b"connection", b"close")]
             self.send_event(h11.Response(status_code=status, headers=head))
             self.send_event(h11.EndOfMessage())
-        self.transport.loseConnection()
+        self.close()
 
     def send_head(self, exchange: Exchange, status: int, headers: Headers) -> None:
         """Send the status and headers of the response to ``exchange``."""
@@ -234,7 +284,12 @@
         """Serialize and send one h11 event."""
         data = self._http.send(event)
         if data:
+            if self.writable.is_set():
+                self._unsent_bytes = 0
+            self._unsent_bytes += len(data)
             self.transport.write(data)
+            if not self.writable.is_set():
+                self._server.unsent.record(self, self._unsent_bytes)
 
     def end_response(self) -> None:
         """End the response, then read the next request or close the connection."""
@@ -256,7 +311,7 @@
             except h11.RemoteProtocolError as error:
                 self._reject_malformed(error)
         else:
-            self.transport.loseConnection()
+            self.close()
 
     def abort_connection(self) -> None:
         """Reset the connection."""
@@ -275,7 +330,37 @@
 
     def _close_idle_connection(self) -> None:
         self._timer = None
-        self.transport.loseConnection()
+        self.close()
+
+
+class UnsentResponses:
+    """Sizes of the responses that callers do not read.
+
+    Attributes:
+        total_bytes: Sum over the connections.
+    """
+
+    def __init__(self) -> None:
+        self.total_bytes = 0
+        # In the order in which their callers began not to read.
+        self._sizes: dict[ServerConnection, int] = {}
+
+    def record(self, connection: ServerConnection, size: int) -> None:
+        """Record the unsent bytes of a connection, 0 for none.
+
+        Above the limit, the connections whose callers have not read for longest are
+        reset.
+        """
+        self.total_bytes += size - self._sizes.get(connection, 0)
+        if size:
+            self._sizes[connection] = size
+        else:
+            self._sizes.pop(connection, None)
+        while self.total_bytes > MAX_UNSENT_BYTES:
+            oldest = next(iter(self._sizes))
+            log_event(UNSENT_RESPONSES_TOO_LARGE, unsent_bytes=self._sizes[oldest])
+            self.total_bytes -= self._sizes.pop(oldest)
+            oldest.transport.abortConnection()
 
 
 class HttpServer(Factory):
@@ -290,6 +375,7 @@
         self.handler = handler
         self.limits = limits or CallerLimits()
         self.connections: set[ServerConnection] = set()
+        self.unsent = UnsentResponses()
         self.is_stopping = False
         self.is_closing = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -331,14 +417,14 @@
         """Close the connections that callers keep open between two requests."""
         for connection in list(self.connections):
             if connection.is_between_requests():
-                connection.transport.loseConnection()
+                connection.close()
 
     def close_connections(self) -> None:
         """Close each connection once its open exchange has ended and is sent."""
         self.is_closing = True
         for connection in list(self.connections):
             if connection.exchange is None:
-                connection.transport.loseConnection()
+                connection.close()
 
     async def wait_closed(self, timeout_s: float) -> list[Exchange]:
         """Wait until all connections are closed.
--- a/mustardtrack/adapters/tests/test_h11_server.py
+++ b/mustardtrack/adapters/tests/test_h11_server.py
@@ -21,6 +21,12 @@
     def setsockopt(self, *arguments):
         """Ignore a socket option."""
 
+    def registerProducer(self, producer, is_streaming):  # noqa: N802
+        """Ignore the producer; this transport sends at once."""
+
+    def unregisterProducer(self):  # noqa: N802
+        """Ignore the producer."""
+
     def write(self, data):
         """Keep the data."""
         self.written += data
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -383,6 +383,7 @@
                         complete_events.count(EVENT_DELIMITER),
                     )
                     progress.resume_after = splitter.last_event_id
+                    await self._exchange.wait_writable(self._time_left_ms() / 1000)
                 continue
             if isinstance(event, ResponseEnd) and self._is_whole(event, splitter):
                 break
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -57,8 +57,27 @@
         self.end = ""
         self.ended_s = None
         self.protocol = None
+        self.producer = None
+        self.is_reading = True
+        self.waiting = []
         self._on_write = on_write
 
+    def registerProducer(self, producer, is_streaming):  # noqa: N802
+        """Keep the producer, which a test pauses and resumes."""
+        self.producer = producer
+
+    def unregisterProducer(self):  # noqa: N802
+        """Forget the producer."""
+        self.producer = None
+
+    def pauseProducing(self):  # noqa: N802
+        """Stop reading."""
+        self.is_reading = False
+
+    def resumeProducing(self):  # noqa: N802
+        """Read on."""
+        self.is_reading = True
+
     def getHandle(self):  # noqa: N802
         """Return the socket."""
         return StandInSocket()
@@ -1019,3 +1038,75 @@
     refuse = [(300, lambda handler: scenario.parts.receive(REFUSED, 300))]
     scenario.play(actions=refuse if change == "refused" else ())
     assert (scenario.status, scenario.pool.runs) == (503, [])
+
+
+LARGE_EVENT_BYTES = 60_000
+
+
+def large_event(number):
+    data = b"id: %d\ndata: %b\n\n" % (number, b"x" * LARGE_EVENT_BYTES)
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class PausedCaller(Scenario):
+    """Caller that reads nothing from the second event on."""
+
+    def __init__(self, **options):
+        steps = [(100 * number, large_event(number)) for number in range(1, 41)]
+        steps.append((4100, END))
+        super().__init__({"e1": [(50, HEAD), *steps]}, **options)
+        self.read_ms = None
+        self.was_paused = False
+
+    def play(self, read_ms=None, **options):
+        """Play the scenario; the caller reads again at ``read_ms``."""
+        actions = [(0.25e3, lambda _: self.caller.producer.pauseProducing())]
+        actions.append((1.5e3, lambda _: self._check_pause()))
+        if read_ms is not None:
+            actions.append((read_ms, lambda _: self.caller.producer.resumeProducing()))
+        return super().play(actions=actions, **options)
+
+    def _check_pause(self):
+        self.was_paused = not self.pool.runs[0].transport.is_reading
+
+
+def test_stream_waits_for_a_caller_that_does_not_read(monkeypatch):
+    """Guards against memory filled by engines that are faster than their callers."""
+    scenario = PausedCaller(monkeypatch=monkeypatch)
+    # A real transport receives nothing while it does not read.
+    monkeypatch.setattr(StandInPool, "_play", staticmethod(play_while_reading))
+    scenario.play(read_ms=3000)
+    between = [at_ms for at_ms, _ in scenario.writes if 350 <= at_ms < 3000]
+    assert not between
+    assert scenario.was_paused
+    assert scenario.relayed == list(range(1, 41))
+    assert scenario.is_whole
+
+
+def play_while_reading(connection, transport, step):
+    transport.waiting.append(step)
+    deliver_waiting(connection, transport)
+
+
+def deliver_waiting(connection, transport):
+    while transport.waiting and transport.is_reading and not transport.end:
+        connection.dataReceived(transport.waiting.pop(0))
+    if transport.waiting and not transport.end:
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.01, deliver_waiting, connection, transport)
+
+
+def test_stream_of_a_caller_that_never_reads_ends_at_its_deadline(monkeypatch):
+    """Guards against requests that are held for ever by their callers."""
+    scenario = PausedCaller(monkeypatch=monkeypatch).play()
+    assert scenario.caller.end == "reset"
+    assert ROUTE_TIMEOUT_MS / 1000 <= scenario.caller.ended_s < 12.2
+    assert scenario.run_of("e1").transport.end == "reset"
+    assert not scenario.is_pending
+
+
+def test_caller_that_leaves_while_it_does_not_read_ends_its_attempt(monkeypatch):
+    """Guards against engines that work for callers that are gone."""
+    scenario = PausedCaller(monkeypatch=monkeypatch).play(leave_ms=2000)
+    assert scenario.run_of("e1").transport.ended_s < 2.2
+    assert not scenario.is_pending
