Bound the bytes of the platform's list over its pages

Cause: the pages and the entries of a list were counted, and each page was bounded, but page tokens and entries of megabytes were kept from page to page. Change: at most 16 MiB over all pages of a list.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -45,6 +45,8 @@
 CALL_DURATION_S = 2.0
 MAX_ANSWER_BYTES = 4_194_304
 MAX_LIST_PAGES = 1000
+# Sum over the pages; 50,000 entries take about half of it.
+MAX_LIST_BYTES = 16_777_216
 MAX_LISTED_ENDPOINTS = 50_000
 LIST_TIMEOUT_S = 4.0
 # Unchanged lists are resent at this period for replicas that missed them.
@@ -158,12 +160,15 @@
         entries: list[ListedEndpoint] = []
         tokens: set[str] = set()
         page: str | None = None
-        skipped = 0
+        skipped = size = 0
         for _ in range(MAX_LIST_PAGES):
             target = endpoint_list_target(page)
             status, body = await self._call(address, b"GET", target, b"")
             if status != 200:
                 raise ValueError(f"status {status}")
+            size += len(body)
+            if size > MAX_LIST_BYTES:
+                raise ValueError(f"more than {MAX_LIST_BYTES} bytes")
             decoded = decode_endpoint_list_page(body)
             page = decoded.next_token
             entries += decoded.entries
--- a/mustardtrack/process/tests/test_endpoint_watch.py
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -83,6 +83,24 @@
     assert pool.calls <= most_calls[kind]
 
 
+LONG_TOKEN = "t" * 4_000_000
+LARGE_LISTS = {
+    "long tokens": lambda number: encode_page(number, f"{number}{LONG_TOKEN}"),
+    "long names": lambda number: encode_page(number, f"p-{number}").replace(
+        b'"service": "s"', b'"service": "' + b"s" * 80_000 + b'"'
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", LARGE_LISTS)
+def test_list_of_large_pages_takes_bounded_memory(kind):
+    """Guards against memory filled by a list of few entries and large pages."""
+    pool = StubPool(LARGE_LISTS[kind])
+    watch = read_list(pool)
+    assert not watch._has_list
+    assert pool.calls <= endpoint_watch.MAX_LIST_BYTES // 4_000_000 + 1
+
+
 def test_slow_list_without_end_takes_bounded_time(monkeypatch):
     """Guards against a leader that publishes nothing while it reads a list."""
     monkeypatch.setattr(endpoint_watch, "LIST_TIMEOUT_S", 0.2)
