Bound the reports that engines send to the leader

Cause: answers to orders and reports of weights could have 4 MiB each, and a readable report is kept for each engine. Change: 64 KiB, as in the product's own calls for weight loads. Result: test_answers_of_engines_are_small; before, the limit passed on was 4,194,304.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -43,7 +43,9 @@
 WATCH_PERIOD_S = 0.05
 # An answer may arrive in parts over this time.
 CALL_DURATION_S = 2.0
-MAX_ANSWER_BYTES = 4_194_304
+MAX_PAGE_BYTES = 4_194_304
+# Answers to orders, and reports, which are kept.
+MAX_ENGINE_ANSWER_BYTES = 65_536
 MAX_LIST_PAGES = 1000
 # Sum over the pages; 50,000 entries take about half of it.
 MAX_LIST_BYTES = 16_777_216
@@ -163,7 +165,9 @@
         skipped = size = 0
         for _ in range(MAX_LIST_PAGES):
             target = endpoint_list_target(page)
-            status, body = await self._call(address, b"GET", target, b"")
+            status, body = await self._call(
+                address, b"GET", target, b"", MAX_PAGE_BYTES
+            )
             if status != 200:
                 raise ValueError(f"status {status}")
             size += len(body)
@@ -321,7 +325,13 @@
         """Call an engine, while this host leads in a term."""
         # Leadership may end while the connection is opened.
         return await self._call(
-            address, method, target, body, headers, lambda: self.leads_in(term)
+            address,
+            method,
+            target,
+            body,
+            MAX_ENGINE_ANSWER_BYTES,
+            headers,
+            lambda: self.leads_in(term),
         )
 
     async def _call(
@@ -330,6 +340,7 @@
         method: bytes,
         target: bytes,
         body: bytes,
+        max_answer_bytes: int,
         headers: list[tuple[bytes, bytes]] | None = None,
         may_send: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
@@ -342,7 +353,7 @@
             CONNECT_TIMEOUT_S,
             CALL_TIMEOUT_S,
             CALL_DURATION_S,
-            MAX_ANSWER_BYTES,
+            max_answer_bytes,
             may_send,
         )
 
--- a/mustardtrack/process/tests/test_endpoint_watch.py
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -101,6 +101,24 @@
     assert pool.calls <= endpoint_watch.MAX_LIST_BYTES // 4_000_000 + 1
 
 
+def test_answers_of_engines_are_small():
+    """Guards against memory filled by the reports of many engines."""
+    limits = []
+
+    class RecordingPool:
+        async def call(self, *arguments):
+            limits.append(arguments[8])
+            return 200, b"{}"
+
+    settings = SimpleNamespace(bounds=Bounds(weights_ms=1000), host_list="10.0.0.1:1")
+    watch = EndpointWatch(
+        SimpleNamespace(now_ms=lambda: 0, placements=PlacementTable(1000)), settings
+    )
+    watch._pool = RecordingPool()
+    asyncio.run(watch.call_engine("10.0.0.2:1", b"GET", b"/", b"", [], 1))
+    assert limits == [65_536]
+
+
 def test_slow_list_without_end_takes_bounded_time(monkeypatch):
     """Guards against a leader that publishes nothing while it reads a list."""
     monkeypatch.setattr(endpoint_watch, "LIST_TIMEOUT_S", 0.2)
