Bound the unread bytes of an engine stream

Cause: reading paused after a number of chunks, each of up to 1 MiB. Change: it pauses above 256 KiB too, and a line has at most 256 KiB. Tests of streams without end, whose source was in the file and not run, and of answers that arrive while the request is unsent, are added; these passed before.

--- a/mustardtrack/adapters/endpoint_client.py
+++ b/mustardtrack/adapters/endpoint_client.py
@@ -29,7 +29,10 @@
 CONNECT_TIMEOUT_MS = 1000
 MAX_POOLED_CONNECTIONS_PER_HOST = 32
 POOL_IDLE_TIMEOUT_MS = 10_000
-MAX_LINE_BYTES = 1_048_576
+# Longest event of a stream; an event has a few tokens.
+MAX_LINE_BYTES = 262_144
+# Reading of a stream pauses while more than this is unread, and resumes at half of it.
+MAX_UNREAD_BYTES = 262_144
 MAX_ERROR_BODY_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 
@@ -92,13 +95,15 @@
     """Server-sent events of one attempt at one engine.
 
     :meth:`next_chunk` returns the chunks in order. Reading from the connection pauses
-    while ``max_buffered_chunks`` chunks are waiting, so that a slow consumer applies
+    while ``max_buffered_chunks`` chunks or too many bytes are waiting, so that a slow consumer applies
     back-pressure to the engine.
     """
 
     def __init__(self, max_buffered_chunks: int):
         self._max_buffered_chunks = max_buffered_chunks
-        self._items: deque[Chunk | EndpointError | None] = deque()
+        # Each item has the size of its line.
+        self._items: deque[tuple[Chunk | EndpointError | None, int]] = deque()
+        self._unread_bytes = 0
         self._next_item_waiter: asyncio.Future[bool] | None = None
         self._reader: _EventReader | None = None
 
@@ -107,16 +112,20 @@
         self._reader = _EventReader(self)
         response.deliverBody(self._reader)
 
-    def push(self, item: "Chunk | EndpointError | None") -> None:
+    def push(self, item: "Chunk | EndpointError | None", size: int = 0) -> None:
         """Queue a chunk, the end marker (None) or the error that ends the stream."""
-        self._items.append(item)
+        self._items.append((item, size))
+        self._unread_bytes += size
         if self._next_item_waiter is not None and not self._next_item_waiter.done():
             self._next_item_waiter.set_result(True)
 
     @property
     def is_full(self) -> bool:
         """Whether the buffer is full and reading must pause."""
-        return len(self._items) >= self._max_buffered_chunks
+        return (
+            len(self._items) >= self._max_buffered_chunks
+            or self._unread_bytes >= MAX_UNREAD_BYTES
+        )
 
     async def next_chunk(self, timeout_ms: int) -> Chunk | None:
         """Return the next chunk, or None after the end marker.
@@ -128,10 +137,12 @@
         if not self._items and not await self._wait_for_item(timeout_ms):
             self.close()
             raise EndpointError("idle_timeout", may_have_run=True)
-        item = self._items.popleft()
+        item, size = self._items.popleft()
+        self._unread_bytes -= size
         if (
             self._reader is not None
             and len(self._items) < self._max_buffered_chunks // 2
+            and self._unread_bytes <= MAX_UNREAD_BYTES // 2
         ):
             self._reader.resume()
         if isinstance(item, EndpointError):
@@ -196,7 +207,7 @@
             self._end(None)
             return
         try:
-            self._stream.push(self._decoder.decode(payload))
+            self._stream.push(self._decoder.decode(payload), len(payload))
         except (msgspec.DecodeError, RecursionError) as error:
             # The decoder raises RecursionError for deeply nested bytes.
             self._end(EndpointError("malformed_chunk", True, str(error)))
--- a/mustardtrack/adapters/tests/test_endless_responses.py
+++ b/mustardtrack/adapters/tests/test_endless_responses.py
@@ -138,6 +138,7 @@
         OK + OWN_ID + EVENT_STREAM + b"\r\n",
         b"data: " + KIB + b"\n",
     ),
+    "comments": (OK + OWN_ID + EVENT_STREAM + CHUNKED, b"8\r\n: ping\n\n\r\n"),
     "events without end": (
         OK + OWN_ID + EVENT_STREAM + CHUNKED,
         b"10\r\nid: 1\ndata: ab\n\n\r\n",
@@ -423,3 +424,99 @@
         server.address,
     )
     assert result == ["timeout", 0]
+
+
+# The engine does not read the whole request, so that a part of it stays unsent.
+CLOSED_WITH_UNSENT_REQUEST = (
+    MEASURE
+    + """
+    BODY = bytes(32_000_000)
+    async def read(pool, address, deadline_s):
+        before = len(reactor.getReaders()) + len(reactor.getWriters())
+        try:
+            await HttpEndpointClient().call(
+                address, "POST", "/", {}, BODY, 1000, 65_536)
+        except EndpointError as error:
+            await asyncio.sleep(1.0)
+            after = len(reactor.getReaders()) + len(reactor.getWriters())
+            return [error.reason, after - before]
+    run(lambda: measure(read))
+"""
+)
+
+
+@pytest.mark.parametrize(
+    ("kind", "reason"),
+    [
+        # The answer is passed on once the request is sent.
+        ("body without a length", "timeout"),
+        ("chunked body", "timeout"),
+        ("header lines", "connection_lost"),
+    ],
+)
+def test_endless_answer_to_an_unread_request_closes_its_connection(
+    run_on_reactor, kind, reason
+):
+    """Guards against connections that wait to send the rest of a request."""
+    server = EndlessServer(*ENDLESS_RESPONSES[kind])
+    result = run_on_reactor(
+        CLOSED_WITH_UNSENT_REQUEST, server.address, str(CLIENT_ADDRESS_SPACE_BYTES), "0"
+    )
+    assert result["outcome"] == [reason, 0], result
+    assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
+    assert server.closed.wait(2)
+
+
+TO_STREAMS = {
+    "status line": "connection_lost",
+    "header lines": "connection_lost",
+    "informational responses": "connection_lost",
+    "body without a length": "line_too_long",
+    "chunked body": "line_too_long",
+    "chunk extension": "connection_lost",
+    "trailers": "connection_lost",
+    "comments": "idle_timeout",
+}
+
+
+@pytest.mark.parametrize("kind", TO_STREAMS)
+def test_endless_stream_fails_its_attempt(run_on_reactor, kind):
+    """Guards against relays that fill the memory with bytes that are no event."""
+    server = EndlessServer(*ENDLESS_RESPONSES[kind])
+    result = run_on_reactor(
+        ENDPOINT_STREAM,
+        server.address,
+        str(CLIENT_ADDRESS_SPACE_BYTES),
+        str(DEADLINE_S),
+    )
+    assert result["outcome"] == TO_STREAMS[kind], result
+    assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
+    assert server.closed.wait(2), result
+
+
+UNREAD_STREAMS = (
+    MEASURE
+    + """
+    async def read(pool, address, deadline_s):
+        client = HttpEndpointClient()
+        streams = [
+            await client.open_stream(address, {}, 5000, 16) for _ in range(20)]
+        await asyncio.sleep(2.0)
+        return len([await stream.next_chunk(1000) for stream in streams])
+    run(lambda: measure(read))
+"""
+)
+LARGE_CHUNK = b'data: {"text": "' + KIB * 200 + b'"}\n\n'
+
+
+def test_unread_engine_streams_take_little_memory(run_on_reactor):
+    """Guards against memory filled by a few large events of each stream."""
+    server = EndlessServer(OK + EVENT_STREAM + b"\r\n", LARGE_CHUNK)
+    result = run_on_reactor(
+        UNREAD_STREAMS,
+        server.address,
+        str(CLIENT_ADDRESS_SPACE_BYTES),
+        str(DEADLINE_S),
+    )
+    assert result["outcome"] == 20, result
+    assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
