End the attempt of an engine whose answer never ends

Cause: the product's own router relayed pieces, repeated pieces and chunks without a piece for as long as they came, and kept the text of an answer that is not streamed. Change: an attempt fails after twice the requested tokens and 256 chunks, or 4 MiB of text.

--- a/mustardtrack/process/relay.py
+++ b/mustardtrack/process/relay.py
@@ -12,6 +12,12 @@
     StreamPiece,
 )
 
+# Text of one answer, which is kept until its end unless it is streamed.
+MAX_ANSWER_CHARS = 4_194_304
+# An engine makes no more tokens than it was asked for. Pieces beyond twice their number
+# and this are an answer without end, as are chunks without a new piece.
+MAX_EXCESS_PIECES = 256
+
 
 class StreamRelay:
     """Checks and relays the pieces of attempts.
@@ -33,13 +39,18 @@
         """Relay the pieces of an attempt and return its final marker.
 
         Raises:
-            AttemptFailedError: If a piece is missing or belongs to another attempt.
+            AttemptFailedError: If a piece is missing or belongs to another attempt, or
+                the answer has too many pieces or too much text.
             EndpointError: If the connection is lost or idle for too long.
         """
         timing = self._shared.settings.timing
         limit_ms = self.first_token_limit_ms(job)
         is_awaiting_first_chunk = True
         final: Chunk | None = None
+        chunks = chars = 0
+        # A resumed attempt may begin with the pieces that were delivered.
+        most = job.assembler.next_piece + 2 * job.completion.max_tokens
+        most += MAX_EXCESS_PIECES
         while True:
             chunk = await stream.next_chunk(limit_ms)
             if chunk is None:
@@ -50,6 +61,10 @@
                 now_ms = self._shared.clock.now_ms()
                 self._shared.selector.first_token(attempt.attempt_id, 0, now_ms)
             self._check_attempt_id(job, attempt, chunk)
+            chunks += 1
+            chars += len(chunk.content())
+            if chunks > most or chars > MAX_ANSWER_CHARS:
+                raise AttemptFailedError("answer_too_large", "stream_incomplete")
             if chunk.piece is not None:
                 await self._deliver(job, chunk, writer)
             if chunk.piece_count is not None:
