Pause reading from callers that send far ahead of their responses

Cause: bytes that a caller sent while its request was answered were kept without limit. Change: reading pauses above 64 KiB and goes on with the response; every request that was read is answered. A paused caller's disconnect is noticed at the next write.

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -29,6 +29,8 @@
 CALLER_TCP_USER_TIMEOUT_MS = 10_000
 # Bytes of all responses that callers do not read; a router may use 150 MB.
 MAX_UNSENT_BYTES = 25_165_824
+# Reading from a caller pauses while it has sent more than this ahead of a response.
+MAX_BYTES_AHEAD = 65_536
 LISTEN_BACKLOG = 512
 CLOSE_POLL_S = 0.02
 
@@ -136,6 +138,7 @@
         self._body_bytes = 0
         self._timer: Any = None
         self._unsent_bytes = 0
+        self._is_reading_paused = False
         self.writable = asyncio.Event()
         self.writable.set()
         self.exchange: Exchange | None = None
@@ -159,6 +162,25 @@
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._reject_malformed(error)
+        self._limit_bytes_ahead()
+
+    def _limit_bytes_ahead(self) -> None:
+        """Pause reading while a caller has sent much ahead of its response.
+
+        The request in progress is answered; a disconnect is noticed when its response
+        is written.
+        """
+        is_ahead = (
+            self.exchange is not None
+            and len(self._http.trailing_data[0]) > MAX_BYTES_AHEAD
+        )
+        if is_ahead == self._is_reading_paused:
+            return
+        self._is_reading_paused = is_ahead
+        if is_ahead:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
 
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
         """Notify the handler of the request in progress."""
@@ -310,6 +332,7 @@
                 self._read_events()
             except h11.RemoteProtocolError as error:
                 self._reject_malformed(error)
+            self._limit_bytes_ahead()
         else:
             self.close()
 
--- a/mustardtrack/adapters/tests/test_caller_limits.py
+++ b/mustardtrack/adapters/tests/test_caller_limits.py
@@ -72,3 +72,54 @@
     growth_bytes, is_answered = run_on_reactor(LEAVE_UNREAD)
     assert growth_bytes < MAX_GROWTH_BYTES
     assert is_answered
+
+
+SEND_AHEAD = (
+    MEASURE
+    + """
+    CALLERS, SECONDS = 4, 2.0
+
+    async def main():
+        release = asyncio.Event()
+        async def handle(exchange):
+            if exchange.path == "/x":
+                await release.wait()
+            exchange.respond(200, [], b"answer")
+        server = serve(handle)
+        before = peak_bytes()
+        answers = []
+        async def send_ahead():
+            caller = await Caller().open(server)
+            caller.send(REQUEST)
+            block = (REQUEST.replace(b"/x", b"/y") * 2000)[:64 * 1024]
+            end = asyncio.get_running_loop().time() + SECONDS
+            while asyncio.get_running_loop().time() < end:
+                try:
+                    caller.send(block)
+                    await asyncio.wait_for(caller.writer.drain(), 0.2)
+                except TimeoutError:
+                    pass
+                if caller.writer.transport.get_write_buffer_size() > 200_000:
+                    await asyncio.sleep(0.1)
+            return caller
+        callers = await asyncio.gather(*[send_ahead() for _ in range(CALLERS)])
+        growth = peak_bytes() - before
+        held = [len(one._http.trailing_data[0]) for one in server.connections]
+        release.set()
+        for caller in callers:
+            data = b""
+            while data.count(b"answer") < 1500:
+                data += await asyncio.wait_for(caller.reader.read(65_536), 10.0)
+            answers.append(data.count(b"200"))
+        return [growth, max(held), min(answers)]
+    run(main)
+"""
+)
+
+
+def test_requests_sent_ahead_are_bounded_and_answered(run_on_reactor):
+    """Guards against memory filled by a caller that does not wait for answers."""
+    growth_bytes, held_bytes, answers = run_on_reactor(SEND_AHEAD)
+    assert held_bytes <= 256 * 1024
+    assert growth_bytes < 32_000_000
+    assert answers >= 1500
