--- a/mustardtrack/adapters/endpoint_client.py
+++ b/mustardtrack/adapters/endpoint_client.py
@@ -95,8 +95,8 @@
     """Server-sent events of one attempt at one engine.
 
     :meth:`next_chunk` returns the chunks in order. Reading from the connection pauses
-    while ``max_buffered_chunks`` chunks or too many bytes are waiting, so that a slow consumer applies
-    back-pressure to the engine.
+    while ``max_buffered_chunks`` chunks or too many bytes are waiting, so that a slow
+    consumer applies back-pressure to the engine.
     """
 
     def __init__(self, max_buffered_chunks: int):
