Bound the time in which a caller's request arrives

Cause: header-timeout-ms of the configuration was not used, so that a header could take the idle timeout. The idle timer began with the header of a request and was not restarted by its body: a body that arrived steadily was cut after it, and a slow request was closed without an answer. Ruled out: connections that a stalled body holds for ever; the idle timer closed them. Change: a header that has begun has header-timeout-ms. The idle timeout holds between two parts of a body, and four times this for the whole request. Later ones are answered with 408. Idle connections are closed as before.

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -23,12 +23,19 @@
 UNSENT_RESPONSES_TOO_LARGE = define_event(
     8903, "WARNING", "caller's connection reset: unread responses are too large"
 )
+REQUEST_TOO_SLOW = define_event(
+    8904, "INFO", "caller's request rejected: it did not arrive in time"
+)
 HANDLER_FAILED = define_event(8902, "ERROR", "request handler failed")
 
 # A caller that leaves data unacknowledged for this long counts as disconnected.
 CALLER_TCP_USER_TIMEOUT_MS = 10_000
 # Bytes of all responses that callers do not read; a router may use 150 MB.
 MAX_UNSENT_BYTES = 25_165_824
+# Multiple of the idle timeout within which a request must arrive as a whole, however
+# steadily its parts come.
+MAX_BODY_IDLE_TIMES = 4
+REQUEST_TIMEOUT_STATUS = 408
 # Reading from a caller pauses while it has sent more than this ahead of a response.
 MAX_BYTES_AHEAD = 65_536
 LISTEN_BACKLOG = 512
@@ -137,6 +144,9 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._timer: Any = None
+        self._is_closed = False
+        self._is_head_begun = False
+        self._body_ends_s = 0.0
         self._unsent_bytes = 0
         self._is_reading_paused = False
         self.writable = asyncio.Event()
@@ -153,7 +163,9 @@
         )
         self.transport.registerProducer(self, True)
         self._server.connections.add(self)
-        self._restart_timer(self._server.limits.idle_timeout_ms)
+        self._restart_timer(
+            self._server.limits.idle_timeout_ms, self._close_idle_connection
+        )
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes."""
@@ -163,6 +175,20 @@
         except h11.RemoteProtocolError as error:
             self._reject_malformed(error)
         self._limit_bytes_ahead()
+        self._limit_request_time()
+
+    def _limit_request_time(self) -> None:
+        """Bound the time for the rest of a request that was received in part."""
+        if self.exchange is not None or self._is_closed:
+            return
+        limits = self._server.limits
+        if self._request is not None:
+            left_s = self._body_ends_s - asyncio.get_running_loop().time()
+            left_ms = min(limits.idle_timeout_ms, max(0.0, left_s) * 1000)
+            self._restart_timer(left_ms, self._reject_slow_request)
+        elif not self._is_head_begun and self._http.trailing_data[0]:
+            self._is_head_begun = True
+            self._restart_timer(limits.header_timeout_ms, self._reject_slow_request)
 
     def _limit_bytes_ahead(self) -> None:
         """Pause reading while a caller has sent much ahead of its response.
@@ -211,6 +237,7 @@
 
     def close(self) -> None:
         """Close the connection once everything is sent."""
+        self._is_closed = True
         # A transport with a paused producer would not close.
         self.transport.unregisterProducer()
         self.transport.loseConnection()
@@ -247,7 +274,9 @@
         self._request = request
         self._body = []
         self._body_bytes = 0
-        self._restart_timer(self._server.limits.idle_timeout_ms)
+        self._is_head_begun = False
+        limit_s = MAX_BODY_IDLE_TIMES * self._server.limits.idle_timeout_ms / 1000
+        self._body_ends_s = asyncio.get_running_loop().time() + limit_s
 
     def _add_body(self, data: bytes) -> None:
         self._body_bytes += len(data)
@@ -289,6 +318,17 @@
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         status = error.error_status_hint
         log_event(REQUEST_MALFORMED, reason=str(error), status=status)
+        self._reject(status)
+
+    def _reject_slow_request(self) -> None:
+        self._timer = None
+        part = "header" if self._request is None else "body"
+        log_event(REQUEST_TOO_SLOW, part=part, body_bytes=self._body_bytes)
+        self._reject(REQUEST_TIMEOUT_STATUS)
+
+    def _reject(self, status: int) -> None:
+        """Answer a request that was not received, and close the connection."""
+        self._stop_timer()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             head = [(b"content-length", b"0"), (b"connection", b"close")]
             self.send_event(h11.Response(status_code=status, headers=head))
@@ -327,12 +367,15 @@
         )
         if is_reusable:
             self._http.start_next_cycle()
-            self._restart_timer(self._server.limits.idle_timeout_ms)
+            self._restart_timer(
+                self._server.limits.idle_timeout_ms, self._close_idle_connection
+            )
             try:
                 self._read_events()
             except h11.RemoteProtocolError as error:
                 self._reject_malformed(error)
             self._limit_bytes_ahead()
+            self._limit_request_time()
         else:
             self.close()
 
@@ -341,10 +384,10 @@
         self.exchange = None
         self.transport.abortConnection()
 
-    def _restart_timer(self, timeout_ms: int) -> None:
+    def _restart_timer(self, timeout_ms: float, expire: Callable[[], None]) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(timeout_ms / 1000, self._close_idle_connection)
+        self._timer = loop.call_later(timeout_ms / 1000, expire)
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
--- a/mustardtrack/adapters/tests/test_caller_limits.py
+++ b/mustardtrack/adapters/tests/test_caller_limits.py
@@ -3,6 +3,8 @@
 Each run has a server process of its own, and its callers in the same process.
 """
 
+import pytest
+
 # Memory of a router's host less what a router without requests takes.
 MAX_GROWTH_BYTES = 83 * 1000 * 1000
 
@@ -123,3 +125,77 @@
     assert held_bytes <= 256 * 1024
     assert growth_bytes < 32_000_000
     assert answers >= 1500
+
+
+# Sends the parts of a request one by one, and returns the answers and their time.
+SLOW_REQUEST = (
+    MEASURE
+    + """
+    import re
+    LINE = b"\\r\\n"
+    BODY_HEAD = LINE.join(
+        [b"POST /x HTTP/1.1", b"host: a", b"content-length: 4000", b"", b""])
+    FORMS = {
+        "header that stalls": ([b"GET /x HTTP/1.1" + LINE + b"ho"], 0),
+        "header that trickles": ([b"x"] * 100, 0.1),
+        "body that stalls": ([BODY_HEAD, b"x"], 0),
+        "body that trickles": ([BODY_HEAD] + [b"x"] * 100, 0.1),
+        "second header that stalls": ([REQUEST, b"GET"], 0.2),
+        "slow body": ([BODY_HEAD] + [b"x" * 500] * 8, 0.35),
+        "slow header": ([REQUEST[:-2], REQUEST[-2:]], 0.4),
+        "late second request": ([REQUEST, REQUEST], 0.6),
+        "no request": ([], 0),
+    }
+
+    async def main():
+        def handle(exchange):
+            exchange.respond(200, [], b"answer")
+        server = serve(handle, header_timeout_ms=800, idle_timeout_ms=int(sys.argv[2]))
+        caller = await Caller().open(server)
+        clock = asyncio.get_running_loop().time
+        started_s = clock()
+        parts, delay_s = FORMS[sys.argv[1]]
+        async def send():
+            for part in parts:
+                caller.send(part)
+                await asyncio.sleep(delay_s)
+        sending = asyncio.ensure_future(send())
+        answer = await caller.read_to_end(9.0)
+        elapsed_s = clock() - started_s
+        sending.cancel()
+        # The server learns of the end of its connection in the next round.
+        await asyncio.sleep(0.05)
+        statuses = [int(one) for one in re.findall("HTTP/1.1 ([0-9]+)", answer)]
+        return [statuses, elapsed_s, len(server.connections)]
+    run(main)
+"""
+)
+
+
+@pytest.mark.parametrize(
+    ("form", "idle_timeout_ms", "statuses", "least_s", "most_s"),
+    [
+        # Rejected before the idle timeout.
+        ("header that stalls", 3000, [408], 0.7, 2.9),
+        ("header that trickles", 3000, [408], 0.7, 2.9),
+        ("second header that stalls", 3000, [200, 408], 0.9, 2.9),
+        ("body that stalls", 1000, [408], 0.9, 3.9),
+        # The whole request has four times the idle timeout.
+        ("body that trickles", 1000, [408], 3.9, 8.0),
+        # The idle timeout follows the last request.
+        ("slow body", 1000, [200], 3.3, 8.0),
+        ("slow header", 1000, [200], 1.3, 8.0),
+        ("late second request", 1000, [200, 200], 1.5, 8.0),
+        ("no request", 1000, [], 0.9, 8.0),
+    ],
+)
+def test_slow_requests_are_rejected_in_time(
+    run_on_reactor, form, idle_timeout_ms, statuses, least_s, most_s
+):
+    """Guards against connections held by a part of a request, and sound ones cut."""
+    answered, elapsed_s, connections = run_on_reactor(
+        SLOW_REQUEST, form, str(idle_timeout_ms)
+    )
+    assert answered == statuses
+    assert least_s <= elapsed_s <= most_s
+    assert connections == 0
