Free the parts of an answer when its call fails

Cause: the exception of a failed call refers to the frame that collected the answer, and a task that follows cache events sleeps while it handles the exception. Up to 4 MiB for each engine stayed in the leader, beyond the bound on unfinished responses. Change: the parts are freed before the exception is raised.

--- a/mustardtrack/adapters/tests/test_caller_limits.py
+++ b/mustardtrack/adapters/tests/test_caller_limits.py
@@ -131,7 +131,8 @@
 SLOW_REQUEST = (
     MEASURE
     + """
-    import re
+    import re, time
+    PAUSE = b"\\r\\n" * 2
     LINE = b"\\r\\n"
     BODY_HEAD = LINE.join(
         [b"POST /x HTTP/1.1", b"host: a", b"content-length: 4000", b"", b""])
@@ -145,6 +146,7 @@
         "slow header": ([REQUEST[:-2], REQUEST[-2:]], 0.4),
         "late second request": ([REQUEST, REQUEST], 0.6),
         "no request": ([], 0),
+        "paused process": ([REQUEST[:-4], PAUSE], 0.1),
     }
 
     async def main():
@@ -158,6 +160,8 @@
         async def send():
             for part in parts:
                 caller.send(part)
+                if part is PAUSE:
+                    time.sleep(1.5)  # Both timers expire while nothing is read.
                 await asyncio.sleep(delay_s)
         sending = asyncio.ensure_future(send())
         answer = await caller.read_to_end(9.0)
@@ -187,6 +191,7 @@
         ("slow header", 1000, [200], 1.3, 8.0),
         ("late second request", 1000, [200, 200], 1.5, 8.0),
         ("no request", 1000, [], 0.9, 8.0),
+        ("paused process", 1000, [200], 1.5, 8.0),
     ],
 )
 def test_slow_requests_are_rejected_in_time(
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -592,21 +592,24 @@
     """
     clock = asyncio.get_running_loop().time
     deadline_s = clock() + total_timeout_s
-    status, parts = 0, []
+    status, body = 0, bytearray()
     while (left_s := deadline_s - clock()) > 0:
         event = await connection.next_event(min(read_timeout_s, left_s))
         if isinstance(event, ResponseHead):
             status = event.status
         elif isinstance(event, ResponseData):
-            parts.append(event.data)
+            body += event.data
         elif isinstance(event, ResponseEnd):
-            return status, b"".join(parts)
+            return status, bytes(body)
         elif isinstance(event, ResponseInterrupted):
+            # The exception refers to this frame while it is handled.
+            body.clear()
             raise ConnectionBrokenError(event.reason)
         elif left_s > read_timeout_s:
             break
     else:
         log_event(CALL_TOO_LONG, address=connection.address)
+    body.clear()
     raise ConnectionBrokenError("response timed out")
 
 
--- a/mustardtrack/process/tests/test_endless_endpoint.py
+++ b/mustardtrack/process/tests/test_endless_endpoint.py
@@ -17,6 +17,7 @@
 from mustardtrack.testing.client import call
 from mustardtrack.testing.seeded_hosts import (
     CALLER_PORT,
+    OPERATOR_PORT,
     SeededHosts,
     holds_within,
     put_document,
@@ -28,8 +29,16 @@
 LONGEST_WAIT_S = 20.0
 DEADLINE_MS = 2500
 CALLERS = 12
-# At once, for the peak of the memory only.
-MANY_CALLERS = 40
+# At once, for the peak of the memory only. Together, bodies below the limit of a single
+# one would not fit into the memory.
+MANY_CALLERS = 200
+# Memory that a control host may use.
+MAX_CONTROL_BYTES = 150 * 1000 * 1000
+ENDLESS_ENGINES = 60
+CONTROL_WATCH_S = 12.0
+TRICKLE_PERIOD_S = 0.3
+# A time limit ends a request at the deadline; the rest is a margin for a busy machine.
+TRICKLE_LIMIT_S = 2.5 + 1.0
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Seal: x\r\n"
 KIB = b"x" * 1024
 # The rest of the head and the part that is repeated, by the prefix of the path.
@@ -37,14 +46,33 @@
     b"/length/": (b"Content-Length: 1000000000000\r\n\r\n", KIB),
     b"/plain/": (b"\r\n", KIB),
     b"/event/": (b"Content-Type: text/event-stream\r\n\r\n", b"data: x\n"),
+    b"/trickled-header/": (b"x-filler: ", b"x"),
+    b"/trickled-headers/": (b"", b"x-filler: x\r\n"),
+    b"/trickled-chunk-size/": (b"Transfer-Encoding: chunked\r\n\r\n1;", b"x"),
+    b"/trickled-body/": (b"\r\n", b"x"),
+    b"/trickled-event/": (b"Content-Type: text/event-stream\r\n\r\n", b"data: x\n"),
+    # Calls of the leader for reports and cache events.
+    b"/v1/": (b"\r\n", KIB),
+}
+TRICKLES = {
+    "/trickled-header/": "idempotent",
+    "/trickled-headers/": "non_idempotent",
+    "/trickled-chunk-size/": "idempotent",
+    "/trickled-body/": "non_idempotent",
+    "/trickled-event/": "streaming",
 }
 
 
 class EndlessEndpoint:
-    """Endpoint that sends until its peer closes the connection."""
+    """Endpoint that sends until its peer closes the connection.
+
+    Attributes:
+        targets: Targets of the requests that it received.
+    """
 
     def __init__(self, host: str):
-        self._listener = socket.create_server((host, 0))
+        self.targets: set[bytes] = set()
+        self._listener = socket.create_server((host, 0), backlog=256)
         self.address = f"{host}:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -60,10 +88,14 @@
             request = connection.recv(65_536)
             request_id = re.search(rb"(?i)request-id: *(\S+)", request)
             path = request.split(b" ")[1]
+            self.targets.add(path)
             head, part = next(
                 answer for prefix, answer in ENDLESS.items() if path.startswith(prefix)
             )
             connection.sendall(HEAD % (request_id[1] if request_id else b"") + head)
+            while path.startswith(b"/trickled-"):
+                connection.sendall(part)
+                time.sleep(TRICKLE_PERIOD_S)
             while True:
                 connection.sendall(part * (16_384 // len(part)))
         except (OSError, IndexError):
@@ -185,8 +217,9 @@
         ]
         routes.append(build_route("/plain/", "non_idempotent", "alone"))
         routes.append(build_route("/event/", "streaming", "alone"))
+        routes += [build_route(path, TRICKLES[path], "alone") for path in TRICKLES]
         services = [
-            {"name": name, "max-connections": 100} for name in ("alone", "mixed")
+            {"name": name, "max-connections": 300} for name in ("alone", "mixed")
         ]
         document = {"version": 1, "routes": routes, "services": services, "limits": {}}
         try:
@@ -235,3 +268,50 @@
 def test_repeatable_requests_are_answered_by_the_sound_endpoint(results):
     answered = [status for status, _ in results["mixed/length/"] if status == 200]
     assert answered, results["mixed/length/"]
+
+
+def test_answer_that_trickles_ends_at_the_deadline(results):
+    """Guards against callers held by an endpoint that sends a byte now and then."""
+    for prefix in TRICKLES:
+        for status, duration_s in results[f"alone{prefix}"]:
+            assert isinstance(status, int), results[f"alone{prefix}"]
+            assert status in (502, 503, 504), results[f"alone{prefix}"]
+            assert duration_s < TRICKLE_LIMIT_S, results[f"alone{prefix}"]
+
+
+def test_control_host_stays_within_its_memory(tmp_path):
+    """Guards against a leader whose calls to engines get answers without end."""
+    with Subnet() as subnet:
+        endless = EndlessEndpoint(subnet.address(31))
+        server = ListServer((subnet.address(32), 0), ListHandler)
+        platform = f"{subnet.address(32)}:{server.server_address[1]}"
+        models = [{"name": "m", "version": 1}]
+        ListHandler.entries = [
+            {**list_entry(f"i-{number}", "alone", endless.address), "models": models}
+            for number in range(ENDLESS_ENGINES)
+        ]
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        control = subnet.address(11)
+        hosts = SeededHosts(tmp_path, (control,), (), platform)
+        document = {
+            "version": 1,
+            "routes": [build_route("/length/", "idempotent", "alone")],
+            "services": [{"name": "alone", "max-connections": 300}],
+            "limits": {},
+        }
+        try:
+            hosts.start(control)
+            assert holds_within(
+                lambda: put_document(control, document) == 200, LONGEST_WAIT_S
+            )
+            operators = f"{control}:{OPERATOR_PORT}"
+            order = {"model": "m", "version": 2}
+            status, _, _ = call(operators, "POST", "/v1/version-put", order)
+            assert status == 200
+            time.sleep(CONTROL_WATCH_S)
+            assert put_document(control, {**document, "version": 2}) == 200
+            assert peak_memory_bytes(hosts.running[control].pid) < MAX_CONTROL_BYTES
+            assert endless.targets >= {b"/v1/report", b"/v1/kv-events?since=0"}
+        finally:
+            hosts.end()
+            server.shutdown()
