Bound the answers to calls of the endpoint client together

Cause: each answer was bounded, their sum was not. Change: the bound of the connection pool moves to a module of its own and holds for the bodies of this client too.

--- a/mustardtrack/adapters/endpoint_client.py
+++ b/mustardtrack/adapters/endpoint_client.py
@@ -22,6 +22,10 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IAgentEndpointFactory
 from zope.interface import implementer
 
+from mustardtrack.adapters.unfinished import (
+    MAX_UNFINISHED_BYTES,
+    UnfinishedResponses,
+)
 from mustardtrack.logs import define_event, log_event
 
 reactor = cast(Any, twisted_reactor)
@@ -242,6 +246,7 @@
         self._pool.cachedConnectionTimeout = POOL_IDLE_TIMEOUT_MS // 1000
         # Only the retry policy may repeat a request.
         self._pool.retryAutomatically = False
+        self._unfinished: UnfinishedResponses[_BodyCollector] = UnfinishedResponses()
         factory = _LimitedEndpointFactory()
         self._pooled = Agent.usingEndpointFactory(reactor, factory, self._pool)
         self._unpooled = Agent.usingEndpointFactory(reactor, factory)
@@ -276,7 +281,9 @@
             self._unpooled, "POST", url, headers, data, timeout_ms
         )
         if response.code != 200:
-            error_body = await _read_limited(response, MAX_ERROR_BODY_BYTES, 1000)
+            error_body = await _read_limited(
+                response, MAX_ERROR_BODY_BYTES, 1000, address, self._unfinished
+            )
             raise EndpointError(
                 f"refused_{response.code}", may_have_run=not _states_not_run(error_body)
             )
@@ -328,7 +335,9 @@
         deadline = loop.time() + timeout_ms / 1000
         response = await self._send(agent, method, url, headers, body, timeout_ms)
         remaining_ms = max(1, int((deadline - loop.time()) * 1000))
-        content = await _read_limited(response, max_body_bytes, remaining_ms)
+        content = await _read_limited(
+            response, max_body_bytes, remaining_ms, address, self._unfinished
+        )
         response_headers = {
             name.decode("latin-1").lower(): values[0].decode("latin-1")
             for name, values in response.headers.getAllRawHeaders()
@@ -501,68 +510,92 @@
         return False
 
 
-async def _read_limited(response: Any, max_body_bytes: int, timeout_ms: int) -> bytes:
+async def _read_limited(
+    response: Any,
+    max_body_bytes: int,
+    timeout_ms: int,
+    address: str,
+    unfinished: "UnfinishedResponses[_BodyCollector]",
+) -> bytes:
     """Read a response body of at most ``max_body_bytes``."""
     if response.length is not UNKNOWN_LENGTH and response.length > max_body_bytes:
         _close_connection(response)
         raise EndpointError("answer_too_large", may_have_run=True)
-    parts: list[bytes] = []
-    size = 0
-
-    def receive(data: bytes) -> None:
-        nonlocal size
-        size += len(data)
-        if size > max_body_bytes:
-            raise EndpointError("answer_too_large", may_have_run=True)
-        parts.append(data)
-
-    collector = _BodyCollector(receive)
+    collector = _BodyCollector(max_body_bytes, address, unfinished)
     deferred = collector.ended
     response.original.deliverBody(collector)
     timeout = _DeferredTimeout(deferred, timeout_ms)
     try:
-        await deferred.asFuture(asyncio.get_running_loop())
+        return await deferred.asFuture(asyncio.get_running_loop())
     except EndpointError:
         raise
     except Exception as error:
         raise EndpointError(timeout.failure_reason(), True, repr(error)) from error
     finally:
         timeout.stop()
-    return b"".join(parts)
 
 
 class _BodyCollector(Protocol):
-    """Passes a response body on and closes the connection if that is cancelled.
+    """Collects a response body and closes the connection if that is cancelled.
+
+    Args:
+        max_body_bytes: Largest accepted body.
+        address: Address of the endpoint.
+        unfinished: Bodies of the same client.
 
     Attributes:
-        ended: Fires at the end of the body, or with the reason why it has none.
+        ended: Fires with the body, or with the reason why there is none.
     """
 
-    def __init__(self, receive: Callable[[bytes], None]):
-        self._receive = receive
-        self.ended: Deferred[None] = Deferred(self._cancel)
+    def __init__(
+        self,
+        max_body_bytes: int,
+        address: str,
+        unfinished: "UnfinishedResponses[_BodyCollector]",
+    ):
+        self.address = address
+        self.ended: Deferred[bytes] = Deferred(self._cancel)
+        self._max_body_bytes = max_body_bytes
+        self._unfinished = unfinished
+        self._body = bytearray()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 (Twisted)
-        """Pass data on; an error of the receiver closes the connection."""
+        """Append data; the connection is closed if that is too much."""
         if self.ended.called:
             return
-        try:
-            self._receive(data)
-        except EndpointError:
-            self._close()
-            self.ended.errback(Failure())
+        self._body += data
+        if len(self._body) > self._max_body_bytes:
+            self._fail_as_too_large()
+            return
+        self._unfinished.record(self, len(self._body))
+        while self._unfinished.total_bytes > MAX_UNFINISHED_BYTES:
+            self._unfinished.find_largest()._fail_as_too_large()
 
     def connectionLost(self, reason: Failure = Failure(ResponseDone())) -> None:  # noqa: N802, B008
         """End the body; one without a length ends with its connection."""
         if self.ended.called:
             return
+        body = bytes(self._body)
+        self._release()
         if reason.check(ResponseDone, PotentialDataLoss):
-            self.ended.callback(None)
+            self.ended.callback(body)
         else:
             self.ended.errback(reason)
 
-    def _cancel(self, deferred: "Deferred[None]") -> None:
+    def _fail_as_too_large(self) -> None:
+        self._release()
+        self._close()
+        if not self.ended.called:
+            error = EndpointError("answer_too_large", may_have_run=True)
+            self.ended.errback(Failure(error))
+
+    def _release(self) -> None:
+        self._body.clear()
+        self._unfinished.record(self, 0)
+
+    def _cancel(self, deferred: "Deferred[bytes]") -> None:
         log_event(BODY_TIMED_OUT)
+        self._release()
         self._close()
 
     def _close(self) -> None:
--- a/mustardtrack/adapters/tests/test_endless_responses.py
+++ b/mustardtrack/adapters/tests/test_endless_responses.py
@@ -520,3 +520,119 @@
     )
     assert result["outcome"] == 20, result
     assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
+
+
+class ExcessServer(EndlessServer):
+    """Server whose first answer is complete and followed by bytes without end.
+
+    Args:
+        answer: Sent for the first request.
+        begin: ``"at once"``, ``"idle"`` (after a while) or ``"in use"`` (after another
+            request).
+        delay_s: Time between two parts.
+    """
+
+    def __init__(self, answer: bytes, begin: str, delay_s: float = 0.0):
+        self._begin = begin
+        super().__init__(answer, KIB, delay_s=delay_s)
+
+    def _send(self, connection: socket.socket) -> None:
+        try:
+            connection.recv(4096)
+            connection.sendall(self._head)
+            if self._begin == "idle":
+                time.sleep(0.3)
+            elif self._begin == "in use":
+                connection.recv(4096)
+            while True:
+                connection.sendall(self._parts)
+                time.sleep(self._delay_s)
+        except OSError:
+            self.closed.set()
+
+
+CALL_TWICE = (
+    MEASURE
+    + """
+    METHOD = sys.argv[4]
+    async def call_pool(pool, address):
+        return await pool.call(address, METHOD.encode(), b"/", [], b"", 0.5, 0.5, 1.0)
+
+    client = None
+    async def call_client(pool, address):
+        global client
+        client = client or HttpEndpointClient()
+        answer = await client.call(
+            address, METHOD, "/", {}, b"", 1000, 65_536, pooled=True)
+        return answer.status, answer.body
+
+    async def read(pool, address, deadline_s):
+        call = {"pool": call_pool, "client": call_client}[sys.argv[5]]
+        before = len(reactor.getReaders())
+        status, body = await call(pool, address)
+        await asyncio.sleep(0.1)
+        try:
+            await call(pool, address)
+        except (ConnectError, ConnectionBrokenError, EndpointError):
+            pass
+        await asyncio.sleep(1.0)
+        return [status, len(body), len(reactor.getReaders()) - before]
+    run(lambda: measure(read))
+"""
+)
+EMPTY_ANSWER = OK + b"Content-Length: 0\r\n\r\n"
+EXCESS = {
+    "after an answer": ("GET", EMPTY_ANSWER, "at once", 0.0),
+    "while idle": ("GET", EMPTY_ANSWER, "idle", 0.0),
+    "while idle, slowly": ("GET", EMPTY_ANSWER, "idle", 0.2),
+    "while in use": ("GET", EMPTY_ANSWER, "in use", 0.0),
+    "while in use, slowly": ("GET", EMPTY_ANSWER, "in use", 0.2),
+    "body to HEAD": ("HEAD", OK + b"Content-Length: 1000000\r\n\r\n", "at once", 0.0),
+    "body of 204": ("GET", b"HTTP/1.1 204 No Content\r\n\r\n", "at once", 0.0),
+}
+
+
+@pytest.mark.parametrize("caller", ["pool", "client"])
+@pytest.mark.parametrize("kind", EXCESS)
+def test_bytes_after_an_answer_end_its_connection(run_on_reactor, kind, caller):
+    """Guards against kept connections whose bytes belong to no request."""
+    method, answer, begin, delay_s = EXCESS[kind]
+    server = ExcessServer(answer, begin, delay_s)
+    result = run_on_reactor(
+        CALL_TWICE,
+        server.address,
+        str(CLIENT_ADDRESS_SPACE_BYTES),
+        str(DEADLINE_S),
+        method,
+        caller,
+    )
+    status = 204 if kind == "body of 204" else 200
+    assert result["outcome"] == [status, 0, 0], result
+    assert result["growth_bytes"] < MAX_GROWTH_BYTES, result
+    assert server.closed.wait(2), result
+
+
+CALL_MANY = (
+    MEASURE
+    + """
+    async def read(pool, address, deadline_s):
+        client = HttpEndpointClient()
+        async def call():
+            try:
+                await client.call(address, "GET", "/", {}, b"", 8000, 4_194_304)
+            except EndpointError as error:
+                return error.reason
+        return sorted(set(await asyncio.gather(*[call() for _ in range(100)])))
+    run(lambda: measure(read))
+"""
+)
+
+
+def test_answers_to_calls_are_bounded_together(run_on_reactor):
+    """Guards against memory filled by the answers of many endpoints at once."""
+    server = EndlessServer(*ENDLESS_RESPONSES["body without a length"])
+    result = run_on_reactor(
+        CALL_MANY, server.address, str(CLIENT_ADDRESS_SPACE_BYTES), str(DEADLINE_S)
+    )
+    assert result["outcome"] == ["answer_too_large"], result
+    assert result["growth_bytes"] < MAX_SUM_GROWTH_BYTES, result
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -18,6 +18,10 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 
+from mustardtrack.adapters.unfinished import (
+    MAX_UNFINISHED_BYTES,
+    UnfinishedResponses,
+)
 from mustardtrack.logs import Event, define_event, log_event
 from mustardtrack.requests.event_stream import MAX_SPLIT_END_BYTES, find_last_event_end
 
@@ -38,9 +42,6 @@
 MAX_RESPONSE_BODY_BYTES = 4_194_304
 # Lines of the heads of one response. Parsed headers take many times their size.
 MAX_HEAD_LINES = 512
-# Bytes that all unfinished responses of one pool keep. A router may use 150 MB, of
-# which its libraries need 67 MB.
-MAX_UNFINISHED_BYTES = 33_554_432
 # A response may have this many bytes outside of its body, and as many more as its
 # body has, for chunks as small as single tokens.
 MAX_FRAMING_BYTES = 2 * MAX_HEADER_BYTES
@@ -140,37 +141,6 @@
 ResponseEvent = ResponseHead | ResponseData | ResponseEnd | ResponseInterrupted
 
 
-class UnfinishedResponses:
-    """Bytes that the unfinished responses on a group of connections keep.
-
-    Attributes:
-        total_bytes: Sum over the connections.
-    """
-
-    def __init__(self) -> None:
-        self.total_bytes = 0
-        self._sizes: dict[UpstreamConnection, int] = {}
-
-    def record(self, connection: "UpstreamConnection", size: int) -> None:
-        """Record the bytes that the response on a connection keeps, 0 for none."""
-        self.total_bytes += size - self._sizes.pop(connection, 0)
-        if size:
-            self._sizes[connection] = size
-
-    def find_largest(self) -> "UpstreamConnection":
-        """Return the connection to abort while there are too many bytes.
-
-        It is the largest of the endpoint that has sent most, so that an endpoint that
-        sends without end does not end the responses of others.
-        """
-        by_address: Counter[str] = Counter()
-        for connection, size in self._sizes.items():
-            by_address[connection.address] += size
-        address = max(by_address, key=by_address.__getitem__)
-        candidates = [one for one in self._sizes if one.address == address]
-        return max(candidates, key=self._sizes.__getitem__)
-
-
 class UpstreamConnection(Protocol):
     """One connection to an endpoint; carries one request at a time.
 
@@ -190,7 +160,7 @@
 
     def __init__(self, address: str = "") -> None:
         self.address = address
-        self.unfinished = UnfinishedResponses()
+        self.unfinished = UnfinishedResponses[UpstreamConnection]()
         self.is_relayed = False
         self._http = self._new_http()
         self._events: deque[ResponseEvent] = deque()
@@ -620,7 +590,7 @@
         self._reactor = reactor
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self._open: Counter[str] = Counter()
-        self._unfinished = UnfinishedResponses()
+        self._unfinished = UnfinishedResponses[UpstreamConnection]()
 
     def take(self, key: str, max_idle_s: float = math.inf) -> UpstreamConnection | None:
         """Return the most recently used idle connection of an endpoint.
