Merge the bounds on bytes without end of endpoints and callers

The closing server waits for a request in progress without extending its time (one side), and requests have a time limit of their own (the other side).

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -10,7 +10,9 @@
 from typing import Any
 
 import h11
+from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
+from zope.interface import implementer
 
 from mustardtrack.configuration.routes import CallerLimits
 from mustardtrack.logs import define_event, log_event
@@ -18,10 +20,24 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 REQUEST_MALFORMED = define_event(8901, "INFO", "malformed HTTP request rejected")
+UNSENT_RESPONSES_TOO_LARGE = define_event(
+    8903, "WARNING", "caller's connection reset: unread responses are too large"
+)
+REQUEST_TOO_SLOW = define_event(
+    8904, "INFO", "caller's request rejected: it did not arrive in time"
+)
 HANDLER_FAILED = define_event(8902, "ERROR", "request handler failed")
 
 # A caller that leaves data unacknowledged for this long counts as disconnected.
 CALLER_TCP_USER_TIMEOUT_MS = 10_000
+# Bytes of all responses that callers do not read; a router may use 150 MB.
+MAX_UNSENT_BYTES = 25_165_824
+# Multiple of the idle timeout within which a request must arrive as a whole, however
+# steadily its parts come.
+MAX_BODY_IDLE_TIMES = 4
+REQUEST_TIMEOUT_STATUS = 408
+# Reading from a caller pauses while it has sent more than this ahead of a response.
+MAX_BYTES_AHEAD = 65_536
 LISTEN_BACKLOG = 512
 CLOSE_POLL_S = 0.02
 # A caller that has connected or begun a request sends the rest within this time; it
@@ -87,6 +103,19 @@
         if data and self.method != b"HEAD" and not self.is_disconnected:
             self._connection.send_event(h11.Data(data=data))
 
+    async def wait_writable(self, timeout_s: float) -> None:
+        """Wait until the caller has read what was written, at most for the timeout.
+
+        Returns immediately if only little is unread, or the caller disconnects.
+        """
+        if self._connection.writable.is_set():
+            return
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._connection.writable.wait()
+        except TimeoutError:
+            pass  # The response ends at its deadline.
+
     def finish(self) -> None:
         """End the response."""
         if not self.is_disconnected:
@@ -101,8 +130,13 @@
 Handler = Callable[[Exchange], Any]
 
 
+@implementer(IPushProducer)
 class ServerConnection(Protocol):
-    """Connection of a caller; its requests are handled one after another."""
+    """Connection of a caller; its requests are handled one after another.
+
+    Attributes:
+        writable: Set unless more is written than the transport buffers.
+    """
 
     transport: Any
 
@@ -115,6 +149,13 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._timer: Any = None
+        self._is_closed = False
+        self._is_head_begun = False
+        self._body_ends_s = 0.0
+        self._unsent_bytes = 0
+        self._is_reading_paused = False
+        self.writable = asyncio.Event()
+        self.writable.set()
         self.exchange: Exchange | None = None
         self.last_exchange: Exchange | None = None
 
@@ -125,8 +166,11 @@
         handle.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, CALLER_TCP_USER_TIMEOUT_MS
         )
+        self.transport.registerProducer(self, True)
         self._server.connections.add(self)
-        self._restart_timer(self._server.limits.idle_timeout_ms)
+        self._restart_timer(
+            self._server.limits.idle_timeout_ms, self._close_idle_connection
+        )
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes."""
@@ -135,17 +179,74 @@
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._reject_malformed(error)
+        self._limit_bytes_ahead()
+        self._limit_request_time()
+
+    def _limit_request_time(self) -> None:
+        """Bound the time for the rest of a request that was received in part."""
+        if self.exchange is not None or self._is_closed or self._server.is_closing:
+            return
+        limits = self._server.limits
+        if self._request is not None:
+            left_s = self._body_ends_s - asyncio.get_running_loop().time()
+            left_ms = min(limits.idle_timeout_ms, max(0.0, left_s) * 1000)
+            self._restart_timer(left_ms, self._reject_slow_request)
+        elif not self._is_head_begun and self._http.trailing_data[0]:
+            self._is_head_begun = True
+            self._restart_timer(limits.header_timeout_ms, self._reject_slow_request)
+
+    def _limit_bytes_ahead(self) -> None:
+        """Pause reading while a caller has sent much ahead of its response.
+
+        The request in progress is answered; a disconnect is noticed when its response
+        is written.
+        """
+        is_ahead = (
+            self.exchange is not None
+            and len(self._http.trailing_data[0]) > MAX_BYTES_AHEAD
+        )
+        if is_ahead == self._is_reading_paused:
+            return
+        self._is_reading_paused = is_ahead
+        if is_ahead:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
 
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
         """Notify the handler of the request in progress."""
         self._server.connections.discard(self)
+        self._server.unsent.record(self, 0)
         self._stop_timer()
+        self.writable.set()
         exchange, self.exchange = self.exchange, None
+        # Without this cycle, the unsent bytes of the transport are freed at once.
+        self.last_exchange = None
         if exchange is not None:
             exchange.is_disconnected = True
             if exchange.on_disconnect is not None:
                 exchange.on_disconnect()
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that the transport has more to send than it buffers."""
+        self.writable.clear()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Note that the transport has sent everything."""
+        self.writable.set()
+        self._server.unsent.record(self, 0)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Note that the connection is lost."""
+        self.writable.set()
+
+    def close(self) -> None:
+        """Close the connection once everything is sent."""
+        self._is_closed = True
+        # A transport with a paused producer would not close.
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
     def is_between_requests(self) -> bool:
         """Return whether a response was sent and no byte of another request came."""
         is_waiting = self.exchange is None and self._request is None
@@ -159,9 +260,9 @@
         without an answer.
         """
         if self.is_between_requests():
-            self.transport.loseConnection()
+            self.close()
         elif self.exchange is None:
-            self._restart_timer(LAST_REQUEST_WAIT_MS)
+            self._restart_timer(LAST_REQUEST_WAIT_MS, self._close_idle_connection)
 
     def _read_events(self) -> None:
         while self.exchange is None:
@@ -182,15 +283,16 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._complete_request()
             elif isinstance(event, h11.ConnectionClosed):
-                self.transport.loseConnection()
+                self.close()
                 return
 
     def _begin_request(self, request: h11.Request) -> None:
         self._request = request
         self._body = []
         self._body_bytes = 0
-        if not self._server.is_closing:
-            self._restart_timer(self._server.limits.idle_timeout_ms)
+        self._is_head_begun = False
+        limit_s = MAX_BODY_IDLE_TIMES * self._server.limits.idle_timeout_ms / 1000
+        self._body_ends_s = asyncio.get_running_loop().time() + limit_s
 
     def _add_body(self, data: bytes) -> None:
         self._body_bytes += len(data)
@@ -232,11 +334,22 @@
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         status = error.error_status_hint
         log_event(REQUEST_MALFORMED, reason=str(error), status=status)
+        self._reject(status)
+
+    def _reject_slow_request(self) -> None:
+        self._timer = None
+        part = "header" if self._request is None else "body"
+        log_event(REQUEST_TOO_SLOW, part=part, body_bytes=self._body_bytes)
+        self._reject(REQUEST_TIMEOUT_STATUS)
+
+    def _reject(self, status: int) -> None:
+        """Answer a request that was not received, and close the connection."""
+        self._stop_timer()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             head = [(b"content-length", b"0"), (b"connection", b"close")]
             self.send_event(h11.Response(status_code=status, headers=head))
             self.send_event(h11.EndOfMessage())
-        self.transport.loseConnection()
+        self.close()
 
     def send_head(self, exchange: Exchange, status: int, headers: Headers) -> None:
         """Send the status and headers of the response to ``exchange``."""
@@ -249,7 +362,12 @@
         """Serialize and send one h11 event."""
         data = self._http.send(event)
         if data:
+            if self.writable.is_set():
+                self._unsent_bytes = 0
+            self._unsent_bytes += len(data)
             self.transport.write(data)
+            if not self.writable.is_set():
+                self._server.unsent.record(self, self._unsent_bytes)
 
     def end_response(self) -> None:
         """End the response, then read the next request or close the connection."""
@@ -265,23 +383,27 @@
         )
         if is_reusable:
             self._http.start_next_cycle()
-            self._restart_timer(self._server.limits.idle_timeout_ms)
+            self._restart_timer(
+                self._server.limits.idle_timeout_ms, self._close_idle_connection
+            )
             try:
                 self._read_events()
             except h11.RemoteProtocolError as error:
                 self._reject_malformed(error)
+            self._limit_bytes_ahead()
+            self._limit_request_time()
         else:
-            self.transport.loseConnection()
+            self.close()
 
     def abort_connection(self) -> None:
         """Reset the connection."""
         self.exchange = None
         self.transport.abortConnection()
 
-    def _restart_timer(self, timeout_ms: int) -> None:
+    def _restart_timer(self, timeout_ms: float, expire: Callable[[], None]) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(timeout_ms / 1000, self._close_idle_connection)
+        self._timer = loop.call_later(timeout_ms / 1000, expire)
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
@@ -290,7 +412,37 @@
 
     def _close_idle_connection(self) -> None:
         self._timer = None
-        self.transport.loseConnection()
+        self.close()
+
+
+class UnsentResponses:
+    """Sizes of the responses that callers do not read.
+
+    Attributes:
+        total_bytes: Sum over the connections.
+    """
+
+    def __init__(self) -> None:
+        self.total_bytes = 0
+        # In the order in which their callers began not to read.
+        self._sizes: dict[ServerConnection, int] = {}
+
+    def record(self, connection: ServerConnection, size: int) -> None:
+        """Record the unsent bytes of a connection, 0 for none.
+
+        Above the limit, the connections whose callers have not read for longest are
+        reset.
+        """
+        self.total_bytes += size - self._sizes.get(connection, 0)
+        if size:
+            self._sizes[connection] = size
+        else:
+            self._sizes.pop(connection, None)
+        while self.total_bytes > MAX_UNSENT_BYTES:
+            oldest = next(iter(self._sizes))
+            log_event(UNSENT_RESPONSES_TOO_LARGE, unsent_bytes=self._sizes[oldest])
+            self.total_bytes -= self._sizes.pop(oldest)
+            oldest.transport.abortConnection()
 
 
 class HttpServer(Factory):
@@ -305,6 +457,7 @@
         self.handler = handler
         self.limits = limits or CallerLimits()
         self.connections: set[ServerConnection] = set()
+        self.unsent = UnsentResponses()
         self.is_stopping = False
         self.is_closing = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -348,7 +501,7 @@
         """Close the connections that callers keep open between two requests."""
         for connection in list(self.connections):
             if connection.is_between_requests():
-                connection.transport.loseConnection()
+                connection.close()
 
     def close_connections(self) -> None:
         """Close each connection once its open exchange has ended and is sent."""
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -382,6 +382,7 @@
         self, connection: UpstreamConnection, head: ResponseHead
     ) -> Outcome:
         progress = self._progress
+        connection.is_relayed = True
         splitter = EventStreamSplitter(progress.resume_after)
         waits_since_ms = self._clock.now_ms()
         while True:
@@ -410,6 +411,7 @@
                         complete_events.count(EVENT_DELIMITER),
                     )
                     progress.resume_after = splitter.last_event_id
+                    await self._exchange.wait_writable(self._time_left_ms() / 1000)
                 continue
             if isinstance(event, ResponseEnd) and self._is_whole(event, splitter):
                 break
--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -48,8 +48,12 @@
 WATCH_PERIOD_S = 0.05
 # An answer may arrive in parts over this time.
 CALL_DURATION_S = 2.0
-MAX_ANSWER_BYTES = 4_194_304
+MAX_PAGE_BYTES = 4_194_304
+# Answers to orders, and reports, which are kept.
+MAX_ENGINE_ANSWER_BYTES = 65_536
 MAX_LIST_PAGES = 1000
+# Sum over the pages; 50,000 entries take about half of it.
+MAX_LIST_BYTES = 16_777_216
 MAX_LISTED_ENDPOINTS = 50_000
 LIST_TIMEOUT_S = 4.0
 # Unchanged lists are resent at this period for replicas that missed them.
@@ -163,12 +167,17 @@
         entries: list[ListedEndpoint] = []
         tokens: set[str] = set()
         page: str | None = None
-        skipped = 0
+        skipped = size = 0
         for _ in range(MAX_LIST_PAGES):
             target = endpoint_list_target(page)
-            status, body = await self._call(address, b"GET", target, b"")
+            status, body = await self._call(
+                address, b"GET", target, b"", MAX_PAGE_BYTES
+            )
             if status != 200:
                 raise ValueError(f"status {status}")
+            size += len(body)
+            if size > MAX_LIST_BYTES:
+                raise ValueError(f"more than {MAX_LIST_BYTES} bytes")
             decoded = decode_endpoint_list_page(body)
             page = decoded.next_token
             entries += decoded.entries
@@ -326,6 +335,7 @@
             b"POST",
             WEIGHTS_ORDER_TARGET,
             body,
+            MAX_ENGINE_ANSWER_BYTES,
             [expect_instance_header(order.endpoint.id)],
             may_send,
         )
@@ -338,6 +348,7 @@
             b"GET",
             WEIGHTS_REPORT_TARGET,
             b"",
+            MAX_ENGINE_ANSWER_BYTES,
             [expect_instance_header(endpoint.id)],
         )
         if status != 200:
@@ -350,6 +361,7 @@
         method: bytes,
         target: bytes,
         body: bytes,
+        max_answer_bytes: int,
         headers: list[tuple[bytes, bytes]] | None = None,
         may_send: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes]:
@@ -362,7 +374,7 @@
             CONNECT_TIMEOUT_S,
             CALL_TIMEOUT_S,
             CALL_DURATION_S,
-            MAX_ANSWER_BYTES,
+            max_answer_bytes,
             may_send,
         )
 
--- a/mustardtrack/process/tests/test_endpoint_watch.py
+++ b/mustardtrack/process/tests/test_endpoint_watch.py
@@ -83,6 +83,44 @@
     assert pool.calls <= most_calls[kind]
 
 
+LONG_TOKEN = "t" * 4_000_000
+LARGE_LISTS = {
+    "long tokens": lambda number: encode_page(number, f"{number}{LONG_TOKEN}"),
+    "long names": lambda number: encode_page(number, f"p-{number}").replace(
+        b'"service": "s"', b'"service": "' + b"s" * 80_000 + b'"'
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", LARGE_LISTS)
+def test_list_of_large_pages_takes_bounded_memory(kind):
+    """Guards against memory filled by a list of few entries and large pages."""
+    pool = StubPool(LARGE_LISTS[kind])
+    watch = read_list(pool)
+    assert not watch._has_list
+    assert pool.calls <= endpoint_watch.MAX_LIST_BYTES // 4_000_000 + 1
+
+
+def test_answers_of_engines_are_small():
+    """Guards against memory filled by the reports of many engines."""
+    limits = []
+
+    class RecordingPool:
+        async def call(self, *arguments):
+            limits.append(arguments[8])
+            return 200, b"{}"
+
+    settings = SimpleNamespace(bounds=Bounds(weights_ms=1000), host_list="10.0.0.1:1")
+    watch = EndpointWatch(
+        SimpleNamespace(now_ms=lambda: 0, placements=PlacementTable(1000)), settings
+    )
+    watch._pool = RecordingPool()
+    endpoint = ListedEndpoint("e", 0, "s", "10.0.0.2:1", "a", 8, False, False, {"m": 1})
+    asyncio.run(watch.read_report(endpoint))
+    asyncio.run(watch.send_order(WeightsOrder(endpoint, "m", 2), b"{}", 1))
+    assert limits == [65_536, 65_536]
+
+
 def test_slow_list_without_end_takes_bounded_time(monkeypatch):
     """Guards against a leader that publishes nothing while it reads a list."""
     monkeypatch.setattr(endpoint_watch, "LIST_TIMEOUT_S", 0.2)
