Read requests that were sent ahead without recursion

Cause: a handler that responds at once (readiness, metrics) ended its exchange within the loop that read its request, and read the next one in a further call. The stack overflowed, which h11 reported as a malformed request, and the connection was closed. Change: the loop goes on with the next request.

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -149,6 +149,7 @@
         self._body_ends_s = 0.0
         self._unsent_bytes = 0
         self._is_reading_paused = False
+        self._is_reading_events = False
         self.writable = asyncio.Event()
         self.writable.set()
         self.exchange: Exchange | None = None
@@ -249,6 +250,17 @@
         return is_waiting and not has_bytes and self.last_exchange is not None
 
     def _read_events(self) -> None:
+        # A handler that responds at once ends its exchange within the loop below, which
+        # then reads the next request. A call for each would exceed the stack.
+        if self._is_reading_events:
+            return
+        self._is_reading_events = True
+        try:
+            self._read_requests()
+        finally:
+            self._is_reading_events = False
+
+    def _read_requests(self) -> None:
         while self.exchange is None:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
--- a/mustardtrack/adapters/tests/test_caller_limits.py
+++ b/mustardtrack/adapters/tests/test_caller_limits.py
@@ -204,3 +204,31 @@
     assert answered == statuses
     assert least_s <= elapsed_s <= most_s
     assert connections == 0
+
+
+ANSWER_AT_ONCE = (
+    MEASURE
+    + """
+    COUNT = 1500
+
+    async def main():
+        def handle(exchange):
+            exchange.respond(200, [], b"answer")
+        server = serve(handle)
+        caller = await Caller().open(server)
+        caller.send(REQUEST * COUNT)
+        data = b""
+        while data.count(b"answer") < COUNT:
+            part = await asyncio.wait_for(caller.reader.read(65_536), 10.0)
+            if not part:
+                break
+            data += part
+        return data.count(b"answer")
+    run(main)
+"""
+)
+
+
+def test_requests_sent_ahead_are_answered_at_once(run_on_reactor):
+    """Guards against a stack overflow in handlers that respond without waiting."""
+    assert run_on_reactor(ANSWER_AT_ONCE) == 1500
