--- a/mustardtrack/adapters/tests/test_h11_server.py
+++ b/mustardtrack/adapters/tests/test_h11_server.py
@@ -5,7 +5,7 @@
 import pytest
 
 from mustardtrack.adapters.h11_server import LAST_REQUEST_WAIT_MS, HttpServer
-from mustardtrack.testing.virtualtime import VirtualTimeLoop
+from mustardtrack.testing.virtualtime import play
 
 
 class StandInTransport:
@@ -113,15 +113,6 @@
     assert run_on_reactor(source) == [[5], ["q", 0], 0, 0]
 
 
-def play(scenario):
-    """Run a scenario in virtual time."""
-    loop = VirtualTimeLoop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        loop.close()
-
-
 def connect(server, received):
     """Return a new connection on which some bytes have arrived."""
     connection = server.buildProtocol(None)
--- a/mustardtrack/process/tests/test_hand_over.py
+++ b/mustardtrack/process/tests/test_hand_over.py
@@ -17,7 +17,7 @@
 from mustardtrack.process.endpoint_watch import EndpointWatch
 from mustardtrack.routing.placements import PlacementTable
 from mustardtrack.settings.seeded import Bounds, SeededTiming
-from mustardtrack.testing.virtualtime import VirtualTimeLoop
+from mustardtrack.testing.virtualtime import play
 from mustardtrack.testing.weight_engines import LIST_ADDRESS, MODEL, WeightEngines
 
 LIMIT_MS = 15_000
@@ -130,15 +130,6 @@
         )
 
 
-def play(scenario):
-    """Run a scenario in virtual time."""
-    loop = VirtualTimeLoop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        loop.close()
-
-
 @pytest.mark.parametrize("overlap_s", [0.0, 0.2, 0.4])
 @pytest.mark.parametrize("change_s", [2.2, 2.5, 3.0, 4.0, 5.0])
 def test_new_leader_orders_nothing_while_orders_of_the_old_one_may_arrive(
--- a/mustardtrack/process/tests/test_late_orders.py
+++ b/mustardtrack/process/tests/test_late_orders.py
@@ -14,7 +14,7 @@
 from mustardtrack.routing.loadtimes import LoadTimes
 from mustardtrack.routing.placements import PlacementTable
 from mustardtrack.settings.seeded import Bounds, SeededTiming
-from mustardtrack.testing.virtualtime import VirtualTimeLoop
+from mustardtrack.testing.virtualtime import play
 from mustardtrack.testing.weight_engines import (
     LIST_ADDRESS,
     MODEL,
@@ -98,24 +98,6 @@
             await asyncio.sleep(STEP_S)
 
 
-async def cancel_tasks():
-    """Cancel the tasks that follow the loads."""
-    tasks = asyncio.all_tasks() - {asyncio.current_task()}
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def play(scenario):
-    """Run a scenario in virtual time."""
-    loop = VirtualTimeLoop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        loop.run_until_complete(cancel_tasks())
-        loop.close()
-
-
 @pytest.mark.parametrize("delay_ms", [2000, 4000, 6000, 9000, 12_000])
 def test_order_that_is_carried_out_late_leaves_no_engine_on_old_weights(delay_ms):
     """Guards against an older order that undoes a newer one unnoticed."""
--- a/mustardtrack/testing/virtualtime.py
+++ b/mustardtrack/testing/virtualtime.py
@@ -1,7 +1,10 @@
 """Event loop whose clock is simulated, for scenarios of seconds that run at once."""
 
 import asyncio
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+ResultT = TypeVar("ResultT")
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
@@ -24,3 +27,22 @@
         # The loop runs a timer that is due within the resolution of its clock.
         self._now_s += max(0.0, timeout_s)
         return self._select(0)
+
+
+def play(scenario: Callable[[], Awaitable[ResultT]]) -> ResultT:
+    """Run a scenario in virtual time, cancel its other tasks and return its result."""
+    loop = VirtualTimeLoop()
+    try:
+        return loop.run_until_complete(_play(scenario))
+    finally:
+        loop.close()
+
+
+async def _play(scenario: Callable[[], Awaitable[ResultT]]) -> ResultT:
+    try:
+        return await scenario()
+    finally:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
