Show that routers exceed the retry budget while they restart in turn

Cause: stopping routers still retry but are not counted when the budget is divided, and a started router has an empty window.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec python3 review/5/case.py
