--- a/review/4/case.py
+++ b/review/4/case.py
@@ -71,6 +71,7 @@
             ("Request-Id", request_id),
             ("Deadline-Ms", "1000"),
         ]
+        self.record.write(f"{request_id} {target} is sent to {machine.name}")
         try:
             status, _, _ = await asyncio.wait_for(
                 harness.call(
@@ -80,8 +81,7 @@
             )
         except (OSError, EOFError, TimeoutError):
             status = 0
-        if target == POISON:
-            self.record.write(f"{machine.name} answers {request_id} with {status}")
+        self.record.write(f"{request_id} is answered with {status}")
         return status
 
     async def send_usual_requests(self) -> None:
