Begin a new shared cache when an account becomes isolated

Cause: the cache salt of the accounts that share depended on the model and its version only, so that it did not change when one of them left. Ruled out: routers with an old configuration (the isolated account had its own salt on both routers from the first prompt on) and a fetch named by the leader (one engine, no store).

Change: the replicated configuration keeps a generation of the shared cache and the accounts that may have used it. A configuration that isolates one of them begins the next generation. Routers adopt it together with the document to which it belongs, and compute the salt immediately before the send. Why it works: no request under the new generation was ever sent for the account, also when it was removed meanwhile, when the change is taken back and made again, or when all processes restart.

The log of a request names the salt (8951), that of an adopted table the generation (8941).

--- a/mustardtrack/configuration/documents.py
+++ b/mustardtrack/configuration/documents.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mustardtrack.configuration.cachesharing import CacheSharing
 from mustardtrack.configuration.statemachine import StateMachine
 
 
@@ -15,10 +16,14 @@
     """Replaces the document if ``version`` is higher than the current one.
 
     ``content`` is opaque here; it was validated before the command was proposed.
+    ``isolated_accounts`` and ``sharing_accounts`` are the client accounts in it that
+    share no cached prefixes and that share them with each other.
     """
 
     version: int
     content: bytes
+    isolated_accounts: list[str] = []
+    sharing_accounts: list[str] = []
 
 
 class NameWeights(msgspec.Struct, frozen=True, tag="name_weights"):
@@ -50,7 +55,11 @@
 def summarize_command(command: DocumentCommand) -> str:
     """Return a summary of a command for the log, without the document itself."""
     if isinstance(command, PutDocument):
-        return f"version {command.version}, {len(command.content)} bytes"
+        isolated = len(command.isolated_accounts)
+        return (
+            f"version {command.version}, {len(command.content)} bytes, "
+            f"{isolated} isolated accounts"
+        )
     return repr(command)
 
 
@@ -75,6 +84,7 @@
     content: bytes
     weights: dict[str, int]
     order_holder: str = ""
+    cache_sharing: CacheSharing = CacheSharing()
 
 
 class DocumentStore(StateMachine):
@@ -85,6 +95,7 @@
             Changes of ``order_holder`` are not counted; routers do not need them.
         order_holder: Control host that may recently have sent orders to endpoints,
             else empty.
+        cache_sharing: Accounts that share cached prefixes under the document.
 
     Examples:
         >>> store = DocumentStore()
@@ -101,6 +112,7 @@
         self.document = Document()
         self.weights: dict[str, int] = {}
         self.order_holder = ""
+        self.cache_sharing = CacheSharing()
 
     @classmethod
     def restore(cls, state: bytes) -> "DocumentStore":
@@ -111,6 +123,7 @@
         store.document = Document(decoded.version, decoded.content)
         store.weights = decoded.weights
         store.order_holder = decoded.order_holder
+        store.cache_sharing = decoded.cache_sharing
         return store
 
     def snapshot(self) -> bytes:
@@ -122,6 +135,7 @@
             document.content,
             self.weights,
             self.order_holder,
+            self.cache_sharing,
         )
         return msgspec.msgpack.encode(state)
 
@@ -151,6 +165,9 @@
         changed = command.version > self.document.version
         if changed:
             self.document = Document(command.version, command.content)
+            self.cache_sharing = self.cache_sharing.advance(
+                set(command.isolated_accounts), set(command.sharing_accounts)
+            )
             self.revision += 1
         return DocumentOutcome(self.document.version, changed)
 
--- a/mustardtrack/configuration/routes.py
+++ b/mustardtrack/configuration/routes.py
@@ -3,6 +3,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from random import Random
+
+from mustardtrack.configuration.cachesharing import ANONYMOUS
+from mustardtrack.routing.cachesalts import own_cache, shared_cache
 
 
 class RetrySafety(Enum):
@@ -62,6 +66,13 @@
         """Whether answers are event streams."""
         return self.retry_safety is RetrySafety.STREAM
 
+    def choose_service(self, rng: Random) -> str:
+        """Return the name of a service, drawn by the weights of the shares."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [share.weight for share in self.shares]
+        return rng.choices(self.shares, weights)[0].service
+
 
 @dataclass(frozen=True)
 class EngineLimits:
@@ -111,12 +122,10 @@
 
     Attributes:
         rank: Priority class of all its requests, None to use the route's.
-        is_isolated: Whether it shares no cached prefixes with other accounts.
     """
 
     name: str
     rank: int | None = None
-    is_isolated: bool = False
 
 
 @dataclass(frozen=True)
@@ -136,6 +145,9 @@
     Attributes:
         routes: Routes by host name, those with the longest path prefix first.
         accounts: Accounts by key, None if requests need no key.
+        isolated_accounts: Names of the accounts that share no cached prefixes.
+        sharing_accounts: Names of the accounts that share them with each other.
+        cache_generation: Generation of the cache that they share.
     """
 
     version: int
@@ -143,6 +155,9 @@
     services: Mapping[str, Service]
     accounts: Mapping[str, RouteAccount] | None
     limits: CallerLimits = field(default_factory=CallerLimits)
+    isolated_accounts: frozenset[str] = frozenset()
+    sharing_accounts: frozenset[str] = frozenset({ANONYMOUS})
+    cache_generation: int = 0
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix.
@@ -156,6 +171,19 @@
                 return route
         return None
 
+    def cache_of(self, account: RouteAccount | None) -> str:
+        """Return the name of the cache whose prefixes a request may use and add to.
+
+        A request may have been admitted under an earlier table. An account that this
+        table does not name may be isolated in a later one, so it gets its own cache.
+
+        Args:
+            account: Account of the request, None for a caller without one.
+        """
+        if account is None or account.name in self.sharing_accounts:
+            return shared_cache(self.cache_generation)
+        return own_cache(account.name)
+
     def store(self) -> Service | None:
         """Return the external KV cache store, if the deployment has one."""
         for service in self.services.values():
--- a/mustardtrack/platform/manifests.py
+++ b/mustardtrack/platform/manifests.py
@@ -1,5 +1,6 @@
 """Decoding and validation of the operator's configuration manifests."""
 
+from dataclasses import replace
 from typing import Any
 
 from mustardtrack.configuration.routes import (
@@ -53,13 +54,17 @@
         host: tuple(sorted(group, key=lambda route: -len(route.path_prefix)))
         for host, group in routes.items()
     }
-    return RouteTable(
+    table = RouteTable(
         version=_require_version(data),
         routes=longest_first,
         services=services,
         accounts=_decode_accounts(data),
         limits=_decode_limits(data.get("limits")),
     )
+    if table.accounts is None:
+        return table
+    isolated, sharing = _decode_isolation(data)
+    return replace(table, isolated_accounts=isolated, sharing_accounts=sharing)
 
 
 def _decode_object(content: bytes) -> dict[str, Any]:
@@ -184,7 +189,6 @@
         account = RouteAccount(
             name=_require_account_name(item),
             rank=None if rank is None else int(_decode_number(item, "priority")),
-            is_isolated=item.get("isolated") is True,
         )
         keys = [] if item.get("api-keys") is None else item["api-keys"]
         if not isinstance(keys, list):
@@ -201,6 +205,16 @@
     return accounts
 
 
+def _decode_isolation(data: dict[str, Any]) -> tuple[frozenset[str], frozenset[str]]:
+    """Return the accounts that share no cached prefixes, and the others.
+
+    They include accounts without keys, whose earlier prompts may still be cached.
+    """
+    items = _require_objects(data, "tenants")
+    isolated = {item["name"] for item in items if item.get("isolated") is True}
+    return frozenset(isolated), frozenset(item["name"] for item in items) - isolated
+
+
 def _require_account_name(item: dict[str, Any]) -> str:
     name = _require_string(item, "name")
     # Endpoints receive the name in a header.
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -48,7 +48,8 @@
     ``crash_evidence`` is set by the leader if the router does not have it; ``limits``
     are the limits of endpoints that the leader knows, and ``prefill_rates`` the tokens
     that the engines of each service prefill per ms. ``weights_ages`` are the times in
-    ms since weights versions were named.
+    ms since weights versions were named. ``cache_generation`` is the generation of the
+    shared prefix cache under the document in ``content``.
     """
 
     stale_ms: int
@@ -66,6 +67,7 @@
     limits: dict[str, Observation] = {}
     prefill_rates: dict[str, float] = {}
     weights_ages: VersionAges = {}
+    cache_generation: int = 0
 
 
 class DocumentReadReply(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -38,8 +38,9 @@
     StallRecheck,
 )
 from mustardtrack.requests.time_limits import TimeLimit
+from mustardtrack.routing.cachesalts import cache_salt
 from mustardtrack.routing.endpointstate import EndpointState
-from mustardtrack.routing.placements import cache_salt, engine_urgency
+from mustardtrack.routing.placements import engine_urgency
 
 STALLED_ATTEMPT_CONTINUED = define_event(
     8953, "INFO", "stalled attempt continues; no other attempt could be prepared"
@@ -111,6 +112,7 @@
         self._admitted = admitted
         self._endpoint = planned.endpoint
         self._open_connection = planned.connection
+        self._choice_fields = planned.choice_fields
         self._progress = progress
         self._exchange = admitted.exchange
         self._clock = forwarder.clock
@@ -256,7 +258,10 @@
             model = admitted.prompt.model
             version = self._endpoint.listed.weights.get(model)
             self._weights_version = version
-            salt = cache_salt(model, version, admitted.isolated_account)
+            # Isolation may have changed since the request was admitted or placed.
+            cache = self._forwarder.cache_of(account)
+            salt = cache_salt(model, version, cache)
+            self._choice_fields["cache_salt"] = salt
             urgency = engine_urgency(admitted.rank, admitted.route.objective_ms)
             placement = self._progress.placement
             if placement is not None:
--- a/mustardtrack/process/attempt_log.py
+++ b/mustardtrack/process/attempt_log.py
@@ -18,7 +18,6 @@
     account = admitted.account
     return {
         "account": account.name if account else None,
-        "is_isolated": bool(admitted.isolated_account),
         "tokens": prompt.tokens if prompt else 0,
         "output_tokens": admitted.metadata.max_output_tokens if prompt else 0,
         "opening": prompt.prefix_id.rpartition(",")[2] if prompt else None,
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from xxhash import xxh3_128_hexdigest
@@ -80,12 +81,6 @@
         model = self.metadata.model
         return [part_name(model, digest) for digest in self.shared_parts]
 
-    @property
-    def isolated_account(self) -> str:
-        """Account with a private prefix cache, empty if its cache is shared."""
-        account = self.account
-        return account.name if account and account.is_isolated else ""
-
     def fingerprint(self) -> str:
         """Return a digest of the account, method, target and body."""
         return compute_fingerprint(self.exchange, self.account)
@@ -162,6 +157,7 @@
     limits: RateLimits
     notices: EndpointNotices
     weights_limit: WeightsLimit
+    cache_of: Callable[[RouteAccount | None], str]
 
     @abstractmethod
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/process/control_api.py
+++ b/mustardtrack/process/control_api.py
@@ -81,7 +81,13 @@
             log_event(DOCUMENT_REFUSED, reason=str(error))
             exchange.respond(400, [JSON_CONTENT_TYPE], encode_error(str(error)))
             return
-        await self._commit(exchange, PutDocument(table.version, exchange.body))
+        command = PutDocument(
+            table.version,
+            exchange.body,
+            sorted(table.isolated_accounts),
+            sorted(table.sharing_accounts),
+        )
+        await self._commit(exchange, command)
 
     async def _get_document(self, exchange: Exchange) -> None:
         reply = await self._control.read_document()
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -3,14 +3,14 @@
 import asyncio
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
 from mustardtrack.admission.partwatch import PartWatch
 from mustardtrack.admission.ratelimits import RateLimits
-from mustardtrack.configuration.routes import RouteTable
+from mustardtrack.configuration.routes import RouteAccount, RouteTable
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list_changes import apply_list_change
 from mustardtrack.platform.manifests import decode_manifest
@@ -71,6 +71,12 @@
     prefill_rates: dict[str, float] = field(default_factory=dict)
     weights_limit: WeightsLimit = field(default_factory=lambda: WeightsLimit(0))
 
+    def cache_of(self, account: RouteAccount | None) -> str:
+        """Return the cache that requests of an account use under the current table."""
+        if self.table is None:
+            raise ValueError("a request cannot be sent before the first route table")
+        return self.table.cache_of(account)
+
     def confirmation_age_ms(self, now_ms: int) -> int | None:
         """Return the time since the last confirmation."""
         return None if self.confirmed_ms is None else now_ms - self.confirmed_ms
@@ -210,8 +216,17 @@
     def _apply_reply(self, name: str, reply: SyncReply, sent_ms: int) -> None:
         view = self.view
         if reply.content and reply.document_version > self._table_version():
-            view.table = decode_manifest(zlib.decompress(reply.content))
-            log_event(TABLE_ADOPTED, version=view.table.version, control=name)
+            view.table = replace(
+                decode_manifest(zlib.decompress(reply.content)),
+                cache_generation=reply.cache_generation,
+            )
+            log_event(
+                TABLE_ADOPTED,
+                version=view.table.version,
+                cache_generation=view.table.cache_generation,
+                isolated_accounts=len(view.table.isolated_accounts),
+                control=name,
+            )
             self._on_table_adopted(view.table)
         view.weights_limit.adopt(reply.weights_ages, self._clock.now_ms())
         if reply.revision > view.revision:
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -175,7 +175,7 @@
             service=admitted.service.name,
             model=metadata.model,
             parts=[(part.digest, part.tokens) for part in metadata.parts],
-            isolated_account=admitted.isolated_account,
+            cache=self._control_sync.view.cache_of(admitted.account),
             tokens=metadata.prompt_tokens,
             output_tokens=metadata.max_output_tokens,
             rank=admitted.rank,
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -119,6 +119,7 @@
         self.limits = control_sync.view.limits
         self.notices = control_sync.view.endpoints.notices
         self.weights_limit = control_sync.view.weights_limit
+        self.cache_of = control_sync.view.cache_of
         self._rng = rng or random.Random()
         self._chooser = EndpointChooser(
             settings, control_sync, pool, clock, placements, self._rng
@@ -299,7 +300,7 @@
         account: RouteAccount | None,
         now_ms: int,
     ) -> AdmittedRequest:
-        service = table.services[self._pick_service(route)]
+        service = table.services[route.choose_service(self._rng)]
         prompt = None
         version = 1
         if service.engine is not None and metadata.model:
@@ -329,12 +330,6 @@
             rank=rank,
         )
 
-    def _pick_service(self, route: Route) -> str:
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        weights = [share.weight for share in route.shares]
-        return self._rng.choices(route.shares, weights)[0].service
-
     async def _send_with_retries(self, admitted: AdmittedRequest) -> None:
         budget = self._retry_budget(admitted.service.name)
         budget.record_request(admitted.received_ms)
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -387,6 +387,7 @@
             else {},
             prefill_rates=self.placements.rates.service_rates(),
             weights_ages=self.placements.weights_limit.ages(self.now_ms()),
+            cache_generation=store.cache_sharing.generation,
         )
 
     def _compress_document(self) -> bytes:
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import re
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -26,6 +27,7 @@
 from mustardtrack.membership.endpoint_list import EndpointList, ListedEndpoint
 from mustardtrack.process import attempt, forwarder
 from mustardtrack.process.forwarder import Forwarder
+from mustardtrack.routing.cachesalts import cache_salt, shared_cache
 from mustardtrack.routing.endpointstate import EndpointTable
 from mustardtrack.routing.placementmessages import Placement
 from mustardtrack.routing.weightslimit import WeightsLimit
@@ -381,6 +383,7 @@
         table = RouteTable(1, {"h": (self.route,)}, {"s": service}, None)
         view = SimpleNamespace(
             table=table,
+            cache_of=lambda account: view.table.cache_of(account),
             refused=(),
             parts=self.parts,
             limits=self.limits,
@@ -1130,6 +1133,22 @@
     assert (scenario.status, scenario.pool.runs) == (503, [])
 
 
+def test_prompt_held_back_uses_the_cache_of_the_newest_table(monkeypatch):
+    """Guards against parts of an account that was isolated while the prompt waited."""
+    leader = StandInLeader(
+        lambda request: Placement("e1", delay_ms=700, is_authoritative=True)
+    )
+    scenario = Scenario({"e1": COMPLETE}, leader=leader, monkeypatch=monkeypatch)
+
+    def begin_generation(handler):
+        view = handler._control_sync.view
+        view.table = replace(view.table, version=2, cache_generation=1)
+
+    scenario.play(actions=[(300, begin_generation)])
+    salt = cache_salt("m", 1, shared_cache(1))
+    assert b"cache-salt: %s\r\n" % salt.encode() in scenario.run_of("e1").head
+
+
 LARGE_EVENT_BYTES = 60_000
 
 
--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -9,8 +9,7 @@
     Attributes:
         parts: Digest and tokens of each part of the prompt, in order; the last
             part is not shared with other requests.
-        isolated_account: Client account whose cache is isolated, empty for a
-            shared cache.
+        cache: Name of the cache that the client account uses.
         tokens: Tokens of the whole prompt.
         output_tokens: Maximum number of generated tokens.
         rank: Rank of the work class, 0 most urgent.
@@ -25,7 +24,7 @@
     service: str
     model: str
     parts: list[tuple[str, int]]
-    isolated_account: str
+    cache: str
     tokens: int
     output_tokens: int
     rank: int
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -22,6 +22,7 @@
 from mustardtrack.configuration.routes import Service
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.routing.answertimes import AnswerTimes
+from mustardtrack.routing.cachesalts import cache_salt
 from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.enginestate import (
     URGENCY_LEVELS,
@@ -131,17 +132,6 @@
 CALLER_TIMEOUT_FRACTION = 0.7
 
 
-def cache_salt(model: str, version: int | None, isolated_account: str) -> str:
-    """Return the cache salt under which engines share cached parts.
-
-    Args:
-        model: Model of the prompt.
-        version: Weights version that computes the parts, None if it is not known.
-        isolated_account: Account whose cache is isolated, empty for a shared cache.
-    """
-    return f"{model}.{version}.{isolated_account}"
-
-
 def engine_urgency(rank: int, objective_ms: int) -> int:
     """Return the urgency that is sent to an engine for a work class.
 
@@ -778,5 +768,5 @@
 
 def salted_parts(request: PlacementRequest, version: int) -> PartSizes:
     """Return the parts of a prompt as engines cache them under a version."""
-    salt = cache_salt(request.model, version, request.isolated_account)
+    salt = cache_salt(request.model, version, request.cache)
     return [((salt, digest), tokens) for digest, tokens in request.parts]
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -4,10 +4,12 @@
 
 from mustardtrack.configuration.routes import EngineLimits, Service
 from mustardtrack.membership.endpoint_list import ListedEndpoint
+from mustardtrack.routing.cachesalts import cache_salt, own_cache, shared_cache
 from mustardtrack.routing.placementmessages import PlacementRequest
 from mustardtrack.routing.placements import PlacementTable
 
 SERVICE = Service("s", 370, EngineLimits(64, 160_000, 35_136, ("m",), 180_000.0))
+SALT = cache_salt("m", 1, shared_cache(0))
 STORE = Service(
     "k",
     90,
@@ -39,7 +41,7 @@
         service="s",
         model="m",
         parts=[(prefix, shared), (f"p{name}", tokens - shared)],
-        isolated_account=fields.get("isolated_account", ""),
+        cache=fields.get("cache", shared_cache(0)),
         tokens=tokens,
         output_tokens=40,
         rank=rank,
@@ -142,7 +144,7 @@
     table = make("1", "2")
     place(table, prompt("a"))
     table.record_prefilled(["a"], 0)
-    isolated = place(table, prompt("b", isolated_account="t", tried=["1"]))
+    isolated = place(table, prompt("b", cache=own_cache("t"), tried=["1"]))
     assert isolated.fetch_from == ""
 
 
@@ -285,19 +287,19 @@
     first = place(table, prompt("a")).endpoint
     table.record_prefilled(["a"], 0)
     table.record_end(["a"])
-    table.apply_events(first, [("m.1.", "o", 0)])
+    table.apply_events(first, [(SALT, "o", 0)])
     assert place(table, prompt("b", tried=[first])).fetch_from == ""
 
 
 def test_reported_part_is_a_source_for_a_new_leader():
     table = make("1", "2")
-    table.apply_events("1", [("m.1.", "o", 12_750)])
+    table.apply_events("1", [(SALT, "o", 12_750)])
     assert place(table, prompt("b", tried=["1"])).fetch_from == "10.0.0.1:1"
 
 
 def test_store_that_restarted_is_no_source():
     table = make("1")
-    table.apply_store_events([("m.1.", "o", 12_750)])
+    table.apply_store_events([(SALT, "o", 12_750)])
     assert place(table, prompt("a"), store=STORE).fetch_from == "10.0.0.99:1"
     table.clear_store()
     assert place(table, prompt("b"), store=STORE).fetch_from == ""
--- a/mustardtrack/testing/prompt_callers.py
+++ b/mustardtrack/testing/prompt_callers.py
@@ -44,13 +44,15 @@
     }
 
 
-def send_prompt(router: str, number: int, parts: Sequence[str]) -> tuple[int, Any]:
+def send_prompt(
+    router: str, number: int, parts: Sequence[str], key: str = "k1"
+) -> tuple[int, Any]:
     """Send a prompt and return the status and body, status 0 if it was cut."""
     headers = {
         "Host": "a.example",
         "Request-Id": f"id{number}",
         "Deadline-Ms": "4000",
-        "Authorization": "Bearer k1",
+        "Authorization": f"Bearer {key}",
         "Model": MODEL,
         "Token-Usage": "300,20",
         "Prefix-Hash": ",".join(f"{part}:100" for part in (*parts, f"own{number}")),
--- a/mustardtrack/testing/prompt_engines.py
+++ b/mustardtrack/testing/prompt_engines.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from itertools import takewhile
 from typing import Any
 
 SERVICE, MODEL = "pool", "m"
@@ -23,12 +24,22 @@
 
 @dataclass(frozen=True)
 class Arrival:
-    """Request that reached an engine, with the monotonic time in seconds."""
+    """Request that reached an engine, with the monotonic time in seconds.
+
+    Attributes:
+        parts: Digests of its prompt parts.
+        account: Client account, empty if it is not stated.
+        salt: Cache salt, empty if it is not stated.
+        part_makers: Account whose request computed each cached part that it uses.
+    """
 
     at_s: float
     engine: int
     request_id: str
     parts: tuple[str, ...]
+    account: str = ""
+    salt: str = ""
+    part_makers: tuple[str, ...] = ()
 
 
 @dataclass
@@ -46,6 +57,8 @@
         odd_entries: Encoded entries of another writer on the platform's list.
         pauses_s: Time in seconds that an engine names when it turns a request away, by
             engine; an engine with an entry turns all requests away.
+        part_makers: Account whose request computed each part that an engine caches, by
+            engine, cache salt and digest. Engines that crash keep their parts.
         arrivals: Requests that reached an engine, oldest first.
         crashes_s: Monotonic times of the crashes, oldest first.
     """
@@ -57,6 +70,7 @@
     leaving: set[int] = field(default_factory=set)
     odd_entries: list[bytes] = field(default_factory=list)
     pauses_s: dict[int, str] = field(default_factory=dict)
+    part_makers: dict[tuple[int, str, str], str] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     crashes_s: list[float] = field(default_factory=list)
 
@@ -170,7 +184,12 @@
         entries = headers.get("prefix-hash", "").split(",")
         parts = tuple(entry.partition(":")[0] for entry in entries)
         request_id = headers["request-id"]
-        self.arrivals.append(Arrival(time.monotonic(), engine, request_id, parts))
+        account = headers.get("tenant", "")
+        salt = headers.get("cache-salt", "")
+        makers = self._use_cache(engine, salt, parts, account)
+        self.arrivals.append(
+            Arrival(time.monotonic(), engine, request_id, parts, account, salt, makers)
+        )
         if engine in self.pauses_s:
             fields = f"not-executed: 1\r\nretry-after: {self.pauses_s[engine]}\r\n"
             fields += f"request-id: {request_id}\r\ncontent-length: 0\r\n"
@@ -178,6 +197,17 @@
             return
         await self._stream_answer(engine, writer, request_id, parts)
 
+    def _use_cache(
+        self, engine: int, salt: str, parts: tuple[str, ...], account: str
+    ) -> tuple[str, ...]:
+        """Return who computed the leading cached parts, and cache the others."""
+        keys = [(engine, salt, part) for part in parts]
+        cached = list(takewhile(self.part_makers.__contains__, keys))
+        makers = tuple(self.part_makers[key] for key in cached)
+        for key in keys[len(cached) :]:
+            self.part_makers[key] = account
+        return makers
+
     async def _stream_answer(
         self,
         engine: int,
