--- a/mustardtrack/process/tests/test_interrupted_requests.py
+++ b/mustardtrack/process/tests/test_interrupted_requests.py
@@ -132,6 +132,7 @@
     service = SERVICE if has_engine else Service("s1", 10)
     view = SimpleNamespace(
         table=RouteTable(1, {"a.example": (ROUTE,)}, {"s1": service}, None),
+        cache_of=lambda account: view.table.cache_of(account),
         endpoints=SimpleNamespace(
             accepting_endpoints=lambda name, now_ms: [EndpointState(ENDPOINT)],
             withheld_endpoints=lambda name, now_ms: set(),
