Record lost requests in the replicated state

Cause: the counts were in the memory of the leader, losses were reported once, and routers replaced the refused requests by the empty list of the new leader. Ruled out: expiry after 60 s (it ended after 7 s) and routers without contact (the source of the change is named).

Change: losses are committed with an identity and the time of the last one. Routers repeat them to each new leader. A further refusal raises the revision and so reaches the routers at once; it ends only by a leader that has applied its log. Refused requests are not retried. Why it works: what refuses a request is on the disks of a majority before the routers can rely on it, and each loss counts once, whoever reports it and how often.

PromptProgress keeps the position of the field that is no longer used.

--- a/mustardtrack/admission/crashcounts.py
+++ b/mustardtrack/admission/crashcounts.py
@@ -1,22 +1,57 @@
 """Crash counts per request fingerprint, aggregated over all routers.
 
 Load pattern: one request crashes each endpoint that begins to run it, and its caller
-sends the same request again to any router. The leader counts the crashes of each
-fingerprint. At a limit, all routers refuse the fingerprint, so that one caller cannot
-crash all endpoints in turn. Unlike :mod:`mustardtrack.admission.quarantine`, nothing
-is replicated: losing the counts with the leader costs only a few more crashes, since
-the callers of these endpoints do not wait days for a response.
+sends the same request again to any router. The losses of each fingerprint are counted
+in the replicated state, so that they outlast the leader and a restart of all processes.
+At a limit, all routers refuse the fingerprint, so that one caller cannot crash all
+endpoints in turn.
+
+Times are wall-clock milliseconds, because monotonic times of different processes cannot
+be compared. A clock that jumps shifts the end of a refusal by as much.
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
+
+import msgspec
 
 # Crashes after which a request is refused; the requirements tolerate a third crash.
 CRASH_LIMIT = 3
 # Time after its last crash for which a fingerprint is retained. Callers abort within
 # their time budget and repeat the same request a few times.
 CRASH_RETENTION_MS = 60_000
-# Maximum number of retained fingerprints; the oldest are evicted.
-MAX_FINGERPRINTS = 10_000
+# Maximum numbers of fingerprints. When many distinct requests are lost, their counts
+# evict each other, and not the refusals.
+MAX_SUSPECTS = 10_000
+MAX_REFUSED = 1000
+
+
+class LostRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Request whose endpoint closed the connection before the answer was complete.
+
+    Attributes:
+        fingerprint: Digest of the account, method, target and body.
+        attempt: Identity of the attempt. A loss may be reported more than once.
+        age_ms: Time since the connection was closed.
+    """
+
+    fingerprint: str
+    attempt: str
+    age_ms: int = 0
+
+
+class CrashCount(msgspec.Struct, array_like=True):
+    """Lost attempts of one fingerprint, and the time of the last loss."""
+
+    attempts: list[str]
+    last_ms: int
+
+
+class CrashState(msgspec.Struct, frozen=True, array_like=True):
+    """Encoded form of :class:`CrashCounter`, oldest records first."""
+
+    suspects: list[tuple[str, CrashCount]] = []
+    refused: list[tuple[str, CrashCount]] = []
 
 
 class CrashCounter:
@@ -24,33 +59,82 @@
 
     Examples:
         >>> counter = CrashCounter()
-        >>> for _ in range(CRASH_LIMIT):
-        ...     counter.record(["f"], 0)
+        >>> lost = [LostRequest("f", str(number)) for number in range(CRASH_LIMIT)]
+        >>> counter.record(lost[1:] + lost[1:], 0)
+        []
+        >>> counter.record(lost, 0)
+        ['f']
         >>> counter.refused(10)
         ['f']
-        >>> counter.refused(CRASH_RETENTION_MS + 1)
+        >>> counter.refused(CRASH_RETENTION_MS)
         []
     """
 
-    def __init__(self) -> None:
-        self._crashes: OrderedDict[str, tuple[int, int]] = OrderedDict()
-
-    def record(self, fingerprints: list[str], now_ms: int) -> None:
-        """Count one crash of each fingerprint."""
-        for fingerprint in fingerprints:
-            count, _ = self._crashes.pop(fingerprint, (0, 0))
-            self._crashes[fingerprint] = (count + 1, now_ms)
-        while len(self._crashes) > MAX_FINGERPRINTS:
-            self._crashes.popitem(last=False)
-
-    def refused(self, now_ms: int) -> list[str]:
-        """Return the refused fingerprints after evicting expired ones."""
-        oldest_ms = now_ms - CRASH_RETENTION_MS
-        while self._crashes:
-            fingerprint, (_, last_ms) = next(iter(self._crashes.items()))
-            if last_ms >= oldest_ms:
-                break
-            del self._crashes[fingerprint]
+    def __init__(self, state: CrashState | None = None) -> None:
+        state = state or CrashState()
+        self._suspects = OrderedDict(state.suspects)
+        self._refused = OrderedDict(state.refused)
+
+    def state(self) -> CrashState:
+        """Return the encoded form."""
+        return CrashState(list(self._suspects.items()), list(self._refused.items()))
+
+    def record(self, lost: Iterable[LostRequest], wall_ms: int) -> list[str]:
+        """Count losses that were not reported before.
+
+        Returns:
+            The fingerprints that are refused from now on and were not before.
+        """
+        self._evict_expired(wall_ms)
+        newly_refused = []
+        for loss in lost:
+            if self.is_recorded(loss):
+                continue
+            fingerprint, last_ms = loss.fingerprint, wall_ms - loss.age_ms
+            was_refused = fingerprint in self._refused
+            count = self._take(fingerprint, wall_ms) or CrashCount([], last_ms)
+            count.last_ms = max(count.last_ms, last_ms)
+            if len(count.attempts) < CRASH_LIMIT:
+                count.attempts.append(loss.attempt)
+            is_refused = len(count.attempts) >= CRASH_LIMIT
+            (self._refused if is_refused else self._suspects)[fingerprint] = count
+            if is_refused and not was_refused:
+                newly_refused.append(fingerprint)
+        while len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+        while len(self._refused) > MAX_REFUSED:
+            self._refused.popitem(last=False)
+        return newly_refused
+
+    def is_recorded(self, loss: LostRequest) -> bool:
+        """Return whether a loss has been counted."""
+        count = self._refused.get(loss.fingerprint)
+        count = count or self._suspects.get(loss.fingerprint)
+        return count is not None and loss.attempt in count.attempts
+
+    def _take(self, fingerprint: str, wall_ms: int) -> CrashCount | None:
+        """Remove and return a count, None if there is none or it has expired."""
+        count = self._refused.pop(fingerprint, None)
+        count = count or self._suspects.pop(fingerprint, None)
+        return count if count is not None and _is_retained(count, wall_ms) else None
+
+    def refused(self, wall_ms: int) -> list[str]:
+        """Return the refused fingerprints."""
         return [
-            key for key, (count, _) in self._crashes.items() if count >= CRASH_LIMIT
+            fingerprint
+            for fingerprint, count in self._refused.items()
+            if _is_retained(count, wall_ms)
         ]
+
+    def _evict_expired(self, wall_ms: int) -> None:
+        for counts in (self._suspects, self._refused):
+            while counts:
+                fingerprint, count = next(iter(counts.items()))
+                if _is_retained(count, wall_ms):
+                    break
+                del counts[fingerprint]
+
+
+def _is_retained(count: CrashCount, wall_ms: int) -> bool:
+    # A time in the far future was recorded while a clock was wrong.
+    return abs(wall_ms - count.last_ms) < CRASH_RETENTION_MS
--- a/mustardtrack/admission/retryafter.py
+++ b/mustardtrack/admission/retryafter.py
@@ -7,6 +7,8 @@
 import random
 
 DEFAULT_RETRY_AFTER_S = 0.8
+# Refusal reason of requests that crash the endpoints which run them.
+CRASHES_ENDPOINTS = "crashes_endpoints"
 # Refusal reason of prompts whose parts crash the engines that begin to answer them.
 CRASHING_PARTS = "crashing_parts"
 # Refusal reason of requests whose endpoints all named a pause.
@@ -18,7 +20,7 @@
     "not_run": 0.8,
     "connections": 0.8,
     "hopeless": 2.0,
-    "crashes_endpoints": 10.0,
+    CRASHES_ENDPOINTS: 10.0,
     CRASHING_PARTS: 10.0,
     # Other routers can take the request at once.
     "stopping": 0.1,
--- a/mustardtrack/configuration/commands.py
+++ b/mustardtrack/configuration/commands.py
@@ -8,6 +8,7 @@
     ClaimOrders,
     NameWeights,
     PutDocument,
+    RecordLostRequests,
     ReleaseOrders,
 )
 from mustardtrack.idempotency import Claim, CompleteClaim, ExpireClaims, ReleaseClaim
@@ -103,6 +104,7 @@
     | NameWeights
     | ClaimOrders
     | ReleaseOrders
+    | RecordLostRequests
 )
 
 
--- a/mustardtrack/configuration/documents.py
+++ b/mustardtrack/configuration/documents.py
@@ -8,6 +8,11 @@
 
 import msgspec
 
+from mustardtrack.admission.crashcounts import (
+    CrashCounter,
+    CrashState,
+    LostRequest,
+)
 from mustardtrack.configuration.cachesharing import CacheSharing
 from mustardtrack.configuration.statemachine import StateMachine
 
@@ -49,7 +54,18 @@
     holder: str
 
 
-DocumentCommand = PutDocument | NameWeights | ClaimOrders | ReleaseOrders
+class RecordLostRequests(msgspec.Struct, frozen=True, tag="record_lost_requests"):
+    """Counts requests whose endpoints closed the connection while they ran them.
+
+    Losses that were recorded before have no effect.
+    """
+
+    lost: list[LostRequest]
+
+
+DocumentCommand = (
+    PutDocument | NameWeights | ClaimOrders | ReleaseOrders | RecordLostRequests
+)
 
 
 def summarize_command(command: DocumentCommand) -> str:
@@ -60,11 +76,16 @@
             f"version {command.version}, {len(command.content)} bytes, "
             f"{isolated} isolated accounts"
         )
+    if isinstance(command, RecordLostRequests):
+        return f"{len(command.lost)} lost requests"
     return repr(command)
 
 
 class DocumentOutcome(msgspec.Struct, frozen=True, tag="document_kept"):
-    """Current version after a command, and whether the command had an effect."""
+    """Current version after a command, and whether the command had an effect.
+
+    Lost requests have an effect when a further request is refused.
+    """
 
     version: int
     changed: bool
@@ -85,17 +106,20 @@
     weights: dict[str, int]
     order_holder: str = ""
     cache_sharing: CacheSharing = CacheSharing()
+    crashes: CrashState = CrashState()
 
 
 class DocumentStore(StateMachine):
     """Newest document and the weights version of each model.
 
     Attributes:
-        revision: Number of commands that changed the document or a weights version.
-            Changes of ``order_holder`` are not counted; routers do not need them.
+        revision: Number of commands that changed the document or a weights version,
+            or by which a further request is refused. Changes of ``order_holder`` are
+            not counted; routers do not need them.
         order_holder: Control host that may recently have sent orders to endpoints,
             else empty.
         cache_sharing: Accounts that share cached prefixes under the document.
+        crashes: Requests that were lost with their endpoints.
 
     Examples:
         >>> store = DocumentStore()
@@ -113,6 +137,7 @@
         self.weights: dict[str, int] = {}
         self.order_holder = ""
         self.cache_sharing = CacheSharing()
+        self.crashes = CrashCounter()
 
     @classmethod
     def restore(cls, state: bytes) -> "DocumentStore":
@@ -124,6 +149,7 @@
         store.weights = decoded.weights
         store.order_holder = decoded.order_holder
         store.cache_sharing = decoded.cache_sharing
+        store.crashes = CrashCounter(decoded.crashes)
         return store
 
     def snapshot(self) -> bytes:
@@ -136,6 +162,7 @@
             self.weights,
             self.order_holder,
             self.cache_sharing,
+            self.crashes.state(),
         )
         return msgspec.msgpack.encode(state)
 
@@ -147,6 +174,8 @@
             return self._replace_document(command)
         if isinstance(command, NameWeights):
             return self._set_weights_version(command)
+        if isinstance(command, RecordLostRequests):
+            return self._record_lost_requests(command, wall_ms)
         return self._update_order_holder(command)
 
     def _update_order_holder(
@@ -171,6 +200,13 @@
             self.revision += 1
         return DocumentOutcome(self.document.version, changed)
 
+    def _record_lost_requests(
+        self, command: RecordLostRequests, wall_ms: int
+    ) -> DocumentOutcome:
+        newly_refused = self.crashes.record(command.lost, wall_ms)
+        self.revision += bool(newly_refused)
+        return DocumentOutcome(self.document.version, bool(newly_refused))
+
     def _set_weights_version(self, command: NameWeights) -> DocumentOutcome:
         # A model runs weights version 1 until a command sets a higher one.
         current = self.weights.get(command.model, 1)
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from mustardtrack.admission.crashcounts import LostRequest
 from mustardtrack.admission.partcrashes import CrashEvidence, RefusedParts
 from mustardtrack.admission.partwatch import PartReport
 from mustardtrack.admission.ratelimits import Observation
@@ -10,6 +11,9 @@
 from mustardtrack.routing.endpointnotices import Incarnation
 from mustardtrack.routing.weightsversions import VersionAges
 
+# Staleness reported by a replica without a valid leader lease.
+UNCONFIRMED_STALE_MS = 1_000_000_000
+
 
 class SyncRequest(msgspec.Struct, frozen=True, array_like=True):
     """Long-poll request of a router for newer state; renews its directory entry.
@@ -69,6 +73,11 @@
     weights_ages: VersionAges = {}
     cache_generation: int = 0
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the sender leads and has applied all that was acknowledged."""
+        return self.stale_ms < UNCONFIRMED_STALE_MS
+
 
 class DocumentReadReply(msgspec.Struct, frozen=True, array_like=True):
     """Newest document; ``is_linearizable`` is false without a leader lease."""
@@ -98,18 +107,19 @@
     ``prefilled`` holds the ids of requests whose first token has arrived,
     ``ended`` those of finished requests.
     ``unreachable_engines`` holds the engines that the router could not reach.
-    ``disconnected_fingerprints`` holds the fingerprints of requests
-    whose endpoint closed the connection while it ran them.
+    ``unused`` keeps the positions of the other fields.
     ``refused`` holds an engine for each request that it did not run.
     ``parts`` reports lost and answered prompts, ``limits`` the limits of endpoints that
     were observed, and ``leaving`` the endpoints that announced that they leave.
+    ``lost_requests`` are those whose endpoint closed the connection while it ran them.
     """
 
     prefilled: list[str]
     ended: list[str]
     unreachable_engines: list[str]
-    disconnected_fingerprints: list[str] = []
+    unused: list[str] = []
     refused: list[str] = []
     parts: PartReport = PartReport()
     limits: dict[str, Observation] = {}
     leaving: list[Incarnation] = []
+    lost_requests: list[LostRequest] = []
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -5,7 +5,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from xxhash import xxh3_128_hexdigest
@@ -85,6 +85,10 @@
         """Return a digest of the account, method, target and body."""
         return compute_fingerprint(self.exchange, self.account)
 
+    def is_refused(self, refused: Collection[str]) -> bool:
+        """Return whether its fingerprint is among the refused ones."""
+        return bool(refused) and self.fingerprint() in refused
+
 
 @dataclass
 class PlannedAttempt:
@@ -102,6 +106,20 @@
     connection: UpstreamConnection | None = None
 
 
+@dataclass(frozen=True)
+class NoAttempt:
+    """Why no further attempt is made.
+
+    Attributes:
+        expected_ms: Time to first token that the leader expects.
+        pause_ms: Time until an endpoint that named a pause can be used again.
+    """
+
+    reason: str
+    expected_ms: float | None = None
+    pause_ms: int | None = None
+
+
 @dataclass(frozen=True)
 class LostConnection:
     """Connection that the endpoint closed before the answer was complete.
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -29,6 +29,9 @@
 )
 CONFIRMATION_REGAINED = define_event(8946, "INFO", "configuration is confirmed again")
 SYNC_FAILED = define_event(8947, "ERROR", "reply of a control host was not applied")
+REFUSED_CHANGED = define_event(
+    8948, "INFO", "requests that are refused because they crash endpoints have changed"
+)
 
 # A removed API key must not work after ``revoke_ms``. A route table may serve without
 # confirmation for this fraction of it; the rest covers requests already accepted.
@@ -238,7 +241,8 @@
         if reply.leader:
             view.leader = reply.leader
         if name == view.leader:
-            view.refused = frozenset(reply.refused)
+            if reply.is_confirmed:
+                self._adopt_refused(name, reply)
             if reply.crash_evidence is not None:
                 view.parts.receive(reply.crash_evidence, self._clock.now_ms())
             view.limits.merge(reply.limits, self._clock.now_ms())
@@ -252,6 +256,18 @@
             view.confirmed_ms = max(view.confirmed_ms or 0, confirmed_ms)
         self._start_sync(reply.controls)
 
+    def _adopt_refused(self, name: str, reply: SyncReply) -> None:
+        refused = frozenset(reply.refused)
+        if refused != self.view.refused:
+            log_event(
+                REFUSED_CHANGED,
+                control=name,
+                stale_ms=reply.stale_ms,
+                added=sorted(refused - self.view.refused),
+                removed=sorted(self.view.refused - refused),
+            )
+            self.view.refused = refused
+
     def _apply_endpoints(self, reply: SyncReply) -> None:
         table = self.view.endpoints
         listed = reply.endpoints
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
 from typing import Any
 
 from mustardtrack.adapters.h11_server import Exchange
@@ -10,6 +9,7 @@
 from mustardtrack.adapters.upstream import ConnectError, ConnectionPool
 from mustardtrack.admission.partcrashes import LostPrompt
 from mustardtrack.admission.retryafter import (
+    CRASHES_ENDPOINTS,
     CRASHING_PARTS,
     ENDPOINTS_PAUSED,
     choose_retry_after_s,
@@ -37,9 +37,9 @@
 from mustardtrack.process.attempt_state import (
     AdmittedRequest,
     AttemptHost,
+    NoAttempt,
     Outcome,
     PlannedAttempt,
-    compute_fingerprint,
     decode_id,
 )
 from mustardtrack.process.control_sync import ControlSync
@@ -80,15 +80,6 @@
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 
 
-@dataclass(frozen=True)
-class _NoAttempt:
-    """Why no further attempt is made."""
-
-    reason: str
-    expected_ms: float | None = None
-    pause_ms: int | None = None
-
-
 # Reason in the log of a request that ends after an attempt which allows no other.
 _REASON_WITHOUT_OBSTACLE = {
     NextStep.REFUSE: "not_run",
@@ -263,13 +254,12 @@
             if account is None:
                 self._reject(exchange, metadata, 401, "the key is missing or unknown")
                 return None
-        refused = self._control_sync.view.refused
-        if refused and compute_fingerprint(exchange, account) in refused:
-            self._refuse(exchange, metadata, "crashes_endpoints")
-            return None
         admitted = self._build_request(
             exchange, metadata, table, route, account, now_ms
         )
+        if admitted.is_refused(self._control_sync.view.refused):
+            self._refuse(exchange, metadata, CRASHES_ENDPOINTS, route=route.name)
+            return None
         refusal = self._control_sync.view.parts.find_refused(admitted.part_names)
         if refusal is not None:
             self._refuse(
@@ -335,14 +325,14 @@
         budget.record_request(admitted.received_ms)
         progress = admitted.progress
         step = NextStep.RETRY
-        obstacle: _NoAttempt | None = None
+        obstacle: NoAttempt | None = None
         outcome = Outcome()
         recheck = StallRecheck()
         while step is NextStep.RETRY:
             planned = outcome.replacement or await self._plan_attempt(
                 admitted, progress
             )
-            if isinstance(planned, _NoAttempt):
+            if isinstance(planned, NoAttempt):
                 if self._may_resume_later(admitted, progress, outcome):
                     await self._wait_to_resume(admitted, recheck)
                     continue
@@ -372,7 +362,7 @@
             step = progress.step_after(outcome.end)
             self._log_failed_attempt(admitted, endpoint, progress, outcome, step)
         self._placements.record_end(admitted.request_id)
-        obstacle = obstacle or _NoAttempt(_REASON_WITHOUT_OBSTACLE[step])
+        obstacle = obstacle or NoAttempt(_REASON_WITHOUT_OBSTACLE[step])
         self._answer_failure(admitted, progress, step, obstacle, outcome)
 
     def _record_prompt(
@@ -418,25 +408,27 @@
 
     async def _plan_attempt(
         self, admitted: AdmittedRequest, progress: ForwardedRequest
-    ) -> "PlannedAttempt | _NoAttempt":
+    ) -> PlannedAttempt | NoAttempt:
         """Choose the endpoint of the next attempt and take a retry if it is one."""
         endpoint, placement = await self._choose_untried(admitted, progress)
         if placement is not None and placement.exceeds_caller_timeout:
-            return _NoAttempt("hopeless", placement.expected_ms)
+            return NoAttempt("hopeless", placement.expected_ms)
         endpoint = await self._wait_for_limit(admitted, endpoint, placement)
         now_ms = self.clock.now_ms()
         budget = self._retry_budget(admitted.service.name)
         count = self._control_sync.view.router_count
         is_retry = progress.sends > 0
         if not self._has_time(admitted):
-            return _NoAttempt("time_left")
+            return NoAttempt("time_left")
+        if admitted.is_refused(self._control_sync.view.refused):
+            return NoAttempt(CRASHES_ENDPOINTS)
         if self._control_sync.view.parts.find_refused(admitted.part_names) is not None:
-            return _NoAttempt(CRASHING_PARTS)
+            return NoAttempt(CRASHING_PARTS)
         if endpoint is None or (is_retry and not budget.allow_retry(now_ms, count)):
             reason = self._chooser.no_send_reason(admitted, endpoint)
             is_paused = reason == ENDPOINTS_PAUSED
             pause_ms = self._chooser.pause_ms(admitted) if is_paused else None
-            return _NoAttempt(reason, pause_ms=pause_ms)
+            return NoAttempt(reason, pause_ms=pause_ms)
         fields = describe_choice(admitted, endpoint, placement, now_ms)
         return PlannedAttempt(endpoint, placement, fields)
 
@@ -517,7 +509,12 @@
         budget = self._retry_budget(admitted.service.name)
         count = self._control_sync.view.router_count
         is_open = planned.connection is not None and not planned.connection.is_lost
-        if is_open and budget.allow_retry(self.clock.now_ms(), count):
+        is_refused = admitted.is_refused(self._control_sync.view.refused)
+        if (
+            is_open
+            and not is_refused
+            and budget.allow_retry(self.clock.now_ms(), count)
+        ):
             return True
         self._release(admitted, planned)
         return False
@@ -571,7 +568,7 @@
         admitted: AdmittedRequest,
         progress: ForwardedRequest,
         step: NextStep,
-        obstacle: _NoAttempt,
+        obstacle: NoAttempt,
         outcome: Outcome,
     ) -> None:
         """Refuse or fail a request, or cut its response if that has begun."""
--- /dev/null
+++ b/mustardtrack/process/lost_requests.py
@@ -0,0 +1,83 @@
+"""Task of the leader that records lost requests in the replicated state."""
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from mustardtrack.admission.crashcounts import CRASH_RETENTION_MS, LostRequest
+from mustardtrack.configuration.documents import RecordLostRequests
+from mustardtrack.logs import define_event, log_event
+
+if TYPE_CHECKING:
+    from mustardtrack.process.seeded_control import SeededControlProcess
+
+REQUESTS_REFUSED = define_event(
+    8916, "WARNING", "a further request that crashes endpoints is refused"
+)
+
+# Bounds the rate of commands when endpoints break many connections.
+RECORD_PERIOD_S = 0.1
+MAX_BATCH = 256
+MAX_PENDING = 4096
+
+
+@dataclass(frozen=True)
+class _PendingLoss:
+    """Loss whose age is counted from ``received_ms``."""
+
+    loss: LostRequest
+    received_ms: int
+
+    def aged(self, now_ms: int) -> LostRequest:
+        age_ms = self.loss.age_ms + now_ms - self.received_ms
+        return msgspec.structs.replace(self.loss, age_ms=age_ms)
+
+
+class LostRequestRecorder:
+    """Commits the losses that routers report, one command at a time."""
+
+    def __init__(self, control: "SeededControlProcess"):
+        self._control = control
+        self._pending: OrderedDict[tuple[str, str], _PendingLoss] = OrderedDict()
+        self._has_pending = asyncio.Event()
+
+    def add(self, lost: list[LostRequest]) -> None:
+        """Accept the report of a router."""
+        for loss in lost:
+            if not self._control.document_store.crashes.is_recorded(loss):
+                pending = _PendingLoss(loss, self._control.now_ms())
+                self._pending[loss.fingerprint, loss.attempt] = pending
+        while len(self._pending) > MAX_PENDING:
+            self._pending.popitem(last=False)
+        if self._pending:
+            self._has_pending.set()
+
+    async def run(self) -> None:
+        """Record losses until cancelled."""
+        while True:
+            await self._has_pending.wait()
+            await self._record_batch()
+            if not self._pending:
+                self._has_pending.clear()
+            await asyncio.sleep(RECORD_PERIOD_S)
+
+    async def _record_batch(self) -> None:
+        """Commit the oldest losses; they stay pending without a confirmation."""
+        control, now_ms = self._control, self._control.now_ms()
+        batch = {
+            key: pending.aged(now_ms)
+            for key, pending in list(self._pending.items())[:MAX_BATCH]
+        }
+        lost = [loss for loss in batch.values() if loss.age_ms < CRASH_RETENTION_MS]
+        outcome = await control.commit(RecordLostRequests(lost)) if lost else None
+        if lost and outcome is None:
+            return
+        for key in batch:
+            self._pending.pop(key, None)
+        control.metrics.count("crashes.lost_requests", len(lost))
+        if outcome is not None and outcome.changed:
+            refused = control.document_store.crashes.refused(control.wall_ms())
+            log_event(REQUESTS_REFUSED, refused=refused)
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -1,12 +1,15 @@
 """Client of the leading control host, which places prompts on engines."""
 
 import asyncio
+import random
 from collections.abc import Sequence
 
 import msgspec
 
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
+from mustardtrack.admission.crashcounts import LostRequest
+from mustardtrack.admission.lostrequests import LostRequestReports
 from mustardtrack.admission.partcrashes import LostPrompt
 from mustardtrack.admission.partwatch import PartReport
 from mustardtrack.logs import define_event, log_event
@@ -52,7 +55,7 @@
         self._first_tokens: list[str] = []
         self._ended: list[str] = []
         self._unresponsive: set[str] = set()
-        self._broken_connections: list[str] = []
+        self._lost_requests = LostRequestReports()
         self._not_run: list[str] = []
         self._task: asyncio.Task[None] | None = None
 
@@ -142,7 +145,8 @@
 
     def record_broken_connection(self, fingerprint: str) -> None:
         """Report a request whose endpoint broke the connection or the answer."""
-        self._broken_connections.append(fingerprint)
+        loss = LostRequest(fingerprint, f"{random.getrandbits(64):016x}")
+        self._lost_requests.record(loss, self._clock.now_ms())
 
     def record_lost_prompt(self, prompt: LostPrompt) -> None:
         """Report a prompt whose engine closed the connection."""
@@ -158,8 +162,9 @@
         while True:
             await asyncio.sleep(PROGRESS_PERIOD_S)
             leader = view.leader
-            parts, limits, leaving = PartReport(), {}, []
+            parts, limits, leaving, lost = PartReport(), {}, [], []
             if leader:
+                lost = self._lost_requests.take_report(leader, self._clock.now_ms())
                 notices = view.endpoints.notices
                 if leader != told_leader:
                     view.limits.report_again()
@@ -172,15 +177,16 @@
                 self._first_tokens,
                 self._ended,
                 sorted(self._unresponsive),
-                self._broken_connections,
+                [],
                 self._not_run,
                 parts,
                 limits,
                 leaving,
+                lost,
             )
             if progress == EMPTY_PROGRESS:
                 continue
             self._first_tokens, self._ended, self._unresponsive = [], [], set()
-            self._broken_connections, self._not_run = [], []
+            self._not_run = []
             if leader:
                 self._bus.post(leader, "progress", msgspec.msgpack.encode(progress))
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import zlib
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
@@ -15,7 +14,6 @@
 from mustardtrack.adapters.h11_server import HttpServer
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
-from mustardtrack.admission.crashcounts import CrashCounter
 from mustardtrack.admission.partcrashes import (
     SEARCH_PERIOD_MS,
     PartCrashes,
@@ -48,6 +46,7 @@
 from mustardtrack.platform.manifests import decode_manifest
 from mustardtrack.ports import CommandReply, CommandRequest
 from mustardtrack.ports.sync_messages import (
+    UNCONFIRMED_STALE_MS,
     ControlHosts,
     DocumentReadReply,
     PromptProgress,
@@ -55,10 +54,12 @@
     SyncRequest,
 )
 from mustardtrack.process.cache_watch import CacheWatch
+from mustardtrack.process.compressed_document import CompressedDocument
 from mustardtrack.process.control_api import ControlApi
 from mustardtrack.process.endpoint_watch import EndpointWatch
 from mustardtrack.process.formation import form_group, handle_form_request
 from mustardtrack.process.lifecycle import DaemonProcess
+from mustardtrack.process.lost_requests import LostRequestRecorder
 from mustardtrack.process.metrics import count_events
 from mustardtrack.process.replica_task import ReplicaTask
 from mustardtrack.process.settings_watch import SettingsWatch
@@ -82,8 +83,6 @@
 # Routers silent for this long are left out of directory answers. Routers report
 # every 0.4 s, so three lost reports remove a router.
 ROUTER_LEASE_MS = 1400
-# Staleness reported by a replica without a valid leader lease.
-UNCONFIRMED_STALE_MS = 1_000_000_000
 FORM_RETRY_S = 0.2
 FORM_TIMEOUT_MS = 500
 # Operators give up on a host after one second without an answer.
@@ -111,7 +110,7 @@
         self._bus = Bus(self._name, self._name)
         self.directory = RouterDirectory(ROUTER_LEASE_MS)
         self.placements = PlacementTable(settings.bounds.weights_ms)
-        self._crashes = CrashCounter()
+        self._lost_requests = LostRequestRecorder(self)
         self.part_crashes = PartCrashes(f"{self._name}/{random.getrandbits(32):08x}")
         self._evidence_revision = ""
         self._evidence_timer: asyncio.TimerHandle | None = None
@@ -121,7 +120,7 @@
         self._control_names: list[str] = settings.seed_bus_addresses()
         self._control_names_term = 0
         self._changed = asyncio.Event()
-        self._compressed_document: tuple[int, bytes] = (0, b"")
+        self._compressed_document = CompressedDocument()
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
 
@@ -154,6 +153,7 @@
             self._notify_on_revision(),
             self._endpoint_watch.run(),
             self._cache_watch.run(),
+            self._lost_requests.run(),
             self._settings_watch.run(),
         ):
             self._spawn(coroutine)
@@ -246,6 +246,10 @@
         """Return monotonic milliseconds."""
         return self._clock.now_ms()
 
+    def wall_ms(self) -> int:
+        """Return wall-clock milliseconds."""
+        return self._clock.wall_ms()
+
     def is_leader(self) -> bool:
         """Return whether this replica is the leader and its lease is valid."""
         return self._replica_task.is_leader()
@@ -371,13 +375,15 @@
             stale_ms=stale_ms,
             revision=store.revision,
             document_version=document.version,
-            content=self._compress_document() if is_outdated else b"",
+            content=self._compressed_document.compress(document)
+            if is_outdated
+            else b"",
             weights=store.weights,
             endpoints=self._endpoints if is_newer_list and not change else None,
             controls=self._control_names,
             router_count=len(self.directory.live(self.now_ms())),
             leader=leader.name if leader else "",
-            refused=self._crashes.refused(self.now_ms()),
+            refused=store.crashes.refused(self.wall_ms()),
             change=change,
             crash_evidence=self.part_crashes.evidence(self.now_ms())
             if self._has_crash_evidence_for(request)
@@ -390,15 +396,6 @@
             cache_generation=store.cache_sharing.generation,
         )
 
-    def _compress_document(self) -> bytes:
-        document = self.document_store.document
-        if self._compressed_document[0] != document.version:
-            self._compressed_document = (
-                document.version,
-                zlib.compress(document.content, 6),
-            )
-        return self._compressed_document[1]
-
     # Prompt placement
 
     async def _receive_place(self, sender: str, body: bytes) -> bytes:
@@ -431,7 +428,7 @@
         placements.record_refusal(progress.refused, now_ms)
         placements.limits.merge(progress.limits, now_ms)
         placements.notices.merge_leaving(progress.leaving, now_ms)
-        self._crashes.record(progress.disconnected_fingerprints, now_ms)
+        self._lost_requests.add(progress.lost_requests)
         self._record_parts(progress.parts)
 
     def _record_parts(self, report: PartReport) -> None:
--- a/mustardtrack/process/tests/test_control_sync.py
+++ b/mustardtrack/process/tests/test_control_sync.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mustardtrack.ports.sync_messages import UNCONFIRMED_STALE_MS, SyncReply
 from mustardtrack.process import control_sync
 from mustardtrack.process.control_sync import ControlSync
 
@@ -55,3 +56,21 @@
         await sync.sync_now()
 
     asyncio.run(run())
+
+
+def make_reply(refused, stale_ms):
+    return SyncReply(stale_ms, 0, 0, b"", {}, None, [], 1, leader="c1", refused=refused)
+
+
+def test_refusals_end_only_by_a_leader_that_has_applied_all(sync):
+    """Guards against a new leader that has not read its log yet."""
+
+    async def run():
+        sync._sync_tasks["c1"] = asyncio.ensure_future(asyncio.sleep(0))
+        for refused, stale_ms in ((["f"], 0), ([], UNCONFIRMED_STALE_MS)):
+            sync._apply_reply("c1", make_reply(refused, stale_ms), 1)
+        assert sync.view.refused == {"f"}
+        sync._apply_reply("c1", make_reply([], 0), 2)
+        assert sync.view.refused == set()
+
+    asyncio.run(run())
--- /dev/null
+++ b/mustardtrack/process/tests/test_crashing_request.py
@@ -0,0 +1,133 @@
+"""Guards against a crashing request that returns after processes have restarted.
+
+Control hosts and routers are real processes; the engines are stand-ins on loopback that
+crash when they begin to answer a request for one target.
+"""
+
+import signal
+import time
+from itertools import count
+
+import pytest
+
+from mustardtrack.testing.prompt_callers import (
+    LONGEST_WAIT_S,
+    send_prompt,
+    wait_until_serving,
+)
+from mustardtrack.testing.prompt_engines import RESTART_S, PromptEngines
+from mustardtrack.testing.seeded_hosts import SeededHosts, holds_within
+from mustardtrack.testing.subnets import Subnet
+
+SUBNET = Subnet()
+CONTROLS = tuple(SUBNET.address(number) for number in (11, 12, 13))
+ROUTERS = tuple(SUBNET.address(number) for number in (21, 22))
+ENGINES = SUBNET.address(31)
+ENGINE_COUNT = 6
+TARGET = "/x/crash"
+# Crashes after which the request is refused, and requests that may reach engines later
+# than a time in which hosts learn of the crashes.
+CRASH_LIMIT = 3
+CONTACT_S = 3.0
+ALLOWED_REQUESTS = 3
+# Time after which the processes that remain have a leader.
+ELECTION_S = 2.0
+REPEATS = 6
+REPEAT_PERIOD_S = 0.15
+
+# Groups of hosts that end by a signal at the same moment, one group after the other.
+RESTARTS = {
+    "control hosts stop in turn": (signal.SIGTERM, [[host] for host in CONTROLS]),
+    "control hosts are killed in turn": (signal.SIGKILL, [[host] for host in CONTROLS]),
+    "routers stop in turn, then control hosts": (
+        signal.SIGTERM,
+        [[host] for host in (*ROUTERS, *CONTROLS)],
+    ),
+    "all processes are killed, twice": (
+        signal.SIGKILL,
+        [(*CONTROLS, *ROUTERS)] * 2,
+    ),
+}
+
+
+@pytest.fixture
+def engines():
+    engines = PromptEngines(ENGINES, ENGINE_COUNT)
+    engines.start()
+    yield engines
+    engines.stop()
+
+
+@pytest.fixture
+def hosts(tmp_path, engines):
+    deployment = SeededHosts(tmp_path, CONTROLS, ROUTERS, engines.list_address)
+    for host in (*CONTROLS, *ROUTERS):
+        deployment.start(host)
+    wait_until_serving(deployment, "warm")
+    engines.crashing_targets.add(TARGET)
+    yield deployment
+    deployment.end()
+
+
+NUMBERS = count(100)
+
+
+def repeat_request(times=REPEATS):
+    """Send the crashing request to one router after the other; return the statuses."""
+    statuses = []
+    for _ in range(times):
+        number = next(NUMBERS)
+        router = ROUTERS[number % len(ROUTERS)]
+        statuses.append(send_prompt(router, number, [], target=TARGET)[0])
+        time.sleep(REPEAT_PERIOD_S)
+    return statuses
+
+
+def crash_engines():
+    """Send the request until it is refused, and let the engines return."""
+    statuses = repeat_request(CRASH_LIMIT + 1)
+    assert statuses[-1] == 503
+    time.sleep(CONTACT_S)
+
+
+def restart(hosts, group, signal_number):
+    """Stop some hosts at the same moment, start them again and wait until all serve."""
+    for host in group:
+        hosts.send_signal(host, signal_number)
+    for host in group:
+        hosts.running.pop(host).wait(timeout=LONGEST_WAIT_S)
+    for host in group:
+        hosts.start(host, bootstrap=False)
+    time.sleep(ELECTION_S)
+    for router in ROUTERS:
+        assert holds_within(lambda: hosts.is_ready(router), LONGEST_WAIT_S)  # noqa: B023
+
+
+def count_arrivals(engines):
+    return sum(1 for arrival in engines.arrivals if arrival.target == TARGET)
+
+
+@pytest.mark.parametrize("name", RESTARTS)
+def test_refused_request_stays_refused_after_restarts(hosts, engines, name):
+    """Guards against counts that end with the process that holds them."""
+    crash_engines()
+    arrivals = count_arrivals(engines)
+    signal_number, groups = RESTARTS[name]
+    for group in groups:
+        restart(hosts, group, signal_number)
+        repeat_request()
+    assert count_arrivals(engines) - arrivals <= ALLOWED_REQUESTS
+    # Other requests are still served.
+    assert send_prompt(ROUTERS[0], next(NUMBERS), [])[0] == 200
+
+
+def test_crashes_before_a_restart_count_after_it(hosts, engines):
+    """Guards against counts below the limit that begin anew with each leader."""
+    for host in CONTROLS:
+        if len(engines.crashes_s) < CRASH_LIMIT:
+            send_prompt(ROUTERS[0], next(NUMBERS), [], target=TARGET)
+            time.sleep(RESTART_S)
+        restart(hosts, [host], signal.SIGKILL)
+    statuses = repeat_request()
+    assert statuses[-1] == 503
+    assert count_arrivals(engines) <= CRASH_LIMIT + 2
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -972,6 +972,19 @@
     assert scenario.lines(8951)[0]["reason"] == "crashing_parts"
 
 
+def test_request_is_not_retried_once_it_is_refused(monkeypatch):
+    """Guards against a crash of a further endpoint by a request that is open."""
+    scenario = Scenario({"e1": [(200, CLOSE)], "e2": COMPLETE}, monkeypatch=monkeypatch)
+
+    def refuse(handler):
+        (admitted,) = handler._open.values()
+        handler._control_sync.view.refused = {admitted.fingerprint()}
+
+    scenario.play(actions=[(100, refuse)])
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1"]
+    assert scenario.status == 502
+
+
 def test_prompt_is_sent_when_its_engine_takes_another_request(monkeypatch):
     """Guards against a placement whose delay is not kept."""
     leader = StandInLeader(
--- a/mustardtrack/testing/prompt_callers.py
+++ b/mustardtrack/testing/prompt_callers.py
@@ -45,9 +45,22 @@
 
 
 def send_prompt(
-    router: str, number: int, parts: Sequence[str], key: str = "k1"
+    router: str,
+    number: int,
+    parts: Sequence[str],
+    key: str = "k1",
+    target: str | None = None,
 ) -> tuple[int, Any]:
-    """Send a prompt and return the status and body, status 0 if it was cut."""
+    """Send a prompt and return the status and body, status 0 if it was cut.
+
+    Args:
+        router: Address of the router.
+        number: Distinguishes the prompt from others.
+        parts: Parts that it shares with other prompts.
+        key: Key of the client account.
+        target: Request target, one of its own if it is None.
+    """
+    target = target or f"/x/{number}"
     headers = {
         "Host": "a.example",
         "Request-Id": f"id{number}",
@@ -59,7 +72,7 @@
     }
     address = f"{router}:{CALLER_PORT}"
     try:
-        return call(address, "POST", f"/x/{number}", b"p", headers, timeout_s=5.0)[:2]
+        return call(address, "POST", target, b"p", headers, timeout_s=5.0)[:2]
     except (OSError, HTTPException):
         return 0, b""
 
--- a/mustardtrack/testing/prompt_engines.py
+++ b/mustardtrack/testing/prompt_engines.py
@@ -30,6 +30,7 @@
         parts: Digests of its prompt parts.
         account: Client account, empty if it is not stated.
         salt: Cache salt, empty if it is not stated.
+        target: Request target.
         part_makers: Account whose request computed each cached part that it uses.
     """
 
@@ -40,6 +41,7 @@
     account: str = ""
     salt: str = ""
     part_makers: tuple[str, ...] = ()
+    target: str = ""
 
 
 @dataclass
@@ -51,6 +53,8 @@
         count: Number of engines.
         crashing_parts: Engines crash when they begin to answer a prompt with one of
             these parts, and return after ``RESTART_S`` with a new identity.
+        crashing_targets: Engines crash in the same way when they begin to answer a
+            request for one of these targets.
         limits: Requests per second that an engine names in its answers, by engine.
         leaving: Engines that announce in their answers that they leave, while the list
             still names them as ready.
@@ -66,6 +70,7 @@
     host: str
     count: int
     crashing_parts: set[str] = field(default_factory=set)
+    crashing_targets: set[str] = field(default_factory=set)
     limits: dict[int, float] = field(default_factory=dict)
     leaving: set[int] = field(default_factory=set)
     odd_entries: list[bytes] = field(default_factory=list)
@@ -184,18 +189,30 @@
         entries = headers.get("prefix-hash", "").split(",")
         parts = tuple(entry.partition(":")[0] for entry in entries)
         request_id = headers["request-id"]
+        target = lines[0].split(" ")[1]
         account = headers.get("tenant", "")
         salt = headers.get("cache-salt", "")
         makers = self._use_cache(engine, salt, parts, account)
         self.arrivals.append(
-            Arrival(time.monotonic(), engine, request_id, parts, account, salt, makers)
+            Arrival(
+                time.monotonic(),
+                engine,
+                request_id,
+                parts,
+                account,
+                salt,
+                makers,
+                target,
+            )
         )
         if engine in self.pauses_s:
             fields = f"not-executed: 1\r\nretry-after: {self.pauses_s[engine]}\r\n"
             fields += f"request-id: {request_id}\r\ncontent-length: 0\r\n"
             writer.write(_encode_head(503, fields.encode()))
             return
-        await self._stream_answer(engine, writer, request_id, parts)
+        is_crashing = bool(self.crashing_parts.intersection(parts[:-1]))
+        is_crashing = is_crashing or target in self.crashing_targets
+        await self._stream_answer(engine, writer, request_id, is_crashing)
 
     def _use_cache(
         self, engine: int, salt: str, parts: tuple[str, ...], account: str
@@ -213,7 +230,7 @@
         engine: int,
         writer: asyncio.StreamWriter,
         request_id: str,
-        parts: tuple[str, ...],
+        is_crashing: bool,
     ) -> None:
         fields = (
             "response-seal: s\r\ncontent-type: text/event-stream\r\n"
@@ -224,7 +241,7 @@
         if engine in self.limits:
             fields += f"server-limit: {self.limits[engine]}\r\n"
         writer.write(_encode_head(200, fields.encode()))
-        if self.crashing_parts.intersection(parts[:-1]):
+        if is_crashing:
             await asyncio.sleep(CRASH_DELAY_S)
             self._crash(engine)
             raise ConnectionResetError
