Divide the retry budget by all routers that may have spent of it

Cause: a router's share of the fixed number of retries was that number divided by the routers that are ready, as the control host that answered last knows them. Stopping routers were not counted and still retried, and a router that started again used its share once more. Evidence: line 8949, added first; in a planned restart of four routers the number falls to 1, and when all processes are killed at once it stays at 4 and the budget breaks all the same. Ruled out: retries outside of the budget (the same load without restarts stays within it).

Change: control hosts count the routers that are alive, also starting and stopping ones, and those that may have sent requests within the window. A router takes the largest number of the control hosts that answer, and has no share until a window has passed since its start. Connections and rate limits of endpoints are divided by the routers that are alive. Why it works: whoever spent within the window is counted, and whoever is not counted by the others yet spends nothing.

The stand-in views of two tests name the new number; no expectation changes.

--- a/mustardtrack/admission/sharedretries.py
+++ b/mustardtrack/admission/sharedretries.py
@@ -3,8 +3,10 @@
 Load pattern: endpoints fail or refuse requests of many callers at once, and every
 router would retry. The budget of a window is a fraction of the requests plus a fixed
 number. Each router uses the fraction of its own requests and an equal share of that
-number, so that the sum over all routers stays within the budget without messages
-between them.
+number. The sum over all routers stays within the budget if the shares are counted by
+all routers that may have used one within the window, also those that have stopped, and
+a router that has started has none until the window has passed
+(:mod:`mustardtrack.membership.routercounts`).
 """
 
 from collections import deque
@@ -42,11 +44,17 @@
         self._drop_expired(now_ms)
 
     def can_retry(self, now_ms: int, router_count: int) -> bool:
-        """Return whether the budget allows a retry, without taking it."""
+        """Return whether the budget allows a retry, without taking it.
+
+        Args:
+            now_ms: Monotonic time.
+            router_count: Routers with a share of the extra retries, 0 if this router
+                has none.
+        """
         self._drop_expired(now_ms)
-        allowed = self._ratio * len(self._requests) + self._extra_retries / max(
-            1, router_count
-        )
+        allowed = self._ratio * len(self._requests)
+        if router_count:
+            allowed += self._extra_retries / router_count
         return len(self._retries) + 1 <= USED_FRACTION * allowed
 
     def allow_retry(self, now_ms: int, router_count: int) -> bool:
--- a/mustardtrack/membership/directory.py
+++ b/mustardtrack/membership/directory.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from mustardtrack.membership.routercounts import RouterNumbers
+
 # Callers use at most this many addresses of one response.
 MAX_ADDRESSES = 64
 # With fewer live routers in its zone, a caller also gets routers of other zones, so
@@ -25,6 +27,8 @@
 
     Args:
         lease_ms: Time after its last report at which a router is excluded.
+        memory_ms: Time after its last report for which a router counts as recent.
+        complete_from_ms: Time from which all recent routers are known.
 
     Examples:
         >>> directory = RouterDirectory(lease_ms=1000)
@@ -35,8 +39,10 @@
         []
     """
 
-    def __init__(self, lease_ms: int):
+    def __init__(self, lease_ms: int, memory_ms: int = 0, complete_from_ms: int = 0):
         self._lease_ms = lease_ms
+        self._memory_ms = memory_ms
+        self._complete_from_ms = complete_from_ms
         self._entries: dict[str, RouterEntry] = {}
 
     def report(self, entry: RouterEntry) -> None:
@@ -52,6 +58,19 @@
             if entry.is_ready and entry.seen_ms > lease_cutoff_ms
         ]
 
+    def count(self, now_ms: int) -> RouterNumbers:
+        """Return the numbers of routers, and forget those that are not recent."""
+        lease_cutoff_ms = now_ms - self._lease_ms
+        memory_cutoff_ms = now_ms - max(self._lease_ms, self._memory_ms)
+        self._entries = {
+            name: entry
+            for name, entry in self._entries.items()
+            if entry.seen_ms > memory_cutoff_ms
+        }
+        alive = sum(entry.seen_ms > lease_cutoff_ms for entry in self._entries.values())
+        is_complete = now_ms >= self._complete_from_ms
+        return RouterNumbers(alive, len(self._entries) if is_complete else 0)
+
     def choose(self, zone: str, now_ms: int) -> list[str]:
         """Return the addresses for a caller.
 
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -53,7 +53,9 @@
     are the limits of endpoints that the leader knows, and ``prefill_rates`` the tokens
     that the engines of each service prefill per ms. ``weights_ages`` are the times in
     ms since weights versions were named. ``cache_generation`` is the generation of the
-    shared prefix cache under the document in ``content``.
+    shared prefix cache under the document in ``content``. ``router_count`` is the
+    number of routers that work on requests, and ``recent_router_count`` that of the
+    routers that may have used the retry budget in its window, 0 if it is not known.
     """
 
     stale_ms: int
@@ -72,6 +74,7 @@
     prefill_rates: dict[str, float] = {}
     weights_ages: VersionAges = {}
     cache_generation: int = 0
+    recent_router_count: int = 0
 
     @property
     def is_confirmed(self) -> bool:
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -13,6 +13,7 @@
 from mustardtrack.configuration.routes import RouteAccount, RouteTable
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list_changes import apply_list_change
+from mustardtrack.membership.routercounts import RouterCounts, RouterNumbers
 from mustardtrack.platform.manifests import decode_manifest
 from mustardtrack.ports import Clock
 from mustardtrack.ports.sync_messages import SyncReply, SyncRequest
@@ -32,6 +33,9 @@
 REFUSED_CHANGED = define_event(
     8948, "INFO", "requests that are refused because they crash endpoints have changed"
 )
+ROUTER_COUNT_CHANGED = define_event(
+    8949, "INFO", "number of routers that share limits has changed"
+)
 
 # A removed API key must not work after ``revoke_ms``. A route table may serve without
 # confirmation for this fraction of it; the rest covers requests already accepted.
@@ -52,6 +56,9 @@
             router's clock; None before the first confirmation.
         revision: Revision of the control state that the view holds.
         weights: Named weights version of each model.
+        router_count: Routers that work on requests.
+        retry_sharers: Routers with a share of the extra retries, 0 if this router has
+            none.
         leader: Name of the control group's leader, as last reported.
         refused: Fingerprints of requests that crash the endpoints that run them.
         parts: Prompt parts that crash the engines that begin to answer them.
@@ -67,6 +74,7 @@
     weights: dict[str, int] = field(default_factory=dict)
     endpoints: EndpointTable = field(default_factory=EndpointTable)
     router_count: int = 1
+    retry_sharers: int = 0
     leader: str = ""
     refused: frozenset[str] = frozenset()
     parts: PartWatch = field(default_factory=PartWatch)
@@ -115,6 +123,9 @@
             limits=RateLimits(settings.name),
             weights_limit=WeightsLimit(settings.bounds.weights_ms),
         )
+        self._router_counts = RouterCounts(
+            clock.now_ms(), int(settings.retries.window_s * 1000)
+        )
         self._sync_tasks: dict[str, asyncio.Task[None]] = {}
         self._unreachable: set[str] = set()
         self._was_confirmed = False
@@ -247,7 +258,7 @@
                 view.parts.receive(reply.crash_evidence, self._clock.now_ms())
             view.limits.merge(reply.limits, self._clock.now_ms())
             view.prefill_rates = reply.prefill_rates
-        view.router_count = max(1, reply.router_count)
+        self._apply_router_counts(name, reply)
         # The reply is not older than its request, and its state was confirmed
         # ``stale_ms`` before the reply.
         confirmed_ms = sent_ms - reply.stale_ms
@@ -256,6 +267,21 @@
             view.confirmed_ms = max(view.confirmed_ms or 0, confirmed_ms)
         self._start_sync(reply.controls)
 
+    def _apply_router_counts(self, name: str, reply: SyncReply) -> None:
+        view, counts, now_ms = self.view, self._router_counts, self._clock.now_ms()
+        numbers = RouterNumbers(reply.router_count, reply.recent_router_count)
+        counts.record(name, numbers, now_ms)
+        known = (view.router_count, view.retry_sharers)
+        view.router_count = counts.alive
+        view.retry_sharers = counts.retry_sharers(now_ms)
+        if known != (view.router_count, view.retry_sharers):
+            log_event(
+                ROUTER_COUNT_CHANGED,
+                control=name,
+                routers=view.router_count,
+                retry_sharers=view.retry_sharers,
+            )
+
     def _adopt_refused(self, name: str, reply: SyncReply) -> None:
         refused = frozenset(reply.refused)
         if refused != self.view.refused:
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -416,7 +416,7 @@
         endpoint = await self._wait_for_limit(admitted, endpoint, placement)
         now_ms = self.clock.now_ms()
         budget = self._retry_budget(admitted.service.name)
-        count = self._control_sync.view.router_count
+        count = self._control_sync.view.retry_sharers
         is_retry = progress.sends > 0
         if not self._has_time(admitted):
             return NoAttempt("time_left")
@@ -478,7 +478,7 @@
         The stalled attempt may end only after :meth:`take_retry` returned true.
         """
         now_ms = self.clock.now_ms()
-        count = self._control_sync.view.router_count
+        count = self._control_sync.view.retry_sharers
         if not self._retry_budget(admitted.service.name).can_retry(now_ms, count):
             return RetryObstacle.RETRY_BUDGET
         if await self._is_queued(admitted):
@@ -507,7 +507,7 @@
     def take_retry(self, admitted: AdmittedRequest, planned: PlannedAttempt) -> bool:
         """Take the retry of a prepared attempt, or release it if it cannot begin."""
         budget = self._retry_budget(admitted.service.name)
-        count = self._control_sync.view.router_count
+        count = self._control_sync.view.retry_sharers
         is_open = planned.connection is not None and not planned.connection.is_lost
         is_refused = admitted.is_refused(self._control_sync.view.refused)
         if (
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -40,7 +40,7 @@
 from mustardtrack.configuration.outcomes import decode_outcome
 from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.logs import define_event, log_event
-from mustardtrack.membership.directory import RouterDirectory, RouterEntry
+from mustardtrack.membership.directory import RouterEntry
 from mustardtrack.membership.endpoint_list import EndpointList
 from mustardtrack.membership.endpoint_list_changes import EndpointListHistory
 from mustardtrack.platform.manifests import decode_manifest
@@ -62,6 +62,7 @@
 from mustardtrack.process.lost_requests import LostRequestRecorder
 from mustardtrack.process.metrics import count_events
 from mustardtrack.process.replica_task import ReplicaTask
+from mustardtrack.process.router_directory import create_directory
 from mustardtrack.process.settings_watch import SettingsWatch
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.routing.placements import PlacementTable
@@ -80,9 +81,6 @@
     8915, "INFO", "an operator has released a refused prompt part"
 )
 
-# Routers silent for this long are left out of directory answers. Routers report
-# every 0.4 s, so three lost reports remove a router.
-ROUTER_LEASE_MS = 1400
 FORM_RETRY_S = 0.2
 FORM_TIMEOUT_MS = 500
 # Operators give up on a host after one second without an answer.
@@ -108,7 +106,6 @@
         self.metrics = InMemoryMetrics()
         count_events(self.metrics)
         self._bus = Bus(self._name, self._name)
-        self.directory = RouterDirectory(ROUTER_LEASE_MS)
         self.placements = PlacementTable(settings.bounds.weights_ms)
         self._lost_requests = LostRequestRecorder(self)
         self.part_crashes = PartCrashes(f"{self._name}/{random.getrandbits(32):08x}")
@@ -127,6 +124,8 @@
     async def start(self) -> None:
         """Load the stored state, bind the ports and start the replica."""
         self._create_replica()
+        is_formed = self._replica_task.status().formed
+        self.directory = create_directory(self._settings, is_formed, self.now_ms())
         for topic, handler in (
             ("agreement", self._receive_agreement),
             ("command", self._receive_command),
@@ -371,6 +370,7 @@
         status = self._replica_task.status()
         leader = status.leader
         stale_ms = status.stale_ms if self.is_leader() else UNCONFIRMED_STALE_MS
+        routers = self.directory.count(self.now_ms())
         return SyncReply(
             stale_ms=stale_ms,
             revision=store.revision,
@@ -381,7 +381,7 @@
             weights=store.weights,
             endpoints=self._endpoints if is_newer_list and not change else None,
             controls=self._control_names,
-            router_count=len(self.directory.live(self.now_ms())),
+            router_count=routers.alive,
             leader=leader.name if leader else "",
             refused=store.crashes.refused(self.wall_ms()),
             change=change,
@@ -394,6 +394,7 @@
             prefill_rates=self.placements.rates.service_rates(),
             weights_ages=self.placements.weights_limit.ages(self.now_ms()),
             cache_generation=store.cache_sharing.generation,
+            recent_router_count=routers.recent,
         )
 
     # Prompt placement
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -391,6 +391,7 @@
             weights_limit=self.weights_limit,
             prefill_rates={},
             router_count=1,
+            retry_sharers=1,
             endpoints=states,
             confirmation_age_ms=lambda now_ms: 0,
         )
--- a/mustardtrack/process/tests/test_interrupted_requests.py
+++ b/mustardtrack/process/tests/test_interrupted_requests.py
@@ -143,6 +143,7 @@
         parts=PartWatch(),
         limits=RateLimits("r1"),
         router_count=1,
+        retry_sharers=1,
         weights={},
         weights_limit=WeightsLimit(15_000),
         prefill_rates={},
--- a/mustardtrack/testing/prompt_engines.py
+++ b/mustardtrack/testing/prompt_engines.py
@@ -59,6 +59,7 @@
         leaving: Engines that announce in their answers that they leave, while the list
             still names them as ready.
         odd_entries: Encoded entries of another writer on the platform's list.
+        refusing: Engines that turn all requests away without running them.
         pauses_s: Time in seconds that an engine names when it turns a request away, by
             engine; an engine with an entry turns all requests away.
         part_makers: Account whose request computed each part that an engine caches, by
@@ -74,6 +75,7 @@
     limits: dict[int, float] = field(default_factory=dict)
     leaving: set[int] = field(default_factory=set)
     odd_entries: list[bytes] = field(default_factory=list)
+    refusing: set[int] = field(default_factory=set)
     pauses_s: dict[int, str] = field(default_factory=dict)
     part_makers: dict[tuple[int, str, str], str] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
@@ -205,9 +207,11 @@
                 target,
             )
         )
-        if engine in self.pauses_s:
-            fields = f"not-executed: 1\r\nretry-after: {self.pauses_s[engine]}\r\n"
-            fields += f"request-id: {request_id}\r\ncontent-length: 0\r\n"
+        if engine in self.pauses_s or engine in self.refusing:
+            fields = f"not-executed: 1\r\nrequest-id: {request_id}\r\n"
+            if engine in self.pauses_s:
+                fields += f"retry-after: {self.pauses_s[engine]}\r\n"
+            fields += "content-length: 0\r\n"
             writer.write(_encode_head(503, fields.encode()))
             return
         is_crashing = bool(self.crashing_parts.intersection(parts[:-1]))
--- a/mustardtrack/testing/seeded_hosts.py
+++ b/mustardtrack/testing/seeded_hosts.py
@@ -38,6 +38,7 @@
         running: Process of each host whose daemon runs or is paused.
         log_offsets: Size of each host's log file at the last start of its daemon.
         bounds: Settings under ``bounds`` that differ from their defaults.
+        retries: Settings under ``retries`` that differ from their defaults.
         daemon_module: Module that runs the daemon.
     """
 
@@ -48,6 +49,7 @@
     running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     log_offsets: dict[str, int] = field(default_factory=dict)
     bounds: dict[str, int] = field(default_factory=dict)
+    retries: dict[str, float] = field(default_factory=dict)
     daemon_module: str = "mustardtrack.process.daemon"
 
     def data_folder(self, host: str) -> Path:
@@ -90,6 +92,7 @@
             "host_list": self.host_list_address,
             "listen": {"operators": f"{host}:{OPERATOR_PORT}"},
             "bounds": self.bounds,
+            "retries": self.retries,
         }
         if host in self.routers:
             settings["listen"] = {
