Begin a new shared cache after a configuration whose accounts are not known

The first isolation after an upgrade would not have begun a new generation, so that parts of the account stayed shared. Such a configuration now counts as one that any account may have shared.

The leader's pending losses use the type of the routers' kept ones.

--- a/mustardtrack/admission/lostrequests.py
+++ b/mustardtrack/admission/lostrequests.py
@@ -11,13 +11,14 @@
 
 
 @dataclass(frozen=True)
-class _KeptLoss:
+class KeptLoss:
     """Loss whose age is counted from ``seen_ms``."""
 
     loss: LostRequest
     seen_ms: int
 
     def aged(self, now_ms: int) -> LostRequest:
+        """Return the loss with its present age."""
         age_ms = self.loss.age_ms + now_ms - self.seen_ms
         return msgspec.structs.replace(self.loss, age_ms=age_ms)
 
@@ -35,13 +36,13 @@
     """
 
     def __init__(self) -> None:
-        self._kept: deque[_KeptLoss] = deque(maxlen=MAX_KEPT_LOSSES)
-        self._unsent: deque[_KeptLoss] = deque(maxlen=MAX_KEPT_LOSSES)
+        self._kept: deque[KeptLoss] = deque(maxlen=MAX_KEPT_LOSSES)
+        self._unsent: deque[KeptLoss] = deque(maxlen=MAX_KEPT_LOSSES)
         self._leader = ""
 
     def record(self, loss: LostRequest, now_ms: int) -> None:
         """Record a loss that this router observed."""
-        kept = _KeptLoss(loss, now_ms)
+        kept = KeptLoss(loss, now_ms)
         self._kept.append(kept)
         self._unsent.append(kept)
 
--- a/mustardtrack/configuration/cachesharing.py
+++ b/mustardtrack/configuration/cachesharing.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-# Stands for all callers of a configuration that names no accounts.
+# Stands for the callers of a configuration that names no accounts, or whose accounts
+# are not known because an earlier release stored it.
 ANONYMOUS = ""
 # Beyond this number of names a new generation is begun, which needs only the names of
 # the current configuration.
@@ -46,6 +47,8 @@
             sharing: Accounts that share prefixes with each other.
         """
         earlier = set(self.accounts)
+        if not isolated and not sharing:
+            sharing = {ANONYMOUS}
         accounts = earlier | sharing
         is_left = bool(isolated & earlier) or (bool(isolated) and ANONYMOUS in earlier)
         if is_left or len(accounts) > MAX_ACCOUNTS:
--- a/mustardtrack/configuration/documents.py
+++ b/mustardtrack/configuration/documents.py
@@ -13,7 +13,7 @@
     CrashState,
     LostRequest,
 )
-from mustardtrack.configuration.cachesharing import CacheSharing
+from mustardtrack.configuration.cachesharing import ANONYMOUS, CacheSharing
 from mustardtrack.configuration.statemachine import StateMachine
 
 
@@ -105,7 +105,7 @@
     content: bytes
     weights: dict[str, int]
     order_holder: str = ""
-    cache_sharing: CacheSharing = CacheSharing()
+    cache_sharing: CacheSharing = CacheSharing(0, [ANONYMOUS])
     crashes: CrashState = CrashState()
 
 
--- a/mustardtrack/configuration/tests/test_cachesharing.py
+++ b/mustardtrack/configuration/tests/test_cachesharing.py
@@ -117,13 +117,21 @@
     assert sharing.generation > 0
 
 
-def test_snapshot_without_accounts_is_restored():
-    """Guards against a replica that cannot load what an earlier release stored."""
+def test_snapshot_restores_the_accounts():
     store = DocumentStore()
     store.apply(1, PutDocument(1, b"x", [], ["a"]), 0)
     assert DocumentStore.restore(store.snapshot()).cache_sharing.accounts == ["a"]
-    old = b"\x95\x01\x01\xc4\x01x\x80\xa0"
-    assert DocumentStore.restore(old).document.content == b"x"
+
+
+def test_configuration_of_an_earlier_release_may_have_shared_with_every_account():
+    """Guards against accounts that shared before their names were stored."""
+    stored = DocumentStore.restore(b"\x95\x01\x01\xc4\x01x\x80\xa0")
+    assert stored.document.content == b"x"
+    replayed = DocumentStore()
+    replayed.apply(1, PutDocument(1, b"x"), 0)
+    for store in (stored, replayed):
+        store.apply(2, PutDocument(2, b"y", ["a"], ["b"]), 0)
+        assert store.cache_sharing == CacheSharing(1, ["b"])
 
 
 def test_salts_of_different_caches_differ():
--- a/mustardtrack/process/lost_requests.py
+++ b/mustardtrack/process/lost_requests.py
@@ -2,12 +2,10 @@
 
 import asyncio
 from collections import OrderedDict
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from mustardtrack.admission.crashcounts import CRASH_RETENTION_MS, LostRequest
+from mustardtrack.admission.lostrequests import KeptLoss
 from mustardtrack.configuration.documents import RecordLostRequests
 from mustardtrack.logs import define_event, log_event
 
@@ -24,31 +22,19 @@
 MAX_PENDING = 4096
 
 
-@dataclass(frozen=True)
-class _PendingLoss:
-    """Loss whose age is counted from ``received_ms``."""
-
-    loss: LostRequest
-    received_ms: int
-
-    def aged(self, now_ms: int) -> LostRequest:
-        age_ms = self.loss.age_ms + now_ms - self.received_ms
-        return msgspec.structs.replace(self.loss, age_ms=age_ms)
-
-
 class LostRequestRecorder:
     """Commits the losses that routers report, one command at a time."""
 
     def __init__(self, control: "SeededControlProcess"):
         self._control = control
-        self._pending: OrderedDict[tuple[str, str], _PendingLoss] = OrderedDict()
+        self._pending: OrderedDict[tuple[str, str], KeptLoss] = OrderedDict()
         self._has_pending = asyncio.Event()
 
     def add(self, lost: list[LostRequest]) -> None:
         """Accept the report of a router."""
         for loss in lost:
             if not self._control.document_store.crashes.is_recorded(loss):
-                pending = _PendingLoss(loss, self._control.now_ms())
+                pending = KeptLoss(loss, self._control.now_ms())
                 self._pending[loss.fingerprint, loss.attempt] = pending
         while len(self._pending) > MAX_PENDING:
             self._pending.popitem(last=False)
