Give routers their share of retries at the first start of a deployment

Cause: the wait is for what a predecessor may have spent; at the first start there is none. A router of a first start now waits 0.5 s, in which all have reported. The number is also renewed between two replies.

--- a/mustardtrack/admission/tests/test_sharedretries.py
+++ b/mustardtrack/admission/tests/test_sharedretries.py
@@ -43,7 +43,7 @@
     budget: SharedRetryBudget = field(init=False)
 
     def __post_init__(self):
-        self.counts = RouterCounts(self.started_ms, WINDOW_MS)
+        self.counts = RouterCounts(self.started_ms, WINDOW_MS, self.started_ms == 0)
         self.budget = SharedRetryBudget(RATIO, WINDOW_MS, FLOOR)
 
 
@@ -65,7 +65,7 @@
             self.now_ms += STEP_MS
             self._start_and_end()
             for router in self.routers:
-                if self.now_ms % SYNC_MS == 0:
+                if (self.now_ms - router.started_ms) % SYNC_MS == STEP_MS:
                     self._sync(router)
                 if self._rng.random() < requests_per_s * STEP_MS / 1000:
                     router.budget.record_request(self.now_ms)
@@ -153,6 +153,13 @@
     assert retries + 1 >= int(USED_FRACTION * FLOOR)
 
 
+def test_first_start_of_a_deployment_has_its_budget_at_once():
+    """Guards against streams that are not resumed because nothing was sent before."""
+    deployment = Deployment(2)
+    deployment.run(2 * SYNC_MS, requests_per_s=0)
+    assert len(deployment.retries_ms) >= int(USED_FRACTION * FLOOR) - 2
+
+
 def test_share_of_a_router_that_has_left_is_used_again():
     """Guards against a share that is lost for good."""
     deployment = Deployment(2)
--- a/mustardtrack/membership/routercounts.py
+++ b/mustardtrack/membership/routercounts.py
@@ -9,6 +9,9 @@
 
 # Control hosts answer each router at least every 0.4 s.
 REPORT_LIFETIME_MS = 1000
+# At the first start of a deployment, hosts start within 0.3 s of each other. Nothing
+# was spent before, and the second report of each router names all of them.
+FIRST_START_WAIT_MS = 500
 
 
 @dataclass(frozen=True)
@@ -31,6 +34,7 @@
     Args:
         started_ms: Time at which this router started.
         window_ms: Window of the retry budget.
+        is_first_start: Whether the whole deployment starts for the first time.
 
     Examples:
         >>> counts = RouterCounts(started_ms=0, window_ms=10_000)
@@ -40,10 +44,15 @@
         (4, 0, 5)
     """
 
-    def __init__(self, started_ms: int, window_ms: int) -> None:
+    def __init__(
+        self, started_ms: int, window_ms: int, is_first_start: bool = False
+    ) -> None:
         # The predecessor of this router may have used its share until the start, and
         # the others learn of a further router within the lifetime of a report.
-        self._shares_from_ms = started_ms + window_ms + REPORT_LIFETIME_MS
+        wait_ms = window_ms + REPORT_LIFETIME_MS
+        if is_first_start:
+            wait_ms = FIRST_START_WAIT_MS
+        self._shares_from_ms = started_ms + wait_ms
         self._reports: dict[str, tuple[RouterNumbers, int]] = {}
         self._recent = 0
         self.alive = 1
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -124,7 +124,9 @@
             weights_limit=WeightsLimit(settings.bounds.weights_ms),
         )
         self._router_counts = RouterCounts(
-            clock.now_ms(), int(settings.retries.window_s * 1000)
+            clock.now_ms(),
+            int(settings.retries.window_s * 1000),
+            settings.bootstrap,
         )
         self._sync_tasks: dict[str, asyncio.Task[None]] = {}
         self._unreachable: set[str] = set()
@@ -316,6 +318,8 @@
     async def _watch_confirmation(self) -> None:
         while True:
             await asyncio.sleep(CONFIRMATION_CHECK_PERIOD_S)
+            now_ms = self._clock.now_ms()
+            self.view.retry_sharers = self._router_counts.retry_sharers(now_ms)
             confirmed = self.is_confirmed()
             if confirmed != self._was_confirmed:
                 self._was_confirmed = confirmed
--- a/mustardtrack/process/tests/test_control_sync.py
+++ b/mustardtrack/process/tests/test_control_sync.py
@@ -29,6 +29,7 @@
         name="r",
         zone="a",
         bounds=SimpleNamespace(revoke_ms=5000, weights_ms=15_000),
+        bootstrap=False,
         retries=SimpleNamespace(window_s=10.0),
         listen=SimpleNamespace(callers="10.0.0.1:1"),
         timing=SimpleNamespace(sync_hold_ms=0, sync_timeout_ms=500),
