Accept every form of number in settings with seeds

Cause: msgspec converts no fraction and no boolean to an integer, and the template fills keys from a platform whose numbers may be integers, fractions or booleans.

Change: settings/numbers.py brings numbers into the declared type before the validation, for every key of the template, lists and sections included.

--- a/mustardtrack/settings/__init__.py
+++ b/mustardtrack/settings/__init__.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mustardtrack.settings.loader import SettingsError, load_settings
-from mustardtrack.settings.seeded import SeededSettings, split_address
+from mustardtrack.settings.seeded import HostLimits, SeededSettings, split_address
 
 if TYPE_CHECKING:
     from mustardtrack.settings.models import (
@@ -17,6 +17,7 @@
 
 __all__ = [
     "ControlPeer",
+    "HostLimits",
     "Limits",
     "RouterPeer",
     "SeededSettings",
--- a/mustardtrack/settings/seeded.py
+++ b/mustardtrack/settings/seeded.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from mustardtrack.settings.numbers import normalize_numbers
+
 Delay = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
 Milliseconds = Annotated[int, msgspec.Meta(gt=0, le=86_400_000)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
@@ -64,6 +66,11 @@
 
     Attributes:
         list_lag_ms: Greatest age of what the platform's list shows when it is read.
+        allotment_window_s: Window in which the allotments of client accounts are
+            counted, None if accounts have none.
+        allotment_overshoot: Fraction by which an allotment may be exceeded.
+        allotment_slack: Amount by which an allotment may be exceeded in addition, in
+            the unit of the allotments.
     """
 
     grace_s: Seconds = 8.0
@@ -72,6 +79,34 @@
     directory_ttl_s: Seconds = 5.0
     weights_ms: Milliseconds = 15_000
     list_lag_ms: Delay = 1000
+    allotment_window_s: Seconds | None = None
+    allotment_overshoot: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    allotment_slack: Annotated[float, msgspec.Meta(ge=0)] | None = None
+
+
+class HostLimits(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Resources of the host that one process may use, None where they are not known.
+
+    Attributes:
+        memory_mb: Memory in MB (10**6 bytes) above which the process is killed.
+        descriptors: Open files and sockets of the process.
+        link_mbps: Bandwidth of the host's network link in Mbit/s.
+        cpu_share: Fraction of each core that the process may use.
+        cores: Speed of the processor as a multiple of one core.
+    """
+
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    descriptors: Annotated[int, msgspec.Meta(gt=0)] | None = None
+    link_mbps: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    cpu_share: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    cores: Annotated[float, msgspec.Meta(gt=0)] | None = None
+
+    @property
+    def memory_bytes(self) -> int | None:
+        """Memory in bytes."""
+        return None if self.memory_mb is None else int(self.memory_mb * 1_000_000)
 
 
 class SeededTiming(
@@ -100,6 +135,7 @@
         host_list: Address of the platform's list of endpoints.
         metrics_port: Port on which counters and histograms are served.
         tolerated_losses: Simultaneous control host failures to tolerate.
+        limits: Resources of the host that this process may use.
     """
 
     role: Literal["control", "router"]
@@ -116,6 +152,7 @@
     tolerated_losses: Annotated[int, msgspec.Meta(ge=0, le=3)] = 1
     retries: RetryBudgetSettings = RetryBudgetSettings()
     bounds: Bounds = Bounds()
+    limits: HostLimits = HostLimits()
     timing: SeededTiming = SeededTiming()
 
     @property
@@ -139,7 +176,9 @@
         ValueError: If a key is unknown, missing or has a value that is out of
             range or contradicts another; the message names the key.
     """
-    settings = msgspec.convert(data, SeededSettings)
+    settings = msgspec.convert(
+        normalize_numbers(data, SeededSettings), SeededSettings
+    )
     required: dict[str, str | None] = {"listen.callers": settings.listen.callers}
     if settings.role == "control":
         required = {
