Keep the load of an endpoint whose header has further figures

Callers: on a deployment whose endpoints report a fourth figure, neither the leader nor the routers knew running and waiting requests from answers.

Cause: the decoder took exactly three figures and dropped the header otherwise.

Change: the first three figures are decoded whatever follows them. The fourth, the duration of work as a percentage of the usual one, is stored as slowdown in EndpointState; no decision uses it yet.

--- a/mustardtrack/platform/headers.py
+++ b/mustardtrack/platform/headers.py
@@ -87,11 +87,17 @@
 
 @dataclass(frozen=True)
 class ReportedLoad:
-    """Load that an endpoint reports with a response."""
+    """Load that an endpoint reports with a response.
+
+    Attributes:
+        slowdown: Duration of work at this moment as a multiple of the usual one, None
+            if it is missing or malformed.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True)
@@ -265,13 +271,16 @@
 
 
 def _parse_load(value: bytes | None) -> ReportedLoad | None:
-    numbers = [parse_count(item) for item in (value or b"").split(b",")]
-    if len(numbers) != 3:
+    """Return the load in a header, whatever figures follow the known ones."""
+    items = (value or b"").split(b",")
+    numbers = [parse_count(item) for item in items[:3]]
+    if len(numbers) < 3:
         return None
     running, waiting, slots = numbers
     if running is None or waiting is None or not slots:
         return None
-    return ReportedLoad(running, waiting, slots)
+    percent = parse_decimal(items[3]) if len(items) > 3 else None
+    return ReportedLoad(running, waiting, slots, percent / 100 if percent else None)
 
 
 def _parse_keep_alive(value: bytes | None) -> float | None:
--- a/mustardtrack/platform/tests/test_headers.py
+++ b/mustardtrack/platform/tests/test_headers.py
@@ -92,6 +92,41 @@
         assert decode_response_headers([(b"instance-load", value)]).load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "slowdown"),
+    [
+        (b"3,1,8", None),
+        (b"3,1,8,100", 1.0),
+        (b"3, 1, 8, 250", 2.5),
+        (b"3,1,8,62.5", 0.625),
+        (b"3,1,8,250,7", 2.5),
+        (b"3,1,8,250,x,,-", 2.5),
+        (b"3,1,8,", None),
+        (b"3,1,8,x", None),
+        (b"3,1,8,-250", None),
+        (b"3,1,8,0", None),
+    ],
+)
+def test_load_is_known_whatever_figures_follow(value, slowdown):
+    """Guards against a load that is dropped because its header has gained a figure."""
+    load = decode_response_headers([(b"instance-load", value)]).load
+    assert (load.running, load.waiting, load.slots) == (3, 1, 8)
+    assert load.slowdown == slowdown
+
+
+@given(
+    st.integers(0, 10**6),
+    st.integers(0, 10**6),
+    st.integers(1, 10**6),
+    st.lists(st.binary(max_size=30), max_size=6),
+)
+def test_arbitrary_further_figures_leave_the_load(running, waiting, slots, further):
+    value = b",".join([b"%d,%d,%d" % (running, waiting, slots), *further])
+    load = decode_response_headers([(b"instance-load", value)]).load
+    assert (load.running, load.waiting, load.slots) == (running, waiting, slots)
+    assert load.slowdown is None or load.slowdown > 0
+
+
 def test_unset_instructions_are_omitted():
     names = [name for name, _ in encode_instructions(EndpointInstructions("i-1", 500))]
     assert names == [b"expect-instance", b"deadline-ms"]
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -319,8 +319,10 @@
             )
         self._record_notices(head, response)
         if response.load is not None:
-            load = response.load
-            self._endpoint.record_load(load.running, load.waiting, self._clock.now_ms())
+            load, now_ms = response.load, self._clock.now_ms()
+            self._endpoint.record_load(
+                load.running, load.waiting, now_ms, load.slowdown
+            )
 
     def _record_notices(self, head: ResponseHead, response: ResponseMetadata) -> None:
         notices, listed = self._forwarder.notices, self._endpoint.listed
--- a/mustardtrack/routing/endpointstate.py
+++ b/mustardtrack/routing/endpointstate.py
@@ -31,6 +31,8 @@
         running: Requests that the endpoint ran at ``load_reported_ms``, of all routers.
         waiting: Requests that it had queued at ``load_reported_ms``.
         load_reported_ms: Monotonic time of the last load report.
+        slowdown: Duration of work at that time as a multiple of the usual one, None if
+            the endpoint does not report it.
         sent_since_load: Requests of this router sent after ``load_reported_ms``.
         consecutive_failures: Failures to respond since the last response.
         backoff_until_ms: Time before which it gets no requests after failures.
@@ -43,6 +45,7 @@
     running: int = 0
     waiting: int = 0
     load_reported_ms: int = -1_000_000
+    slowdown: float | None = None
     sent_since_load: int = 0
     consecutive_failures: int = 0
     backoff_until_ms: int = 0
@@ -67,10 +70,13 @@
         """Count a request as ended."""
         self.in_flight -= 1
 
-    def record_load(self, running: int, waiting: int, now_ms: int) -> None:
+    def record_load(
+        self, running: int, waiting: int, now_ms: int, slowdown: float | None = None
+    ) -> None:
         """Store the load that a response reports."""
         self.running = running
         self.waiting = waiting
+        self.slowdown = slowdown
         self.load_reported_ms = now_ms
         self.sent_since_load = 0
 
--- a/mustardtrack/settings/seeded.py
+++ b/mustardtrack/settings/seeded.py
@@ -84,9 +84,7 @@
     allotment_slack: Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
-class HostLimits(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
-):
+class HostLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Resources of the host that one process may use, None where they are not known.
 
     Attributes:
@@ -176,9 +174,7 @@
         ValueError: If a key is unknown, missing or has a value that is out of
             range or contradicts another; the message names the key.
     """
-    settings = msgspec.convert(
-        normalize_numbers(data, SeededSettings), SeededSettings
-    )
+    settings = msgspec.convert(normalize_numbers(data, SeededSettings), SeededSettings)
     required: dict[str, str | None] = {"listen.callers": settings.listen.callers}
     if settings.role == "control":
         required = {
