Use the KV cache store of each availability zone

Callers: of several stores in the document only the first was used, by engines of all zones. Two thirds of its transfers crossed zones and took twice as long.

Cause: RouteTable.store() returned the first service with a store address, and the placement table held one content and one link.

Change: routing/kvstores.py holds the content and link of each store. An engine saves to the store of its zone; a prefix that another store holds is copied at the second request of the zone. Of the engines and stores that hold most of a prompt, the one with the shortest transfer is the source.

--- a/mustardtrack/configuration/routes.py
+++ b/mustardtrack/configuration/routes.py
@@ -184,9 +184,10 @@
             return shared_cache(self.cache_generation)
         return own_cache(account.name)
 
-    def store(self) -> Service | None:
-        """Return the external KV cache store, if the deployment has one."""
-        for service in self.services.values():
-            if service.kv_store_address is not None:
-                return service
-        return None
+    def stores(self) -> list[Service]:
+        """Return the external KV cache stores, in the order of the document."""
+        return [
+            service
+            for service in self.services.values()
+            if service.kv_store_address is not None
+        ]
--- a/mustardtrack/platform/tests/test_manifests.py
+++ b/mustardtrack/platform/tests/test_manifests.py
@@ -87,7 +87,7 @@
     table = decode_manifest(encode_manifest())
     assert table.accounts["k2"].name == "t1"
     assert table.isolated_accounts == {table.accounts["k1"].name}
-    assert table.store().kv_store_tokens == 1000
+    assert table.stores()[0].kv_store_tokens == 1000
     assert table.limits.idle_timeout_ms == 15000
 
 
--- a/mustardtrack/process/cache_watch.py
+++ b/mustardtrack/process/cache_watch.py
@@ -1,6 +1,7 @@
-"""Leader tasks that follow the cache events of engines and of the KV store."""
+"""Leader tasks that follow the cache events of engines and of KV stores."""
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mustardtrack.adapters.upstream import (
@@ -8,6 +9,7 @@
     ConnectionBrokenError,
     ConnectionPool,
 )
+from mustardtrack.configuration.routes import Service
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list import CacheEvents
 from mustardtrack.platform.endpoints import (
@@ -58,17 +60,29 @@
 RETRY_DELAY_S = 0.5
 
 
+@dataclass(frozen=True)
+class CacheSource:
+    """Engine or KV store; a store is named by its address."""
+
+    name: str
+    is_store: bool = False
+
+
 class CacheWatch:
-    """Follows the cache events of engines and KV store while this replica is leader."""
+    """Follows the cache events of engines and KV stores while this replica leads.
+
+    Attributes:
+        reachable_stores: Addresses of the KV stores whose events can be read.
+    """
 
     def __init__(self, control: "SeededControlProcess"):
         self._control = control
-        self._source_tasks: dict[str, asyncio.Task[None]] = {}
+        self._source_tasks: dict[CacheSource, asyncio.Task[None]] = {}
         self._snapshot_slots = asyncio.Semaphore(MAX_CONCURRENT_SNAPSHOTS)
-        self.is_kv_store_reachable = False
+        self.reachable_stores: set[str] = set()
 
     async def run(self) -> None:
-        """Start and stop one task for each engine and the KV store until cancelled."""
+        """Start and stop one task for each engine and KV store until cancelled."""
         from twisted.internet import reactor
 
         self._pool = ConnectionPool(reactor)
@@ -80,16 +94,29 @@
             for task in self._source_tasks.values():
                 task.cancel()
 
+    def usable_stores(self) -> list[Service]:
+        """Return the KV stores of the route table whose events can be read."""
+        table = self._control.route_table()
+        return [
+            store
+            for store in (table.stores() if table else [])
+            if store.kv_store_address in self.reachable_stores
+        ]
+
     def _update_sources(self) -> None:
-        wanted: dict[str, str] = {}
+        wanted: dict[CacheSource, str] = {}
         if self._control.is_leader():
             for endpoint in self._control.endpoints().endpoints:
                 if endpoint.weights:
-                    wanted[endpoint.id] = endpoint.address
+                    wanted[CacheSource(endpoint.id)] = endpoint.address
             table = self._control.route_table()
-            kv_store = table.store() if table else None
-            if kv_store is not None and kv_store.kv_store_address is not None:
-                wanted[""] = kv_store.kv_store_address
+            for store in table.stores() if table else []:
+                address = store.kv_store_address or ""
+                wanted[CacheSource(address, is_store=True)] = address
+        self.reachable_stores &= {one.name for one in wanted if one.is_store}
+        stores = self._control.placements.stores
+        self._control.metrics.gauge("stores.avoided_bytes", stores.avoided_bytes)
+        self._control.metrics.gauge("stores.crossed_bytes", stores.crossed_bytes)
         for source in [one for one in self._source_tasks if one not in wanted]:
             self._source_tasks.pop(source).cancel()
         for source, address in wanted.items():
@@ -97,8 +124,8 @@
                 coroutine = self._follow_events(source, address)
                 self._source_tasks[source] = asyncio.ensure_future(coroutine)
 
-    async def _follow_events(self, source: str, address: str) -> None:
-        """Follow the events of an engine, or of the KV store if ``source`` is empty."""
+    async def _follow_events(self, source: CacheSource, address: str) -> None:
+        """Follow the events of an engine or of a KV store."""
         position, epoch, is_unreadable = 0, "", False
         clock = asyncio.get_running_loop().time
         next_resync_s = clock()
@@ -107,16 +134,16 @@
                 events = await self._fetch_events(address, position)
             except UNREADABLE_ERRORS as error:
                 if not is_unreadable:
-                    log_event(EVENTS_UNREADABLE, endpoint=source, error=str(error))
+                    log_event(EVENTS_UNREADABLE, endpoint=source.name, error=str(error))
                 is_unreadable = True
                 self._record_kv_store_state(source, False)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             if is_unreadable:
-                log_event(EVENTS_READABLE, endpoint=source)
+                log_event(EVENTS_READABLE, endpoint=source.name)
                 is_unreadable = False
             if epoch and events.epoch != epoch:
-                log_event(CACHE_RESTARTED, endpoint=source, epoch=events.epoch)
+                log_event(CACHE_RESTARTED, endpoint=source.name, epoch=events.epoch)
                 self._clear_source(source)
             epoch, position = events.epoch, events.following
             self._apply_changes(source, events)
@@ -126,7 +153,7 @@
             self._record_kv_store_state(source, True)
             await asyncio.sleep(BATCH_DELAY_S)
 
-    async def _resync(self, source: str, address: str, position: int) -> int:
+    async def _resync(self, source: CacheSource, address: str, position: int) -> int:
         """Replace the known cache contents, and return the position to continue from.
 
         A new leader misses most events, since engines retain only the newest. If the
@@ -135,13 +162,14 @@
         try:
             snapshot = await self._fetch_snapshot(address)
         except UNREADABLE_ERRORS as error:
-            log_event(CACHE_RESYNC_FAILED, endpoint=source, error=str(error))
+            log_event(CACHE_RESYNC_FAILED, endpoint=source.name, error=str(error))
             return position
-        log_event(CACHE_RESYNCED, endpoint=source, parts=len(snapshot.changes))
-        if source:
-            self._control.placements.replace_cache(source, snapshot.changes)
+        log_event(CACHE_RESYNCED, endpoint=source.name, parts=len(snapshot.changes))
+        placements = self._control.placements
+        if source.is_store:
+            placements.stores.replace(source.name, snapshot.changes)
         else:
-            self._control.placements.replace_store(snapshot.changes)
+            placements.replace_cache(source.name, snapshot.changes)
         return snapshot.following
 
     async def _fetch_snapshot(self, address: str) -> CacheEvents:
@@ -153,21 +181,25 @@
             raise ValueError(f"status {status}")
         return decode_cache_snapshot(body)
 
-    def _record_kv_store_state(self, source: str, is_reachable: bool) -> None:
-        if source == "":
-            self.is_kv_store_reachable = is_reachable
+    def _record_kv_store_state(self, source: CacheSource, is_reachable: bool) -> None:
+        if source.is_store and is_reachable:
+            self.reachable_stores.add(source.name)
+        elif source.is_store:
+            self.reachable_stores.discard(source.name)
 
-    def _clear_source(self, source: str) -> None:
-        if source:
-            self._control.placements.clear_cache(source)
+    def _clear_source(self, source: CacheSource) -> None:
+        placements = self._control.placements
+        if source.is_store:
+            placements.stores.clear(source.name)
         else:
-            self._control.placements.clear_store()
+            placements.clear_cache(source.name)
 
-    def _apply_changes(self, source: str, events: CacheEvents) -> None:
-        if source:
-            self._control.placements.apply_events(source, events.changes)
+    def _apply_changes(self, source: CacheSource, events: CacheEvents) -> None:
+        placements = self._control.placements
+        if source.is_store:
+            placements.stores.apply_events(source.name, events.changes)
         else:
-            self._control.placements.apply_store_events(events.changes)
+            placements.apply_events(source.name, events.changes)
 
     async def _fetch_events(self, address: str, position: int) -> CacheEvents:
         """Return the events after ``position``.
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -409,7 +409,7 @@
                 placement = self.placements.place(
                     request,
                     service,
-                    table.store() if self._cache_watch.is_kv_store_reachable else None,
+                    self._cache_watch.usable_stores(),
                     self.document_store.weights,
                     self.now_ms(),
                 )
--- a/mustardtrack/process/tests/test_cache_watch.py
+++ b/mustardtrack/process/tests/test_cache_watch.py
@@ -9,8 +9,10 @@
 
 import pytest
 
+from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.process import cache_watch
-from mustardtrack.process.cache_watch import CacheWatch
+from mustardtrack.process.cache_watch import CacheSource, CacheWatch
+from mustardtrack.routing.kvstores import KvStores
 
 
 class RecordingPlacements:
@@ -19,6 +21,7 @@
     def __init__(self):
         self.replaced = []
         self.applied = []
+        self.stores = KvStores()
 
     def replace_cache(self, source, held):
         """Record the contents of a cache."""
@@ -34,6 +37,7 @@
 
     def __init__(self):
         self.placements = RecordingPlacements()
+        self.metrics = InMemoryMetrics()
 
 
 class StubPool:
@@ -57,14 +61,17 @@
         return 200, json.dumps(answer).encode()
 
 
-def run_watch(monkeypatch, calls):
+ENGINE = CacheSource("e1")
+
+
+def run_watch(monkeypatch, calls, source=ENGINE):
     monkeypatch.setattr(cache_watch, "BATCH_DELAY_S", 0.0)
     control = StubControl()
     watch = CacheWatch(control)
     watch._pool = StubPool(calls)
 
     async def scenario():
-        task = asyncio.ensure_future(watch._follow_events("e1", "10.0.0.1:1"))
+        task = asyncio.ensure_future(watch._follow_events(source, "10.0.0.1:1"))
         await asyncio.wait([task], timeout=5)
 
     asyncio.run(scenario())
@@ -82,6 +89,15 @@
     assert targets.count(b"/v1/kv-list") == 1
 
 
+def test_contents_of_a_store_are_kept_by_its_address(monkeypatch):
+    """Guards against several stores whose contents are taken for those of one."""
+    source = CacheSource("10.0.0.1:1", is_store=True)
+    placements, _ = run_watch(monkeypatch, 4, source)
+    assert placements.replaced == []
+    assert placements.stores.contents("10.0.0.1:1") == {("s", "d"): 80}
+    assert placements.stores.contents("10.0.0.2:1") == {}
+
+
 class BodyPool:
     """Connection pool whose first answers are unreadable."""
 
@@ -112,9 +128,10 @@
     monkeypatch.setattr(cache_watch, "RETRY_DELAY_S", 0.0)
     watch = CacheWatch(StubControl())
     watch._pool = BodyPool(body)
+    source = CacheSource("e1")
 
     async def scenario():
-        task = asyncio.ensure_future(watch._follow_events("e1", "10.0.0.1:1"))
+        task = asyncio.ensure_future(watch._follow_events(source, "10.0.0.1:1"))
         await asyncio.wait([task], timeout=5)
         assert task.cancelled()
 
@@ -140,7 +157,9 @@
     watch._pool = SlowPool()
 
     async def scenario():
-        resyncs = (watch._resync(f"e{n}", f"10.0.0.{n}:1", 0) for n in range(10))
+        resyncs = (
+            watch._resync(CacheSource(f"e{n}"), f"10.0.0.{n}:1", 0) for n in range(10)
+        )
         assert await asyncio.gather(*resyncs) == [0] * 10
 
     asyncio.run(scenario())
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -12,8 +12,7 @@
 """
 
 import math
-from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from xxhash import xxh3_64_intdigest
@@ -27,20 +26,18 @@
 from mustardtrack.routing.enginestate import (
     URGENCY_LEVELS,
     EngineState,
-    PartKey,
     PartSizes,
     PlacedPrompt,
-    TransferLink,
-    sum_leading_parts,
 )
+from mustardtrack.routing.kvstores import MIN_STORE_TOKENS, KvStores
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.routing.prefillrates import PrefillRates
 from mustardtrack.routing.rendezvous import rank_endpoints
 from mustardtrack.routing.transfers import (
     NO_FETCH_SOURCE,
     FetchSource,
+    choose_source,
     plan_transfer,
-    transfer_ms,
 )
 from mustardtrack.routing.weightslimit import WeightsLimit
 
@@ -53,12 +50,6 @@
 RUNNING_REQUEST_MS = 2.0
 # Cached tokens below which a fetch from an engine costs more than recomputing them.
 MIN_FETCH_TOKENS = 64
-# Shared prefix tokens below which the KV cache store is not used, because its link is
-# shared by all engines.
-MIN_STORE_TOKENS = 1024
-# Longest wait of a save for the store's link. Saves may wait longer than fetches, since
-# a fetch delays a first token.
-MAX_SAVE_WAIT_MS = 600
 # Delay charged for an engine other than the one that rendezvous hashing prefers for a
 # prefix. A new leader then finds prefixes where the previous leader placed them.
 AFFINITY_PENALTY_MS = 40.0
@@ -154,6 +145,7 @@
         notices: What the endpoints announced to the routers.
         rates: Learned prefill rates of the engines.
         answer_times: Learned times of answers.
+        stores: Estimated contents of the KV cache stores.
         weights_limit: Time that is left to begin requests on each weights version.
         winding_down: Engines that are about to load weights when their answers end.
 
@@ -169,10 +161,7 @@
         self.winding_down: frozenset[str] = frozenset()
         self._engines: dict[str, EngineState] = {}
         self._placed: dict[str, PlacedPrompt] = {}
-        self._stored: OrderedDict[PartKey, int] = OrderedDict()
-        self._pending_saves: set[PartKey] = set()
-        self._stored_tokens = 0
-        self._store_link = TransferLink()
+        self.stores = KvStores()
         self.weights_limit = WeightsLimit(weights_limit_ms)
         self._next_expiry_ms = 0
 
@@ -199,7 +188,7 @@
         self,
         request: PlacementRequest,
         service: Service,
-        store: Service | None,
+        stores: Sequence[Service],
         newest_versions: Mapping[str, int],
         now_ms: int,
     ) -> Placement:
@@ -208,13 +197,13 @@
         Args:
             request: Prompt to place.
             service: Service whose engines may run it.
-            store: KV cache store, None if it cannot be used.
+            stores: KV cache stores that can be reached.
             newest_versions: Newest weights version of each model.
             now_ms: Monotonic time.
         """
         self._expire(now_ms)
         self.weights_limit.update(newest_versions, now_ms)
-        context = _PlacementContext(request, service, store, newest_versions, now_ms)
+        context = _PlacementContext(request, service, stores, newest_versions, now_ms)
         usable = self._find_usable(context)
         if not usable:
             return Placement(is_authoritative=self._has_engines(request.service))
@@ -256,7 +245,7 @@
                 if sample is not None:
                     listed = engine.listed
                     self.rates.record(listed.service, listed.id, *sample, now_ms)
-            self._pending_saves.difference_update(prompt.keys)
+            self.stores.end_saves(prompt.keys)
 
     def is_queued(self, request_id: str, now_ms: int) -> bool:
         """Return whether a prompt still waits in the queue of its engine."""
@@ -316,32 +305,12 @@
         if engine is not None:
             engine.replace(((salt, digest), tokens) for salt, digest, tokens in held)
 
-    def replace_store(self, held: Iterable[tuple[str, str, int]]) -> None:
-        """Replace the estimated store content by the content that it lists."""
-        self.clear_store()
-        self.apply_store_events(held)
-
-    def apply_store_events(self, changes: Iterable[tuple[str, str, int]]) -> None:
-        """Apply cache events of the store to its estimated content."""
-        for salt, digest, tokens in changes:
-            key = (salt, digest)
-            self._stored_tokens += tokens - self._stored.pop(key, 0)
-            self._pending_saves.discard(key)
-            if tokens > 0:
-                self._stored[key] = tokens
-
     def clear_cache(self, endpoint_id: str) -> None:
         """Clear the estimated cache of an engine that has restarted."""
         engine = self._engines.get(endpoint_id)
         if engine is not None:
             engine.clear()
 
-    def clear_store(self) -> None:
-        """Clear the estimated content of a store that has restarted empty."""
-        self._stored.clear()
-        self._pending_saves.clear()
-        self._stored_tokens = 0
-
     def outstanding(self, endpoint_id: str) -> int:
         """Return the number of requests on an engine."""
         engine = self._engines.get(endpoint_id)
@@ -485,23 +454,52 @@
         limits = context.service.engine
         if limits is None or context.shared_tokens - cached < MIN_FETCH_TOKENS:
             return NO_FETCH_SOURCE
+        found = self._find_engine_sources(engine, context, version, cached)
+        is_zoned = len(context.stores) > 1
+        if not is_zoned and found:
+            return found[0]
+        found += self.stores.find_sources(
+            context.stores,
+            context.shared(version),
+            cached,
+            limits.kv_bytes_per_token,
+            engine.listed.zone,
+            engine.link,
+            context.now_ms,
+        )
+        return choose_source(found)
+
+    def _find_engine_sources(
+        self,
+        engine: EngineState,
+        context: "_PlacementContext",
+        version: int,
+        cached: int,
+    ) -> list[FetchSource]:
+        """Return the engines to fetch from: the first of each zone distance."""
+        limits = context.service.engine
+        assert limits is not None
+        found: dict[bool, FetchSource] = {}
         for held, other in self._holders(context, version):
             if held < cached + MIN_FETCH_TOKENS:
                 break
-            if other is engine:
+            is_same_zone = other.listed.zone == engine.listed.zone
+            if other is engine or is_same_zone in found:
                 continue
-            found = plan_transfer(
+            source = plan_transfer(
                 other.listed.address,
                 held,
                 (held - cached) * limits.kv_bytes_per_token,
                 limits.link_mbps,
-                other.listed.zone == engine.listed.zone,
+                is_same_zone,
                 (other.link, engine.link),
                 context.now_ms,
             )
-            if found is not None:
-                return found
-        return self._find_in_store(engine, context, version, cached)
+            if source is not None:
+                found[is_same_zone] = source
+                if len(context.stores) <= 1:
+                    break
+        return list(found.values())
 
     def _holders(
         self, context: "_PlacementContext", version: int
@@ -520,30 +518,6 @@
             context.holders[version] = holders
         return holders
 
-    def _find_in_store(
-        self,
-        engine: EngineState,
-        context: "_PlacementContext",
-        version: int,
-        cached: int,
-    ) -> FetchSource:
-        store, limits = context.store, context.service.engine
-        if store is None or limits is None:
-            return NO_FETCH_SOURCE
-        held = self._stored_prefix(context, version)
-        if held < cached + MIN_STORE_TOKENS:
-            return NO_FETCH_SOURCE
-        found = plan_transfer(
-            store.kv_store_address or "",
-            held,
-            (held - cached) * limits.kv_bytes_per_token,
-            store.kv_store_link_mbps,
-            store.kv_store_zone == engine.listed.zone,
-            (self._store_link, engine.link),
-            context.now_ms,
-        )
-        return found or NO_FETCH_SOURCE
-
     def _commit(
         self, context: "_PlacementContext", estimate: "_Estimate", urgency: int
     ) -> Placement:
@@ -568,11 +542,20 @@
         if source.link is not None:
             source.link.add(source.transfer_ms, now_ms)
             engine.link.add(source.transfer_ms, now_ms)
+            self.stores.record_fetch(source, len(context.stores) > 1)
         return Placement(
             endpoint=engine.listed.id,
             fetch_from=source.address
-            or self._find_backup_source(context, estimate.version),
-            save_to=self._plan_save(parts, engine, context),
+            or self.stores.find_backup(
+                context.stores, context.shared(estimate.version), engine.listed.zone
+            ),
+            save_to=self.stores.plan_save(
+                context.stores,
+                parts,
+                limits.kv_bytes_per_token if limits is not None else 0,
+                engine.listed.zone,
+                now_ms,
+            ),
             expected_ms=round(estimate.first_token_ms, 1),
             prefill_tokens=estimate.prefill_tokens,
             urgency=urgency,
@@ -580,56 +563,6 @@
             delay_ms=math.ceil(estimate.delay_ms),
         )
 
-    def _find_backup_source(self, context: "_PlacementContext", version: int) -> str:
-        """Return the address of the store if it holds a long prefix of the prompt.
-
-        Engines evict by rules of their own, so that parts that should be cached may
-        be lost, and a source costs nothing while the engine still holds them.
-        """
-        store = context.store
-        if store is None:
-            return ""
-        held = self._stored_prefix(context, version)
-        return (store.kv_store_address or "") if held >= MIN_STORE_TOKENS else ""
-
-    def _stored_prefix(self, context: "_PlacementContext", version: int) -> int:
-        """Return the tokens of the leading parts that the store can provide."""
-        return sum_leading_parts(
-            context.shared(version), self._stored, self._pending_saves
-        )
-
-    def _plan_save(
-        self,
-        parts: PartSizes,
-        engine: EngineState,
-        context: "_PlacementContext",
-    ) -> str:
-        """Return the store's address if it lacks the prefix and its link has room."""
-        store, limits = context.store, context.service.engine
-        if store is None or limits is None:
-            return ""
-        shared = parts[:-1]
-        if all(key in self._stored for key, _ in shared):
-            for key, _ in shared:
-                self._stored.move_to_end(key)
-            return ""
-        if self._store_link.wait_ms(context.now_ms) > MAX_SAVE_WAIT_MS:
-            return ""
-        size_bytes = sum(size for _, size in parts) * limits.kv_bytes_per_token
-        is_same_zone = store.kv_store_zone == engine.listed.zone
-        duration_ms = transfer_ms(size_bytes, store.kv_store_link_mbps, is_same_zone)
-        self._store_link.add(duration_ms, context.now_ms)
-        for key, size in shared:
-            if key not in self._stored:
-                self._pending_saves.add(key)
-                self._stored[key] = size
-                self._stored_tokens += size
-        while self._stored_tokens > store.kv_store_tokens and self._stored:
-            key, size = self._stored.popitem(last=False)
-            self._pending_saves.discard(key)
-            self._stored_tokens -= size
-        return store.kv_store_address or ""
-
     def _remove(self, request_id: str) -> None:
         prompt = self._placed.pop(request_id, None)
         if prompt is not None and prompt.engine in self._engines:
@@ -664,17 +597,17 @@
         self,
         request: PlacementRequest,
         service: Service,
-        store: Service | None,
+        stores: Sequence[Service],
         newest_versions: Mapping[str, int],
         now_ms: int,
     ):
         self.request = request
         self.service = service
         self.shared_tokens = sum(tokens for _, tokens in request.parts[:-1])
-        # The store's link is reserved for long prefixes.
+        # The links of stores are reserved for long prefixes.
         is_long = self.shared_tokens >= MIN_STORE_TOKENS
-        has_store = store is not None and bool(store.kv_store_address)
-        self.store = store if has_store and is_long else None
+        can_store = is_long and service.engine is not None
+        self.stores = stores if can_store else ()
         self.newest_version = newest_versions.get(request.model, 1)
         self.now_ms = now_ms
         self.slots = service.engine.slots if service.engine is not None else 0
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -60,7 +60,8 @@
 
 
 def place(table, request, now_ms=0, store=None, weights=None):
-    return table.place(request, SERVICE, store, weights or {"m": 1}, now_ms)
+    stores = [store] if store else []
+    return table.place(request, SERVICE, stores, weights or {"m": 1}, now_ms)
 
 
 def test_simultaneous_long_prompts_spread_over_idle_engines():
@@ -85,7 +86,7 @@
     table.record_prefilled(["a"], 0)
     other_requests = [prompt(f"x{n}", f"q{n}") for n in range(6)]
     for request in other_requests:
-        table.place(request, SERVICE, None, {"m": 1}, 0)
+        table.place(request, SERVICE, [], {"m": 1}, 0)
     placements = [place(table, prompt(f"b{n}")) for n in range(4)]
     moved = [one for one in placements if one.endpoint != first]
     # Only the first one fetches; later ones find its parts in the cache.
@@ -299,9 +300,9 @@
 
 def test_store_that_restarted_is_no_source():
     table = make("1")
-    table.apply_store_events([(SALT, "o", 12_750)])
+    table.stores.apply_events(STORE.kv_store_address, [(SALT, "o", 12_750)])
     assert place(table, prompt("a"), store=STORE).fetch_from == "10.0.0.99:1"
-    table.clear_store()
+    table.stores.clear(STORE.kv_store_address)
     assert place(table, prompt("b"), store=STORE).fetch_from == ""
 
 
