Keep time limits on a router that gets the processor late

Cause: limits are kept by timers that begin when a request is read. A router without processor time reads late and notices limits late; nothing measured it.

Change: process/lag_monitor.py measures the delay, admission/schedulinglag.py shortens the time limits of new requests by what goes beyond 250 ms, and a request that has no time left is refused at once (router_busy). The withdrawal of prompts at the limit of their weights comes earlier by the delay, too.

Tests: test_busy_router_ends_requests_within_the_limit_of_their_route (3 kinds), test_request_that_a_busy_router_cannot_answer_in_time_is_refused, test_busy_router_withdraws_a_waiting_prompt_earlier and the table of test_schedulinglag.py; the measured delay did not exist before, so they could not run there. 398 tests of forwarder, lag, documents and logs pass.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -182,7 +182,8 @@
             return False
         version = self._endpoint.listed.weights.get(prompt.model, 0)
         limit, now_ms = self._forwarder.weights_limit, self._clock.now_ms()
-        return limit.left_to_wait_ms(prompt.model, version, now_ms) <= 0
+        left_ms = limit.left_to_wait_ms(prompt.model, version, now_ms)
+        return left_ms <= self._forwarder.lag.value_ms(now_ms)
 
     def _schedule_withdrawal(self, connection: UpstreamConnection) -> None:
         """Schedule the end of the attempt at the time limit of its weights.
@@ -198,6 +199,8 @@
         model = self._admitted.metadata.model
         left_ms = limit.left_to_wait_ms(model, version, now_ms)
         is_limited = not math.isinf(left_ms)
+        # The timer fires as late as this process gets the processor.
+        left_ms = max(0.0, left_ms - self._forwarder.lag.value_ms(now_ms))
         self._withdrawal = asyncio.get_running_loop().call_later(
             (left_ms if is_limited else limit.longest_wait_ms) / 1000,
             self._withdraw if is_limited else self._schedule_withdrawal,
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -15,6 +15,7 @@
 from mustardtrack.adapters.upstream import ConnectionPool, UpstreamConnection
 from mustardtrack.admission.partcrashes import part_name
 from mustardtrack.admission.ratelimits import RateLimits
+from mustardtrack.admission.schedulinglag import SchedulingLag
 from mustardtrack.configuration.routes import Route, RouteAccount, RouteTable, Service
 from mustardtrack.platform.headers import RequestMetadata
 from mustardtrack.ports import Clock
@@ -175,6 +176,7 @@
     limits: RateLimits
     notices: EndpointNotices
     weights_limit: WeightsLimit
+    lag: SchedulingLag
     cache_of: Callable[[RouteAccount | None], str]
 
     @abstractmethod
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -14,8 +14,9 @@
     ENDPOINTS_PAUSED,
     choose_retry_after_s,
 )
+from mustardtrack.admission.schedulinglag import SchedulingLag
 from mustardtrack.admission.sharedretries import SharedRetryBudget
-from mustardtrack.configuration.routes import Route, RouteAccount, RouteTable, Service
+from mustardtrack.configuration.routes import Service
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.platform.endpoints import encode_error
 from mustardtrack.platform.headers import (
@@ -45,6 +46,11 @@
 from mustardtrack.process.control_sync import ControlSync
 from mustardtrack.process.endpoint_choice import EndpointChooser
 from mustardtrack.process.placement_client import PlacementClient
+from mustardtrack.process.request_admission import (
+    MIN_TIME_LEFT_MS,
+    Rejection,
+    RequestAdmission,
+)
 from mustardtrack.requests.connection_reuse import IdleReuseLimit
 from mustardtrack.requests.forwarding import (
     AttemptFailure,
@@ -58,9 +64,7 @@
     ShutdownWindow,
     choose_interrupted_answer,
 )
-from mustardtrack.requests.time_limits import RequestTimeLimit
 from mustardtrack.routing.endpointstate import EndpointState
-from mustardtrack.routing.localplacement import Prompt
 from mustardtrack.routing.placementmessages import Placement
 from mustardtrack.settings import SeededSettings
 
@@ -74,8 +78,6 @@
     8956, "INFO", "attempt withdrawn: the parts of its prompt crash engines"
 )
 
-# An endpoint cannot answer in less time, so the request is not sent.
-MIN_TIME_LEFT_MS = 20
 MAX_ENDPOINTS_TRIED = 4
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 
@@ -112,6 +114,8 @@
         self.weights_limit = control_sync.view.weights_limit
         self.cache_of = control_sync.view.cache_of
         self._rng = rng or random.Random()
+        self.lag = SchedulingLag()
+        self.admission = RequestAdmission(control_sync, self.lag, self._rng)
         self._chooser = EndpointChooser(
             settings, control_sync, pool, clock, placements, self._rng
         )
@@ -147,6 +151,7 @@
     def begin_stop(self, window: ShutdownWindow) -> None:
         """Refuse the requests that cannot end within the window."""
         self._shutdown = window
+        self.admission.begin_stop(window)
 
     def log_refusal_start(self) -> None:
         """Log that the stopping router has begun to refuse requests."""
@@ -162,8 +167,9 @@
         """Handle one caller request."""
         now_ms = self.clock.now_ms()
         metadata = decode_request_headers(exchange.target, exchange.headers)
-        admitted = self._admit(exchange, metadata, now_ms)
-        if admitted is None:
+        admitted = self.admission.admit(exchange, metadata, now_ms)
+        if isinstance(admitted, Rejection):
+            self._reject(exchange, metadata, admitted)
             return
         task = asyncio.current_task()
         assert task is not None
@@ -237,89 +243,6 @@
     def _count_answer(self, status: int, is_cut: bool) -> None:
         self.metrics.count(f"answer.{'cut' if is_cut else status}")
 
-    def _admit(
-        self, exchange: Exchange, metadata: RequestMetadata, now_ms: int
-    ) -> AdmittedRequest | None:
-        table = self._control_sync.view.table
-        if table is None or not self._control_sync.is_confirmed():
-            self._refuse(exchange, metadata, "unconfirmed")
-            return None
-        route = table.match(metadata.host, metadata.path)
-        if route is None:
-            self._reject(exchange, metadata, 404, "no route matches host and path")
-            return None
-        account = None
-        if table.accounts is not None and not route.is_public:
-            account = table.accounts.get(metadata.key) if metadata.key else None
-            if account is None:
-                self._reject(exchange, metadata, 401, "the key is missing or unknown")
-                return None
-        admitted = self._build_request(
-            exchange, metadata, table, route, account, now_ms
-        )
-        if admitted.is_refused(self._control_sync.view.refused):
-            self._refuse(exchange, metadata, CRASHES_ENDPOINTS, route=route.name)
-            return None
-        refusal = self._control_sync.view.parts.find_refused(admitted.part_names)
-        if refusal is not None:
-            self._refuse(
-                exchange,
-                metadata,
-                CRASHING_PARTS,
-                route=route.name,
-                parts=refusal.parts,
-                crashes=refusal.crashes,
-                last_crash_age_ms=refusal.last_crash_age_ms,
-            )
-            return None
-        window = self._shutdown
-        if window is not None and not window.accepts(now_ms, admitted.deadline_ms):
-            left_ms = admitted.deadline_ms - now_ms
-            self._refuse(
-                exchange, metadata, "stopping", route=route.name, left_ms=left_ms
-            )
-            return None
-        return admitted
-
-    def _build_request(
-        self,
-        exchange: Exchange,
-        metadata: RequestMetadata,
-        table: RouteTable,
-        route: Route,
-        account: RouteAccount | None,
-        now_ms: int,
-    ) -> AdmittedRequest:
-        service = table.services[route.choose_service(self._rng)]
-        prompt = None
-        version = 1
-        if service.engine is not None and metadata.model:
-            prefix_parts = metadata.parts[:-1]
-            prompt = Prompt(
-                model=metadata.model,
-                prefix_id=",".join(part.digest for part in prefix_parts),
-                prefix_tokens=sum(part.tokens for part in prefix_parts),
-                tokens=metadata.prompt_tokens,
-            )
-            version = self._control_sync.view.weights.get(metadata.model, 1)
-        rank = route.rank
-        if account is not None and account.rank is not None:
-            rank = account.rank
-        return AdmittedRequest(
-            exchange=exchange,
-            metadata=metadata,
-            table=table,
-            route=route,
-            account=account,
-            service=service,
-            prompt=prompt,
-            received_ms=now_ms,
-            time_limit=RequestTimeLimit.of(route.timeout_ms, metadata.time_left_ms),
-            progress=ForwardedRequest(route),
-            weights_version=version,
-            rank=rank,
-        )
-
     async def _send_with_retries(self, admitted: AdmittedRequest) -> None:
         budget = self._retry_budget(admitted.service.name)
         budget.record_request(admitted.received_ms)
@@ -624,13 +547,14 @@
         metadata: RequestMetadata,
         reason: str,
         pause_ms: int | None = None,
+        status: int = 503,
         **inputs: object,
     ) -> None:
-        """Respond with status 503 and the time after which to retry."""
+        """Respond that the request did not run, and when the caller may return."""
         self.metrics.count(f"refusal.{reason}")
         self._log_end(
             request=decode_id(metadata.request_id),
-            status=503,
+            status=status,
             reason=reason,
             confirmed_age_ms=self._control_sync.view.confirmation_age_ms(
                 self.clock.now_ms()
@@ -640,24 +564,35 @@
         )
         after_s = choose_retry_after_s(reason, pause_ms, self._rng)
         headers = [JSON_CONTENT_TYPE, retry_after_header(after_s)]
-        exchange.respond(503, headers, encode_error(reason))
+        exchange.respond(status, headers, encode_error(reason))
 
     def _reject(
-        self, exchange: Exchange, metadata: RequestMetadata, status: int, reason: str
+        self, exchange: Exchange, metadata: RequestMetadata, rejection: Rejection
     ) -> None:
-        """Respond with a 4xx status, without a time after which to retry."""
-        self.metrics.count(f"refusal.{status}")
+        """Respond to a request that is not admitted."""
+        if rejection.has_retry_after:
+            self._refuse(
+                exchange,
+                metadata,
+                rejection.reason,
+                rejection.pause_ms,
+                rejection.status,
+                **rejection.fields,
+            )
+            return
+        self.metrics.count(f"refusal.{rejection.status}")
         table = self._control_sync.view.table
         self._log_end(
             request=decode_id(metadata.request_id),
-            status=status,
-            reason=reason,
+            status=rejection.status,
+            reason=rejection.reason,
             table_version=table.version if table else None,
             confirmed_age_ms=self._control_sync.view.confirmation_age_ms(
                 self.clock.now_ms()
             ),
         )
-        exchange.respond(status, [JSON_CONTENT_TYPE], encode_error(reason))
+        body = encode_error(rejection.reason)
+        exchange.respond(rejection.status, [JSON_CONTENT_TYPE], body)
 
     def _log_answer(
         self,
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -16,6 +16,7 @@
 from mustardtrack.process.control_api import MAX_DIRECTORY_TTL_S
 from mustardtrack.process.control_sync import ControlSync
 from mustardtrack.process.forwarder import Forwarder
+from mustardtrack.process.lag_monitor import monitor_lag
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import count_events
 from mustardtrack.process.placement_client import PlacementClient
@@ -90,6 +91,9 @@
         if settings.metrics_port is not None:
             serve_metrics(reactor, settings.host, settings.metrics_port, self.metrics)
         self._watch_task = asyncio.ensure_future(self._settings_watch.run())
+        self._lag_task = asyncio.ensure_future(
+            monitor_lag(self._forwarder.lag, self._clock, self.metrics)
+        )
         self._control_sync.start()
         self._placements.start()
 
@@ -135,6 +139,7 @@
         self._readiness_server.stop_listening()
         interrupted.update(await self._wait_until_sent())
         self._watch_task.cancel()
+        self._lag_task.cancel()
         await self._placements.stop()
         await self._control_sync.stop()
         await self._bus.stop()
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -276,10 +276,12 @@
         budget_ms=None,
         leader=None,
         unlist_ms=None,
+        lag_ms=0,
         monkeypatch=None,
         **pool_options,
     ):
         self.unlist_ms = unlist_ms
+        self.lag_ms = lag_ms
         self.scripts = scripts
         self.endpoints = endpoints or list(scripts)
         self.route = build_route(kind, max_attempts)
@@ -329,6 +331,8 @@
         loop = asyncio.get_running_loop()
         self.pool = StandInPool(self.scripts, **self.pool_options)
         handler = self._build_forwarder(loop)
+        for _ in range(2):
+            handler.lag.record(self.lag_ms, 0)
         self.errors = []
         server = HttpServer(handler.handle)
         self.writes = []
@@ -1057,6 +1061,43 @@
     assert run.transport.ended_s <= (named_ms + WEIGHTS_LIMIT_MS) / 1000
 
 
+def test_busy_router_withdraws_a_waiting_prompt_earlier(monkeypatch):
+    """Guards against a prompt that begins too late because a timer fires late."""
+    lag_ms = 400
+    scenario = Scenario(
+        {"e1": [(9000, HEAD + event(1) + END)], "e2": COMPLETE},
+        leader=StandInLeader(place_on_first, is_queued=True),
+        lag_ms=lag_ms,
+        monkeypatch=monkeypatch,
+    )
+    scenario.weights_limit.update({"m": 2}, 1000 - WEIGHTS_LIMIT_MS)
+    scenario.play()
+    assert scenario.run_of("e1").transport.ended_s * 1000 <= 1000 - lag_ms
+
+
+@pytest.mark.parametrize("kind", list(RetrySafety))
+def test_busy_router_ends_requests_within_the_limit_of_their_route(monkeypatch, kind):
+    """Guards against callers that are held past the time limit of their route.
+
+    A router that reads requests and notices limits 1 s late must have answered half a
+    second after the limit, counted from the time at which the request arrived.
+    """
+    lag_ms = 1000
+    scenario = Scenario({"e1": []}, kind=kind, lag_ms=lag_ms, monkeypatch=monkeypatch)
+    scenario.play()
+    answered_ms = scenario.writes[0][0]
+    assert lag_ms + answered_ms + lag_ms <= ROUTE_TIMEOUT_MS + 500
+    assert scenario.status == 504
+
+
+def test_request_that_a_busy_router_cannot_answer_in_time_is_refused(monkeypatch):
+    """Guards against requests that are held although they cannot be served."""
+    scenario = Scenario({"e1": COMPLETE}, lag_ms=7000, monkeypatch=monkeypatch)
+    scenario.play()
+    assert (scenario.status, scenario.pool.runs) == (503, [])
+    assert scenario.lines(8951)[0]["reason"] == "router_busy"
+
+
 def test_engine_past_the_time_limit_of_its_weights_is_not_chosen(monkeypatch):
     """Guards against local choices by a router that cannot ask the leader."""
     scenario = Scenario({"e1": COMPLETE}, monkeypatch=monkeypatch)
