Limit the requests of client accounts to their allotments

Callers: an account that sent several times its allotment was served beyond it at the cost of the others.

Cause: rate, burst and unit of an account were not read.

Change: admission/allotments.py holds a bucket for each account at the leader, which places all prompts, and the share of a router that cannot ask it. Refused with 429, reason `allotment`, and a Retry-After behind those that were refused before.

--- /dev/null
+++ b/mustardtrack/admission/allotments.py
@@ -0,0 +1,313 @@
+"""Allotments of client accounts: rate limits with a burst over all routers.
+
+Load pattern: one account sends several times what it is allotted, through all routers
+at once, while the others stay below. What the account has must be served, nothing may
+be served beyond it, and that must hold while routers start, stop, freeze or are cut
+off and while the leader changes.
+
+The leading control host holds one token bucket for each account. A router that cannot
+ask the leader uses its share of the rate from the moment at which it last heard from
+it; what routers may use in this way is kept back from the bucket of the leader. Usage
+in any window is therefore at most the rate times the window, the burst, and the margin
+by which the deployment lets an allotment be exceeded.
+
+Times are monotonic milliseconds of the process that calls.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from mustardtrack.logs import define_event, log_event
+
+ALLOTMENT_CHANGED = define_event(
+    8823, "INFO", "allotment of a client account has changed"
+)
+ACCOUNT_LIMITED = define_event(
+    8824, "INFO", "client account has used its allotment, requests are refused"
+)
+
+# Parts of the margin: a bucket is larger than the burst by the first one, so that
+# requests which arrive in another order than they were sent are not refused; a new
+# leader begins with the second one, since it does not know what the last one admitted.
+LENIENCY = 0.25
+NEW_LEADER_PART = 0.5
+# Longest time after which a refused caller is told to return.
+MAX_WAIT_MS = 60_000
+# Time between two log lines on the same account.
+LOG_PERIOD_MS = 5000
+# Part of the rate that missing routers may use before it is kept back.
+IGNORED_MISSING = 0.02
+
+
+@dataclass(frozen=True)
+class Allotment:
+    """Rate limit of one account.
+
+    Attributes:
+        rate_per_s: Requests or tokens per second.
+        burst: Requests or tokens beyond the rate.
+        counts_tokens: Whether tokens are counted instead of requests.
+        tokens_without_usage: Tokens of a request that does not state its size.
+
+    Examples:
+        >>> Allotment(100.0, 50.0, True, 200).amount(30, 5)
+        35
+        >>> Allotment(100.0, 50.0, True, 200).amount(0, 0)
+        200
+        >>> Allotment(100.0, 50.0, False, 200).amount(30, 5)
+        1
+    """
+
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool = False
+    tokens_without_usage: int = 0
+
+    def amount(self, prompt_tokens: int, output_tokens: int) -> int:
+        """Return what a request counts.
+
+        Args:
+            prompt_tokens: Stated tokens of the prompt, 0 if it states none.
+            output_tokens: Stated maximum of generated tokens.
+        """
+        if not self.counts_tokens:
+            return 1
+        return prompt_tokens + output_tokens or self.tokens_without_usage
+
+
+@dataclass(frozen=True)
+class AllotmentTerms:
+    """By how much a deployment lets allotments be exceeded.
+
+    Attributes:
+        window_s: Length of the window in which usage is counted.
+        overshoot: Part of the allotment of a window by which it may be exceeded.
+        slack: Amount by which it may be exceeded in addition.
+    """
+
+    window_s: float = 10.0
+    overshoot: float = 0.0
+    slack: float = 0.0
+
+    @classmethod
+    def of(
+        cls, window_s: float | None, overshoot: float | None, slack: float | None
+    ) -> "AllotmentTerms":
+        """Return terms with the defaults for values that are not set."""
+        return cls(window_s or cls.window_s, overshoot or 0.0, slack or 0.0)
+
+    def margin(self, allotment: Allotment) -> float:
+        """Return by how much usage in one window may exceed the allotment."""
+        in_window = allotment.rate_per_s * self.window_s + allotment.burst
+        return self.overshoot * in_window + self.slack
+
+
+@dataclass
+class _Bucket:
+    """Bucket of one account.
+
+    Attributes:
+        level: What may be used now; below 0 after a request larger than the bucket.
+        promised: What refused callers were told to return for.
+    """
+
+    allotment: Allotment
+    capacity: float
+    level: float
+    filled_ms: int
+    promised: float = 0.0
+    logged_ms: int = -LOG_PERIOD_MS
+
+    def fill(self, rate_per_ms: float, now_ms: int) -> None:
+        added = rate_per_ms * max(0, now_ms - self.filled_ms)
+        self.filled_ms = max(now_ms, self.filled_ms)
+        self.level = min(self.capacity, self.level + added)
+        self.promised = max(0.0, self.promised - added)
+
+
+class Allotments:
+    """Buckets of the process that admits for all routers.
+
+    Args:
+        terms: By how much allotments may be exceeded.
+
+    Examples:
+        >>> allotments = Allotments(AllotmentTerms())
+        >>> allotments.update({"hotel": Allotment(1.0, 2.0)}, now_ms=0)
+        >>> allotments.update({"hotel": Allotment(1.0, 2.0)}, now_ms=5000)
+        >>> [allotments.take("hotel", 1, 5000) for _ in range(3)]
+        [0, 0, 1000]
+    """
+
+    def __init__(self, terms: AllotmentTerms) -> None:
+        self._terms = terms
+        self._buckets: dict[str, _Bucket] = {}
+        self._has_adopted = False
+        self._known_part = 1.0
+
+    def update(self, allotments: Mapping[str, Allotment], now_ms: int) -> None:
+        """Adopt the allotments of a configuration.
+
+        A bucket of the first configuration begins with what the margin allows, since
+        another leader may have admitted a burst just before. Other new accounts begin
+        with their burst.
+        """
+        for account in self._buckets.keys() - allotments.keys():
+            del self._buckets[account]
+            log_event(ALLOTMENT_CHANGED, account=account, rate_per_s=None, burst=None)
+        for account, allotment in allotments.items():
+            bucket = self._buckets.get(account)
+            if bucket is not None and bucket.allotment == allotment:
+                continue
+            margin = self._terms.margin(allotment)
+            capacity = allotment.burst + LENIENCY * margin
+            if bucket is None:
+                level = capacity if self._has_adopted else NEW_LEADER_PART * margin
+                bucket = _Bucket(allotment, capacity, min(capacity, level), now_ms)
+                self._buckets[account] = bucket
+            else:
+                self._fill(bucket, now_ms)
+                bucket.allotment, bucket.capacity = allotment, capacity
+                bucket.level = min(bucket.level, capacity)
+            log_event(
+                ALLOTMENT_CHANGED,
+                account=account,
+                rate_per_s=allotment.rate_per_s,
+                burst=allotment.burst,
+            )
+        self._has_adopted = True
+
+    def forget_usage(self, now_ms: int) -> None:
+        """Begin again as a new leader, which does not know what others admitted."""
+        for bucket in self._buckets.values():
+            margin = self._terms.margin(bucket.allotment)
+            bucket.level = min(bucket.capacity, NEW_LEADER_PART * margin)
+            bucket.filled_ms, bucket.promised = now_ms, 0.0
+
+    def record_routers(self, present: int, known: int) -> None:
+        """Keep back the shares of routers that may admit without the leader.
+
+        Args:
+            present: Routers heard from lately.
+            known: These, and those that may still work on their own.
+        """
+        missing = 1 - present / known if known > 0 else 0.0
+        self._known_part = 1 - missing if missing > IGNORED_MISSING else 1.0
+
+    def take(self, account: str, amount: float, now_ms: int) -> int:
+        """Count a request, or return when its caller may return.
+
+        Returns:
+            0 if the request is admitted, otherwise the time in ms after which the
+            allotment has room for it behind the callers that were refused before.
+        """
+        bucket = self._buckets.get(account)
+        if bucket is None or amount <= 0:
+            return 0
+        self._fill(bucket, now_ms)
+        if bucket.level >= min(amount, bucket.capacity):
+            bucket.level -= amount
+            return 0
+        if now_ms - bucket.logged_ms >= LOG_PERIOD_MS:
+            bucket.logged_ms = now_ms
+            log_event(
+                ACCOUNT_LIMITED, account=account, level=bucket.level, amount=amount
+            )
+        missing = min(amount, bucket.capacity) - bucket.level + bucket.promised
+        bucket.promised += amount
+        rate_per_ms = max(1e-9, self._rate_per_ms(bucket))
+        return max(1, min(MAX_WAIT_MS, round(missing / rate_per_ms)))
+
+    def record_usage(self, account: str, amount: float, now_ms: int) -> None:
+        """Count what a router admitted on its own, or give back what did not run.
+
+        Args:
+            account: Account.
+            amount: What was used, negative for what is given back.
+            now_ms: Monotonic time.
+        """
+        bucket = self._buckets.get(account)
+        if bucket is not None:
+            self._fill(bucket, now_ms)
+            bucket.level = min(bucket.capacity, bucket.level - amount)
+
+    def _fill(self, bucket: _Bucket, now_ms: int) -> None:
+        bucket.fill(self._rate_per_ms(bucket), now_ms)
+
+    def _rate_per_ms(self, bucket: _Bucket) -> float:
+        return self._known_part * bucket.allotment.rate_per_s / 1000
+
+
+class AllotmentShare:
+    """Share of a router that cannot ask the process that admits for all.
+
+    The share grows from the moment at which the router last heard from the leader. Two
+    routers that take over requests of one account can therefore not use, in addition,
+    what they did not use while the leader admitted.
+
+    Args:
+        terms: By how much allotments may be exceeded.
+
+    Examples:
+        >>> share = AllotmentShare(AllotmentTerms())
+        >>> hotel = Allotment(10.0, 20.0)
+        >>> share.take("hotel", hotel, 1, routers=2, alone_since_ms=0, now_ms=100)
+        100
+        >>> share.take("hotel", hotel, 1, routers=2, alone_since_ms=0, now_ms=200)
+        0
+    """
+
+    def __init__(self, terms: AllotmentTerms) -> None:
+        self._terms = terms
+        self._alone_since_ms = -1
+        self._used: dict[str, float] = {}
+        self._unreported: dict[str, float] = {}
+
+    def take(
+        self,
+        account: str,
+        allotment: Allotment,
+        amount: float,
+        routers: int,
+        alone_since_ms: int,
+        now_ms: int,
+    ) -> int:
+        """Count a request, or return when its caller may return.
+
+        Args:
+            account: Account of the request.
+            allotment: Its allotment.
+            amount: What the request counts.
+            routers: Routers that share the allotment.
+            alone_since_ms: Time at which this router last heard from the leader.
+            now_ms: Monotonic time.
+
+        Returns:
+            0 if the request is admitted, otherwise a time in ms.
+        """
+        if alone_since_ms != self._alone_since_ms:
+            self._alone_since_ms = alone_since_ms
+            self._used.clear()
+        rate_per_ms = allotment.rate_per_s / 1000 / max(1, routers)
+        earned = rate_per_ms * max(0, now_ms - alone_since_ms)
+        used = self._used.get(account, 0.0)
+        # What was not used for a whole window may not be used in the next one.
+        at_most = rate_per_ms * self._terms.window_s * 1000
+        if earned - used > at_most:
+            used = earned - at_most
+        if earned - used < min(amount, at_most):
+            missing = min(amount, at_most) - (earned - used)
+            wait_ms = missing / max(1e-9, rate_per_ms)
+            return max(1, min(MAX_WAIT_MS, round(wait_ms)))
+        self._used[account] = used + amount
+        self.record(account, amount)
+        return 0
+
+    def record(self, account: str, amount: float) -> None:
+        """Note usage for the leader, negative for a request that did not run."""
+        self._unreported[account] = self._unreported.get(account, 0.0) + amount
+
+    def take_report(self) -> dict[str, float]:
+        """Return the usage since the last report."""
+        report, self._unreported = self._unreported, {}
+        return report
--- /dev/null
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -0,0 +1,254 @@
+"""Guards against accounts that get more, or less, than their allotment.
+
+Load pattern: one account sends several times its allotment through all routers, while
+routers are cut off, freeze or restart and the leader changes.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mustardtrack.admission.allotments import (
+    Allotment,
+    Allotments,
+    AllotmentShare,
+    AllotmentTerms,
+)
+
+TERMS = AllotmentTerms(window_s=8.0, overshoot=0.1, slack=100.0)
+HOTEL = Allotment(rate_per_s=100.0, burst=100.0)
+STEP_MS = 20
+# A router reports to the leader at least this often.
+REPORT_MS = 400
+# Time for which a router serves that no leader has confirmed.
+SERVES_ALONE_MS = 4250
+
+
+@dataclass
+class SimulatedRouter:
+    """Router with its contact to the leader."""
+
+    share: AllotmentShare = field(default_factory=lambda: AllotmentShare(TERMS))
+    heard_ms: int = 0
+    cut_until_ms: int = 0
+    restarted_ms: int = -1
+
+
+@dataclass
+class Deployment:
+    """Routers and a leader that count the requests of one account."""
+
+    routers: int = 8
+    allotment: Allotment = HOTEL
+    counts_routers: bool = True
+    new_leader_forgets: bool = True
+    now_ms: int = 0
+    leader_down_until_ms: int = 0
+    used: list = field(default_factory=list)
+    asked: float = 0.0
+
+    def __post_init__(self):
+        self.leader = Allotments(TERMS)
+        self.leader.update({"hotel": self.allotment}, 0)
+        self.members = [SimulatedRouter() for _ in range(self.routers)]
+
+    def lose_leader(self, for_ms):
+        """Replace the leader by one that knows nothing of the usage."""
+        self.leader_down_until_ms = self.now_ms + for_ms
+        if self.new_leader_forgets:
+            self.leader.forget_usage(self.leader_down_until_ms)
+        else:
+            self.leader.record_usage("hotel", -1e9, self.leader_down_until_ms)
+
+    def is_led(self):
+        """Return whether a leader answers."""
+        return self.now_ms >= self.leader_down_until_ms
+
+    def run(self, for_ms, per_s, rng, busy=None, on_step=None):
+        """Send requests through random routers, or through the first ``busy``."""
+        due = 0.0
+        for _ in range(for_ms // STEP_MS):
+            self.now_ms += STEP_MS
+            if on_step is not None:
+                on_step()
+            self._sync()
+            due += per_s * STEP_MS / 1000
+            while due >= 1:
+                due -= 1
+                self.asked += 1
+                router = rng.choice(self.members[:busy])
+                self._send(router)
+
+    def _sync(self):
+        for router in self.members:
+            if self.is_led() and self.now_ms >= router.cut_until_ms:
+                if self.now_ms - router.heard_ms >= REPORT_MS:
+                    router.heard_ms = self.now_ms
+                for account, amount in router.share.take_report().items():
+                    self.leader.record_usage(account, amount, self.now_ms)
+
+    def _send(self, router):
+        now_ms = self.now_ms
+        if self.is_led() and now_ms >= router.cut_until_ms:
+            if self.counts_routers:
+                present = sum(now_ms - one.heard_ms < 1000 for one in self.members)
+                known = sum(now_ms - one.heard_ms < 5000 for one in self.members)
+                self.leader.record_routers(present, known)
+            wait_ms = self.leader.take("hotel", 1, now_ms)
+        elif now_ms - router.heard_ms > SERVES_ALONE_MS:
+            return
+        else:
+            wait_ms = router.share.take(
+                "hotel", self.allotment, 1, self.routers, router.heard_ms, now_ms
+            )
+        if not wait_ms:
+            self.used.append(now_ms)
+
+    def most_in_a_window(self):
+        """Return the largest usage in any window."""
+        most = begin = 0
+        for end, used_ms in enumerate(self.used):
+            while used_ms - self.used[begin] >= TERMS.window_s * 1000:
+                begin += 1
+            most = max(most, end - begin + 1)
+        return most
+
+
+def allowed(allotment=HOTEL):
+    in_window = allotment.rate_per_s * TERMS.window_s + allotment.burst
+    return in_window * (1 + TERMS.overshoot) + TERMS.slack
+
+
+def play(history, seed, busy=(None, None, 1, 3), **options):
+    """Play a history of failures while the account sends four times its rate."""
+    deployment, rng = Deployment(**options), random.Random(seed)
+    for kind, part, for_ms in history:
+        members = deployment.members[: max(1, part * deployment.routers // 4)]
+        if kind == "leader":
+            deployment.lose_leader(for_ms)
+        elif kind == "cut":
+            for router in members:
+                router.cut_until_ms = deployment.now_ms + for_ms
+        elif kind == "restart":
+            for router in members:
+                router.share = AllotmentShare(TERMS)
+                router.heard_ms = deployment.now_ms
+        deployment.run(for_ms, 400, rng, busy=rng.choice(busy))
+    return deployment
+
+
+HISTORIES = st.lists(
+    st.tuples(
+        st.sampled_from(["calm", "leader", "cut", "restart"]),
+        st.integers(0, 4),
+        st.sampled_from([200, 1000, 3000, 5000]),
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+@settings(max_examples=60)
+@given(HISTORIES, st.integers(0, 2**32))
+def test_usage_stays_within_the_allotment(history, seed):
+    assert play(history, seed).most_in_a_window() <= allowed()
+
+
+def test_check_of_the_usage_can_fail_with_a_new_leader():
+    """Each leader begins with a full bucket, as if nothing had been used."""
+    history = [("leader", 0, 200), ("calm", 0, 1000)] * 6
+    deployment = play(history, 1, new_leader_forgets=False)
+    assert deployment.most_in_a_window() > allowed()
+
+
+def test_check_of_the_usage_can_fail_with_routers_that_are_cut_off():
+    """The leader gives the whole rate while most routers use their shares."""
+    history = [("cut", 3, 4000), ("calm", 0, 600)] * 3
+    deployment = play(history, 1, busy=[None], counts_routers=False)
+    assert deployment.most_in_a_window() > allowed()
+
+
+@settings(max_examples=20)
+@given(st.integers(1, 12), st.integers(1, 4), st.integers(0, 2**32))
+def test_allotment_is_served_while_all_are_in_touch(routers, busy, seed):
+    """At least nine tenths, also through a few of the routers."""
+    deployment = Deployment(routers=routers)
+    deployment.run(20_000, 300, random.Random(seed), busy=busy)
+    assert len(deployment.used) >= 0.9 * (HOTEL.rate_per_s * 20 + HOTEL.burst)
+
+
+def test_check_of_the_service_can_fail():
+    deployment = Deployment(routers=8)
+    deployment.members[0].cut_until_ms = 10**9
+    deployment.run(20_000, 300, random.Random(1), busy=1)
+    assert len(deployment.used) < 0.9 * (HOTEL.rate_per_s * 20 + HOTEL.burst)
+
+
+def test_account_below_its_allotment_is_never_refused():
+    deployment = Deployment()
+    deployment.run(30_000, 90, random.Random(3))
+    # A new leader begins with a part of the burst.
+    assert len(deployment.used) == deployment.asked
+
+
+def test_rate_that_missing_routers_do_not_use_flows_back():
+    """Guards against a rate that stays low after routers have gone."""
+    deployment, rng = Deployment(), random.Random(5)
+    for router in deployment.members[4:]:
+        router.cut_until_ms = 10**9
+    deployment.run(8000, 300, rng, busy=4)
+    before = len(deployment.used)
+    deployment.run(10_000, 300, rng, busy=4)
+    assert len(deployment.used) - before >= 0.9 * HOTEL.rate_per_s * 10
+
+
+def test_lower_limit_binds_and_a_removed_one_ends():
+    allotments = Allotments(TERMS)
+    allotments.update({"hotel": Allotment(100.0, 1000.0)}, 0)
+    allotments.update({"hotel": Allotment(10.0, 10.0)}, 20_000)
+    admitted = sum(not allotments.take("hotel", 1, 20_000) for _ in range(1000))
+    assert admitted <= 10 + TERMS.margin(Allotment(10.0, 10.0))
+    assert allotments.take("hotel", 1, 20_000) > 0
+    allotments.update({}, 20_000)
+    assert allotments.take("hotel", 10**9, 20_000) == 0
+
+
+def test_account_added_later_has_its_burst_at_once():
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"a": HOTEL}, 0)
+    allotments.update({"a": HOTEL, "b": HOTEL}, 1000)
+    assert allotments.take("b", 100, 1000) == 0
+
+
+def test_refused_callers_are_told_to_return_one_after_the_other():
+    """Guards against callers that all return into the same room."""
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"hotel": HOTEL}, 0)
+    waits = [allotments.take("hotel", 50, 0) for _ in range(4)]
+    assert waits == [500, 1000, 1500, 2000]
+
+
+def test_request_larger_than_the_burst_is_admitted_and_paid_for():
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"hotel": HOTEL}, 0)
+    assert allotments.take("hotel", 1000, 10_000) == 0
+    assert allotments.take("hotel", 1, 15_000) > 0
+    assert allotments.take("hotel", 1, 20_000) == 0
+
+
+def test_request_that_did_not_run_is_given_back():
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"hotel": HOTEL}, 0)
+    assert allotments.take("hotel", 100, 10_000) == 0
+    allotments.record_usage("hotel", -100, 10_000)
+    assert allotments.take("hotel", 100, 10_000) == 0
+
+
+def test_wait_of_a_share_is_until_it_has_grown():
+    share = AllotmentShare(TERMS)
+    wait_ms = share.take("hotel", HOTEL, 5, 10, 0, 100)
+    assert share.take("hotel", HOTEL, 5, 10, 0, 100 + wait_ms) == 0
+    assert share.take_report() == {"hotel": 5}
+    assert share.take_report() == {}
--- a/mustardtrack/configuration/routes.py
+++ b/mustardtrack/configuration/routes.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from random import Random
 
+from mustardtrack.admission.allotments import Allotment
 from mustardtrack.configuration.cachesharing import ANONYMOUS
 from mustardtrack.routing.cachesalts import own_cache, shared_cache
 
@@ -122,10 +123,12 @@
 
     Attributes:
         rank: Priority class of all its requests, None to use the route's.
+        allotment: Rate limit over all routers, None if there is none.
     """
 
     name: str
     rank: int | None = None
+    allotment: Allotment | None = None
 
 
 @dataclass(frozen=True)
@@ -148,6 +151,7 @@
         isolated_accounts: Names of the accounts that share no cached prefixes.
         sharing_accounts: Names of the accounts that share them with each other.
         cache_generation: Generation of the cache that they share.
+        allotments: Allotments by the name of their account.
     """
 
     version: int
@@ -158,6 +162,7 @@
     isolated_accounts: frozenset[str] = frozenset()
     sharing_accounts: frozenset[str] = frozenset({ANONYMOUS})
     cache_generation: int = 0
+    allotments: Mapping[str, Allotment] = field(default_factory=dict)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix.
--- a/mustardtrack/membership/directory.py
+++ b/mustardtrack/membership/directory.py
@@ -71,6 +71,10 @@
         is_complete = now_ms >= self._complete_from_ms
         return RouterNumbers(alive, len(self._entries) if is_complete else 0)
 
+    def count_seen(self, since_ms: int) -> int:
+        """Return the number of routers that reported after a time."""
+        return sum(entry.seen_ms > since_ms for entry in self._entries.values())
+
     def choose(self, zone: str, now_ms: int) -> list[str]:
         """Return the addresses for a caller.
 
--- a/mustardtrack/platform/manifests.py
+++ b/mustardtrack/platform/manifests.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from typing import Any
 
+from mustardtrack.admission.allotments import Allotment
 from mustardtrack.configuration.routes import (
     CallerLimits,
     EngineLimits,
@@ -63,6 +64,12 @@
     )
     if table.accounts is None:
         return table
+    allotments = {
+        account.name: account.allotment
+        for account in table.accounts.values()
+        if account.allotment is not None
+    }
+    table = replace(table, allotments=allotments)
     isolated, sharing = _decode_isolation(data)
     return replace(table, isolated_accounts=isolated, sharing_accounts=sharing)
 
@@ -189,6 +196,7 @@
         account = RouteAccount(
             name=_require_account_name(item),
             rank=None if rank is None else int(_decode_number(item, "priority")),
+            allotment=_decode_allotment(item),
         )
         keys = [] if item.get("api-keys") is None else item["api-keys"]
         if not isinstance(keys, list):
@@ -205,6 +213,18 @@
     return accounts
 
 
+def _decode_allotment(item: dict[str, Any]) -> Allotment | None:
+    rate_per_s = _decode_number(item, "rate-per-s")
+    if not rate_per_s:
+        return None
+    return Allotment(
+        rate_per_s=float(rate_per_s),
+        burst=float(_decode_number(item, "burst")),
+        counts_tokens=item.get("unit") == "tokens",
+        tokens_without_usage=int(_decode_number(item, "uncached-tokens")),
+    )
+
+
 def _decode_isolation(data: dict[str, Any]) -> tuple[frozenset[str], frozenset[str]]:
     """Return the accounts that share no cached prefixes, and the others.
 
--- a/mustardtrack/platform/tests/test_manifests.py
+++ b/mustardtrack/platform/tests/test_manifests.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from mustardtrack.admission.allotments import Allotment
 from mustardtrack.platform.manifests import ManifestError, decode_manifest
 
 MANIFEST = {
@@ -146,3 +147,29 @@
         decode_manifest(encode_manifest_with_route(**{key: value}))
     except ManifestError:
         pass
+
+
+def test_allotments_of_accounts_are_decoded():
+    """Guards against accounts whose limits are not known."""
+    tenants = [
+        {"name": "a", "api-keys": ["k1"], "rate-per-s": 335613, "burst": 5.5}
+        | {"unit": "tokens", "uncached-tokens": 200},
+        {"name": "b", "api-keys": ["k2"], "rate-per-s": 2.5},
+        {"name": "c", "api-keys": ["k3"], "rate-per-s": 0, "burst": 9},
+        {"name": "d", "api-keys": ["k4"]},
+    ]
+    table = decode_manifest(json.dumps({**MANIFEST, "tenants": tenants}).encode())
+    assert table.allotments == {
+        "a": Allotment(335_613.0, 5.5, True, 200),
+        "b": Allotment(2.5, 0.0),
+    }
+    assert table.accounts["k1"].allotment.amount(1000, 24) == 1024
+    assert table.accounts["k2"].allotment.amount(1000, 24) == 1
+    assert table.accounts["k3"].allotment is None
+
+
+@pytest.mark.parametrize("value", ["5", -1, True, [1]])
+def test_bad_rate_of_an_account_is_refused(value):
+    tenants = [{"name": "a", "api-keys": ["k"], "rate-per-s": value}]
+    with pytest.raises(ManifestError, match="rate-per-s"):
+        decode_manifest(json.dumps({**MANIFEST, "tenants": tenants}).encode())
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -115,6 +115,8 @@
     ``parts`` reports lost and answered prompts, ``limits`` the limits of endpoints that
     were observed, and ``leaving`` the endpoints that announced that they leave.
     ``lost_requests`` are those whose endpoint closed the connection while it ran them.
+    ``allotment_usage`` is what the router counted itself against the allotment of each
+    account, negative for requests that did not run.
     """
 
     prefilled: list[str]
@@ -126,3 +128,4 @@
     limits: dict[str, Observation] = {}
     leaving: list[Incarnation] = []
     lost_requests: list[LostRequest] = []
+    allotment_usage: dict[str, float] = {}
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -43,6 +43,9 @@
         weights_version: Newest weights version of its model.
         rank: Priority class; the rank of the account overrides that of the route.
         connection: Connection of the current attempt, None if none has begun.
+        allotment_amount: What it counts against the allotment of its account, 0 if the
+            account has none.
+        is_counted: Whether it was counted.
     """
 
     exchange: Exchange
@@ -58,6 +61,8 @@
     weights_version: int
     rank: int
     connection: UpstreamConnection | None = None
+    allotment_amount: int = 0
+    is_counted: bool = False
 
     @property
     def request_id(self) -> str:
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -60,6 +60,7 @@
         retry_sharers: Routers with a share of the extra retries, 0 if this router has
             none.
         leader: Name of the control group's leader, as last reported.
+        leader_heard_ms: Time of the last reply of a confirmed leader.
         refused: Fingerprints of requests that crash the endpoints that run them.
         parts: Prompt parts that crash the engines that begin to answer them.
         limits: Limits that endpoints have named.
@@ -76,6 +77,7 @@
     router_count: int = 1
     retry_sharers: int = 0
     leader: str = ""
+    leader_heard_ms: int = 0
     refused: frozenset[str] = frozenset()
     parts: PartWatch = field(default_factory=PartWatch)
     limits: RateLimits = field(default_factory=lambda: RateLimits(""))
@@ -255,6 +257,7 @@
             view.leader = reply.leader
         if name == view.leader:
             if reply.is_confirmed:
+                view.leader_heard_ms = max(view.leader_heard_ms, sent_ms)
                 self._adopt_refused(name, reply)
             if reply.crash_evidence is not None:
                 view.parts.receive(reply.crash_evidence, self._clock.now_ms())
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -170,6 +170,7 @@
         self, admitted: AdmittedRequest, tried: list[str]
     ) -> PlacementRequest:
         metadata = admitted.metadata
+        amount = 0 if admitted.is_counted else admitted.allotment_amount
         return PlacementRequest(
             request_id=admitted.request_id,
             service=admitted.service.name,
@@ -184,6 +185,8 @@
             zone=self._settings.zone,
             tried=tried,
             router=self._settings.name,
+            account=admitted.account.name if amount and admitted.account else "",
+            amount=amount,
         )
 
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -25,6 +25,11 @@
     retry_after_header,
 )
 from mustardtrack.ports import Clock
+from mustardtrack.process.allotment_client import (
+    OVER_ALLOTMENT,
+    OVER_ALLOTMENT_STATUS,
+    AllotmentClient,
+)
 from mustardtrack.process.attempt import (
     CONNECT_TIMEOUT_MS,
     Attempt,
@@ -119,6 +124,9 @@
         self._chooser = EndpointChooser(
             settings, control_sync, pool, clock, placements, self._rng
         )
+        self._allotments = AllotmentClient(
+            settings.bounds, control_sync, placements, clock
+        )
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
         # References protect the tasks from garbage collection.
         self._discarded: set[asyncio.Future[PlannedAttempt | RetryObstacle]] = set()
@@ -220,6 +228,7 @@
         answer = choose_interrupted_answer(may_have_run, exchange.is_started)
         if answer is InterruptedAnswer.REFUSE:
             progress.require_not_run()
+            self._allotments.give_back(admitted)
             self._refuse(exchange, admitted.metadata, "stopping", **fields)
             return
         if answer is InterruptedAnswer.RESET:
@@ -336,6 +345,9 @@
         endpoint, placement = await self._choose_untried(admitted, progress)
         if placement is not None and placement.exceeds_caller_timeout:
             return NoAttempt("hopeless", placement.expected_ms)
+        over_allotment = await self._allotments.count(admitted, placement)
+        if over_allotment is not None:
+            return over_allotment
         endpoint = await self._wait_for_limit(admitted, endpoint, placement)
         now_ms = self.clock.now_ms()
         budget = self._retry_budget(admitted.service.name)
@@ -497,13 +509,17 @@
         """Refuse or fail a request, or cut its response if that has begun."""
         exchange = admitted.exchange
         left_ms = admitted.deadline_ms - self.clock.now_ms()
+        if step is NextStep.REFUSE:
+            self._allotments.give_back(admitted)
         if step is NextStep.REFUSE and not exchange.is_disconnected:
             progress.require_not_run()
+            is_over = obstacle.reason == OVER_ALLOTMENT
             self._refuse(
                 exchange,
                 admitted.metadata,
                 obstacle.reason,
                 pause_ms=obstacle.pause_ms,
+                status=OVER_ALLOTMENT_STATUS if is_over else 503,
                 route=admitted.route.name,
                 sends=progress.sends,
                 expected_ms=obstacle.expected_ms,
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -37,7 +37,11 @@
 
 
 class PlacementClient:
-    """Requests placements and reports the progress of placed prompts."""
+    """Requests placements and reports the progress of placed prompts.
+
+    Attributes:
+        take_allotment_usage: Returns the usage of allotments that is not reported yet.
+    """
 
     def __init__(
         self,
@@ -57,6 +61,7 @@
         self._unresponsive: set[str] = set()
         self._lost_requests = LostRequestReports()
         self._not_run: list[str] = []
+        self.take_allotment_usage: Callable[[], dict[str, float]] = dict
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -71,15 +76,12 @@
 
     async def request_placement(self, request: PlacementRequest) -> Placement | None:
         """Return the placement of a prompt, None if the router must place it."""
-        leader = self._control_sync.view.leader
-        loop = asyncio.get_running_loop()
-        if not leader or not request.request_id or loop.time() < self._paused_until_s:
+        if not request.request_id or not self._may_ask():
             self._metrics.count("placement.local")
             return None
         body = msgspec.msgpack.encode(request)
-        answer = await self._request_leader(leader, "place", body, request.request_id)
+        answer = await self.ask_leader("place", body, request.request_id)
         if answer is None:
-            self._paused_until_s = loop.time() + LEADER_PAUSE_S
             return None
         placement = msgspec.msgpack.decode(answer, type=Placement)
         if placement.exceeds_caller_timeout:
@@ -94,6 +96,26 @@
         self._placed.add(request.request_id)
         return placement
 
+    def _may_ask(self) -> bool:
+        is_paused = asyncio.get_running_loop().time() < self._paused_until_s
+        return bool(self._control_sync.view.leader) and not is_paused
+
+    async def ask_leader(
+        self, topic: str, body: bytes, request_id: str
+    ) -> bytes | None:
+        """Return the answer of the leader, None if it does not answer in time.
+
+        After a time-out, the leader is not asked for some time.
+        """
+        if not self._may_ask():
+            return None
+        leader = self._control_sync.view.leader
+        answer = await self._request_leader(leader, topic, body, request_id)
+        if answer is None:
+            loop = asyncio.get_running_loop()
+            self._paused_until_s = loop.time() + LEADER_PAUSE_S
+        return answer
+
     async def is_queued(self, request_id: str) -> bool:
         """Return whether a placed prompt is still queued at its engine.
 
@@ -163,7 +185,9 @@
             await asyncio.sleep(PROGRESS_PERIOD_S)
             leader = view.leader
             parts, limits, leaving, lost = PartReport(), {}, [], []
+            usage: dict[str, float] = {}
             if leader:
+                usage = self.take_allotment_usage()
                 lost = self._lost_requests.take_report(leader, self._clock.now_ms())
                 notices = view.endpoints.notices
                 if leader != told_leader:
@@ -183,6 +207,7 @@
                 limits,
                 leaving,
                 lost,
+                usage,
             )
             if progress == EMPTY_PROGRESS:
                 continue
--- /dev/null
+++ b/mustardtrack/process/placement_service.py
@@ -0,0 +1,120 @@
+"""Messages with which routers ask the leader for places and allotments."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from mustardtrack.admission.allotments import Allotments, AllotmentTerms
+from mustardtrack.configuration.routes import RouteTable
+from mustardtrack.ports.sync_messages import PromptProgress
+from mustardtrack.routing.placementmessages import (
+    AllotmentRequest,
+    Placement,
+    PlacementRequest,
+)
+from mustardtrack.settings.seeded import Bounds
+
+if TYPE_CHECKING:
+    from mustardtrack.process.seeded_control import SeededControlProcess
+
+# Answer to a request for an allotment by a host that does not lead.
+NOT_LEADER = -1
+# A router that was heard from within this time asks the leader. Routers report every
+# 0.4 s.
+PRESENT_MS = 1000
+# A router without a leader serves for this part of ``revoke_ms`` (see
+# ``process.control_sync``) and is counted for the whole.
+
+
+class PlacementService:
+    """Places prompts and counts allotments while this control host leads."""
+
+    def __init__(self, control: "SeededControlProcess", bounds: Bounds):
+        self._control = control
+        self._bounds = bounds
+        self._table: RouteTable | None = None
+        self._term = -1
+        self.allotments = Allotments(
+            AllotmentTerms.of(
+                bounds.allotment_window_s,
+                bounds.allotment_overshoot,
+                bounds.allotment_slack,
+            )
+        )
+
+    async def place(self, sender: str, body: bytes) -> bytes:
+        """Answer a placement request."""
+        request = msgspec.msgpack.decode(body, type=PlacementRequest)
+        control = self._control
+        table = control.route_table()
+        if not control.is_leader() or table is None:
+            return msgspec.msgpack.encode(Placement())
+        service = table.services.get(request.service)
+        if service is None:
+            return msgspec.msgpack.encode(Placement())
+        now_ms = control.now_ms()
+        wait_ms = self._take(table, request.account, request.amount, now_ms)
+        if wait_ms:
+            refusal = Placement(is_authoritative=True, allotment_wait_ms=wait_ms)
+            return msgspec.msgpack.encode(refusal)
+        placement = control.placements.place(
+            request,
+            service,
+            control.usable_stores(),
+            control.document_store.weights,
+            now_ms,
+        )
+        if not placement.endpoint and request.amount:
+            self.allotments.record_usage(request.account, -request.amount, now_ms)
+        return msgspec.msgpack.encode(placement)
+
+    async def allot(self, sender: str, body: bytes) -> bytes:
+        """Answer a request to count a request that is not placed."""
+        request = msgspec.msgpack.decode(body, type=AllotmentRequest)
+        table = self._control.route_table()
+        wait_ms = NOT_LEADER
+        if self._control.is_leader() and table is not None:
+            now_ms = self._control.now_ms()
+            wait_ms = self._take(table, request.account, request.amount, now_ms)
+        return msgspec.msgpack.encode(wait_ms)
+
+    async def is_queued(self, sender: str, body: bytes) -> bytes:
+        """Answer whether a prompt is still queued at its engine."""
+        request_id = msgspec.msgpack.decode(body, type=str)
+        control = self._control
+        is_queued = control.is_leader() and control.placements.is_queued(
+            request_id, control.now_ms()
+        )
+        return msgspec.msgpack.encode(is_queued)
+
+    def record_progress(self, progress: PromptProgress) -> None:
+        """Record what a router reports about placed prompts and endpoints."""
+        placements, now_ms = self._control.placements, self._control.now_ms()
+        placements.record_prefilled(progress.prefilled, now_ms)
+        placements.record_end(progress.ended, now_ms)
+        placements.record_unreachable(progress.unreachable_engines, now_ms)
+        placements.record_refusal(progress.refused, now_ms)
+        placements.limits.merge(progress.limits, now_ms)
+        placements.notices.merge_leaving(progress.leaving, now_ms)
+        for account, amount in progress.allotment_usage.items():
+            self.allotments.record_usage(account, amount, now_ms)
+
+    def _take(self, table: RouteTable, account: str, amount: int, now_ms: int) -> int:
+        if not account or not table.allotments:
+            return 0
+        if table is not self._table:
+            self._table = table
+            self.allotments.update(table.allotments, now_ms)
+        term = self._control.term()
+        if term != self._term:
+            self._term = term
+            self.allotments.forget_usage(now_ms)
+        directory = self._control.directory
+        self.allotments.record_routers(
+            directory.count_seen(now_ms - PRESENT_MS),
+            directory.count_seen(now_ms - self._bounds.revoke_ms),
+        )
+        wait_ms = self.allotments.take(account, amount, now_ms)
+        if wait_ms:
+            self._control.metrics.count("allotment.refused")
+        return wait_ms
--- a/mustardtrack/process/request_admission.py
+++ b/mustardtrack/process/request_admission.py
@@ -122,6 +122,11 @@
         rank = route.rank
         if account is not None and account.rank is not None:
             rank = account.rank
+        amount = 0
+        if account is not None and account.allotment is not None:
+            amount = account.allotment.amount(
+                metadata.prompt_tokens, metadata.max_output_tokens
+            )
         timeout_ms = shorten_limit(route.timeout_ms, self._lag.value_ms(now_ms))
         return AdmittedRequest(
             exchange=exchange,
@@ -136,6 +141,7 @@
             progress=ForwardedRequest(route),
             weights_version=version,
             rank=rank,
+            allotment_amount=amount,
         )
 
     def _check_crashes(
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -38,7 +38,7 @@
     summarize_command,
 )
 from mustardtrack.configuration.outcomes import decode_outcome
-from mustardtrack.configuration.routes import RouteTable
+from mustardtrack.configuration.routes import RouteTable, Service
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.directory import RouterEntry
 from mustardtrack.membership.endpoint_list import EndpointList
@@ -61,10 +61,10 @@
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.lost_requests import LostRequestRecorder
 from mustardtrack.process.metrics import count_events
+from mustardtrack.process.placement_service import PlacementService
 from mustardtrack.process.replica_task import ReplicaTask
 from mustardtrack.process.router_directory import create_directory
 from mustardtrack.process.settings_watch import SettingsWatch
-from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.routing.placements import PlacementTable
 from mustardtrack.settings import SeededSettings, split_address
 
@@ -107,6 +107,7 @@
         count_events(self.metrics)
         self._bus = Bus(self._name, self._name)
         self.placements = PlacementTable(settings.bounds.weights_ms)
+        self._placement_service = PlacementService(self, settings.bounds)
         self._lost_requests = LostRequestRecorder(self)
         self.part_crashes = PartCrashes(f"{self._name}/{random.getrandbits(32):08x}")
         self._evidence_revision = ""
@@ -133,8 +134,9 @@
             ("form", self._receive_form),
             ("sync", self._receive_sync),
             ("hosts", self._receive_hosts),
-            ("place", self._receive_place),
-            ("queued", self._receive_queued),
+            ("place", self._placement_service.place),
+            ("allot", self._placement_service.allot),
+            ("queued", self._placement_service.is_queued),
             ("progress", self._receive_progress),
             ("refused_parts", self._receive_refused_parts),
             ("release_part", self._receive_release_part),
@@ -399,36 +401,13 @@
 
     # Prompt placement
 
-    async def _receive_place(self, sender: str, body: bytes) -> bytes:
-        request = msgspec.msgpack.decode(body, type=PlacementRequest)
-        placement = Placement()
-        table = self.route_table()
-        if self.is_leader() and table is not None:
-            service = table.services.get(request.service)
-            if service is not None:
-                placement = self.placements.place(
-                    request,
-                    service,
-                    self._cache_watch.usable_stores(),
-                    self.document_store.weights,
-                    self.now_ms(),
-                )
-        return msgspec.msgpack.encode(placement)
-
-    async def _receive_queued(self, sender: str, body: bytes) -> bytes:
-        request_id, now_ms = msgspec.msgpack.decode(body, type=str), self.now_ms()
-        is_queued = self.is_leader() and self.placements.is_queued(request_id, now_ms)
-        return msgspec.msgpack.encode(is_queued)
+    def usable_stores(self) -> list[Service]:
+        """Return the KV cache stores whose events can be read."""
+        return self._cache_watch.usable_stores()
 
     async def _receive_progress(self, sender: str, body: bytes) -> None:
         progress = msgspec.msgpack.decode(body, type=PromptProgress)
-        placements, now_ms = self.placements, self.now_ms()
-        placements.record_prefilled(progress.prefilled, now_ms)
-        placements.record_end(progress.ended, now_ms)
-        placements.record_unreachable(progress.unreachable_engines, now_ms)
-        placements.record_refusal(progress.refused, now_ms)
-        placements.limits.merge(progress.limits, now_ms)
-        placements.notices.merge_leaving(progress.leaving, now_ms)
+        self._placement_service.record_progress(progress)
         self._lost_requests.add(progress.lost_requests)
         self._record_parts(progress.parts)
 
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -31,6 +31,7 @@
 from mustardtrack.routing.endpointstate import EndpointTable
 from mustardtrack.routing.placementmessages import Placement
 from mustardtrack.routing.weightslimit import WeightsLimit
+from mustardtrack.settings.seeded import Bounds
 from mustardtrack.testing.virtualtime import VirtualTimeLoop
 
 HEAD = (
@@ -401,7 +402,9 @@
         )
         control_sync = SimpleNamespace(view=view, is_confirmed=lambda: True)
         retries = SimpleNamespace(ratio=0.0, window_s=10.0, floor=self.extra_retries)
-        settings = SimpleNamespace(zone="a", name="r1", retries=retries)
+        settings = SimpleNamespace(
+            zone="a", name="r1", retries=retries, bounds=Bounds()
+        )
         clock = SimpleNamespace(now_ms=lambda: round(loop.time() * 1000))
         # The first endpoint is chosen unless the leader places the request.
         rng = SimpleNamespace(random=lambda: 0.0, uniform=lambda low, high: 0.0)
--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -18,6 +18,8 @@
         zone: Availability zone of the router.
         tried: Engines on which the request was already attempted.
         router: Router that sends the request.
+        account: Client account with an allotment, empty if there is none.
+        amount: What the request counts against it, 0 if it was counted before.
     """
 
     request_id: str
@@ -33,6 +35,15 @@
     zone: str
     tried: list[str]
     router: str = ""
+    account: str = ""
+    amount: int = 0
+
+
+class AllotmentRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Request to count a request that is not placed against an allotment."""
+
+    account: str
+    amount: int
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -49,6 +60,8 @@
         delay_ms: Time after which the prompt may be sent, so that the engine gets no
             more requests than the limit that it names.
         is_authoritative: Whether the sender leads and knows engines of the service.
+        allotment_wait_ms: Time after which the caller may return because its account
+            has used its allotment, 0 if it has not.
     """
 
     endpoint: str = ""
@@ -60,3 +73,4 @@
     exceeds_caller_timeout: bool = False
     is_authoritative: bool = False
     delay_ms: int = 0
+    allotment_wait_ms: int = 0
