Send what routers know already only when it changes

Change: a sync reply omits weights, control hosts, leader, refused requests and prefill rates if the digest that the router sent is that of the same details. A control host that reads the document by way of the leader names the version it has and gets no content for it.

--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -23,7 +23,8 @@
     may be delayed by up to ``hold_ms`` until there is something newer.
     ``crash_revision`` is that of its evidence on crashes, and ``refused_parts`` are
     the refusals in that evidence, for a host that has none. ``weights_ages`` are the
-    times in ms since weights versions were named.
+    times in ms since weights versions were named. ``details_digest`` is that of the
+    details that the router has (:mod:`mustardtrack.ports.syncdetails`).
     """
 
     name: str
@@ -38,6 +39,7 @@
     crash_revision: str = ""
     refused_parts: list[RefusedParts] = []
     weights_ages: VersionAges = {}
+    details_digest: int = 0
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
@@ -56,6 +58,7 @@
     shared prefix cache under the document in ``content``. ``router_count`` is the
     number of routers that work on requests, and ``recent_router_count`` that of the
     routers that may have used the retry budget in its window, 0 if it is not known.
+    The details, which rarely change, are there if ``has_details`` is set.
     """
 
     stale_ms: int
@@ -75,6 +78,8 @@
     weights_ages: VersionAges = {}
     cache_generation: int = 0
     recent_router_count: int = 0
+    details_digest: int = 0
+    has_details: bool = False
 
     @property
     def is_confirmed(self) -> bool:
@@ -83,11 +88,38 @@
 
 
 class DocumentReadReply(msgspec.Struct, frozen=True, array_like=True):
-    """Newest document; ``is_linearizable`` is false without a leader lease."""
+    """Newest document; ``is_linearizable`` is false without a leader lease.
+
+    ``is_known`` replaces the content if the host that asks has the same version. A
+    version has one content in the replicated state.
+    """
 
     is_linearizable: bool
     version: int = 0
     content: bytes = b""
+    is_known: bool = False
+
+    def without(self, known_version: int) -> "DocumentReadReply":
+        """Return the reply for a host that has a version."""
+        if not self.version or self.version != known_version:
+            return self
+        return DocumentReadReply(self.is_linearizable, self.version, is_known=True)
+
+    def with_known(self, version: int, content: bytes) -> "DocumentReadReply":
+        """Return the reply with the content of the host that asked.
+
+        Examples:
+            >>> reply = DocumentReadReply(True, 7, b"x")
+            >>> reply.without(7).with_known(7, b"x") == reply
+            True
+            >>> reply.without(6) == reply
+            True
+        """
+        if not self.is_known:
+            return self
+        if self.version != version:
+            return DocumentReadReply(False)
+        return DocumentReadReply(self.is_linearizable, version, content)
 
 
 class ControlHosts(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -17,6 +17,7 @@
 from mustardtrack.platform.manifests import decode_manifest
 from mustardtrack.ports import Clock
 from mustardtrack.ports.sync_messages import SyncReply, SyncRequest
+from mustardtrack.ports.syncdetails import KnownDetails
 from mustardtrack.routing.endpointstate import EndpointState, EndpointTable
 from mustardtrack.routing.weightslimit import WeightsLimit
 from mustardtrack.settings import SeededSettings
@@ -130,6 +131,7 @@
             int(settings.retries.window_s * 1000),
             settings.bootstrap,
         )
+        self._known_details = KnownDetails()
         self._sync_tasks: dict[str, asyncio.Task[None]] = {}
         self._unreachable: set[str] = set()
         self._was_confirmed = False
@@ -226,10 +228,12 @@
             crash_revision=view.parts.revision,
             refused_parts=view.parts.offers(sent_ms),
             weights_ages=view.weights_limit.ages(sent_ms),
+            details_digest=self._known_details.digest(name),
         )
         body = msgspec.msgpack.encode(request)
         answer = await self._bus.request(name, "sync", body, timeout_ms)
-        self._apply_reply(name, msgspec.msgpack.decode(answer, type=SyncReply), sent_ms)
+        reply = msgspec.msgpack.decode(answer, type=SyncReply)
+        self._apply_reply(name, self._known_details.restore(name, reply), sent_ms)
 
     def _apply_reply(self, name: str, reply: SyncReply, sent_ms: int) -> None:
         view = self.view
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -53,6 +53,7 @@
     SyncReply,
     SyncRequest,
 )
+from mustardtrack.ports.syncdetails import omit_known
 from mustardtrack.process.cache_watch import CacheWatch
 from mustardtrack.process.compressed_document import CompressedDocument
 from mustardtrack.process.control_api import ControlApi
@@ -348,7 +349,8 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass  # The reply then only renews the router's confirmation.
-        return msgspec.msgpack.encode(self._sync_reply(request))
+        reply = omit_known(self._sync_reply(request), request.details_digest)
+        return msgspec.msgpack.encode(reply)
 
     def _has_updates_for(self, request: SyncRequest) -> bool:
         known_order = (request.list_term, request.list_sequence)
@@ -393,7 +395,9 @@
             limits=self.placements.limits.due_observations(self.now_ms())
             if self.is_leader()
             else {},
-            prefill_rates=self.placements.rates.service_rates(),
+            prefill_rates=self.placements.rates.service_rates()
+            if self.is_leader()
+            else {},
             weights_ages=self.placements.weights_limit.ages(self.now_ms()),
             cache_generation=store.cache_sharing.generation,
             recent_router_count=routers.recent,
@@ -537,16 +541,20 @@
         leader = self._replica_task.status().leader
         if local_reply.is_linearizable or leader is None or leader.name == self._name:
             return local_reply
+        known = self.document_store.document
+        body = msgspec.msgpack.encode(known.version)
         try:
             answer = await self._bus.request(
-                leader.name, "read", b"", COMMAND_TIMEOUT_MS
+                leader.name, "read", body, COMMAND_TIMEOUT_MS
             )
         except BusTimeoutError:
             return local_reply
-        return msgspec.msgpack.decode(answer, type=DocumentReadReply)
+        reply = msgspec.msgpack.decode(answer, type=DocumentReadReply)
+        return reply.with_known(known.version, known.content)
 
     async def _receive_read(self, sender: str, body: bytes) -> bytes:
-        return msgspec.msgpack.encode(self._read_local())
+        known_version = msgspec.msgpack.decode(body, type=int) if body else 0
+        return msgspec.msgpack.encode(self._read_local().without(known_version))
 
     def _read_local(self) -> DocumentReadReply:
         document = self.document_store.document
