Name larger routers more often in answers of the directory

Callers: they choose at random among the addresses of an answer, so routers with a third of the resources of others got as many connections.

Change: routers report the resources of their settings and how much of their bounds they use with each sync; an answer names an address as often as the share of its router's scarcest resource asks for. Routers that are alike, or whose resources are not known, are named once as before.

--- a/mustardtrack/membership/directory.py
+++ b/mustardtrack/membership/directory.py
@@ -3,6 +3,12 @@
 from dataclasses import dataclass
 
 from mustardtrack.membership.routercounts import RouterNumbers
+from mustardtrack.membership.routershares import (
+    UNKNOWN_CAPACITY,
+    RouterCapacity,
+    count_places,
+    weigh_routers,
+)
 
 # Callers use at most this many addresses of one response.
 MAX_ADDRESSES = 64
@@ -20,6 +26,7 @@
     callers: str
     is_ready: bool
     seen_ms: int
+    capacity: RouterCapacity = UNKNOWN_CAPACITY
 
 
 class RouterDirectory:
@@ -76,12 +83,20 @@
         return sum(entry.seen_ms > since_ms for entry in self._entries.values())
 
     def choose(self, zone: str, now_ms: int) -> list[str]:
-        """Return the addresses for a caller.
+        """Return the addresses for a caller, who takes one of them at random.
 
+        A router with a larger share of the connections is named several times.
         Routers of other zones are included only if the zone of the caller has fewer
         than ``MIN_ZONE_ROUTERS`` live routers.
         """
         live = self.live(now_ms)
         same_zone = [entry for entry in live if entry.zone == zone]
         chosen = same_zone if len(same_zone) >= MIN_ZONE_ROUTERS else live
-        return sorted(entry.callers for entry in chosen)[:MAX_ADDRESSES]
+        chosen = sorted(chosen, key=lambda entry: entry.callers)[:MAX_ADDRESSES]
+        weights = weigh_routers([entry.capacity for entry in chosen])
+        addresses: list[str] = []
+        for entry, places in zip(
+            chosen, count_places(weights, MAX_ADDRESSES), strict=True
+        ):
+            addresses += [entry.callers] * places
+        return addresses
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -8,6 +8,7 @@
 from mustardtrack.admission.ratelimits import Observation
 from mustardtrack.membership.endpoint_list import EndpointList
 from mustardtrack.membership.endpoint_list_changes import EndpointListChange
+from mustardtrack.membership.routershares import UNKNOWN_CAPACITY, RouterCapacity
 from mustardtrack.routing.endpointnotices import Incarnation
 from mustardtrack.routing.weightsversions import VersionAges
 
@@ -24,7 +25,8 @@
     ``crash_revision`` is that of its evidence on crashes, and ``refused_parts`` are
     the refusals in that evidence, for a host that has none. ``weights_ages`` are the
     times in ms since weights versions were named. ``details_digest`` is that of the
-    details that the router has (:mod:`mustardtrack.ports.syncdetails`).
+    details that the router has (:mod:`mustardtrack.ports.syncdetails`). ``capacity`` is
+    what the router can do and how much of it is used.
     """
 
     name: str
@@ -40,6 +42,7 @@
     refused_parts: list[RefusedParts] = []
     weights_ages: VersionAges = {}
     details_digest: int = 0
+    capacity: RouterCapacity = UNKNOWN_CAPACITY
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -14,6 +14,7 @@
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list_changes import apply_list_change
 from mustardtrack.membership.routercounts import RouterCounts, RouterNumbers
+from mustardtrack.membership.routershares import UNKNOWN_CAPACITY, RouterCapacity
 from mustardtrack.platform.manifests import decode_manifest
 from mustardtrack.ports import Clock
 from mustardtrack.ports.sync_messages import SyncReply, SyncRequest
@@ -99,6 +100,9 @@
 class ControlSync:
     """Synchronizes with all known control hosts.
 
+    Attributes:
+        capacity: Returns what this router can do at a time in ms.
+
     Args:
         on_endpoint_removed: Called with each endpoint removed from the list.
         on_table_adopted: Called with each route table that takes effect.
@@ -132,6 +136,7 @@
             settings.bootstrap,
         )
         self._known_details = KnownDetails()
+        self.capacity: Callable[[int], RouterCapacity] = lambda _: UNKNOWN_CAPACITY
         self._sync_tasks: dict[str, asyncio.Task[None]] = {}
         self._unreachable: set[str] = set()
         self._was_confirmed = False
@@ -229,6 +234,7 @@
             refused_parts=view.parts.offers(sent_ms),
             weights_ages=view.weights_limit.ages(sent_ms),
             details_digest=self._known_details.digest(name),
+            capacity=self.capacity(sent_ms),
         )
         body = msgspec.msgpack.encode(request)
         answer = await self._bus.request(name, "sync", body, timeout_ms)
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -339,6 +339,7 @@
                 callers=request.callers,
                 is_ready=request.is_ready,
                 seen_ms=self.now_ms(),
+                capacity=request.capacity,
             )
         )
         self.part_crashes.adopt(request.refused_parts, self.now_ms())
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -11,6 +11,7 @@
 from mustardtrack.adapters.zeromq import Bus
 from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.logs import define_event, log_event
+from mustardtrack.membership.routershares import RouterCapacity
 from mustardtrack.platform.endpoints import READY_TARGET
 from mustardtrack.platform.headers import REQUEST_ID
 from mustardtrack.process.control_api import MAX_DIRECTORY_TTL_S
@@ -20,6 +21,7 @@
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import count_events
 from mustardtrack.process.placement_client import PlacementClient
+from mustardtrack.process.router_capacity import measure_capacity
 from mustardtrack.process.settings_watch import SettingsWatch
 from mustardtrack.requests.shutdown_window import ShutdownWindow
 from mustardtrack.routing.endpointstate import EndpointState
@@ -81,6 +83,7 @@
             self.metrics,
             self._placements,
         )
+        self._control_sync.capacity = self._measure_capacity
         self._caller_server = HttpServer(self._forwarder.handle)
         self._readiness_server = HttpServer(self._handle_readiness)
         assert settings.listen.callers is not None
@@ -97,6 +100,12 @@
         self._control_sync.start()
         self._placements.start()
 
+    def _measure_capacity(self, now_ms: int) -> RouterCapacity:
+        limits, lag = self._settings.limits, self._forwarder.lag
+        capacity = measure_capacity(limits, lag, now_ms)
+        self.metrics.gauge("router.pressure_percent", capacity.pressure_percent)
+        return capacity
+
     def _is_ready(self) -> bool:
         return not self._stopping and self._control_sync.is_confirmed()
 
