--- a/conftest.py
+++ b/conftest.py
@@ -27,6 +27,8 @@
     return {entry.split("|")[0].strip(): entry for entry in entries}
 
 
+# Before other plugins deselect tests, so that all collected tests are known here.
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(
     config: pytest.Config, items: list[pytest.Item]
 ) -> None:
--- a/mustardtrack/process/tests/test_endless_endpoint.py
+++ b/mustardtrack/process/tests/test_endless_endpoint.py
@@ -24,6 +24,8 @@
 )
 from mustardtrack.testing.subnets import Subnet
 
+pytestmark = pytest.mark.alone
+
 # Memory that a router may use.
 MAX_ROUTER_BYTES = 128 * 1000 * 1000
 LONGEST_WAIT_S = 20.0
