Take sync replies without a digest as whole

Callers: a router that is upgraded before its control hosts would apply no reply of theirs, since those send neither a digest nor the mark of details.

Test: test_reply_of_an_earlier_release_is_whole; before, restore raised ValueError for it. Found while reading the change again.

--- a/mustardtrack/ports/syncdetails.py
+++ b/mustardtrack/ports/syncdetails.py
@@ -40,6 +40,7 @@
     reply = msgspec.structs.replace(reply, prefill_rates=rates)
     details = [getattr(reply, name) for name in _EMPTY]
     digest = xxh3_64_intdigest(msgspec.msgpack.encode(details)) & _DIGEST_MASK
+    digest = digest or 1
     if digest == known_digest:
         return msgspec.structs.replace(reply, details_digest=digest, **_EMPTY)
     return msgspec.structs.replace(reply, details_digest=digest, has_details=True)
@@ -59,9 +60,13 @@
     def restore(self, control: str, reply: SyncReply) -> SyncReply:
         """Return a reply with the details that it omits.
 
+        A host of an earlier release sends no digest and omits nothing.
+
         Raises:
             ValueError: If the reply omits details that this router does not have.
         """
+        if reply.details_digest == UNKNOWN:
+            return reply
         if reply.has_details:
             self._replies[control] = reply
             return reply
--- a/mustardtrack/ports/tests/test_syncdetails.py
+++ b/mustardtrack/ports/tests/test_syncdetails.py
@@ -79,6 +79,15 @@
     assert send(make_reply(leader="other"), known, "c2")[0].leader == "other"
 
 
+def test_reply_of_an_earlier_release_is_whole():
+    """Guards against routers that are upgraded before the control hosts."""
+    known = KnownDetails()
+    send(make_reply(), known)
+    old = make_reply(leader="old")
+    assert known.restore("c1", old) is old
+    assert send(make_reply(), known)[0].leader == make_reply().leader
+
+
 def test_router_that_has_lost_the_details_asks_for_them():
     known = KnownDetails()
     reply = omit_known(make_reply(), UNKNOWN)
