Repeat reports on lost requests until they are recorded

Cause: reports went with a message that has no answer and were repeated only to a leader of another name. A leader that ended before the commit, that was stopping, or that led again after its restart lost them.

Change: process/loss_reporter.py sends losses as a request that the leader answers when they are in the replicated state, and repeats it until then.

Test: test_crash_just_before_planned_stops_is_counted (three orders).

--- a/mustardtrack/admission/lostrequests.py
+++ b/mustardtrack/admission/lostrequests.py
@@ -1,6 +1,6 @@
-"""Requests that one router lost with their endpoints, as reported to the leader."""
+"""Requests that one router lost with their endpoints, until they are recorded."""
 
-from collections import deque
+from collections import OrderedDict
 from dataclasses import dataclass
 
 import msgspec
@@ -8,6 +8,8 @@
 from mustardtrack.admission.crashcounts import CRASH_RETENTION_MS, LostRequest
 
 MAX_KEPT_LOSSES = 512
+# Losses of one report, which the leader commits with one command.
+MAX_REPORTED = 256
 
 
 @dataclass(frozen=True)
@@ -23,35 +25,40 @@
         return msgspec.structs.replace(self.loss, age_ms=age_ms)
 
 
-class LostRequestReports:
-    """Losses that the leader may not know of.
+class UnconfirmedLosses:
+    """Losses that are not known to be in the replicated state.
 
-    Reported losses are kept, since a leader that ends may not have recorded them.
+    A report that a leader has received is not enough, since it may end before it has
+    recorded it.
 
     Examples:
-        >>> reports = LostRequestReports()
-        >>> reports.record(LostRequest("f", "1"), 0)
-        >>> [len(reports.take_report(leader, 10)) for leader in ("a", "a", "b")]
-        [1, 0, 1]
+        >>> losses = UnconfirmedLosses()
+        >>> losses.record(LostRequest("f", "1"), 0)
+        >>> [loss.age_ms for loss in losses.report(10)]
+        [10]
+        >>> losses.confirm(losses.report(10))
+        >>> losses.report(10)
+        []
     """
 
     def __init__(self) -> None:
-        self._kept: deque[KeptLoss] = deque(maxlen=MAX_KEPT_LOSSES)
-        self._unsent: deque[KeptLoss] = deque(maxlen=MAX_KEPT_LOSSES)
-        self._leader = ""
+        self._kept: OrderedDict[str, KeptLoss] = OrderedDict()
 
     def record(self, loss: LostRequest, now_ms: int) -> None:
         """Record a loss that this router observed."""
-        kept = KeptLoss(loss, now_ms)
-        self._kept.append(kept)
-        self._unsent.append(kept)
-
-    def take_report(self, leader: str, now_ms: int) -> list[LostRequest]:
-        """Return the losses since the last report; a new leader gets all of them."""
-        unsent = list(self._unsent)
-        if leader != self._leader:
-            self._leader = leader
-            unsent = list(self._kept)
-        self._unsent.clear()
-        aged = [item.aged(now_ms) for item in unsent]
-        return [loss for loss in aged if loss.age_ms < CRASH_RETENTION_MS]
+        self._kept[loss.attempt] = KeptLoss(loss, now_ms)
+        if len(self._kept) > MAX_KEPT_LOSSES:
+            self._kept.popitem(last=False)
+
+    def report(self, now_ms: int) -> list[LostRequest]:
+        """Return the oldest losses that are not confirmed, and forget outdated ones."""
+        aged = [item.aged(now_ms) for item in self._kept.values()]
+        for loss in aged:
+            if loss.age_ms >= CRASH_RETENTION_MS:
+                del self._kept[loss.attempt]
+        return [loss for loss in aged if loss.attempt in self._kept][:MAX_REPORTED]
+
+    def confirm(self, losses: list[LostRequest]) -> None:
+        """Forget losses that a leader has recorded."""
+        for loss in losses:
+            self._kept.pop(loss.attempt, None)
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -149,7 +149,7 @@
     ``refused`` holds an engine for each request that it did not run.
     ``parts`` reports lost and answered prompts, ``limits`` the limits of endpoints that
     were observed, and ``leaving`` the endpoints that announced that they leave.
-    ``lost_requests`` are those whose endpoint closed the connection while it ran them.
+    ``unused_losses`` keeps the positions of the fields after it.
     ``allotment_usage`` is what the router counted itself against the allotment of each
     account, negative for requests that did not run.
     """
@@ -162,5 +162,5 @@
     parts: PartReport = PartReport()
     limits: dict[str, Observation] = {}
     leaving: list[Incarnation] = []
-    lost_requests: list[LostRequest] = []
+    unused_losses: list[LostRequest] = []
     allotment_usage: dict[str, float] = {}
--- a/mustardtrack/process/lost_requests.py
+++ b/mustardtrack/process/lost_requests.py
@@ -4,6 +4,8 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from mustardtrack.admission.crashcounts import CRASH_RETENTION_MS, LostRequest
 from mustardtrack.admission.lostrequests import KeptLoss
 from mustardtrack.configuration.documents import RecordLostRequests
@@ -19,6 +21,8 @@
 # Bounds the rate of commands when endpoints break many connections.
 RECORD_PERIOD_S = 0.1
 MAX_BATCH = 256
+# A router asks again after 0.7 s, so its answer comes before.
+RECORD_TIMEOUT_S = 0.6
 MAX_PENDING = 4096
 
 
@@ -29,6 +33,24 @@
         self._control = control
         self._pending: OrderedDict[tuple[str, str], KeptLoss] = OrderedDict()
         self._has_pending = asyncio.Event()
+        self._recorded = asyncio.Event()
+
+    async def receive(self, sender: str, body: bytes) -> bytes:
+        """Answer a router whether its losses are in the replicated state."""
+        lost = msgspec.msgpack.decode(body, type=list[LostRequest])
+        if not self._control.is_leader():
+            return msgspec.msgpack.encode(False)
+        self.add(lost)
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT_S):
+                while any(self._is_pending(loss) for loss in lost):
+                    await self._recorded.wait()
+        except TimeoutError:
+            return msgspec.msgpack.encode(False)
+        return msgspec.msgpack.encode(True)
+
+    def _is_pending(self, loss: LostRequest) -> bool:
+        return (loss.fingerprint, loss.attempt) in self._pending
 
     def add(self, lost: list[LostRequest]) -> None:
         """Accept the report of a router."""
@@ -63,6 +85,8 @@
             return
         for key in batch:
             self._pending.pop(key, None)
+        self._recorded.set()
+        self._recorded = asyncio.Event()
         control.metrics.count("crashes.lost_requests", len(lost))
         if outcome is not None and outcome.changed:
             refused = control.document_store.crashes.refused(control.wall_ms())
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -1,21 +1,19 @@
 """Client of the leading control host, which places prompts on engines."""
 
 import asyncio
-import random
 from collections.abc import Callable, Sequence
 
 import msgspec
 
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
-from mustardtrack.admission.crashcounts import LostRequest
-from mustardtrack.admission.lostrequests import LostRequestReports
 from mustardtrack.admission.partcrashes import LostPrompt
 from mustardtrack.admission.partwatch import PartReport
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.ports import Clock
 from mustardtrack.ports.sync_messages import PromptProgress
 from mustardtrack.process.control_sync import ControlSync
+from mustardtrack.process.loss_reporter import LossReporter
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 
 PLACEMENT_TIMED_OUT = define_event(
@@ -59,17 +57,23 @@
         self._first_tokens: list[str] = []
         self._ended: list[str] = []
         self._unresponsive: set[str] = set()
-        self._lost_requests = LostRequestReports()
+        self._losses = LossReporter(bus, control_sync, clock)
         self._not_run: list[str] = []
         self.take_allotment_usage: Callable[[], dict[str, float]] = dict
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Start sending progress."""
+        """Start sending progress and losses."""
+        self._losses.start()
         self._task = asyncio.ensure_future(self._send_progress())
 
-    async def stop(self) -> None:
-        """Stop sending progress."""
+    async def stop(self, confirm_s: float = 0.0) -> None:
+        """Stop sending progress once all losses are recorded.
+
+        Args:
+            confirm_s: Longest time to wait for that.
+        """
+        await self._losses.stop(confirm_s)
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -167,8 +171,7 @@
 
     def record_broken_connection(self, fingerprint: str) -> None:
         """Report a request whose endpoint broke the connection or the answer."""
-        loss = LostRequest(fingerprint, f"{random.getrandbits(64):016x}")
-        self._lost_requests.record(loss, self._clock.now_ms())
+        self._losses.record(fingerprint)
 
     def record_lost_prompt(self, prompt: LostPrompt) -> None:
         """Report a prompt whose engine closed the connection."""
@@ -184,11 +187,10 @@
         while True:
             await asyncio.sleep(PROGRESS_PERIOD_S)
             leader = view.leader
-            parts, limits, leaving, lost = PartReport(), {}, [], []
+            parts, limits, leaving = PartReport(), {}, []
             usage: dict[str, float] = {}
             if leader:
                 usage = self.take_allotment_usage()
-                lost = self._lost_requests.take_report(leader, self._clock.now_ms())
                 notices = view.endpoints.notices
                 if leader != told_leader:
                     view.limits.report_again()
@@ -206,7 +208,7 @@
                 parts,
                 limits,
                 leaving,
-                lost,
+                [],
                 usage,
             )
             if progress == EMPTY_PROGRESS:
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -139,6 +139,7 @@
             ("allot", self._placement_service.allot),
             ("queued", self._placement_service.is_queued),
             ("progress", self._receive_progress),
+            ("record_losses", self._lost_requests.receive),
             ("refused_parts", self._receive_refused_parts),
             ("release_part", self._receive_release_part),
         ):
@@ -413,7 +414,6 @@
     async def _receive_progress(self, sender: str, body: bytes) -> None:
         progress = msgspec.msgpack.decode(body, type=PromptProgress)
         self._placement_service.record_progress(progress)
-        self._lost_requests.add(progress.lost_requests)
         self._record_parts(progress.parts)
 
     def _record_parts(self, report: PartReport) -> None:
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -149,7 +149,7 @@
         interrupted.update(await self._wait_until_sent())
         self._watch_task.cancel()
         self._lag_task.cancel()
-        await self._placements.stop()
+        await self._placements.stop(self._left_to_exit_s())
         await self._control_sync.stop()
         await self._bus.stop()
         return sorted(interrupted)
@@ -177,10 +177,7 @@
         Returns:
             Ids of the requests whose response was not completely sent.
         """
-        elapsed_s = self._window.elapsed_ms(self._clock.now_ms()) / 1000
-        left_s = self._settings.bounds.grace_s * (1 - EXIT_FRACTION) - elapsed_s
-        if self._is_forced:
-            left_s = min(left_s, FORCED_SEND_S)
+        left_s = self._left_to_exit_s()
         exchanges = await self._caller_server.wait_closed(left_s)
         request_ids = [
             (exchange.header(REQUEST_ID) or b"").decode("latin-1")
@@ -190,6 +187,12 @@
             log_event(RESPONSES_UNSENT, requests=request_ids)
         return request_ids
 
+    def _left_to_exit_s(self) -> float:
+        """Return the time until this stopping process must begin to end."""
+        elapsed_s = self._window.elapsed_ms(self._clock.now_ms()) / 1000
+        left_s = self._settings.bounds.grace_s * (1 - EXIT_FRACTION) - elapsed_s
+        return min(left_s, FORCED_SEND_S) if self._is_forced else left_s
+
     def _shutdown_window(self) -> ShutdownWindow:
         """Return the window of a planned stop that begins now."""
         bounds = self._settings.bounds
--- a/mustardtrack/process/tests/test_crashing_request.py
+++ b/mustardtrack/process/tests/test_crashing_request.py
@@ -131,3 +131,47 @@
     statuses = repeat_request()
     assert statuses[-1] == 503
     assert count_arrivals(engines) <= CRASH_LIMIT + 2
+
+
+# Hosts that stop as planned right after each crash, in this order without a pause.
+STOPS_AT_A_CRASH = {
+    "control host": ["control"],
+    "control host, then router": ["control", "router"],
+    "router, then control host": ["router", "control"],
+}
+
+
+@pytest.mark.parametrize("name", STOPS_AT_A_CRASH)
+def test_crash_just_before_planned_stops_is_counted(tmp_path, engines, name):
+    """Guards against losses that a router reported to a leader that was ending.
+
+    The only control host leads again after its restart, so that no change of leader
+    makes the router repeat what it has reported.
+    """
+    hosts_by_role = {"control": CONTROLS[0], "router": ROUTERS[0]}
+    hosts = SeededHosts(tmp_path, CONTROLS[:1], ROUTERS[:1], engines.list_address)
+    order = [hosts_by_role[role] for role in STOPS_AT_A_CRASH[name]]
+    try:
+        for host in hosts_by_role.values():
+            hosts.start(host)
+        wait_until_serving(hosts, "warm")
+        engines.crashing_targets.add(TARGET)
+        for _ in range(CRASH_LIMIT):
+            send_prompt(ROUTERS[0], next(NUMBERS), [], target=TARGET)
+            for host in order:
+                hosts.send_signal(host, signal.SIGTERM)
+            for host in sorted(order):
+                hosts.running.pop(host).wait(timeout=LONGEST_WAIT_S)
+                hosts.start(host, bootstrap=False)
+            time.sleep(ELECTION_S)
+            assert holds_within(lambda: hosts.is_ready(ROUTERS[0]), LONGEST_WAIT_S)
+            time.sleep(RESTART_S)
+        arrivals = count_arrivals(engines)
+        statuses = [
+            send_prompt(ROUTERS[0], next(NUMBERS), [], target=TARGET)[0]
+            for _ in range(REPEATS)
+        ]
+        assert statuses == [503] * REPEATS
+        assert count_arrivals(engines) == arrivals
+    finally:
+        hosts.end()
