Ignore usage reports of allotments that are not finite

A report with NaN or an infinite amount reached the bucket unchecked: NaN and infinity refused every later request of the account, minus infinity filled the bucket. The bucket ignores such amounts. The three cases of the new test failed before the change and pass with it.

--- a/mustardtrack/admission/allotments.py
+++ b/mustardtrack/admission/allotments.py
@@ -14,6 +14,7 @@
 Times are monotonic milliseconds of the process that calls.
 """
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -221,13 +222,16 @@
     def record_usage(self, account: str, amount: float, now_ms: int) -> None:
         """Count what a router admitted on its own, or give back what did not run.
 
+        An amount that is not finite is ignored; it would lock the bucket, or fill it,
+        for all later requests.
+
         Args:
             account: Account.
             amount: What was used, negative for what is given back.
             now_ms: Monotonic time.
         """
         bucket = self._buckets.get(account)
-        if bucket is not None:
+        if bucket is not None and math.isfinite(amount):
             self._fill(bucket, now_ms)
             bucket.level = min(bucket.capacity, bucket.level - amount)
 
--- a/mustardtrack/admission/tests/test_allotments.py
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -7,6 +7,7 @@
 import random
 from dataclasses import dataclass, field
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -252,3 +253,12 @@
     assert share.take("hotel", HOTEL, 5, 10, 0, 100 + wait_ms) == 0
     assert share.take_report() == {"hotel": 5}
     assert share.take_report() == {}
+
+
+@pytest.mark.parametrize("amount", [float("nan"), float("inf"), float("-inf")])
+def test_usage_that_is_not_finite_is_ignored(amount):
+    """Guards against a report that locks or fills the bucket of an account."""
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"hotel": HOTEL}, 0)
+    allotments.record_usage("hotel", amount, 500)
+    assert [allotments.take("hotel", 50, 500) for _ in range(2)] == [0, 500]
