Keep usage in bounds while leaders follow each other

Each new leader began with half of the margin, so that several changes within one window added up: in the simulation, leaders that change every 100 ms, 800 ms or 2 s let an account exceed its allotment. Control hosts now note the terms that they see; the part with which a new leader begins shrinks with the number of terms of one window, and all parts together are at most half of the margin. A host that is elected again in the next term keeps its buckets, and one that led before never gains from a new term.

--- a/mustardtrack/admission/allotments.py
+++ b/mustardtrack/admission/allotments.py
@@ -27,11 +27,15 @@
     8824, "INFO", "client account has used its allotment, requests are refused"
 )
 
-# Parts of the margin: a bucket is larger than the burst by the first one, so that
-# requests which arrive in another order than they were sent are not refused; a new
-# leader begins with the second one, since it does not know what the last one admitted.
+# Parts of the margin, which add up to one in each window. A bucket is larger than the
+# burst by the first one, so that requests which arrive in another order than they were
+# sent are not refused. A new leader does not know what others admitted and begins with
+# the second one, or after several changes in one window with what a series of halves
+# leaves of the third one. Routers may use the last one before they are held missing.
 LENIENCY = 0.25
-NEW_LEADER_PART = 0.5
+NEW_LEADER_PART = 0.375
+FURTHER_LEADERS_PART = 0.125
+MISSED_PART = 0.25
 # Longest time after which a refused caller is told to return.
 MAX_WAIT_MS = 60_000
 # Time between two log lines on the same account.
@@ -103,6 +107,63 @@
         return self.overshoot * in_window + self.slack
 
 
+def new_leader_part(changes: int) -> float:
+    """Return the part of the margin with which a new leader begins.
+
+    Args:
+        changes: Changes of the leader within one window, with the last one.
+
+    Examples:
+        >>> [new_leader_part(changes) for changes in (1, 2, 3)]
+        [0.375, 0.0625, 0.03125]
+    """
+    if changes <= 1:
+        return NEW_LEADER_PART
+    return FURTHER_LEADERS_PART * 0.5 ** min(changes - 1, 60)
+
+
+class LeaderTerms:
+    """Terms that a control host has seen, to count changes of the leader.
+
+    A term has one leader at most. Before the process has run for a window, each term
+    may have begun within it.
+
+    Args:
+        window_ms: Time in which changes are counted.
+
+    Examples:
+        >>> terms = LeaderTerms(8000)
+        >>> terms.observe(1, 0), terms.changes(0)
+        (None, 1)
+        >>> terms.observe(2, 9000), terms.changes(9000)
+        (None, 1)
+        >>> terms.observe(4, 9050), terms.changes(9050)
+        (None, 3)
+    """
+
+    def __init__(self, window_ms: float) -> None:
+        self._window_ms = window_ms
+        self._seen: list[tuple[int, int]] = []
+
+    def observe(self, term: int, now_ms: int) -> None:
+        """Record the current term."""
+        if not self._seen or term > self._seen[-1][1]:
+            self._forget(now_ms)
+            self._seen.append((now_ms, term))
+
+    def changes(self, now_ms: int) -> int:
+        """Return how many terms may have begun within the window."""
+        self._forget(now_ms)
+        if not self._seen:
+            return 0
+        is_first_old = self._seen[0][0] < now_ms - self._window_ms
+        return self._seen[-1][1] - (self._seen[0][1] if is_first_old else 0)
+
+    def _forget(self, now_ms: int) -> None:
+        while len(self._seen) > 1 and self._seen[1][0] < now_ms - self._window_ms:
+            del self._seen[0]
+
+
 @dataclass
 class _Bucket:
     """Bucket of one account.
@@ -178,12 +239,27 @@
             )
         self._has_adopted = True
 
-    def forget_usage(self, now_ms: int) -> None:
-        """Begin again as a new leader, which does not know what others admitted."""
+    def forget_usage(self, now_ms: int, changes: int = 1) -> None:
+        """Begin again as a new leader, which does not know what others admitted.
+
+        Args:
+            now_ms: Monotonic time.
+            changes: Changes of the leader within one window, with the last one.
+        """
+        part = new_leader_part(changes)
         for bucket in self._buckets.values():
+            self._fill(bucket, now_ms)
             margin = self._terms.margin(bucket.allotment)
-            bucket.level = min(bucket.capacity, NEW_LEADER_PART * margin)
-            bucket.filled_ms, bucket.promised = now_ms, 0.0
+            bucket.level = min(bucket.level, part * margin)
+            bucket.promised = 0.0
+
+    def resume(self, now_ms: int) -> None:
+        """Continue as the leader of the next term, between which no other one led.
+
+        What the allotment gave meanwhile was left to the routers.
+        """
+        for bucket in self._buckets.values():
+            bucket.filled_ms = max(now_ms, bucket.filled_ms)
 
     def record_routers(self, present: int, known: int) -> None:
         """Keep back the shares of routers that may admit without the leader.
--- a/mustardtrack/admission/tests/test_allotments.py
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -16,6 +16,7 @@
     Allotments,
     AllotmentShare,
     AllotmentTerms,
+    LeaderTerms,
 )
 
 TERMS = AllotmentTerms(window_s=8.0, overshoot=0.1, slack=100.0)
@@ -51,7 +52,9 @@
     asked: float = 0.0
 
     def __post_init__(self):
-        self.leader = Allotments(TERMS)
+        self.leader, self.term = Allotments(TERMS), 1
+        self.terms = LeaderTerms(TERMS.window_s * 1000)
+        self.terms.observe(self.term, 0)
         self.leader.update({"hotel": self.allotment}, 0)
         self.members = [SimulatedRouter() for _ in range(self.routers)]
 
@@ -59,7 +62,12 @@
         """Replace the leader by one that knows nothing of the usage."""
         self.leader_down_until_ms = self.now_ms + for_ms
         if self.new_leader_forgets:
-            self.leader.forget_usage(self.leader_down_until_ms)
+            self.term += 1
+            self.terms.observe(self.term, self.leader_down_until_ms)
+            changes = self.terms.changes(self.leader_down_until_ms)
+            # Reports and credit of the last leader are lost with it.
+            self.leader.record_usage("hotel", -1e9, self.leader_down_until_ms)
+            self.leader.forget_usage(self.leader_down_until_ms, changes)
         else:
             self.leader.record_usage("hotel", -1e9, self.leader_down_until_ms)
 
@@ -157,6 +165,28 @@
     assert play(history, seed).most_in_a_window() <= allowed()
 
 
+@pytest.mark.parametrize(("down_ms", "period_ms"), [(40, 100), (100, 800), (200, 2000)])
+def test_leaders_that_follow_each_other_stay_within_the_allotment(down_ms, period_ms):
+    """Guards against new leaders that each begin with a part of the same margin."""
+    deployment, rng = Deployment(), random.Random(7)
+    for _ in range(20_000 // period_ms):
+        deployment.lose_leader(down_ms)
+        deployment.run(period_ms, 1600, rng)
+    assert deployment.most_in_a_window() <= allowed()
+
+
+def test_host_that_leads_again_keeps_what_it_knows():
+    """Guards against a host that is elected again and begins with another burst."""
+    allotments = Allotments(TERMS)
+    allotments.update({"hotel": HOTEL}, 0)
+    assert allotments.take("hotel", 30, 0) == 0
+    allotments.record_usage("hotel", 500, 100)
+    allotments.forget_usage(1000)
+    assert allotments.take("hotel", 1, 1000) > 0
+    allotments.resume(10_000)
+    assert allotments.take("hotel", 1, 10_000) > 0
+
+
 def test_check_of_the_usage_can_fail_with_a_new_leader():
     """Each leader begins with a full bucket, as if nothing had been used."""
     history = [("leader", 0, 200), ("calm", 0, 1000)] * 6
--- a/mustardtrack/process/placement_service.py
+++ b/mustardtrack/process/placement_service.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from mustardtrack.admission.allotments import Allotments, AllotmentTerms
+from mustardtrack.admission.allotments import Allotments, AllotmentTerms, LeaderTerms
 from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.ports.sync_messages import PromptProgress
 from mustardtrack.routing.placementmessages import (
@@ -34,13 +34,17 @@
         self._bounds = bounds
         self._table: RouteTable | None = None
         self._term = -1
-        self.allotments = Allotments(
-            AllotmentTerms.of(
-                bounds.allotment_window_s,
-                bounds.allotment_overshoot,
-                bounds.allotment_slack,
-            )
+        terms = AllotmentTerms.of(
+            bounds.allotment_window_s,
+            bounds.allotment_overshoot,
+            bounds.allotment_slack,
         )
+        self.allotments = Allotments(terms)
+        self._leader_terms = LeaderTerms(terms.window_s * 1000)
+
+    def observe_term(self) -> None:
+        """Record the current term, also while another host leads."""
+        self._leader_terms.observe(self._control.term(), self._control.now_ms())
 
     async def place(self, sender: str, body: bytes) -> bytes:
         """Answer a placement request."""
@@ -105,10 +109,7 @@
         if table is not self._table:
             self._table = table
             self.allotments.update(table.allotments, now_ms)
-        term = self._control.term()
-        if term != self._term:
-            self._term = term
-            self.allotments.forget_usage(now_ms)
+        self._adopt_term(now_ms)
         directory = self._control.directory
         self.allotments.record_routers(
             directory.count_seen(now_ms - PRESENT_MS),
@@ -118,3 +119,15 @@
         if wait_ms:
             self._control.metrics.count("allotment.refused")
         return wait_ms
+
+    def _adopt_term(self, now_ms: int) -> None:
+        """Begin again if another host may have led since the last request."""
+        term, last_term = self._control.term(), self._term
+        if term == last_term:
+            return
+        self._term = term
+        self._leader_terms.observe(term, now_ms)
+        if term == last_term + 1:
+            self.allotments.resume(now_ms)
+        else:
+            self.allotments.forget_usage(now_ms, self._leader_terms.changes(now_ms))
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -1,6 +1,7 @@
 """Control process that discovers its peers through seed addresses."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Coroutine
 from pathlib import Path
@@ -344,12 +345,11 @@
         )
         self.part_crashes.adopt(request.refused_parts, self.now_ms())
         self.placements.weights_limit.adopt(request.weights_ages, self.now_ms())
+        self._placement_service.observe_term()
         if not self._has_updates_for(request):
-            try:
+            with contextlib.suppress(TimeoutError):  # Then confirms what is known.
                 async with asyncio.timeout(request.hold_ms / 1000):
                     await self._changed.wait()
-            except TimeoutError:
-                pass  # The reply then only renews the router's confirmation.
         reply = omit_known(self._sync_reply(request), request.details_digest)
         return msgspec.msgpack.encode(reply)
 
