Begin the share of a new router with its start

A router that had not heard from the leader yet counted its share from time 0 of its clock, and could use a whole window of it at once. The share now grows from the start of the router at the earliest. The new test failed before the change and passes with it.

--- a/mustardtrack/process/allotment_client.py
+++ b/mustardtrack/process/allotment_client.py
@@ -31,6 +31,7 @@
         self._control_sync = control_sync
         self._placements = placements
         self._clock = clock
+        self._started_ms = clock.now_ms()
         self._share = AllotmentShare(
             AllotmentTerms.of(
                 bounds.allotment_window_s,
@@ -84,6 +85,6 @@
             account.allotment,
             amount,
             view.router_count,
-            view.leader_heard_ms,
+            max(view.leader_heard_ms, self._started_ms),
             self._clock.now_ms(),
         )
