Count what cut-off routers use before they are held missing

The leader keeps the shares of missing routers back after 1 s; until then it gave the whole rate while the routers used their shares, so that routers that were cut off together could exceed an allotment with a small margin (overshoot 0.1, no slack). What a share gives in its first second is now at most a quarter of the margin over all routers, and the time that a refused caller is told follows the same steps. The example of the class needs a margin and gets one. The new test failed before the change and passes with it.

--- a/mustardtrack/admission/allotments.py
+++ b/mustardtrack/admission/allotments.py
@@ -42,6 +42,9 @@
 LOG_PERIOD_MS = 5000
 # Part of the rate that missing routers may use before it is kept back.
 IGNORED_MISSING = 0.02
+# A router that was heard from within this time asks the leader. Routers report every
+# 0.4 s.
+PRESENT_MS = 1000
 
 
 @dataclass(frozen=True)
@@ -329,7 +332,7 @@
         terms: By how much allotments may be exceeded.
 
     Examples:
-        >>> share = AllotmentShare(AllotmentTerms())
+        >>> share = AllotmentShare(AllotmentTerms(slack=100.0))
         >>> hotel = Allotment(10.0, 20.0)
         >>> share.take("hotel", hotel, 1, routers=2, alone_since_ms=0, now_ms=100)
         100
@@ -369,20 +372,34 @@
             self._alone_since_ms = alone_since_ms
             self._used.clear()
         rate_per_ms = allotment.rate_per_s / 1000 / max(1, routers)
-        earned = rate_per_ms * max(0, now_ms - alone_since_ms)
+        unnoticed = self._unnoticed(allotment, routers)
+        alone_ms = max(0, now_ms - alone_since_ms)
+        earned = min(unnoticed, rate_per_ms * alone_ms)
+        earned += rate_per_ms * max(0, alone_ms - PRESENT_MS)
         used = self._used.get(account, 0.0)
         # What was not used for a whole window may not be used in the next one.
         at_most = rate_per_ms * self._terms.window_s * 1000
         if earned - used > at_most:
             used = earned - at_most
-        if earned - used < min(amount, at_most):
-            missing = min(amount, at_most) - (earned - used)
-            wait_ms = missing / max(1e-9, rate_per_ms)
-            return max(1, min(MAX_WAIT_MS, round(wait_ms)))
+        needed = used + min(amount, at_most)
+        if earned < needed:
+            earned_after_ms = needed / max(1e-9, rate_per_ms)
+            if needed > unnoticed:
+                earned_after_ms += PRESENT_MS - unnoticed / max(1e-9, rate_per_ms)
+            return max(1, min(MAX_WAIT_MS, math.ceil(earned_after_ms - alone_ms)))
         self._used[account] = used + amount
         self.record(account, amount)
         return 0
 
+    def _unnoticed(self, allotment: Allotment, routers: int) -> float:
+        """Return what may be used before the leader holds this router missing.
+
+        Until then the leader gives the whole rate to the others.
+        """
+        earned = allotment.rate_per_s / 1000 * PRESENT_MS
+        margin = MISSED_PART * self._terms.margin(allotment)
+        return min(earned, margin) / max(1, routers)
+
     def record(self, account: str, amount: float) -> None:
         """Note usage for the leader, negative for a request that did not run."""
         self._unreported[account] = self._unreported.get(account, 0.0) + amount
--- a/mustardtrack/admission/tests/test_allotments.py
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -187,6 +187,19 @@
     assert allotments.take("hotel", 1, 10_000) > 0
 
 
+def test_routers_that_are_cut_off_together_stay_within_a_small_margin(monkeypatch):
+    """Guards against a second in which the leader gives the rate that they use too."""
+    terms = AllotmentTerms(window_s=8.0, overshoot=0.1)
+    monkeypatch.setitem(globals(), "TERMS", terms)
+    deployment, rng = Deployment(), random.Random(11)
+    deployment.run(4000, 0, rng)
+    deployment.run(3600, 1600, rng)
+    for router in deployment.members[1:]:
+        router.cut_until_ms = deployment.now_ms + 5000
+    deployment.run(6000, 1600, rng)
+    assert deployment.most_in_a_window() <= allowed()
+
+
 def test_check_of_the_usage_can_fail_with_a_new_leader():
     """Each leader begins with a full bucket, as if nothing had been used."""
     history = [("leader", 0, 200), ("calm", 0, 1000)] * 6
--- a/mustardtrack/process/placement_service.py
+++ b/mustardtrack/process/placement_service.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from mustardtrack.admission.allotments import Allotments, AllotmentTerms, LeaderTerms
+from mustardtrack.admission.allotments import (
+    PRESENT_MS,
+    Allotments,
+    AllotmentTerms,
+    LeaderTerms,
+)
 from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.ports.sync_messages import PromptProgress
 from mustardtrack.routing.placementmessages import (
@@ -19,9 +24,6 @@
 
 # Answer to a request for an allotment by a host that does not lead.
 NOT_LEADER = -1
-# A router that was heard from within this time asks the leader. Routers report every
-# 0.4 s.
-PRESENT_MS = 1000
 # A router without a leader serves for this part of ``revoke_ms`` (see
 # ``process.control_sync``) and is counted for the whole.
 
