Count each request once against its allotment

A placement or allotment request that timed out at the router was counted by the leader and by the share of the router, and a prompt whose placed engine the router did not know was counted by the placement and by a second message; neither was given back. A request that was interrupted while the leader counted it stayed counted too. Counts now have ids of their own: the leader counts an id once within 2 s, at most 20,000 of them, and the router withdraws an id whose answer did not arrive, in the next progress message. A withdrawal that arrives first keeps the request from being counted. Ids of callers are not used, since callers may use one id for many requests.

--- a/mustardtrack/admission/allotments.py
+++ b/mustardtrack/admission/allotments.py
@@ -45,6 +45,11 @@
 # A router that was heard from within this time asks the leader. Routers report every
 # 0.4 s.
 PRESENT_MS = 1000
+# A withdrawn count arrives within the time-out of a request to the leader, the period
+# of progress messages and the delay of the link, all below 0.1 s on a sound link.
+COUNT_LIFETIME_MS = 2000
+# Bounds the memory for counts; older ones can't be withdrawn any more.
+MAX_COUNTS = 20_000
 
 
 @dataclass(frozen=True)
@@ -321,6 +326,59 @@
         return self._known_part * bucket.allotment.rate_per_s / 1000
 
 
+class CountedRequests:
+    """Requests that the leader counted lately, so that each is counted once.
+
+    A router that got no answer withdraws the count, which may arrive before the request
+    to count.
+
+    Examples:
+        >>> counted = CountedRequests()
+        >>> counted.add("c1", "hotel", 5, now_ms=0)
+        >>> counted.knows("c1", now_ms=10), counted.remove("c1")
+        (True, ('hotel', 5))
+        >>> counted.withdraw("c2", now_ms=10), counted.knows("c2", now_ms=20)
+        (None, True)
+    """
+
+    def __init__(self) -> None:
+        self._requests: dict[str, tuple[int, str, float]] = {}
+
+    def knows(self, count_id: str, now_ms: int) -> bool:
+        """Return whether a request was counted or withdrawn lately."""
+        while self._requests:
+            oldest = next(iter(self._requests))
+            is_old = self._requests[oldest][0] < now_ms - COUNT_LIFETIME_MS
+            if not is_old and len(self._requests) < MAX_COUNTS:
+                break
+            del self._requests[oldest]
+        return count_id in self._requests
+
+    def add(self, count_id: str, account: str, amount: float, now_ms: int) -> None:
+        """Record a request that was counted."""
+        if count_id:
+            self._requests[count_id] = (now_ms, account, amount)
+
+    def remove(self, count_id: str) -> tuple[str, float] | None:
+        """Forget a request and return its account and amount, None if not known."""
+        found = self._requests.pop(count_id, None)
+        return found and found[1:]
+
+    def withdraw(self, count_id: str, now_ms: int) -> tuple[str, float] | None:
+        """Return the account and amount to give back, None if not counted.
+
+        The request is not counted any more if it arrives later.
+        """
+        removed = self.remove(count_id)
+        self.knows(count_id, now_ms)
+        self.add(count_id, "", 0, now_ms)
+        return removed
+
+    def clear(self) -> None:
+        """Forget all requests."""
+        self._requests.clear()
+
+
 class AllotmentShare:
     """Share of a router that cannot ask the process that admits for all.
 
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -152,6 +152,8 @@
     ``lost_requests`` are those whose endpoint closed the connection while it ran them.
     ``allotment_usage`` is what the router counted itself against the allotment of each
     account, negative for requests that did not run.
+    ``withdrawn_counts`` are the ids of requests that the leader may have counted,
+    although its answer did not arrive.
     """
 
     prefilled: list[str]
@@ -164,3 +166,4 @@
     leaving: list[Incarnation] = []
     lost_requests: list[LostRequest] = []
     allotment_usage: dict[str, float] = {}
+    withdrawn_counts: list[str] = []
--- a/mustardtrack/process/allotment_client.py
+++ b/mustardtrack/process/allotment_client.py
@@ -13,6 +13,9 @@
 # Refusal reason of requests beyond the allotment of their account.
 OVER_ALLOTMENT = "allotment"
 OVER_ALLOTMENT_STATUS = 429
+# Withdrawn counts that are kept while there is no leader to report them to. Counts that
+# are dropped stay counted.
+MAX_WITHDRAWN = 1000
 
 
 class AllotmentClient:
@@ -39,7 +42,9 @@
                 bounds.allotment_slack,
             )
         )
+        self._withdrawn: list[str] = []
         placements.take_allotment_usage = self._share.take_report
+        placements.take_withdrawn_counts = self._take_withdrawn
 
     async def count(
         self, admitted: AdmittedRequest, placement: Placement | None
@@ -58,13 +63,18 @@
         if placement is not None:
             wait_ms = placement.allotment_wait_ms
             admitted.is_counted = bool(placement.endpoint)
+            admitted.count_id = ""
         else:
             wait_ms = await self._take(admitted)
             admitted.is_counted = not wait_ms
         return NoAttempt(OVER_ALLOTMENT, pause_ms=wait_ms) if wait_ms else None
 
     def give_back(self, admitted: AdmittedRequest) -> None:
-        """Give back what a request counted that did not run."""
+        """Give back what a request counted that did not run.
+
+        The leader may have counted it even if its answer has not arrived.
+        """
+        self._withdraw(admitted)
         if admitted.is_counted and admitted.account is not None:
             admitted.is_counted = False
             self._share.record(admitted.account.name, -admitted.allotment_amount)
@@ -73,12 +83,15 @@
         account = admitted.account
         assert account is not None and account.allotment is not None
         amount = admitted.allotment_amount
-        body = msgspec.msgpack.encode(AllotmentRequest(account.name, amount))
+        request = AllotmentRequest(account.name, amount, admitted.begin_count())
+        body = msgspec.msgpack.encode(request)
         answer = await self._placements.ask_leader("allot", body, admitted.request_id)
         if answer is not None:
             wait_ms = msgspec.msgpack.decode(answer, type=int)
             if wait_ms >= 0:
+                admitted.count_id = ""
                 return wait_ms
+        self._withdraw(admitted)
         view = self._control_sync.view
         return self._share.take(
             account.name,
@@ -88,3 +101,13 @@
             max(view.leader_heard_ms, self._started_ms),
             self._clock.now_ms(),
         )
+
+    def _withdraw(self, admitted: AdmittedRequest) -> None:
+        if admitted.count_id:
+            self._withdrawn.append(admitted.count_id)
+            del self._withdrawn[:-MAX_WITHDRAWN]
+            admitted.count_id = ""
+
+    def _take_withdrawn(self) -> list[str]:
+        withdrawn, self._withdrawn = self._withdrawn, []
+        return withdrawn
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
@@ -46,6 +47,8 @@
         allotment_amount: What it counts against the allotment of its account, 0 if the
             account has none.
         is_counted: Whether it was counted.
+        count_id: Id under which the leader was asked to count it, empty unless its
+            answer is outstanding or did not arrive.
     """
 
     exchange: Exchange
@@ -63,6 +66,16 @@
     connection: UpstreamConnection | None = None
     allotment_amount: int = 0
     is_counted: bool = False
+    count_id: str = ""
+
+    def begin_count(self) -> str:
+        """Return the id of the open count, a new one if none is open.
+
+        Callers choose the ids of their requests and may use one again, so that counts
+        have ids of their own.
+        """
+        self.count_id = self.count_id or f"{random.getrandbits(64):016x}"
+        return self.count_id
 
     @property
     def request_id(self) -> str:
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -187,6 +187,7 @@
             router=self._settings.name,
             account=admitted.account.name if amount and admitted.account else "",
             amount=amount,
+            count_id=admitted.begin_count() if amount else "",
         )
 
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -41,6 +41,7 @@
 
     Attributes:
         take_allotment_usage: Returns the usage of allotments that is not reported yet.
+        take_withdrawn_counts: Returns the ids of counts that were withdrawn since.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self._lost_requests = LostRequestReports()
         self._not_run: list[str] = []
         self.take_allotment_usage: Callable[[], dict[str, float]] = dict
+        self.take_withdrawn_counts: Callable[[], list[str]] = list
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -186,8 +188,10 @@
             leader = view.leader
             parts, limits, leaving, lost = PartReport(), {}, [], []
             usage: dict[str, float] = {}
+            withdrawn: list[str] = []
             if leader:
                 usage = self.take_allotment_usage()
+                withdrawn = self.take_withdrawn_counts()
                 lost = self._lost_requests.take_report(leader, self._clock.now_ms())
                 notices = view.endpoints.notices
                 if leader != told_leader:
@@ -208,6 +212,7 @@
                 leaving,
                 lost,
                 usage,
+                withdrawn,
             )
             if progress == EMPTY_PROGRESS:
                 continue
--- a/mustardtrack/process/placement_service.py
+++ b/mustardtrack/process/placement_service.py
@@ -8,6 +8,7 @@
     PRESENT_MS,
     Allotments,
     AllotmentTerms,
+    CountedRequests,
     LeaderTerms,
 )
 from mustardtrack.configuration.routes import RouteTable
@@ -42,6 +43,7 @@
             bounds.allotment_slack,
         )
         self.allotments = Allotments(terms)
+        self._counted = CountedRequests()
         self._leader_terms = LeaderTerms(terms.window_s * 1000)
 
     def observe_term(self) -> None:
@@ -59,7 +61,7 @@
         if service is None:
             return msgspec.msgpack.encode(Placement())
         now_ms = control.now_ms()
-        wait_ms = self._take(table, request.account, request.amount, now_ms)
+        wait_ms = self._take(table, request, now_ms)
         if wait_ms:
             refusal = Placement(is_authoritative=True, allotment_wait_ms=wait_ms)
             return msgspec.msgpack.encode(refusal)
@@ -71,7 +73,10 @@
             now_ms,
         )
         if not placement.endpoint and request.amount:
-            self.allotments.record_usage(request.account, -request.amount, now_ms)
+            counted = self._counted.remove(request.count_id)
+            if not request.count_id:  # From a router of an earlier version.
+                counted = request.account, request.amount
+            self._give_back(counted, now_ms)
         return msgspec.msgpack.encode(placement)
 
     async def allot(self, sender: str, body: bytes) -> bytes:
@@ -81,7 +86,7 @@
         wait_ms = NOT_LEADER
         if self._control.is_leader() and table is not None:
             now_ms = self._control.now_ms()
-            wait_ms = self._take(table, request.account, request.amount, now_ms)
+            wait_ms = self._take(table, request, now_ms)
         return msgspec.msgpack.encode(wait_ms)
 
     async def is_queued(self, sender: str, body: bytes) -> bytes:
@@ -104,9 +109,21 @@
         placements.notices.merge_leaving(progress.leaving, now_ms)
         for account, amount in progress.allotment_usage.items():
             self.allotments.record_usage(account, amount, now_ms)
+        for count_id in progress.withdrawn_counts:
+            self._give_back(self._counted.withdraw(count_id, now_ms), now_ms)
 
-    def _take(self, table: RouteTable, account: str, amount: int, now_ms: int) -> int:
-        if not account or not table.allotments:
+    def _give_back(self, counted: tuple[str, float] | None, now_ms: int) -> None:
+        if counted is not None:
+            account, amount = counted
+            self.allotments.record_usage(account, -amount, now_ms)
+
+    def _take(
+        self,
+        table: RouteTable,
+        request: PlacementRequest | AllotmentRequest,
+        now_ms: int,
+    ) -> int:
+        if not request.account or not table.allotments:
             return 0
         if table is not self._table:
             self._table = table
@@ -117,8 +134,13 @@
             directory.count_seen(now_ms - PRESENT_MS),
             directory.count_seen(now_ms - self._bounds.revoke_ms),
         )
-        wait_ms = self.allotments.take(account, amount, now_ms)
-        if wait_ms:
+        if self._counted.knows(request.count_id, now_ms):
+            return 0
+        wait_ms = self.allotments.take(request.account, request.amount, now_ms)
+        if not wait_ms:
+            account, amount = request.account, request.amount
+            self._counted.add(request.count_id, account, amount, now_ms)
+        else:
             self._control.metrics.count("allotment.refused")
         return wait_ms
 
@@ -132,4 +154,5 @@
         if term == last_term + 1:
             self.allotments.resume(now_ms)
         else:
+            self._counted.clear()
             self.allotments.forget_usage(now_ms, self._leader_terms.changes(now_ms))
--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -20,6 +20,7 @@
         router: Router that sends the request.
         account: Client account with an allotment, empty if there is none.
         amount: What the request counts against it, 0 if it was counted before.
+        count_id: Id under which it is counted once, empty if it is not counted.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     router: str = ""
     account: str = ""
     amount: int = 0
+    count_id: str = ""
 
 
 class AllotmentRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -44,6 +46,7 @@
 
     account: str
     amount: int
+    count_id: str = ""
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
