Refuse requests that no window of an allotment can hold

A request larger than the bucket was admitted whenever the bucket was full: one of 10^9 tokens exceeded the bound, and locked the account for as long as its rate takes to pay for it; after a window in full use, one of a window's size nearly doubled the usage. When refused, it moved the time that other callers are told by the same amount. A request larger than the bucket is now admitted only if the usage of the last window (16 slots for each account) leaves room for it; what was used before the leader knew all usage counts as the most that it may have been. An account without a burst is still served from the start.

--- a/mustardtrack/admission/allotments.py
+++ b/mustardtrack/admission/allotments.py
@@ -40,6 +40,8 @@
 MAX_WAIT_MS = 60_000
 # Time between two log lines on the same account.
 LOG_PERIOD_MS = 5000
+# Slots in which the usage of a window is counted.
+USAGE_SLOTS = 16
 # Part of the rate that missing routers may use before it is kept back.
 IGNORED_MISSING = 0.02
 # A router that was heard from within this time asks the leader. Routers report every
@@ -172,11 +174,38 @@
             del self._seen[0]
 
 
+class _WindowUsage:
+    """Usage in the last window, counted in slots and at most one slot too much."""
+
+    def __init__(self, window_ms: float) -> None:
+        self._slot_ms = window_ms / USAGE_SLOTS
+        self._slots = [0.0] * (USAGE_SLOTS + 1)
+        self._newest = 0
+
+    def add(self, amount: float, now_ms: int) -> None:
+        self._advance(now_ms)
+        self._slots[self._newest % len(self._slots)] += amount
+
+    def total(self, now_ms: int) -> float:
+        self._advance(now_ms)
+        return sum(self._slots)
+
+    def _advance(self, now_ms: int) -> None:
+        newest = max(self._newest, int(now_ms // self._slot_ms))
+        for slot in range(
+            newest - min(newest - self._newest, len(self._slots)), newest
+        ):
+            self._slots[(slot + 1) % len(self._slots)] = 0.0
+        self._newest = newest
+
+
 @dataclass
 class _Bucket:
     """Bucket of one account.
 
     Attributes:
+        usage: What was used in the last window.
+        known_from_ms: Time from which all usage is known.
         level: What may be used now; below 0 after a request larger than the bucket.
         promised: What refused callers were told to return for.
     """
@@ -185,6 +214,8 @@
     capacity: float
     level: float
     filled_ms: int
+    usage: _WindowUsage
+    known_from_ms: int
     promised: float = 0.0
     logged_ms: int = -LOG_PERIOD_MS
 
@@ -211,6 +242,7 @@
 
     def __init__(self, terms: AllotmentTerms) -> None:
         self._terms = terms
+        self._window_ms = terms.window_s * 1000
         self._buckets: dict[str, _Bucket] = {}
         self._has_adopted = False
         self._known_part = 1.0
@@ -233,7 +265,9 @@
             capacity = allotment.burst + LENIENCY * margin
             if bucket is None:
                 level = capacity if self._has_adopted else NEW_LEADER_PART * margin
-                bucket = _Bucket(allotment, capacity, min(capacity, level), now_ms)
+                usage = _WindowUsage(self._window_ms)
+                level = min(capacity, level)
+                bucket = _Bucket(allotment, capacity, level, now_ms, usage, now_ms)
                 self._buckets[account] = bucket
             else:
                 self._fill(bucket, now_ms)
@@ -259,7 +293,7 @@
             self._fill(bucket, now_ms)
             margin = self._terms.margin(bucket.allotment)
             bucket.level = min(bucket.level, part * margin)
-            bucket.promised = 0.0
+            bucket.promised, bucket.known_from_ms = 0.0, now_ms
 
     def resume(self, now_ms: int) -> None:
         """Continue as the leader of the next term, between which no other one led.
@@ -268,6 +302,7 @@
         """
         for bucket in self._buckets.values():
             bucket.filled_ms = max(now_ms, bucket.filled_ms)
+            bucket.known_from_ms = now_ms
 
     def record_routers(self, present: int, known: int) -> None:
         """Keep back the shares of routers that may admit without the leader.
@@ -290,17 +325,21 @@
         if bucket is None or amount <= 0:
             return 0
         self._fill(bucket, now_ms)
-        if bucket.level >= min(amount, bucket.capacity):
+        excess = self._excess(bucket, amount, now_ms)
+        if excess <= 0 and bucket.level >= min(amount, bucket.capacity):
             bucket.level -= amount
+            bucket.usage.add(amount, now_ms)
             return 0
         if now_ms - bucket.logged_ms >= LOG_PERIOD_MS:
             bucket.logged_ms = now_ms
             log_event(
                 ACCOUNT_LIMITED, account=account, level=bucket.level, amount=amount
             )
-        missing = min(amount, bucket.capacity) - bucket.level + bucket.promised
-        bucket.promised += amount
         rate_per_ms = max(1e-9, self._rate_per_ms(bucket))
+        if excess > 0:
+            return max(1, round(min(MAX_WAIT_MS, excess / rate_per_ms)))
+        missing = min(amount, bucket.capacity) - bucket.level + bucket.promised
+        bucket.promised = min(bucket.promised + amount, rate_per_ms * MAX_WAIT_MS)
         return max(1, min(MAX_WAIT_MS, round(missing / rate_per_ms)))
 
     def record_usage(self, account: str, amount: float, now_ms: int) -> None:
@@ -318,6 +357,22 @@
         if bucket is not None and math.isfinite(amount):
             self._fill(bucket, now_ms)
             bucket.level = min(bucket.capacity, bucket.level - amount)
+            # What is given back may have been used before the window.
+            bucket.usage.add(max(0.0, amount), now_ms)
+
+    def _excess(self, bucket: _Bucket, amount: float, now_ms: int) -> float:
+        """Return by how much a request larger than the bucket exceeds its window.
+
+        Others may have used the rate and a bucket before all usage was known.
+        """
+        if amount <= bucket.capacity:
+            return 0.0
+        rate_per_s, capacity = bucket.allotment.rate_per_s, bucket.capacity
+        used = bucket.usage.total(now_ms)
+        unknown_ms = bucket.known_from_ms + self._window_ms - now_ms
+        if unknown_ms > 0:
+            used += capacity + rate_per_s * unknown_ms / 1000
+        return used + amount - rate_per_s * self._terms.window_s - capacity
 
     def _fill(self, bucket: _Bucket, now_ms: int) -> None:
         bucket.fill(self._rate_per_ms(bucket), now_ms)
@@ -435,11 +490,14 @@
         earned = min(unnoticed, rate_per_ms * alone_ms)
         earned += rate_per_ms * max(0, alone_ms - PRESENT_MS)
         used = self._used.get(account, 0.0)
-        # What was not used for a whole window may not be used in the next one.
+        # What was not used for a whole window may not be used in the next one, and
+        # nothing larger fits into it.
         at_most = rate_per_ms * self._terms.window_s * 1000
+        if amount > at_most:
+            return MAX_WAIT_MS
         if earned - used > at_most:
             used = earned - at_most
-        needed = used + min(amount, at_most)
+        needed = used + amount
         if earned < needed:
             earned_after_ms = needed / max(1e-9, rate_per_ms)
             if needed > unnoticed:
--- a/mustardtrack/admission/tests/test_allotments.py
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -4,6 +4,7 @@
 routers are cut off, freeze or restart and the leader changes.
 """
 
+import pickle
 import random
 from dataclasses import dataclass, field
 
@@ -305,3 +306,50 @@
     allotments.update({"hotel": HOTEL}, 0)
     allotments.record_usage("hotel", amount, 500)
     assert [allotments.take("hotel", 50, 500) for _ in range(2)] == [0, 500]
+
+
+@pytest.mark.parametrize("amount", [1101, 10**9, 10**18])
+def test_request_that_no_window_can_hold_is_refused(amount):
+    """Guards against one request that exceeds the allotment or uses up the future."""
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"hotel": HOTEL}, 0)
+    assert allotments.take("hotel", amount, 20_000) > 0
+    assert allotments.take("hotel", 100, 20_000) == 0
+    assert allotments.take("hotel", 50, 20_000) <= 1000
+    share = AllotmentShare(AllotmentTerms())
+    assert share.take("hotel", HOTEL, amount, 1, 0, 60_000) > 0
+    assert share.take("hotel", HOTEL, 1, 1, 0, 60_000) == 0
+
+
+def test_large_requests_among_small_ones_stay_within_the_allotment():
+    """Guards against a request larger than the bucket after a window in full use."""
+    terms = AllotmentTerms(window_s=8.0, overshoot=0.1)
+    for amount in (110, 140, 300, 900):
+        allotments, used = Allotments(terms), []
+        allotments.update({"hotel": HOTEL}, 0)
+        rng = random.Random(amount)
+        for now_ms in range(0, 60_000, 20):
+            is_idle = now_ms % 12_000 > 9000
+            size = amount if is_idle or rng.random() < 0.02 else 3
+            if not allotments.take("hotel", size, now_ms):
+                used.append((now_ms, size))
+        for begin_ms, _ in used:
+            within = sum(size for at, size in used if 0 <= at - begin_ms < 8000)
+            assert within <= allowed() - TERMS.slack
+
+
+def test_memory_for_the_usage_of_an_account_is_bounded():
+    allotments = Allotments(TERMS)
+    allotments.update({"hotel": HOTEL}, 0)
+    for now_ms in range(0, 100_000, 7):
+        allotments.take("hotel", 1, now_ms)
+        allotments.take("account without an allotment", 1, now_ms)
+    assert len(pickle.dumps(allotments)) < 3000
+
+
+def test_account_without_a_burst_is_served_from_the_start():
+    """Guards against an account whose bucket holds no request and is never served."""
+    allotments = Allotments(AllotmentTerms(window_s=8.0, overshoot=0.1))
+    allotments.update({"hotel": Allotment(2.5, 0.0)}, 0)
+    for now_ms in range(500, 20_000, 500):
+        assert allotments.take("hotel", 1, now_ms) == 0
