--- a/mustardtrack/admission/allotments.py
+++ b/mustardtrack/admission/allotments.py
@@ -14,6 +14,7 @@
 Times are monotonic milliseconds of the process that calls.
 """
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -26,17 +27,31 @@
     8824, "INFO", "client account has used its allotment, requests are refused"
 )
 
-# Parts of the margin: a bucket is larger than the burst by the first one, so that
-# requests which arrive in another order than they were sent are not refused; a new
-# leader begins with the second one, since it does not know what the last one admitted.
+# Parts of the margin, which add up to one in each window. A bucket is larger than the
+# burst by the first one, so that requests which arrive in another order than they were
+# sent are not refused. A new leader does not know what others admitted and begins with
+# the second one, or after several changes in one window with what a series of halves
+# leaves of the third one. Routers may use the last one before they are held missing.
 LENIENCY = 0.25
-NEW_LEADER_PART = 0.5
+NEW_LEADER_PART = 0.375
+FURTHER_LEADERS_PART = 0.125
+MISSED_PART = 0.25
 # Longest time after which a refused caller is told to return.
 MAX_WAIT_MS = 60_000
 # Time between two log lines on the same account.
 LOG_PERIOD_MS = 5000
+# Slots in which the usage of a window is counted.
+USAGE_SLOTS = 16
 # Part of the rate that missing routers may use before it is kept back.
 IGNORED_MISSING = 0.02
+# A router that was heard from within this time asks the leader. Routers report every
+# 0.4 s.
+PRESENT_MS = 1000
+# A withdrawn count arrives within the time-out of a request to the leader, the period
+# of progress messages and the delay of the link, all below 0.1 s on a sound link.
+COUNT_LIFETIME_MS = 2000
+# Bounds the memory for counts; older ones can't be withdrawn any more.
+MAX_COUNTS = 20_000
 
 
 @dataclass(frozen=True)
@@ -102,11 +117,95 @@
         return self.overshoot * in_window + self.slack
 
 
+def new_leader_part(changes: int) -> float:
+    """Return the part of the margin with which a new leader begins.
+
+    Args:
+        changes: Changes of the leader within one window, with the last one.
+
+    Examples:
+        >>> [new_leader_part(changes) for changes in (1, 2, 3)]
+        [0.375, 0.0625, 0.03125]
+    """
+    if changes <= 1:
+        return NEW_LEADER_PART
+    return FURTHER_LEADERS_PART * 0.5 ** min(changes - 1, 60)
+
+
+class LeaderTerms:
+    """Terms that a control host has seen, to count changes of the leader.
+
+    A term has one leader at most. Before the process has run for a window, each term
+    may have begun within it.
+
+    Args:
+        window_ms: Time in which changes are counted.
+
+    Examples:
+        >>> terms = LeaderTerms(8000)
+        >>> terms.observe(1, 0), terms.changes(0)
+        (None, 1)
+        >>> terms.observe(2, 9000), terms.changes(9000)
+        (None, 1)
+        >>> terms.observe(4, 9050), terms.changes(9050)
+        (None, 3)
+    """
+
+    def __init__(self, window_ms: float) -> None:
+        self._window_ms = window_ms
+        self._seen: list[tuple[int, int]] = []
+
+    def observe(self, term: int, now_ms: int) -> None:
+        """Record the current term."""
+        if not self._seen or term > self._seen[-1][1]:
+            self._forget(now_ms)
+            self._seen.append((now_ms, term))
+
+    def changes(self, now_ms: int) -> int:
+        """Return how many terms may have begun within the window."""
+        self._forget(now_ms)
+        if not self._seen:
+            return 0
+        is_first_old = self._seen[0][0] < now_ms - self._window_ms
+        return self._seen[-1][1] - (self._seen[0][1] if is_first_old else 0)
+
+    def _forget(self, now_ms: int) -> None:
+        while len(self._seen) > 1 and self._seen[1][0] < now_ms - self._window_ms:
+            del self._seen[0]
+
+
+class _WindowUsage:
+    """Usage in the last window, counted in slots and at most one slot too much."""
+
+    def __init__(self, window_ms: float) -> None:
+        self._slot_ms = window_ms / USAGE_SLOTS
+        self._slots = [0.0] * (USAGE_SLOTS + 1)
+        self._newest = 0
+
+    def add(self, amount: float, now_ms: int) -> None:
+        self._advance(now_ms)
+        self._slots[self._newest % len(self._slots)] += amount
+
+    def total(self, now_ms: int) -> float:
+        self._advance(now_ms)
+        return sum(self._slots)
+
+    def _advance(self, now_ms: int) -> None:
+        newest = max(self._newest, int(now_ms // self._slot_ms))
+        for slot in range(
+            newest - min(newest - self._newest, len(self._slots)), newest
+        ):
+            self._slots[(slot + 1) % len(self._slots)] = 0.0
+        self._newest = newest
+
+
 @dataclass
 class _Bucket:
     """Bucket of one account.
 
     Attributes:
+        usage: What was used in the last window.
+        known_from_ms: Time from which all usage is known.
         level: What may be used now; below 0 after a request larger than the bucket.
         promised: What refused callers were told to return for.
     """
@@ -115,6 +214,8 @@
     capacity: float
     level: float
     filled_ms: int
+    usage: _WindowUsage
+    known_from_ms: int
     promised: float = 0.0
     logged_ms: int = -LOG_PERIOD_MS
 
@@ -141,6 +242,7 @@
 
     def __init__(self, terms: AllotmentTerms) -> None:
         self._terms = terms
+        self._window_ms = terms.window_s * 1000
         self._buckets: dict[str, _Bucket] = {}
         self._has_adopted = False
         self._known_part = 1.0
@@ -163,7 +265,9 @@
             capacity = allotment.burst + LENIENCY * margin
             if bucket is None:
                 level = capacity if self._has_adopted else NEW_LEADER_PART * margin
-                bucket = _Bucket(allotment, capacity, min(capacity, level), now_ms)
+                usage = _WindowUsage(self._window_ms)
+                level = min(capacity, level)
+                bucket = _Bucket(allotment, capacity, level, now_ms, usage, now_ms)
                 self._buckets[account] = bucket
             else:
                 self._fill(bucket, now_ms)
@@ -177,12 +281,28 @@
             )
         self._has_adopted = True
 
-    def forget_usage(self, now_ms: int) -> None:
-        """Begin again as a new leader, which does not know what others admitted."""
+    def forget_usage(self, now_ms: int, changes: int = 1) -> None:
+        """Begin again as a new leader, which does not know what others admitted.
+
+        Args:
+            now_ms: Monotonic time.
+            changes: Changes of the leader within one window, with the last one.
+        """
+        part = new_leader_part(changes)
         for bucket in self._buckets.values():
+            self._fill(bucket, now_ms)
             margin = self._terms.margin(bucket.allotment)
-            bucket.level = min(bucket.capacity, NEW_LEADER_PART * margin)
-            bucket.filled_ms, bucket.promised = now_ms, 0.0
+            bucket.level = min(bucket.level, part * margin)
+            bucket.promised, bucket.known_from_ms = 0.0, now_ms
+
+    def resume(self, now_ms: int) -> None:
+        """Continue as the leader of the next term, between which no other one led.
+
+        What the allotment gave meanwhile was left to the routers.
+        """
+        for bucket in self._buckets.values():
+            bucket.filled_ms = max(now_ms, bucket.filled_ms)
+            bucket.known_from_ms = now_ms
 
     def record_routers(self, present: int, known: int) -> None:
         """Keep back the shares of routers that may admit without the leader.
@@ -205,31 +325,54 @@
         if bucket is None or amount <= 0:
             return 0
         self._fill(bucket, now_ms)
-        if bucket.level >= min(amount, bucket.capacity):
+        excess = self._excess(bucket, amount, now_ms)
+        if excess <= 0 and bucket.level >= min(amount, bucket.capacity):
             bucket.level -= amount
+            bucket.usage.add(amount, now_ms)
             return 0
         if now_ms - bucket.logged_ms >= LOG_PERIOD_MS:
             bucket.logged_ms = now_ms
             log_event(
                 ACCOUNT_LIMITED, account=account, level=bucket.level, amount=amount
             )
-        missing = min(amount, bucket.capacity) - bucket.level + bucket.promised
-        bucket.promised += amount
         rate_per_ms = max(1e-9, self._rate_per_ms(bucket))
+        if excess > 0:
+            return max(1, round(min(MAX_WAIT_MS, excess / rate_per_ms)))
+        missing = min(amount, bucket.capacity) - bucket.level + bucket.promised
+        bucket.promised = min(bucket.promised + amount, rate_per_ms * MAX_WAIT_MS)
         return max(1, min(MAX_WAIT_MS, round(missing / rate_per_ms)))
 
     def record_usage(self, account: str, amount: float, now_ms: int) -> None:
         """Count what a router admitted on its own, or give back what did not run.
 
+        An amount that is not finite is ignored; it would lock the bucket, or fill it,
+        for all later requests.
+
         Args:
             account: Account.
             amount: What was used, negative for what is given back.
             now_ms: Monotonic time.
         """
         bucket = self._buckets.get(account)
-        if bucket is not None:
+        if bucket is not None and math.isfinite(amount):
             self._fill(bucket, now_ms)
             bucket.level = min(bucket.capacity, bucket.level - amount)
+            # What is given back may have been used before the window.
+            bucket.usage.add(max(0.0, amount), now_ms)
+
+    def _excess(self, bucket: _Bucket, amount: float, now_ms: int) -> float:
+        """Return by how much a request larger than the bucket exceeds its window.
+
+        Others may have used the rate and a bucket before all usage was known.
+        """
+        if amount <= bucket.capacity:
+            return 0.0
+        rate_per_s, capacity = bucket.allotment.rate_per_s, bucket.capacity
+        used = bucket.usage.total(now_ms)
+        unknown_ms = bucket.known_from_ms + self._window_ms - now_ms
+        if unknown_ms > 0:
+            used += capacity + rate_per_s * unknown_ms / 1000
+        return used + amount - rate_per_s * self._terms.window_s - capacity
 
     def _fill(self, bucket: _Bucket, now_ms: int) -> None:
         bucket.fill(self._rate_per_ms(bucket), now_ms)
@@ -238,6 +381,59 @@
         return self._known_part * bucket.allotment.rate_per_s / 1000
 
 
+class CountedRequests:
+    """Requests that the leader counted lately, so that each is counted once.
+
+    A router that got no answer withdraws the count, which may arrive before the request
+    to count.
+
+    Examples:
+        >>> counted = CountedRequests()
+        >>> counted.add("c1", "hotel", 5, now_ms=0)
+        >>> counted.knows("c1", now_ms=10), counted.remove("c1")
+        (True, ('hotel', 5))
+        >>> counted.withdraw("c2", now_ms=10), counted.knows("c2", now_ms=20)
+        (None, True)
+    """
+
+    def __init__(self) -> None:
+        self._requests: dict[str, tuple[int, str, float]] = {}
+
+    def knows(self, count_id: str, now_ms: int) -> bool:
+        """Return whether a request was counted or withdrawn lately."""
+        while self._requests:
+            oldest = next(iter(self._requests))
+            is_old = self._requests[oldest][0] < now_ms - COUNT_LIFETIME_MS
+            if not is_old and len(self._requests) < MAX_COUNTS:
+                break
+            del self._requests[oldest]
+        return count_id in self._requests
+
+    def add(self, count_id: str, account: str, amount: float, now_ms: int) -> None:
+        """Record a request that was counted."""
+        if count_id:
+            self._requests[count_id] = (now_ms, account, amount)
+
+    def remove(self, count_id: str) -> tuple[str, float] | None:
+        """Forget a request and return its account and amount, None if not known."""
+        found = self._requests.pop(count_id, None)
+        return found and found[1:]
+
+    def withdraw(self, count_id: str, now_ms: int) -> tuple[str, float] | None:
+        """Return the account and amount to give back, None if not counted.
+
+        The request is not counted any more if it arrives later.
+        """
+        removed = self.remove(count_id)
+        self.knows(count_id, now_ms)
+        self.add(count_id, "", 0, now_ms)
+        return removed
+
+    def clear(self) -> None:
+        """Forget all requests."""
+        self._requests.clear()
+
+
 class AllotmentShare:
     """Share of a router that cannot ask the process that admits for all.
 
@@ -249,7 +445,7 @@
         terms: By how much allotments may be exceeded.
 
     Examples:
-        >>> share = AllotmentShare(AllotmentTerms())
+        >>> share = AllotmentShare(AllotmentTerms(slack=100.0))
         >>> hotel = Allotment(10.0, 20.0)
         >>> share.take("hotel", hotel, 1, routers=2, alone_since_ms=0, now_ms=100)
         100
@@ -289,20 +485,37 @@
             self._alone_since_ms = alone_since_ms
             self._used.clear()
         rate_per_ms = allotment.rate_per_s / 1000 / max(1, routers)
-        earned = rate_per_ms * max(0, now_ms - alone_since_ms)
+        unnoticed = self._unnoticed(allotment, routers)
+        alone_ms = max(0, now_ms - alone_since_ms)
+        earned = min(unnoticed, rate_per_ms * alone_ms)
+        earned += rate_per_ms * max(0, alone_ms - PRESENT_MS)
         used = self._used.get(account, 0.0)
-        # What was not used for a whole window may not be used in the next one.
+        # What was not used for a whole window may not be used in the next one, and
+        # nothing larger fits into it.
         at_most = rate_per_ms * self._terms.window_s * 1000
+        if amount > at_most:
+            return MAX_WAIT_MS
         if earned - used > at_most:
             used = earned - at_most
-        if earned - used < min(amount, at_most):
-            missing = min(amount, at_most) - (earned - used)
-            wait_ms = missing / max(1e-9, rate_per_ms)
-            return max(1, min(MAX_WAIT_MS, round(wait_ms)))
+        needed = used + amount
+        if earned < needed:
+            earned_after_ms = needed / max(1e-9, rate_per_ms)
+            if needed > unnoticed:
+                earned_after_ms += PRESENT_MS - unnoticed / max(1e-9, rate_per_ms)
+            return max(1, min(MAX_WAIT_MS, math.ceil(earned_after_ms - alone_ms)))
         self._used[account] = used + amount
         self.record(account, amount)
         return 0
 
+    def _unnoticed(self, allotment: Allotment, routers: int) -> float:
+        """Return what may be used before the leader holds this router missing.
+
+        Until then the leader gives the whole rate to the others.
+        """
+        earned = allotment.rate_per_s / 1000 * PRESENT_MS
+        margin = MISSED_PART * self._terms.margin(allotment)
+        return min(earned, margin) / max(1, routers)
+
     def record(self, account: str, amount: float) -> None:
         """Note usage for the leader, negative for a request that did not run."""
         self._unreported[account] = self._unreported.get(account, 0.0) + amount
--- a/mustardtrack/admission/tests/test_allotments.py
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -4,9 +4,11 @@
 routers are cut off, freeze or restart and the leader changes.
 """
 
+import pickle
 import random
 from dataclasses import dataclass, field
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -15,6 +17,7 @@
     Allotments,
     AllotmentShare,
     AllotmentTerms,
+    LeaderTerms,
 )
 
 TERMS = AllotmentTerms(window_s=8.0, overshoot=0.1, slack=100.0)
@@ -50,7 +53,9 @@
     asked: float = 0.0
 
     def __post_init__(self):
-        self.leader = Allotments(TERMS)
+        self.leader, self.term = Allotments(TERMS), 1
+        self.terms = LeaderTerms(TERMS.window_s * 1000)
+        self.terms.observe(self.term, 0)
         self.leader.update({"hotel": self.allotment}, 0)
         self.members = [SimulatedRouter() for _ in range(self.routers)]
 
@@ -58,7 +63,12 @@
         """Replace the leader by one that knows nothing of the usage."""
         self.leader_down_until_ms = self.now_ms + for_ms
         if self.new_leader_forgets:
-            self.leader.forget_usage(self.leader_down_until_ms)
+            self.term += 1
+            self.terms.observe(self.term, self.leader_down_until_ms)
+            changes = self.terms.changes(self.leader_down_until_ms)
+            # Reports and credit of the last leader are lost with it.
+            self.leader.record_usage("hotel", -1e9, self.leader_down_until_ms)
+            self.leader.forget_usage(self.leader_down_until_ms, changes)
         else:
             self.leader.record_usage("hotel", -1e9, self.leader_down_until_ms)
 
@@ -156,6 +166,41 @@
     assert play(history, seed).most_in_a_window() <= allowed()
 
 
+@pytest.mark.parametrize(("down_ms", "period_ms"), [(40, 100), (100, 800), (200, 2000)])
+def test_leaders_that_follow_each_other_stay_within_the_allotment(down_ms, period_ms):
+    """Guards against new leaders that each begin with a part of the same margin."""
+    deployment, rng = Deployment(), random.Random(7)
+    for _ in range(20_000 // period_ms):
+        deployment.lose_leader(down_ms)
+        deployment.run(period_ms, 1600, rng)
+    assert deployment.most_in_a_window() <= allowed()
+
+
+def test_host_that_leads_again_keeps_what_it_knows():
+    """Guards against a host that is elected again and begins with another burst."""
+    allotments = Allotments(TERMS)
+    allotments.update({"hotel": HOTEL}, 0)
+    assert allotments.take("hotel", 30, 0) == 0
+    allotments.record_usage("hotel", 500, 100)
+    allotments.forget_usage(1000)
+    assert allotments.take("hotel", 1, 1000) > 0
+    allotments.resume(10_000)
+    assert allotments.take("hotel", 1, 10_000) > 0
+
+
+def test_routers_that_are_cut_off_together_stay_within_a_small_margin(monkeypatch):
+    """Guards against a second in which the leader gives the rate that they use too."""
+    terms = AllotmentTerms(window_s=8.0, overshoot=0.1)
+    monkeypatch.setitem(globals(), "TERMS", terms)
+    deployment, rng = Deployment(), random.Random(11)
+    deployment.run(4000, 0, rng)
+    deployment.run(3600, 1600, rng)
+    for router in deployment.members[1:]:
+        router.cut_until_ms = deployment.now_ms + 5000
+    deployment.run(6000, 1600, rng)
+    assert deployment.most_in_a_window() <= allowed()
+
+
 def test_check_of_the_usage_can_fail_with_a_new_leader():
     """Each leader begins with a full bucket, as if nothing had been used."""
     history = [("leader", 0, 200), ("calm", 0, 1000)] * 6
@@ -252,3 +297,59 @@
     assert share.take("hotel", HOTEL, 5, 10, 0, 100 + wait_ms) == 0
     assert share.take_report() == {"hotel": 5}
     assert share.take_report() == {}
+
+
+@pytest.mark.parametrize("amount", [float("nan"), float("inf"), float("-inf")])
+def test_usage_that_is_not_finite_is_ignored(amount):
+    """Guards against a report that locks or fills the bucket of an account."""
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"hotel": HOTEL}, 0)
+    allotments.record_usage("hotel", amount, 500)
+    assert [allotments.take("hotel", 50, 500) for _ in range(2)] == [0, 500]
+
+
+@pytest.mark.parametrize("amount", [1101, 10**9, 10**18])
+def test_request_that_no_window_can_hold_is_refused(amount):
+    """Guards against one request that exceeds the allotment or uses up the future."""
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"hotel": HOTEL}, 0)
+    assert allotments.take("hotel", amount, 20_000) > 0
+    assert allotments.take("hotel", 100, 20_000) == 0
+    assert allotments.take("hotel", 50, 20_000) <= 1000
+    share = AllotmentShare(AllotmentTerms())
+    assert share.take("hotel", HOTEL, amount, 1, 0, 60_000) > 0
+    assert share.take("hotel", HOTEL, 1, 1, 0, 60_000) == 0
+
+
+def test_large_requests_among_small_ones_stay_within_the_allotment():
+    """Guards against a request larger than the bucket after a window in full use."""
+    terms = AllotmentTerms(window_s=8.0, overshoot=0.1)
+    for amount in (110, 140, 300, 900):
+        allotments, used = Allotments(terms), []
+        allotments.update({"hotel": HOTEL}, 0)
+        rng = random.Random(amount)
+        for now_ms in range(0, 60_000, 20):
+            is_idle = now_ms % 12_000 > 9000
+            size = amount if is_idle or rng.random() < 0.02 else 3
+            if not allotments.take("hotel", size, now_ms):
+                used.append((now_ms, size))
+        for begin_ms, _ in used:
+            within = sum(size for at, size in used if 0 <= at - begin_ms < 8000)
+            assert within <= allowed() - TERMS.slack
+
+
+def test_memory_for_the_usage_of_an_account_is_bounded():
+    allotments = Allotments(TERMS)
+    allotments.update({"hotel": HOTEL}, 0)
+    for now_ms in range(0, 100_000, 7):
+        allotments.take("hotel", 1, now_ms)
+        allotments.take("account without an allotment", 1, now_ms)
+    assert len(pickle.dumps(allotments)) < 3000
+
+
+def test_account_without_a_burst_is_served_from_the_start():
+    """Guards against an account whose bucket holds no request and is never served."""
+    allotments = Allotments(AllotmentTerms(window_s=8.0, overshoot=0.1))
+    allotments.update({"hotel": Allotment(2.5, 0.0)}, 0)
+    for now_ms in range(500, 20_000, 500):
+        assert allotments.take("hotel", 1, now_ms) == 0
--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -152,6 +152,8 @@
     ``unused_losses`` keeps the positions of the fields after it.
     ``allotment_usage`` is what the router counted itself against the allotment of each
     account, negative for requests that did not run.
+    ``withdrawn_counts`` are the ids of requests that the leader may have counted,
+    although its answer did not arrive.
     """
 
     prefilled: list[str]
@@ -164,3 +166,4 @@
     leaving: list[Incarnation] = []
     unused_losses: list[LostRequest] = []
     allotment_usage: dict[str, float] = {}
+    withdrawn_counts: list[str] = []
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -39,6 +39,7 @@
 
     Attributes:
         take_allotment_usage: Returns the usage of allotments that is not reported yet.
+        take_withdrawn_counts: Returns the ids of counts that were withdrawn since.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self._losses = LossReporter(bus, control_sync, clock)
         self._not_run: list[str] = []
         self.take_allotment_usage: Callable[[], dict[str, float]] = dict
+        self.take_withdrawn_counts: Callable[[], list[str]] = list
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -189,8 +191,10 @@
             leader = view.leader
             parts, limits, leaving = PartReport(), {}, []
             usage: dict[str, float] = {}
+            withdrawn: list[str] = []
             if leader:
                 usage = self.take_allotment_usage()
+                withdrawn = self.take_withdrawn_counts()
                 notices = view.endpoints.notices
                 if leader != told_leader:
                     view.limits.report_again()
@@ -210,6 +214,7 @@
                 leaving,
                 [],
                 usage,
+                withdrawn,
             )
             if progress == EMPTY_PROGRESS:
                 continue
