Refuse at once what a reported queue cannot begin in time

Routers without the leader chose an engine by load alone and sent prompts into queues that were reported full (running 11 of 12, waiting 37 of 36), or in which they waited to the end of their time limit.

A router now learns, per endpoint and rank, the time in which its queue moves on by one place (time of an answer divided by the requests at the endpoint), and how many places the queue has from refusals. A report counts less the older it is: what is left of the queue after that time is the least wait. Endpoints that would begin too late or have no place are left out; if none is left, the request is refused as `hopeless` without being sent. The leader is asked a second time if its engine has no place by the router's own report. Without a reported queue nothing is computed and the order is the one before.

--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -157,6 +157,9 @@
             # The leader already knows of the placement that replaces this one.
             if outcome.replacement is None:
                 self._record_first_byte()
+            if outcome.is_final and 200 <= outcome.status < 300 and not outcome.is_cut:
+                elapsed_ms = self._clock.now_ms() - self._sent_ms
+                endpoint.record_answer(self._admitted.rank, elapsed_ms)
         except BaseException:
             connection.abort()
             raise
@@ -326,6 +329,11 @@
             self._endpoint.record_load(
                 load.running, load.waiting, now_ms, load.slowdown
             )
+            history = self._endpoint.queue_history
+            if response.did_not_run:
+                history.record_refusal(load.waiting)
+            else:
+                history.record_accepted(load.waiting)
 
     def _record_notices(self, head: ResponseHead, response: ResponseMetadata) -> None:
         notices, listed = self._forwarder.notices, self._endpoint.listed
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -1,6 +1,7 @@
 """Choice of the endpoint for an attempt of a forwarded request."""
 
 import random
+from collections.abc import Collection, Sequence
 
 from mustardtrack.adapters.upstream import ConnectionPool
 from mustardtrack.admission.connections import connections_per_router
@@ -16,8 +17,12 @@
 from mustardtrack.routing.localplacement import choose_engine
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.routing.prefillrates import PRIOR_TOKENS_PER_MS
+from mustardtrack.routing.queuewait import estimate_waits, is_queue_full
 from mustardtrack.settings import SeededSettings
 
+# Placements of one prompt that the leader is asked for before its router decides.
+MAX_PLACEMENTS = 2
+
 
 class EndpointChooser:
     """Chooses endpoints that this router may connect to and send a request."""
@@ -113,22 +118,25 @@
         zone = self._settings.zone
         if admitted.prompt is None:
             usable = self._endpoints_with_token(endpoints)
-            chosen = choose_endpoint(usable, tried, zone, now_ms, self._rng)
+            in_time, refusal = self._find_in_time(admitted, usable, tried)
+            if refusal is not None:
+                return None, refusal
+            chosen = choose_endpoint(in_time, tried, zone, now_ms, self._rng)
             self._take_token(chosen)
             return chosen, None
-        placement = await self._placements.request_placement(
-            self._placement_request(admitted, tried)
-        )
+        placed, placement = await self._ask_leader(admitted, tried)
         if placement is not None:
-            if not placement.endpoint:
-                return None, placement
-            # Endpoints may have announced that they leave while the leader answered.
-            endpoints, _ = self._find_usable(admitted)
-            for state in endpoints:
-                if state.id == placement.endpoint:
-                    return state, placement
-        chosen = choose_engine(
+            return placed, placement
+        endpoints, _ = self._find_usable(admitted)
+        in_time, refusal = self._find_in_time(
+            admitted,
             self._endpoints_with_token(self._within_weights_limit(admitted, endpoints)),
+            tried,
+        )
+        if refusal is not None:
+            return None, refusal
+        chosen = choose_engine(
+            in_time,
             admitted.prompt,
             admitted.weights_version,
             tried,
@@ -142,6 +150,54 @@
         self._take_token(chosen)
         return chosen, None
 
+    async def _ask_leader(
+        self, admitted: AdmittedRequest, tried: list[str]
+    ) -> tuple[EndpointState | None, Placement | None]:
+        """Return the engine of the leader's placement, and the placement.
+
+        The leader is asked again if the queue of its first choice has no place by this
+        router's last report.
+
+        Returns:
+            No engine and no placement if the router must place the prompt.
+        """
+        for _ in range(MAX_PLACEMENTS):
+            placement = await self._placements.request_placement(
+                self._placement_request(admitted, tried)
+            )
+            if placement is None or not placement.endpoint:
+                return None, placement
+            # Endpoints may have announced that they leave while the leader answered.
+            usable, _ = self._find_usable(admitted)
+            for state in usable:
+                if state.id == placement.endpoint and not is_queue_full(
+                    state, admitted.rank, self._clock.now_ms()
+                ):
+                    return state, placement
+            if all(state.id != placement.endpoint for state in usable):
+                break
+            tried = [*tried, placement.endpoint]
+        return None, None
+
+    def _find_in_time(
+        self,
+        admitted: AdmittedRequest,
+        endpoints: list[EndpointState],
+        tried: Collection[str],
+    ) -> tuple[Sequence[EndpointState], Placement | None]:
+        """Return the endpoints that begin a request in time, or a refusal."""
+        now_ms = self._clock.now_ms()
+        untried = [state for state in endpoints if state.id not in tried]
+        waits = estimate_waits(
+            untried, admitted.rank, admitted.deadline_ms - now_ms, now_ms
+        )
+        if waits.in_time or not untried:
+            return waits.in_time, None
+        refusal = Placement(
+            expected_ms=round(waits.first_begin_ms), exceeds_caller_timeout=True
+        )
+        return (), refusal
+
     def _find_usable(
         self, admitted: AdmittedRequest
     ) -> tuple[list[EndpointState], list[str]]:
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -1277,3 +1277,31 @@
     scenario = PausedCaller(monkeypatch=monkeypatch).play(leave_ms=2000)
     assert scenario.run_of("e1").transport.ended_s < 2.2
     assert not scenario.is_pending
+
+
+@pytest.mark.parametrize("age_ms", [0, 4000])
+def test_prompt_is_refused_from_the_reported_queue_without_the_leader(
+    monkeypatch, age_ms
+):
+    """Guards against prompts that are sent into full queues when no leader answers.
+
+    A stale report refuses nothing.
+    """
+
+    def report_full_queue(handler):
+        (state,) = handler._chooser._control_sync.view.endpoints.accepting_endpoints(
+            "s", 20
+        )
+        state.record_load(11, 37, 20 - age_ms)
+        state.record_answer(0, 4800)
+        state.queue_history.record_refusal(36)
+
+    scenario = Scenario(
+        {"e1": COMPLETE}, leader=StandInLeader(delay_ms=50), monkeypatch=monkeypatch
+    ).play(actions=[(20, report_full_queue)])
+    (line,) = scenario.lines(8951)
+    if age_ms:
+        assert scenario.is_whole
+        return
+    assert (line["status"], line["reason"], line["sends"]) == (503, "hopeless", 0)
+    assert scenario.pool.runs == []
--- a/mustardtrack/routing/endpointstate.py
+++ b/mustardtrack/routing/endpointstate.py
@@ -5,10 +5,11 @@
 according to its age.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mustardtrack.membership.endpoint_list import EndpointList, ListedEndpoint
 from mustardtrack.routing.endpointnotices import EndpointNotices
+from mustardtrack.routing.queuehistory import QueueHistory
 
 # Age at which a load report has no weight left; its weight decreases linearly until
 # then. Requests take a few hundred milliseconds, so that older reports are obsolete.
@@ -37,6 +38,7 @@
         consecutive_failures: Failures to respond since the last response.
         backoff_until_ms: Time before which it gets no requests after failures.
         failure_rate: Moving average of the fraction of responses that were failures.
+        queue_history: Speed and size of its queue.
     """
 
     listed: ListedEndpoint
@@ -50,6 +52,7 @@
     consecutive_failures: int = 0
     backoff_until_ms: int = 0
     failure_rate: float = 0.0
+    queue_history: QueueHistory = field(default_factory=QueueHistory)
 
     @property
     def id(self) -> str:
@@ -80,6 +83,11 @@
         self.load_reported_ms = now_ms
         self.sent_since_load = 0
 
+    def record_answer(self, rank: int, elapsed_ms: float) -> None:
+        """Learn the speed of the queue from a whole answer."""
+        held = self.running + self.waiting
+        self.queue_history.record_answer(rank, elapsed_ms, held, self.listed.slots)
+
     def record_response(self, is_failure: bool) -> None:
         """Update the failure rate; any response ends the backoff."""
         self.consecutive_failures = 0
