Learn the hold time of slots and the base time to first token

Cause: estimates used 1000 ms for a batch slot and 40 ms for the base, figures of one deployment, one token time for engines of any speed, and a penalty where an engine's memory is exceeded.

Change: routing/enginespeeds.py learns the step time of each engine, the base time and the hold time, with the constants as priors, and keeps the loads that engines report. A reported queue corrects the number of placed prompts, a momentary slowdown counts for the half second after its report, and the memory of an engine is a bound. A prompt goes to an engine that winds down only if it ends before the prompts there. All of it takes effect only for services whose engines report the fourth figure of their load, or whose steps differ by half.

--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -21,9 +21,11 @@
 # occasional request must still reach the engine to show that a fault has ended.
 REFUSAL_HALF_LIFE_MS = 1500.0
 
-# Time for which a request occupies a batch slot: ten to thirty output tokens,
-# interleaved with prefill chunks of other prompts.
-SLOT_HOLD_MS = 1000.0
+# Time on the way from the placement of a prompt to its engine. A load that an engine
+# reports includes the prompts that were placed before that.
+SEND_MS = 20
+# Time after which a reported queue has no weight left.
+QUEUE_LIFETIME_MS = 700
 
 # Longest work since the last first token that counts as done.
 MAX_UNREPORTED_WORK_MS = 200
@@ -47,6 +49,7 @@
         placed_ms: Monotonic time of the placement.
         keys: Parts of the prompt, which stay in memory until the request ends.
         first_token_ms: Monotonic time of its first token, None before it.
+        found_idle: Whether the engine had nothing to prefill at the placement.
     """
 
     engine: str
@@ -57,6 +60,7 @@
     placed_ms: int = 0
     keys: tuple[PartKey, ...] = ()
     first_token_ms: int | None = None
+    found_idle: bool = False
 
     @property
     def is_prefilled(self) -> bool:
@@ -101,6 +105,9 @@
         sampler: Measures its prefill rate.
         busy_since_ms: Time of the last first token or, if later, of the placement that
             ended its idleness.
+        unknown_requests: Requests that the engine reported at ``reported_ms`` beyond
+            the placed ones, negative if it held fewer.
+        reported_ms: Time of that report.
     """
 
     listed: ListedEndpoint
@@ -121,6 +128,8 @@
     progress: EngineProgress = field(default_factory=EngineProgress)
     sampler: PrefillSampler = field(default_factory=PrefillSampler)
     busy_since_ms: int = 0
+    unknown_requests: int = 0
+    reported_ms: int = 0
 
     @property
     def unevictable_tokens(self) -> int:
@@ -163,11 +172,46 @@
             return 0
         return min(MAX_UNREPORTED_WORK_MS, max(0, silent_ms))
 
-    def slot_wait_ms(self, slots: int) -> float:
-        """Return the estimated wait of a new prompt for a batch slot."""
-        if not slots:
+    def record_queue(self, outstanding: int, observed_ms: int) -> None:
+        """Record the number of requests that the engine held, as it reported it.
+
+        Routers that place prompts alone, a change of leader and ends that are not
+        reported yet make it differ from the number of placed prompts.
+        """
+        sent_ms = observed_ms - SEND_MS
+        arrived = sum(1 for one in self.placed.values() if one.placed_ms <= sent_ms)
+        self.unknown_requests = outstanding - arrived
+        self.reported_ms = observed_ms
+
+    def _unknown_requests(self, now_ms: int) -> float:
+        if not self.unknown_requests:
             return 0.0
-        return max(0, len(self.placed) + 1 - slots) * SLOT_HOLD_MS / slots
+        age = (now_ms - self.reported_ms) / QUEUE_LIFETIME_MS
+        return self.unknown_requests * min(1.0, max(0.0, 1.0 - age))
+
+    def outstanding(self, now_ms: int) -> float:
+        """Return the estimated number of requests on the engine."""
+        return max(0.0, len(self.placed) + self._unknown_requests(now_ms))
+
+    def unknown_tokens(self, now_ms: int) -> float:
+        """Return the estimated memory of requests that are not among the placed."""
+        if self.unknown_requests <= 0 or not self.placed:
+            return 0.0
+        mean = self.unevictable_tokens / len(self.placed)
+        return mean * self._unknown_requests(now_ms)
+
+    def excess_requests(self, slots: int, now_ms: int) -> float:
+        """Return the requests, with a further one, for which there is no slot."""
+        return max(0.0, self.outstanding(now_ms) + 1 - slots) if slots else 0.0
+
+    def mean_output_tokens(self) -> float:
+        """Return the mean output limit of the placed prompts."""
+        return self.output_tokens / max(1, len(self.placed))
+
+    def mean_prefill_tokens(self) -> float:
+        """Return the mean prefill of the placed prompts."""
+        tokens = sum(prompt.prefill_tokens for prompt in self.placed.values())
+        return tokens / max(1, len(self.placed))
 
     def add(
         self,
@@ -180,6 +224,7 @@
         self.placed[request_id] = prompt
         if not any(self.pending_prefill_tokens):
             self.busy_since_ms = prompt.placed_ms
+            prompt.found_idle = True
         self.pending_prefill_tokens[prompt.urgency] += prompt.prefill_tokens
         self.output_tokens += prompt.output_tokens
         for key, size in parts:
--- /dev/null
+++ b/mustardtrack/routing/firsttoken.py
@@ -0,0 +1,77 @@
+"""Expected time to first token of a prompt at an engine."""
+
+from dataclasses import dataclass
+
+from mustardtrack.routing.enginespeeds import EngineSpeeds
+from mustardtrack.routing.enginestate import EngineState
+
+# Delay that each running request adds to the time to first token of another.
+RUNNING_REQUEST_MS = 2.0
+# Ratio of the wait of a demoted prompt to the wait for the prompts currently ahead of
+# it. It exceeds 1 because most prompts that arrive later are served first.
+DEMOTED_WAIT_FACTOR = 2.0
+
+
+@dataclass(frozen=True)
+class PrefillPlan:
+    """What an engine would have to do for a prompt.
+
+    Attributes:
+        uncached_tokens: Tokens to prefill.
+        tokens_per_ms: Planned prefill rate of the engine.
+        transfer_ms: Time of a fetch of cached parts.
+        urgency: Urgency that is sent to the engine.
+        is_demoted: Whether that urgency is lower than the one of its class.
+        slots: Batch slots of the engine, 0 if not known.
+    """
+
+    uncached_tokens: int
+    tokens_per_ms: float
+    transfer_ms: float
+    urgency: int
+    is_demoted: bool
+    slots: int
+
+
+def estimate_first_token_ms(
+    engine: EngineState, speeds: EngineSpeeds, plan: PrefillPlan, now_ms: int
+) -> float:
+    """Return the expected time from the placement of a prompt to its first token."""
+    service, name = engine.listed.service, engine.listed.id
+    expected_ms = speeds.base_ms(service, now_ms)
+    expected_ms += plan.uncached_tokens / plan.tokens_per_ms
+    expected_ms += _wait_ms(engine, speeds, plan, now_ms)
+    outstanding = engine.outstanding(now_ms)
+    expected_ms += plan.transfer_ms + RUNNING_REQUEST_MS * outstanding
+    return expected_ms + speeds.slowdown_delay_ms(name, expected_ms, now_ms)
+
+
+def _wait_ms(
+    engine: EngineState, speeds: EngineSpeeds, plan: PrefillPlan, now_ms: int
+) -> float:
+    """Return the estimated time until an engine begins to prefill a prompt."""
+    wait_ms = engine.prefill_tokens_ahead(plan.urgency) / plan.tokens_per_ms
+    wait_ms = max(0.0, wait_ms - engine.unreported_work_ms(now_ms))
+    wait_ms += slot_wait_ms(engine, speeds, plan.slots, plan.tokens_per_ms, now_ms)
+    return wait_ms * DEMOTED_WAIT_FACTOR if plan.is_demoted else wait_ms
+
+
+def slot_wait_ms(
+    engine: EngineState,
+    speeds: EngineSpeeds,
+    slots: int,
+    tokens_per_ms: float,
+    now_ms: int,
+) -> float:
+    """Return the estimated wait of a new prompt for a batch slot."""
+    excess = engine.excess_requests(slots, now_ms)
+    if not excess:
+        return 0.0
+    hold_ms = speeds.slot_hold_ms(
+        engine.listed.service,
+        engine.listed.id,
+        engine.mean_output_tokens(),
+        engine.mean_prefill_tokens() / tokens_per_ms,
+        now_ms,
+    )
+    return excess * hold_ms / slots
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -15,24 +15,25 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from xxhash import xxh3_64_intdigest
-
 from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.configuration.routes import Service
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.routing.answertimes import AnswerTimes
 from mustardtrack.routing.cachesalts import cache_salt
 from mustardtrack.routing.endpointnotices import EndpointNotices
+from mustardtrack.routing.enginememory import memory_cost_ms
+from mustardtrack.routing.enginespeeds import EngineSpeeds, LoadReport
 from mustardtrack.routing.enginestate import (
     URGENCY_LEVELS,
     EngineState,
     PartSizes,
     PlacedPrompt,
 )
+from mustardtrack.routing.firsttoken import PrefillPlan, estimate_first_token_ms
 from mustardtrack.routing.kvstores import MIN_STORE_TOKENS, KvStores
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
+from mustardtrack.routing.preferredengines import find_affine_engine, find_preferred
 from mustardtrack.routing.prefillrates import PrefillRates
-from mustardtrack.routing.rendezvous import rank_endpoints
 from mustardtrack.routing.transfers import (
     NO_FETCH_SOURCE,
     FetchSource,
@@ -44,10 +45,6 @@
 # Fraction of the learned prefill rate with which engines are planned. A late prompt
 # loses more than an early one gains, and running answers slow prefill at times.
 PLANNED_RATE_FRACTION = 0.6
-# Time to first token at an idle engine, without prefill.
-BASE_FIRST_TOKEN_MS = 40.0
-# Delay that each running request adds to the time to first token of another.
-RUNNING_REQUEST_MS = 2.0
 # Cached tokens below which a fetch from an engine costs more than recomputing them.
 MIN_FETCH_TOKENS = 64
 # Delay charged for an engine other than the one that rendezvous hashing prefers for a
@@ -67,13 +64,6 @@
 # Time after which a response on superseded weights loses value, less the time until a
 # placed prompt begins to run.
 OLD_WEIGHTS_GRACE_MS = 1000
-# Delay charged when a prompt would exceed the memory of an engine, which would then
-# have to preempt running requests.
-MEMORY_PENALTY_MS = 1500.0
-# Engines that a router prefers for prompts without a long shared prefix, so that it can
-# reuse connections: it sends a few such prompts per second, and connections stay open
-# for seconds when idle.
-PREFERRED_ENGINES = 3
 # Delay charged for a prompt without a long shared prefix on an engine that the router
 # does not prefer. Such prompts have objectives of seconds, and a new connection costs
 # an engine about as much as prefill of this duration.
@@ -85,9 +75,6 @@
 # Delay charged for each recent refusal of an engine. An engine that sheds load looks
 # idle and would attract requests that it refuses again.
 REFUSAL_PENALTY_MS = 120.0
-# Fraction of an engine's memory that placements may fill, since output lengths are
-# estimates.
-MAX_MEMORY_FRACTION = 0.92
 EXPIRY_PERIOD_MS = 500
 # Weight of the time until an engine takes a request under the limit that it names. With
 # the weight of relaxed objectives alone, such requests would queue for seconds.
@@ -109,9 +96,6 @@
 # Urgency of a prompt that would be late in its own class, where it would only delay the
 # prompts behind it as well.
 DEMOTED_URGENCY = 4
-# Ratio of the wait of a demoted prompt to the wait for the prompts currently ahead of
-# it. It exceeds 1 because most prompts that arrive later are served first.
-DEMOTED_WAIT_FACTOR = 2.0
 # Multiple of the objective beyond which an estimate causes a prompt to be demoted.
 DEMOTION_OBJECTIVE_FACTOR = 1.25
 # Callers abort a stream when its first event takes longer than this many objectives and
@@ -145,6 +129,7 @@
         notices: What the endpoints announced to the routers.
         rates: Learned prefill rates of the engines.
         answer_times: Learned times of answers.
+        speeds: Lasting and momentary speeds of the engines.
         stores: Estimated contents of the KV cache stores.
         weights_limit: Time that is left to begin requests on each weights version.
         winding_down: Engines that are about to load weights when their answers end.
@@ -158,6 +143,7 @@
         self.notices = EndpointNotices()
         self.rates = PrefillRates()
         self.answer_times = AnswerTimes()
+        self.speeds = EngineSpeeds(self.answer_times)
         self.winding_down: frozenset[str] = frozenset()
         self._engines: dict[str, EngineState] = {}
         self._placed: dict[str, PlacedPrompt] = {}
@@ -179,6 +165,7 @@
             engine.listed = listed
             engines[listed.id] = engine
         self.rates.forget_engines(set(engines))
+        self.speeds.forget_engines(engines)
         for removed in self._engines.values():
             for request_id in removed.placed:
                 self._placed.pop(request_id, None)
@@ -207,9 +194,14 @@
         usable = self._find_usable(context)
         if not usable:
             return Placement(is_authoritative=self._has_engines(request.service))
-        context.affine_engine = _find_affine_engine(context, usable)
-        if not context.affine_engine and request.router:
-            context.preferred = _find_preferred(request, usable)
+        context.is_uneven = self.speeds.is_uneven(request.service, now_ms)
+        context.avoids_winding_down = context.is_uneven and any(
+            engine.listed.id not in self.winding_down for engine in usable
+        )
+        if context.shared_tokens >= MIN_STORE_TOKENS:
+            context.affine_engine = find_affine_engine(request, usable)
+        elif request.router:
+            context.preferred = find_preferred(request, usable)
         urgency = context.urgency
         estimate = self._find_best(context, usable, urgency)
         is_late = (
@@ -219,7 +211,8 @@
             urgency = DEMOTED_URGENCY
             estimate = self._find_best(context, usable, urgency)
         if math.isinf(estimate.cost_ms):
-            # The prompt would begin on weights whose time limit has expired by then.
+            # It would exceed the memory of each engine, or begin on weights whose time
+            # limit has expired by then.
             return Placement(is_authoritative=True)
         caller_timeout_ms = max(
             MIN_CALLER_TIMEOUT_MS, CALLER_TIMEOUT_OBJECTIVES * request.objective_ms
@@ -241,12 +234,34 @@
                 continue
             engine = self._engines.get(prompt.engine)
             if engine is not None:
-                sample = engine.mark_prefilled(prompt, BASE_FIRST_TOKEN_MS, now_ms)
-                if sample is not None:
-                    listed = engine.listed
-                    self.rates.record(listed.service, listed.id, *sample, now_ms)
+                self._learn_first_token(engine, prompt, now_ms)
             self.stores.end_saves(prompt.keys)
 
+    def _learn_first_token(
+        self, engine: EngineState, prompt: PlacedPrompt, now_ms: int
+    ) -> None:
+        service, name, speeds = engine.listed.service, engine.listed.id, self.speeds
+        if prompt.found_idle and not prompt.is_prefilled:
+            rate = self.rates.tokens_per_ms(service, name, now_ms)
+            elapsed_ms = now_ms - prompt.placed_ms
+            prefill_ms = prompt.prefill_tokens / rate
+            speeds.record_first_token(service, name, prefill_ms, elapsed_ms, now_ms)
+        base_ms = speeds.base_ms(service, now_ms)
+        sample = engine.mark_prefilled(prompt, base_ms, now_ms)
+        if sample is not None:
+            self.rates.record(service, name, *sample, now_ms)
+
+    def record_loads(self, loads: Mapping[str, LoadReport], now_ms: int) -> None:
+        """Record the loads that engines reported to a router."""
+        for endpoint_id, report in loads.items():
+            engine = self._engines.get(endpoint_id)
+            if engine is None:
+                continue
+            service = engine.listed.service
+            load = self.speeds.record_load(service, endpoint_id, report, now_ms)
+            if load is not None:
+                engine.record_queue(load.outstanding, load.observed_ms)
+
     def is_queued(self, request_id: str, now_ms: int) -> bool:
         """Return whether a prompt still waits in the queue of its engine."""
         prompt = self._placed.get(request_id)
@@ -270,8 +285,10 @@
         if prompt is None or engine is None or prompt.first_token_ms is None:
             return
         duration_ms = now_ms - prompt.first_token_ms
-        service = engine.listed.service
-        self.answer_times.record(service, prompt.output_tokens, duration_ms)
+        service, tokens = engine.listed.service, prompt.output_tokens
+        self.answer_times.record(service, tokens, duration_ms)
+        name = engine.listed.id
+        self.speeds.record_answer(service, name, tokens, duration_ms, now_ms)
 
     def record_unreachable(self, endpoint_ids: Iterable[str], now_ms: int) -> None:
         """Start a backoff for engines that a router could not reach."""
@@ -327,7 +344,8 @@
         engine = self._engines.get(endpoint_id)
         if engine is None:
             return 0.0
-        token_ms = self.answer_times.token_ms(engine.listed.service)
+        service = engine.listed.service
+        token_ms = self.speeds.token_ms(service, endpoint_id, now_ms)
         return engine.remaining_answer_ms(token_ms, now_ms)
 
     def mean_queue_ms(self, now_ms: int) -> float:
@@ -411,9 +429,17 @@
         held = max(cached, source.held_tokens)
         uncached_tokens = max(1, request.tokens - held)
         tokens_per_ms = self._tokens_per_ms(engine, context.now_ms)
-        first_token_ms = BASE_FIRST_TOKEN_MS + uncached_tokens / tokens_per_ms
-        first_token_ms += _wait_ms(engine, context, urgency, tokens_per_ms)
-        first_token_ms += source.transfer_ms + RUNNING_REQUEST_MS * len(engine.placed)
+        plan = PrefillPlan(
+            uncached_tokens,
+            tokens_per_ms,
+            source.transfer_ms,
+            urgency,
+            urgency > context.urgency,
+            context.slots,
+        )
+        first_token_ms = estimate_first_token_ms(
+            engine, self.speeds, plan, context.now_ms
+        )
         delay_ms = self.limits.wait_ms(engine.listed.id, 1, context.now_ms)
         first_token_ms += delay_ms
         late_ms = first_token_ms - LATE_OBJECTIVE_FRACTION * request.objective_ms
@@ -428,8 +454,7 @@
         if begin_ms > self._left_to_send_ms(context, version):
             cost_ms = math.inf
         if engine.listed.id in self.winding_down:
-            token_ms = self.answer_times.token_ms(request.service)
-            cost_ms += token_ms * request.output_tokens
+            cost_ms += self._wind_down_cost_ms(engine, context, first_token_ms)
         cost_ms += REFUSAL_PENALTY_MS * engine.recent_refusals(context.now_ms)
         if engine.listed.zone != request.zone:
             cost_ms += ZONE_PENALTY_MS
@@ -438,11 +463,31 @@
         if context.preferred and engine.listed.id not in context.preferred:
             cost_ms += NEW_CONNECTION_PENALTY_MS
         cost_ms += _batch_penalty_ms(engine, context)
-        cost_ms += _memory_penalty_ms(engine, context, version)
+        cost_ms += memory_cost_ms(
+            engine,
+            context.service.engine,
+            request.tokens,
+            request.output_tokens,
+            lambda: context.parts(version),
+            context.is_uneven,
+            context.now_ms,
+        )
         return _Estimate(
             cost_ms, first_token_ms, engine, source, uncached_tokens, version, delay_ms
         )
 
+    def _wind_down_cost_ms(
+        self, engine: EngineState, context: "_PlacementContext", first_token_ms: float
+    ) -> float:
+        """Return the delay charged for an engine that is about to load weights."""
+        service, name, now_ms = engine.listed.service, engine.listed.id, context.now_ms
+        token_ms = self.speeds.token_ms(service, name, now_ms)
+        answer_ms = token_ms * context.request.output_tokens
+        ends_ms = engine.remaining_answer_ms(token_ms, now_ms)
+        if context.avoids_winding_down and first_token_ms + answer_ms > ends_ms:
+            return math.inf
+        return answer_ms
+
     def _find_source(
         self,
         engine: EngineState,
@@ -614,6 +659,8 @@
         self.urgency = engine_urgency(request.rank, request.objective_ms)
         is_relaxed = _is_relaxed(request.objective_ms)
         self.wait_weight = RELAXED_WAIT_WEIGHT if is_relaxed else 1.0
+        self.is_uneven = False
+        self.avoids_winding_down = False
         self.affine_engine = ""
         self.preferred: frozenset[str] = frozenset()
         self.holders: dict[int, list[tuple[int, EngineState]]] = {}
@@ -639,64 +686,12 @@
         return shared
 
 
-def _wait_ms(
-    engine: EngineState,
-    context: _PlacementContext,
-    urgency: int,
-    tokens_per_ms: float,
-) -> float:
-    """Return the estimated time until an engine begins to prefill a prompt."""
-    wait_ms = engine.prefill_tokens_ahead(urgency) / tokens_per_ms
-    wait_ms = max(0.0, wait_ms - engine.unreported_work_ms(context.now_ms))
-    wait_ms += engine.slot_wait_ms(context.slots)
-    if urgency > context.urgency:
-        wait_ms *= DEMOTED_WAIT_FACTOR
-    return wait_ms
-
-
 def _batch_penalty_ms(engine: EngineState, context: _PlacementContext) -> float:
     """Return the delay charged for the occupied slots of a batch."""
     if not context.slots:
         return 0.0
-    return FULL_BATCH_PENALTY_MS * (len(engine.placed) / context.slots) ** 2
-
-
-def _memory_penalty_ms(
-    engine: EngineState, context: _PlacementContext, version: int
-) -> float:
-    """Return the delay charged if a prompt does not fit beside the running ones."""
-    request, limits = context.request, context.service.engine
-    if limits is None or not limits.memory_tokens:
-        return 0.0
-    room = MAX_MEMORY_FRACTION * limits.memory_tokens
-    needed = engine.unevictable_tokens + request.tokens + request.output_tokens
-    if needed > room:
-        # The prefix may already be in memory for a running request.
-        parts = context.parts(version)
-        needed = engine.memory_needed(parts, request.output_tokens)
-    return MEMORY_PENALTY_MS * needed / room if needed > room else 0.0
-
-
-def _find_affine_engine(
-    context: "_PlacementContext", engines: list[EngineState]
-) -> str:
-    """Return the engine that rendezvous hashing prefers for a long prefix."""
-    if context.shared_tokens < MIN_STORE_TOKENS:
-        return ""
-    digest = xxh3_64_intdigest(context.request.parts[-2][0].encode())
-    return rank_endpoints(digest, [engine.listed.id for engine in engines])[0]
-
-
-def _find_preferred(
-    request: PlacementRequest, engines: list[EngineState]
-) -> frozenset[str]:
-    """Return the engines whose connections a router reuses, in its zone if any."""
-    names = [
-        engine.listed.id for engine in engines if engine.listed.zone == request.zone
-    ]
-    names = names or [engine.listed.id for engine in engines]
-    digest = xxh3_64_intdigest(request.router.encode())
-    return frozenset(rank_endpoints(digest, names)[:PREFERRED_ENGINES])
+    outstanding = engine.outstanding(context.now_ms)
+    return FULL_BATCH_PENALTY_MS * (outstanding / context.slots) ** 2
 
 
 def salted_parts(request: PlacementRequest, version: int) -> PartSizes:
--- /dev/null
+++ b/mustardtrack/routing/tests/test_enginespeeds.py
@@ -0,0 +1,177 @@
+"""Placement on engines of different speeds, over drawn deployments.
+
+Load pattern: engines of one service at 0.6 to 1.6 times the usual speed, each of them
+several times slower for half a second at times, with more long prompts than memory.
+"""
+
+import random
+
+import pytest
+
+from mustardtrack.configuration.routes import EngineLimits, Service
+from mustardtrack.membership.endpoint_list import ListedEndpoint
+from mustardtrack.routing.answertimes import AnswerTimes
+from mustardtrack.routing.cachesalts import shared_cache
+from mustardtrack.routing.enginespeeds import (
+    BASE_FIRST_TOKEN_MS,
+    SLOT_HOLD_MS,
+    EngineSpeeds,
+    LoadReport,
+)
+from mustardtrack.routing.placementmessages import PlacementRequest
+from mustardtrack.routing.placements import PlacementTable
+
+USUAL = LoadReport(0, 0, 1.0)
+
+
+def deployment(engines=4, zones=1, slots=32, memory_tokens=172_572):
+    service = Service("s", 400, EngineLimits(slots, memory_tokens, 35_136, ("m",)))
+    listed = [
+        ListedEndpoint(
+            f"e{n}", 0, "s", f"e{n}:1", "abc"[n % zones], slots, False, False, {"m": 1}
+        )
+        for n in range(engines)
+    ]
+    table = PlacementTable(20_000)
+    table.update(listed)
+    return table, service
+
+
+def prompt(name, tokens=3000, output_tokens=30, zone="a", time_left_ms=13_000):
+    return PlacementRequest(
+        name, "s", "m", [(f"p{name}", tokens)], shared_cache(0), tokens, output_tokens,
+        1, 884, time_left_ms, zone, [], "",
+    )  # fmt: skip
+
+
+def place(table, service, request, now_ms=0):
+    return table.place(request, service, [], {"m": 1}, now_ms)
+
+
+def report(table, slowdowns, now_ms, outstanding=None):
+    loads = {
+        name: LoadReport((outstanding or {}).get(name, table.outstanding(name)), 0, one)
+        for name, one in slowdowns.items()
+    }
+    table.record_loads(loads, now_ms)
+
+
+def test_engines_without_the_figure_keep_the_stated_constants():
+    """Guards against other choices where engines are equal and report no speed."""
+    speeds = EngineSpeeds(AnswerTimes())
+    rng = random.Random(1)
+    for number in range(2000):
+        engine = f"e{number % 6}"
+        speeds.record_answer("s", engine, 20, 200 * rng.uniform(0.7, 1.4), number)
+        speeds.record_first_token("s", engine, 5.0, 9, number)
+    assert not speeds.is_uneven("s", 2000)
+    assert speeds.base_ms("s", 2000) == BASE_FIRST_TOKEN_MS
+    assert speeds.slot_hold_ms("s", "e1", 20, 100, 2000) == SLOT_HOLD_MS
+    assert speeds.step_factor("s", "e1", 2000) == 1.0
+    assert speeds.slowdown_delay_ms("e1", 100, 2000) == 0.0
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_lasting_speed_of_steps_is_learned_and_shows_that_engines_differ(seed):
+    """Guards against one token time for engines that differ by a factor of three."""
+    rng = random.Random(seed)
+    factors = {f"e{n}": rng.choice([0.6, 1.0, 1.6]) for n in range(9)}
+    factors |= {"e0": 0.6, "e1": 0.6, "e2": 1.6, "e3": 1.6}
+    times = AnswerTimes()
+    speeds = EngineSpeeds(times)
+    for number in range(4000):
+        engine = rng.choice(sorted(factors))
+        duration_ms = 30 * 10 * factors[engine] * rng.uniform(0.8, 1.25)
+        times.record("s", 30, duration_ms)
+        speeds.record_answer("s", engine, 30, duration_ms, number * 5)
+    now_ms = 20_000
+    assert speeds.is_uneven("s", now_ms)
+    for engine, factor in factors.items():
+        token_ms = speeds.token_ms("s", engine, now_ms)
+        assert 0.8 * factor <= token_ms / 10 <= 1.25 * factor
+    # One that is slow because of a fault for a moment is not learned as slow for good.
+    speeds.record_load("s", "e0", LoadReport(1, 0, 2.5), now_ms)
+    before = speeds.token_ms("s", "e0", now_ms)
+    speeds.record_answer("s", "e0", 30, 5000, now_ms + 10)
+    assert speeds.token_ms("s", "e0", now_ms) == pytest.approx(before, rel=0.01)
+
+
+def test_hold_time_and_base_time_replace_the_constants_as_they_are_learned():
+    """Guards against refusals by constants of another deployment."""
+    times = AnswerTimes()
+    speeds = EngineSpeeds(times)
+    speeds.record_load("s", "e", USUAL, 0)
+    assert speeds.slot_hold_ms("s", "e", 30, 100, 0) == SLOT_HOLD_MS
+    for number in range(400):
+        times.record("s", 30, 240)
+        speeds.record_answer("s", "e", 30, 240, number)
+        speeds.record_first_token("s", "e", 5.0, 15, number)
+    assert 300 < speeds.slot_hold_ms("s", "e", 30, 100, 400) < 420
+    assert 9 < speeds.base_ms("s", 400) < 12
+
+
+def test_momentary_slowdown_fades_and_only_the_newest_report_counts():
+    """Guards against an engine that is avoided for a state that has ended."""
+    speeds = EngineSpeeds(AnswerTimes())
+    assert speeds.record_load("s", "e", LoadReport(3, 1, 2.5, 40), 1000) is not None
+    assert speeds.record_load("s", "e", LoadReport(9, 9, 1.0, 90), 1010) is None
+    delays = [speeds.slowdown_delay_ms("e", 200, at) for at in (960, 1200, 1400, 1460)]
+    assert delays[0] == 300 and delays == sorted(delays, reverse=True)
+    assert delays[-1] == 0
+
+
+def test_prompts_avoid_an_engine_while_it_is_slow():
+    table, service = deployment(3)
+    report(table, {"e0": 2.5, "e1": 1.0, "e2": 1.0}, 0)
+    chosen = [place(table, service, prompt(f"r{n}"), 1).endpoint for n in range(4)]
+    assert "e0" not in chosen[:2]
+    later = [place(table, service, prompt(f"l{n}"), 600).endpoint for n in range(3)]
+    assert "e0" in later
+
+
+def test_queue_that_an_engine_reports_corrects_the_count_of_the_leader():
+    """Guards against a new leader that takes busy engines for idle ones."""
+    table, service = deployment(2)
+    report(table, {"e0": 1.0, "e1": 1.0}, 0, {"e0": 40, "e1": 0})
+    chosen = [place(table, service, prompt(f"r{n}", 300), 10) for n in range(6)]
+    assert {one.endpoint for one in chosen} == {"e1"}
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_engine_never_gets_more_than_its_memory_holds(seed):
+    """Guards against engines that crash because their requests exceed their memory."""
+    rng = random.Random(seed)
+    memory = rng.choice([60_000, 143_828, 172_572])
+    zones = rng.choice([1, 3])
+    table, service = deployment(rng.randrange(2, 9), zones, rng.choice([8, 32]), memory)
+    factors = {f"e{n}": rng.choice([0.6, 1.0, 1.6]) for n in range(8)}
+    held, refused = {}, 0
+    for number in range(400):
+        now_ms = number * 5
+        report(table, {name: rng.choice([1.0, 1.0, 2.5]) for name in factors}, now_ms)
+        tokens = rng.choice([300, 3000, 17_000])
+        request = prompt(f"r{number}", tokens, 30, rng.choice("abc"[:zones]))
+        placed = place(table, service, request, now_ms)
+        refused += not placed.endpoint
+        if placed.endpoint:
+            held[request.request_id] = placed.endpoint, tokens + 30
+        for name in [one for one in held if rng.random() < 0.01]:
+            table.record_prefilled([name], now_ms)
+            table.record_end([name], now_ms)
+            del held[name]
+        for engine in factors:
+            used = sum(tokens for one, tokens in held.values() if one == engine)
+            assert used <= memory
+    assert refused
+
+
+def test_prompt_does_not_begin_on_an_engine_that_is_about_to_load():
+    """Guards against work on weights that are replaced while it runs."""
+    table, service = deployment(3)
+    report(table, dict.fromkeys(("e0", "e1", "e2"), 1.0), 0)
+    table.winding_down = frozenset({"e0", "e1"})
+    chosen = {place(table, service, prompt(f"r{n}"), 1).endpoint for n in range(20)}
+    assert chosen <= {"e2", ""}
+    # With no engine left, a prompt is served by one that winds down.
+    table.winding_down = frozenset({"e0", "e1", "e2"})
+    assert place(table, service, prompt("x"), 1000).endpoint in {"e0", "e1"}
--- a/mustardtrack/routing/tests/test_enginestate.py
+++ b/mustardtrack/routing/tests/test_enginestate.py
@@ -4,7 +4,10 @@
 from hypothesis import strategies as st
 
 from mustardtrack.membership.endpoint_list import ListedEndpoint
+from mustardtrack.routing.answertimes import AnswerTimes
+from mustardtrack.routing.enginespeeds import EngineSpeeds
 from mustardtrack.routing.enginestate import EngineState, PlacedPrompt
+from mustardtrack.routing.firsttoken import slot_wait_ms
 
 LISTED = ListedEndpoint("e", 0, "s", "10.0.0.1:1", "a", 8, False, False, {"m": 1})
 CAPACITY = 1000
@@ -96,12 +99,13 @@
 def test_full_batch_delays_the_next_prompt():
     """Guards against placing more prompts on an idle engine than its batch holds."""
     engine = EngineState(LISTED)
+    speeds = EngineSpeeds(AnswerTimes())
     for number in range(8):
-        assert engine.slot_wait_ms(LISTED.slots) == 0
+        assert slot_wait_ms(engine, speeds, LISTED.slots, 33.0, 0) == 0
         add(engine, str(number), [(key(number), 10)])
     waits = []
     for number in range(8, 11):
-        waits.append(engine.slot_wait_ms(LISTED.slots))
+        waits.append(slot_wait_ms(engine, speeds, LISTED.slots, 33.0, 0))
         add(engine, str(number), [(key(number), 10)])
     assert waits == [125, 250, 375]
 
