Wait for the next weights where the newest are about to be replaced

Cause: loads of 2.5 s began at any time in the 4 s life of a version, so that many engines had weights again that were replaced when their load ended, and were still loading when the next version was named.

Change: the rollout estimates the rest of a version's life from the last namings. A load that would leave less than half of its duration on weights that count is postponed to the next version, unless the time limit of the engine's weights does not allow it. Only for services whose engines report their speed or differ.

--- a/mustardtrack/process/endpoint_watch.py
+++ b/mustardtrack/process/endpoint_watch.py
@@ -121,7 +121,9 @@
         """Forget the orders and reports of an earlier term."""
         bounds = self._settings.bounds
         self._rollout = Rollout(
-            self._control.placements.weights_limit, self._load_times
+            self._control.placements.weights_limit,
+            self._load_times,
+            self._control.placements.speeds.is_uneven,
         )
         self._engine_weights = EngineWeights(bounds.list_lag_ms)
         self._load_orders = LoadOrders(
--- a/mustardtrack/routing/rollout.py
+++ b/mustardtrack/routing/rollout.py
@@ -12,6 +12,7 @@
 
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.routing.loadtimes import LoadTimes
+from mustardtrack.routing.versionpace import expected_life_ms, is_worth_loading
 from mustardtrack.routing.weightslimit import WeightsLimit
 
 # Fraction of the engines that may load concurrently. The platform names no bound; more
@@ -86,13 +87,21 @@
     Args:
         weights_limit: Time that is left to begin requests on each version.
         load_times: Learned load times of the engines.
+        is_paced: Function that returns whether loads of a service at a monotonic time
+            in ms wait for the next version if the newest is about to be superseded.
     """
 
-    def __init__(self, weights_limit: WeightsLimit, load_times: LoadTimes) -> None:
+    def __init__(
+        self,
+        weights_limit: WeightsLimit,
+        load_times: LoadTimes,
+        is_paced: Callable[[str, int], bool] = lambda service, now_ms: False,
+    ) -> None:
         self._weights_limit = weights_limit
         self._limit_ms = weights_limit.limit_ms
         self._completion_limit_ms = COMPLETION_FRACTION * self._limit_ms
         self._load_times = load_times
+        self._is_paced = is_paced
         self._pending: dict[str, _PendingOrder] = {}
         self._deferrals: dict[str, _Deferral] = {}
         self._winding_down_ms: dict[str, int] = {}
@@ -161,10 +170,11 @@
         self._weights_limit.update(newest_versions, now_ms)
         if mean_queue_ms > BUSY_QUEUE_MS and self._has_slack(outdated, limit, now_ms):
             limit = max(1, int(BUSY_LIMIT_FACTOR * limit))
-        self._wind_down(outdated, limit, remaining_ms, now_ms)
+        due = [item for item in outdated if self._is_due(item[0], item[1], now_ms)]
+        self._wind_down(due, limit, remaining_ms, now_ms)
         if not may_order:
             return []
-        for endpoint, model, version in outdated:
+        for endpoint, model, version in due:
             is_idle = self._is_out_of_service(endpoint, now_ms)
             most = OUT_OF_SERVICE_FACTOR * limit if is_idle else limit
             if len(self._pending) >= most:
@@ -183,6 +193,18 @@
                 orders.append(WeightsOrder(endpoint, model, version))
         return orders
 
+    def _is_due(self, endpoint: ListedEndpoint, model: str, now_ms: int) -> bool:
+        """Return whether an engine loads the newest version, not only the next."""
+        service, limit = endpoint.service, self._weights_limit
+        if not self._is_paced(service, now_ms):
+            return True
+        return is_worth_loading(
+            expected_life_ms(limit.naming_times(model), now_ms),
+            self._load_times.expected_ms(service),
+            limit.superseded_for_ms(model, endpoint.weights[model], now_ms) or 0,
+            self._completion_limit_ms,
+        )
+
     def _wind_down(
         self,
         outdated: Sequence[tuple[ListedEndpoint, str, int]],
--- a/mustardtrack/routing/weightslimit.py
+++ b/mustardtrack/routing/weightslimit.py
@@ -64,6 +64,10 @@
         """Return the time since a newer version was named, None if there is none."""
         return self._history.superseded_for_ms(model, version, now_ms)
 
+    def naming_times(self, model: str) -> list[int]:
+        """Return the times at which versions of a model were named, ascending."""
+        return self._history.naming_times(model)
+
     def left_to_begin_ms(self, model: str, version: int, now_ms: int) -> float:
         """Return the time in which requests may begin, infinite without a limit."""
         superseded_for_ms = self.superseded_for_ms(model, version, now_ms)
--- a/mustardtrack/routing/weightsversions.py
+++ b/mustardtrack/routing/weightsversions.py
@@ -72,6 +72,10 @@
         later = [time_ms for number, time_ms in times.items() if number > version]
         return now_ms - min(later) if later else None
 
+    def naming_times(self, model: str) -> list[int]:
+        """Return the times at which versions of a model were named, ascending."""
+        return sorted(self._times.get(model, {}).values())
+
     def _record(self, model: str, version: int, time_ms: int) -> None:
         times = self._times.setdefault(model, {})
         times[version] = time_ms
