Report the loads of engines to the leader

Cause: the leader did not get the loads that routers read in answers, and the fourth figure (how long work takes at this moment) was used by nobody.

Change: routers send the newest load of each engine that reports the fourth figure with their progress, with its age. Endpoints that report three figures cost nothing.

--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -10,6 +10,7 @@
 from mustardtrack.membership.endpoint_list_changes import EndpointListChange
 from mustardtrack.membership.routershares import UNKNOWN_CAPACITY, RouterCapacity
 from mustardtrack.routing.endpointnotices import Incarnation
+from mustardtrack.routing.enginespeeds import LoadReport
 from mustardtrack.routing.weightsversions import VersionAges
 
 # Staleness reported by a replica without a valid leader lease.
@@ -152,6 +153,7 @@
     ``lost_requests`` are those whose endpoint closed the connection while it ran them.
     ``allotment_usage`` is what the router counted itself against the allotment of each
     account, negative for requests that did not run.
+    ``loads`` are the newest loads of the engines that report how long work takes.
     """
 
     prefilled: list[str]
@@ -164,3 +166,4 @@
     leaving: list[Incarnation] = []
     lost_requests: list[LostRequest] = []
     allotment_usage: dict[str, float] = {}
+    loads: dict[str, LoadReport] = {}
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -323,9 +323,11 @@
         self._record_notices(head, response)
         if response.load is not None:
             load, now_ms = response.load, self._clock.now_ms()
-            self._endpoint.record_load(
-                load.running, load.waiting, now_ms, load.slowdown
-            )
+            running, waiting, slowdown = load.running, load.waiting, load.slowdown
+            self._endpoint.record_load(running, waiting, now_ms, slowdown)
+            if self._admitted.prompt is not None:
+                name, loads = self._endpoint.id, self._forwarder.notices.loads
+                loads.record(name, running, waiting, slowdown, now_ms)
 
     def _record_notices(self, head: ResponseHead, response: ResponseMetadata) -> None:
         notices, listed = self._forwarder.notices, self._endpoint.listed
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -185,6 +185,7 @@
             await asyncio.sleep(PROGRESS_PERIOD_S)
             leader = view.leader
             parts, limits, leaving, lost = PartReport(), {}, [], []
+            loads = view.endpoints.notices.loads.take_report(self._clock.now_ms())
             usage: dict[str, float] = {}
             if leader:
                 usage = self.take_allotment_usage()
@@ -208,6 +209,7 @@
                 leaving,
                 lost,
                 usage,
+                loads,
             )
             if progress == EMPTY_PROGRESS:
                 continue
--- a/mustardtrack/process/placement_service.py
+++ b/mustardtrack/process/placement_service.py
@@ -94,6 +94,7 @@
         placements.record_end(progress.ended, now_ms)
         placements.record_unreachable(progress.unreachable_engines, now_ms)
         placements.record_refusal(progress.refused, now_ms)
+        placements.record_loads(progress.loads, now_ms)
         placements.limits.merge(progress.limits, now_ms)
         placements.notices.merge_leaving(progress.leaving, now_ms)
         for account, amount in progress.allotment_usage.items():
--- a/mustardtrack/routing/balancing.py
+++ b/mustardtrack/routing/balancing.py
@@ -41,7 +41,11 @@
 def _cost(
     state: EndpointState, zone: str, now_ms: int, rng: random.Random
 ) -> tuple[float, float]:
-    queue_cost = state.estimated_outstanding(now_ms) / max(1, state.listed.slots)
+    slots = max(1, state.listed.slots)
+    queue_cost = state.estimated_outstanding(now_ms) / slots
+    # A slow endpoint takes longer for the requests before this one and for this one.
+    slowdown = state.expected_slowdown(now_ms)
+    queue_cost += (slowdown - 1) * (queue_cost + 1 / slots)
     if state.listed.zone != zone:
         queue_cost += ZONE_PENALTY
     queue_cost += FAILURE_PENALTY * max(0.0, state.failure_rate - 0.1)
--- a/mustardtrack/routing/endpointnotices.py
+++ b/mustardtrack/routing/endpointnotices.py
@@ -14,6 +14,7 @@
 
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.membership.endpoint_list import ListedEndpoint
+from mustardtrack.routing.enginespeeds import NewLoads
 
 LEAVING_ANNOUNCED = define_event(8831, "INFO", "endpoint announces that it leaves")
 PAUSE_REQUESTED = define_event(
@@ -39,6 +40,9 @@
 class EndpointNotices:
     """Announcements of endpoints that this host has seen or heard of.
 
+    Attributes:
+        loads: Loads of engines that were not reported to the leader yet.
+
     Examples:
         >>> one = ListedEndpoint("e", 0, "s", "10.0.0.1:1", "a", 6, False, False, {})
         >>> notices = EndpointNotices()
@@ -48,6 +52,7 @@
     """
 
     def __init__(self) -> None:
+        self.loads = NewLoads()
         self._leaving_ms: OrderedDict[Incarnation, int] = OrderedDict()
         self._unreported: set[Incarnation] = set()
         self._paused_until_ms: OrderedDict[Incarnation, int] = OrderedDict()
--- a/mustardtrack/routing/endpointstate.py
+++ b/mustardtrack/routing/endpointstate.py
@@ -9,6 +9,7 @@
 
 from mustardtrack.membership.endpoint_list import EndpointList, ListedEndpoint
 from mustardtrack.routing.endpointnotices import EndpointNotices
+from mustardtrack.routing.enginespeeds import expected_slowdown
 
 # Age at which a load report has no weight left; its weight decreases linearly until
 # then. Requests take a few hundred milliseconds, so that older reports are obsolete.
@@ -105,6 +106,15 @@
         reported = (self.running + self.waiting) * max(0.0, 1.0 - age)
         return max(float(self.in_flight), reported + self.sent_since_load)
 
+    def expected_slowdown(self, now_ms: int) -> float:
+        """Return how long work takes, as a multiple of the usual time.
+
+        1.0 for an endpoint that does not report it.
+        """
+        if self.slowdown is None:
+            return 1.0
+        return expected_slowdown(self.slowdown, now_ms - self.load_reported_ms)
+
     def estimated_queued(self, now_ms: int) -> float:
         """Estimate the requests queued at the endpoint from its last load report."""
         age = (now_ms - self.load_reported_ms) / LOAD_REPORT_LIFETIME_MS
--- a/mustardtrack/routing/localplacement.py
+++ b/mustardtrack/routing/localplacement.py
@@ -87,7 +87,9 @@
 
     def cost(state: EndpointState) -> float:
         cost_ms = _cost_ms(state, prompt.model, newest_version, zone, now_ms)
-        return cost_ms + state.pending_prefill_tokens / tokens_per_ms
+        prefill_ms = (state.pending_prefill_tokens + prompt.tokens) / tokens_per_ms
+        extra_ms = (state.expected_slowdown(now_ms) - 1) * prefill_ms
+        return cost_ms + state.pending_prefill_tokens / tokens_per_ms + extra_ms
 
     if prompt.uses_prefix_affinity:
         by_id = {state.id: state for state in usable}
@@ -108,6 +110,7 @@
 ) -> float:
     cost_ms = RUNNING_REQUEST_MS * state.estimated_outstanding(now_ms)
     cost_ms += WAITING_REQUEST_MS * state.estimated_queued(now_ms)
+    cost_ms *= state.expected_slowdown(now_ms)
     if state.listed.weights.get(model, newest_version) < newest_version:
         cost_ms += OLD_WEIGHTS_PENALTY_MS
     if state.listed.zone != zone:
