Share the prefill of a first copy on new weights among its prompts

Cause: engines with new weights hold no prefixes. A prompt alone is cheaper on an engine with old weights that holds its prefix, so that all prompts of a long prefix stayed on replaced weights while engines with new ones were idle.

Change: where no engine holds a prefix under a version, a prompt is charged for its share of the prefill, by the prompts of the prefix in the last second. The prefill rate of an engine without samples returns to its lasting speed, and samples of engines that state that they are slow do not count. A prompt that fits in the memory of no engine is refused as hopeless and counted as placement.memory. All only where engines report their speed or differ.

--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -85,7 +85,8 @@
             return None
         placement = msgspec.msgpack.decode(answer, type=Placement)
         if placement.exceeds_caller_timeout:
-            self._metrics.count("placement.hopeless")
+            reason = "memory" if placement.lacks_memory else "hopeless"
+            self._metrics.count(f"placement.{reason}")
             return placement
         if placement.delay_ms:
             self._metrics.count("placement.delayed")
--- a/mustardtrack/routing/enginespeeds.py
+++ b/mustardtrack/routing/enginespeeds.py
@@ -184,7 +184,7 @@
 
         Answers of an engine that states that it is slow at the moment don't count.
         """
-        if output_tokens < 2 or duration_ms <= 0 or self._is_unusual(engine, now_ms):
+        if output_tokens < 2 or duration_ms <= 0 or self.is_unusual(engine, now_ms):
             return
         known = self._of(service)
         known.answers += 1
@@ -214,7 +214,7 @@
             elapsed_ms: Time since the placement.
             now_ms: Monotonic time.
         """
-        if prefill_ms > MAX_BASE_PREFILL_MS or self._is_unusual(engine, now_ms):
+        if prefill_ms > MAX_BASE_PREFILL_MS or self.is_unusual(engine, now_ms):
             return
         known = self._of(service)
         error_ms = elapsed_ms - prefill_ms - known.base_ms
@@ -297,7 +297,8 @@
     def _of(self, service: str) -> _ServiceSpeeds:
         return self._services.setdefault(service, _ServiceSpeeds())
 
-    def _is_unusual(self, engine: str, now_ms: int) -> bool:
+    def is_unusual(self, engine: str, now_ms: int) -> bool:
+        """Return whether an engine states that it is or was just slower than usual."""
         load = self._loads.get(engine)
         if load is None or now_ms - load.observed_ms > 2 * SLOWDOWN_LIFETIME_MS:
             return False
--- a/mustardtrack/routing/firsttoken.py
+++ b/mustardtrack/routing/firsttoken.py
@@ -1,12 +1,17 @@
 """Expected time to first token of a prompt at an engine."""
 
+import math
 from dataclasses import dataclass
 
 from mustardtrack.routing.enginespeeds import EngineSpeeds
-from mustardtrack.routing.enginestate import EngineState
+from mustardtrack.routing.enginestate import EngineState, PlacedPrompt
+from mustardtrack.routing.prefillrates import PrefillRates
 
 # Delay that each running request adds to the time to first token of another.
 RUNNING_REQUEST_MS = 2.0
+# Delay charged for an engine whose batch is full. It grows with the square of the
+# fraction of occupied slots.
+FULL_BATCH_PENALTY_MS = 300.0
 # Ratio of the wait of a demoted prompt to the wait for the prompts currently ahead of
 # it. It exceeds 1 because most prompts that arrive later are served first.
 DEMOTED_WAIT_FACTOR = 2.0
@@ -75,3 +80,55 @@
         now_ms,
     )
     return excess * hold_ms / slots
+
+
+def batch_penalty_ms(engine: EngineState, slots: int, now_ms: int) -> float:
+    """Return the delay charged for the occupied slots of a batch."""
+    if not slots:
+        return 0.0
+    return FULL_BATCH_PENALTY_MS * (engine.outstanding(now_ms) / slots) ** 2
+
+
+def wind_down_cost_ms(
+    engine: EngineState,
+    speeds: EngineSpeeds,
+    output_tokens: int,
+    first_token_ms: float,
+    is_excluded: bool,
+    now_ms: int,
+) -> float:
+    """Return the delay charged for an engine that loads weights when answers end.
+
+    Args:
+        engine: Engine that winds down.
+        speeds: Speeds of the engines.
+        output_tokens: Tokens that the prompt may generate.
+        first_token_ms: Expected time to its first token.
+        is_excluded: Whether only prompts that end before the others there may run.
+        now_ms: Monotonic time.
+    """
+    token_ms = speeds.token_ms(engine.listed.service, engine.listed.id, now_ms)
+    answer_ms = token_ms * output_tokens
+    ends_ms = engine.remaining_answer_ms(token_ms, now_ms)
+    return (
+        math.inf if is_excluded and first_token_ms + answer_ms > ends_ms else answer_ms
+    )
+
+
+def record_first_token(
+    engine: EngineState,
+    prompt: PlacedPrompt,
+    speeds: EngineSpeeds,
+    rates: PrefillRates,
+    now_ms: int,
+) -> None:
+    """Learn from a first token, and mark its prompt as prefilled."""
+    service, name = engine.listed.service, engine.listed.id
+    if prompt.found_idle and not prompt.is_prefilled:
+        prefill_ms = prompt.prefill_tokens / rates.tokens_per_ms(service, name, now_ms)
+        elapsed_ms = now_ms - prompt.placed_ms
+        speeds.record_first_token(service, name, prefill_ms, elapsed_ms, now_ms)
+    base_ms = speeds.base_ms(service, now_ms)
+    sample = engine.mark_prefilled(prompt, base_ms, now_ms)
+    if sample is not None and not speeds.is_unusual(name, now_ms):
+        rates.record(service, name, *sample, now_ms)
--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -62,6 +62,7 @@
         is_authoritative: Whether the sender leads and knows engines of the service.
         allotment_wait_ms: Time after which the caller may return because its account
             has used its allotment, 0 if it has not.
+        lacks_memory: Whether no engine has the memory for the prompt now.
     """
 
     endpoint: str = ""
@@ -74,3 +75,4 @@
     is_authoritative: bool = False
     delay_ms: int = 0
     allotment_wait_ms: int = 0
+    lacks_memory: bool = False
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -29,11 +29,18 @@
     PartSizes,
     PlacedPrompt,
 )
-from mustardtrack.routing.firsttoken import PrefillPlan, estimate_first_token_ms
+from mustardtrack.routing.firsttoken import (
+    PrefillPlan,
+    batch_penalty_ms,
+    estimate_first_token_ms,
+    record_first_token,
+    wind_down_cost_ms,
+)
 from mustardtrack.routing.kvstores import MIN_STORE_TOKENS, KvStores
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.routing.preferredengines import find_affine_engine, find_preferred
 from mustardtrack.routing.prefillrates import PrefillRates
+from mustardtrack.routing.prefixdemand import PrefixDemand
 from mustardtrack.routing.transfers import (
     NO_FETCH_SOURCE,
     FetchSource,
@@ -90,9 +97,6 @@
 # Otherwise engines without a queue would attract all short prompts, which would fill
 # their batches.
 RELAXED_WAIT_WEIGHT = 0.25
-# Delay charged for an engine whose batch is full. It grows with the square of the
-# fraction of occupied slots.
-FULL_BATCH_PENALTY_MS = 300.0
 # Urgency of a prompt that would be late in its own class, where it would only delay the
 # prompts behind it as well.
 DEMOTED_URGENCY = 4
@@ -149,6 +153,7 @@
         self._placed: dict[str, PlacedPrompt] = {}
         self.stores = KvStores()
         self.weights_limit = WeightsLimit(weights_limit_ms)
+        self._prefix_demand = PrefixDemand()
         self._next_expiry_ms = 0
 
     def update(self, endpoints: Iterable[ListedEndpoint]) -> None:
@@ -195,9 +200,11 @@
         if not usable:
             return Placement(is_authoritative=self._has_engines(request.service))
         context.is_uneven = self.speeds.is_uneven(request.service, now_ms)
-        context.avoids_winding_down = context.is_uneven and any(
-            engine.listed.id not in self.winding_down for engine in usable
-        )
+        if context.is_uneven:
+            context.avoids_winding_down = any(
+                engine.listed.id not in self.winding_down for engine in usable
+            )
+            self._prefix_demand.record(request, now_ms)
         if context.shared_tokens >= MIN_STORE_TOKENS:
             context.affine_engine = find_affine_engine(request, usable)
         elif request.router:
@@ -213,7 +220,12 @@
         if math.isinf(estimate.cost_ms):
             # It would exceed the memory of each engine, or begin on weights whose time
             # limit has expired by then.
-            return Placement(is_authoritative=True)
+            no_room = context.lacks_memory
+            return Placement(
+                exceeds_caller_timeout=no_room,
+                is_authoritative=True,
+                lacks_memory=no_room,
+            )
         caller_timeout_ms = max(
             MIN_CALLER_TIMEOUT_MS, CALLER_TIMEOUT_OBJECTIVES * request.objective_ms
         )
@@ -234,29 +246,13 @@
                 continue
             engine = self._engines.get(prompt.engine)
             if engine is not None:
-                self._learn_first_token(engine, prompt, now_ms)
+                record_first_token(engine, prompt, self.speeds, self.rates, now_ms)
             self.stores.end_saves(prompt.keys)
 
-    def _learn_first_token(
-        self, engine: EngineState, prompt: PlacedPrompt, now_ms: int
-    ) -> None:
-        service, name, speeds = engine.listed.service, engine.listed.id, self.speeds
-        if prompt.found_idle and not prompt.is_prefilled:
-            rate = self.rates.tokens_per_ms(service, name, now_ms)
-            elapsed_ms = now_ms - prompt.placed_ms
-            prefill_ms = prompt.prefill_tokens / rate
-            speeds.record_first_token(service, name, prefill_ms, elapsed_ms, now_ms)
-        base_ms = speeds.base_ms(service, now_ms)
-        sample = engine.mark_prefilled(prompt, base_ms, now_ms)
-        if sample is not None:
-            self.rates.record(service, name, *sample, now_ms)
-
     def record_loads(self, loads: Mapping[str, LoadReport], now_ms: int) -> None:
         """Record the loads that engines reported to a router."""
-        for endpoint_id, report in loads.items():
-            engine = self._engines.get(endpoint_id)
-            if engine is None:
-                continue
+        for endpoint_id in loads.keys() & self._engines.keys():
+            engine, report = self._engines[endpoint_id], loads[endpoint_id]
             service = engine.listed.service
             load = self.speeds.record_load(service, endpoint_id, report, now_ms)
             if load is not None:
@@ -362,7 +358,9 @@
     def _tokens_per_ms(self, engine: EngineState, now_ms: int) -> float:
         """Return the prefill rate with which an engine is planned."""
         listed = engine.listed
-        learned = self.rates.tokens_per_ms(listed.service, listed.id, now_ms)
+        factor = self.speeds.step_factor(listed.service, listed.id, now_ms)
+        rates = self.rates
+        learned = rates.tokens_per_ms(listed.service, listed.id, now_ms, 1 / factor)
         return PLANNED_RATE_FRACTION * learned
 
     def _find_usable(self, context: "_PlacementContext") -> list[EngineState]:
@@ -446,7 +444,7 @@
         cost_ms = context.wait_weight * first_token_ms + LIMIT_WAIT_WEIGHT * delay_ms
         cost_ms += LATENESS_WEIGHT * max(0.0, late_ms)
         recompute_ms = max(0, context.shared_tokens - held) / tokens_per_ms
-        cost_ms += RECOMPUTE_WEIGHT * recompute_ms
+        cost_ms += self._recompute_weight(context, version) * recompute_ms
         superseded_for_ms = self._superseded_for_ms(context, version)
         if superseded_for_ms is not None and superseded_for_ms >= OLD_WEIGHTS_GRACE_MS:
             cost_ms += OLD_WEIGHTS_PENALTY_MS
@@ -454,7 +452,14 @@
         if begin_ms > self._left_to_send_ms(context, version):
             cost_ms = math.inf
         if engine.listed.id in self.winding_down:
-            cost_ms += self._wind_down_cost_ms(engine, context, first_token_ms)
+            cost_ms += wind_down_cost_ms(
+                engine,
+                self.speeds,
+                request.output_tokens,
+                first_token_ms,
+                context.avoids_winding_down,
+                context.now_ms,
+            )
         cost_ms += REFUSAL_PENALTY_MS * engine.recent_refusals(context.now_ms)
         if engine.listed.zone != request.zone:
             cost_ms += ZONE_PENALTY_MS
@@ -462,8 +467,8 @@
             cost_ms += AFFINITY_PENALTY_MS
         if context.preferred and engine.listed.id not in context.preferred:
             cost_ms += NEW_CONNECTION_PENALTY_MS
-        cost_ms += _batch_penalty_ms(engine, context)
-        cost_ms += memory_cost_ms(
+        cost_ms += batch_penalty_ms(engine, context.slots, context.now_ms)
+        memory_ms = memory_cost_ms(
             engine,
             context.service.engine,
             request.tokens,
@@ -472,21 +477,23 @@
             context.is_uneven,
             context.now_ms,
         )
+        cost_ms += memory_ms
+        context.lacks_memory |= math.isinf(memory_ms)
         return _Estimate(
             cost_ms, first_token_ms, engine, source, uncached_tokens, version, delay_ms
         )
 
-    def _wind_down_cost_ms(
-        self, engine: EngineState, context: "_PlacementContext", first_token_ms: float
-    ) -> float:
-        """Return the delay charged for an engine that is about to load weights."""
-        service, name, now_ms = engine.listed.service, engine.listed.id, context.now_ms
-        token_ms = self.speeds.token_ms(service, name, now_ms)
-        answer_ms = token_ms * context.request.output_tokens
-        ends_ms = engine.remaining_answer_ms(token_ms, now_ms)
-        if context.avoids_winding_down and first_token_ms + answer_ms > ends_ms:
-            return math.inf
-        return answer_ms
+    def _recompute_weight(self, context: "_PlacementContext", version: int) -> float:
+        weight = context.recompute_weights.get(version)
+        if weight is None:
+            weight, shared = RECOMPUTE_WEIGHT, context.shared(version)
+            if context.is_uneven:
+                holders = (one.cached_prefix(shared) for one in self._engines.values())
+                weight *= self._prefix_demand.share_of_copy(
+                    context.request, holders, context.now_ms
+                )
+            context.recompute_weights[version] = weight
+        return weight
 
     def _find_source(
         self,
@@ -660,7 +667,9 @@
         is_relaxed = _is_relaxed(request.objective_ms)
         self.wait_weight = RELAXED_WAIT_WEIGHT if is_relaxed else 1.0
         self.is_uneven = False
+        self.lacks_memory = False
         self.avoids_winding_down = False
+        self.recompute_weights: dict[int, float] = {}
         self.affine_engine = ""
         self.preferred: frozenset[str] = frozenset()
         self.holders: dict[int, list[tuple[int, EngineState]]] = {}
@@ -686,14 +695,6 @@
         return shared
 
 
-def _batch_penalty_ms(engine: EngineState, context: _PlacementContext) -> float:
-    """Return the delay charged for the occupied slots of a batch."""
-    if not context.slots:
-        return 0.0
-    outstanding = engine.outstanding(context.now_ms)
-    return FULL_BATCH_PENALTY_MS * (outstanding / context.slots) ** 2
-
-
 def salted_parts(request: PlacementRequest, version: int) -> PartSizes:
     """Return the parts of a prompt as engines cache them under a version."""
     salt = cache_salt(request.model, version, request.cache)
--- a/mustardtrack/routing/prefillrates.py
+++ b/mustardtrack/routing/prefillrates.py
@@ -79,9 +79,9 @@
     log_factor: float = 0.0
     updated_ms: int = 0
 
-    def value(self, now_ms: int) -> float:
+    def value(self, now_ms: int, lasting: float = 0.0) -> float:
         age = max(0, now_ms - self.updated_ms) / DEVIATION_HALF_LIFE_MS
-        return float(self.log_factor * 0.5**age)
+        return float(lasting + (self.log_factor - lasting) * 0.5**age)
 
 
 @dataclass
@@ -105,13 +105,26 @@
     def __init__(self) -> None:
         self._services: dict[str, _ServiceRate] = {}
 
-    def tokens_per_ms(self, service: str, engine: str, now_ms: int) -> float:
-        """Return the expected prefill rate of an engine beside its other work."""
+    def tokens_per_ms(
+        self, service: str, engine: str, now_ms: int, lasting_speed: float = 1.0
+    ) -> float:
+        """Return the expected prefill rate of an engine beside its other work.
+
+        Args:
+            service: Service of the engine.
+            engine: Name of the engine.
+            now_ms: Monotonic time.
+            lasting_speed: Speed of the engine as a multiple of that of its service,
+                which counts in place of samples as they age.
+        """
+        lasting = math.log(lasting_speed)
         known = self._services.get(service)
         if known is None:
-            return PRIOR_TOKENS_PER_MS
+            return PRIOR_TOKENS_PER_MS * lasting_speed
         deviation = known.engines.get(engine)
-        log_factor = deviation.value(now_ms) if deviation is not None else 0.0
+        log_factor = lasting
+        if deviation is not None:
+            log_factor = deviation.value(now_ms, lasting)
         return math.exp(known.log_rate + log_factor)
 
     def record(
--- a/mustardtrack/routing/tests/test_enginespeeds.py
+++ b/mustardtrack/routing/tests/test_enginespeeds.py
@@ -6,6 +6,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from mustardtrack.configuration.routes import EngineLimits, Service
@@ -24,19 +25,42 @@
 USUAL = LoadReport(0, 0, 1.0)
 
 
+def listed(name, version=1, zone="a"):
+    return ListedEndpoint(
+        name, 0, "s", f"{name}:1", zone, 32, False, False, {"m": version}
+    )
+
+
 def deployment(engines=4, zones=1, slots=32, memory_tokens=172_572):
     service = Service("s", 400, EngineLimits(slots, memory_tokens, 35_136, ("m",)))
-    listed = [
-        ListedEndpoint(
-            f"e{n}", 0, "s", f"e{n}:1", "abc"[n % zones], slots, False, False, {"m": 1}
-        )
-        for n in range(engines)
-    ]
     table = PlacementTable(20_000)
-    table.update(listed)
+    table.update([listed(f"e{n}", 1, "abc"[n % zones]) for n in range(engines)])
     return table, service
 
 
+def test_new_weights_are_used_for_a_prefix_that_many_prompts_share():
+    """Guards against prompts that all stay on old weights, where their prefix is."""
+    table, service = deployment(2)
+    report(table, {"e0": 1.0, "e1": 1.0}, 0)
+    names = [f"r{n}" for n in range(20)]
+
+    def send(suffix, now_ms, newest):
+        parts = [("shared", 13_300), (f"p{suffix}", 1000)]
+        request = msgspec.structs.replace(
+            prompt(suffix, 14_300), parts=parts, tried=["e1"] if newest == 1 else []
+        )
+        placed = table.place(request, service, [], {"m": newest}, now_ms)
+        table.record_prefilled([suffix], now_ms + 10)
+        table.record_end([suffix], now_ms + 20)
+        return placed.endpoint
+
+    assert {send(name, 20 * n, 1) for n, name in enumerate(names)} == {"e0"}
+    report(table, {"e0": 1.0, "e1": 1.0}, 400)
+    table.update([listed("e0", 1), listed("e1", 2)])
+    assert send("early", 400, 2) == "e0"
+    assert send("late", 1500, 2) == "e1"
+
+
 def prompt(name, tokens=3000, output_tokens=30, zone="a", time_left_ms=13_000):
     return PlacementRequest(
         name, "s", "m", [(f"p{name}", tokens)], shared_cache(0), tokens, output_tokens,
