--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -85,8 +85,9 @@
             return None
         placement = msgspec.msgpack.decode(answer, type=Placement)
         if placement.exceeds_caller_timeout:
-            reason = "memory" if placement.lacks_memory else "hopeless"
-            self._metrics.count(f"placement.{reason}")
+            if placement.lacks_memory:
+                self._metrics.count("placement.memory")
+            self._metrics.count("placement.hopeless")
             return placement
         if placement.delay_ms:
             self._metrics.count("placement.delayed")
