--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -10,6 +10,7 @@
 from mustardtrack.membership.endpoint_list_changes import EndpointListChange
 from mustardtrack.membership.routershares import UNKNOWN_CAPACITY, RouterCapacity
 from mustardtrack.routing.endpointnotices import Incarnation
+from mustardtrack.routing.enginespeeds import LoadReport
 from mustardtrack.routing.weightsversions import VersionAges
 
 # Staleness reported by a replica without a valid leader lease.
@@ -154,6 +155,7 @@
     account, negative for requests that did not run.
     ``withdrawn_counts`` are the ids of requests that the leader may have counted,
     although its answer did not arrive.
+    ``loads`` are the newest loads of the engines that report how long work takes.
     """
 
     prefilled: list[str]
@@ -167,3 +169,4 @@
     unused_losses: list[LostRequest] = []
     allotment_usage: dict[str, float] = {}
     withdrawn_counts: list[str] = []
+    loads: dict[str, LoadReport] = {}
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -91,6 +91,8 @@
             return None
         placement = msgspec.msgpack.decode(answer, type=Placement)
         if placement.exceeds_caller_timeout:
+            if placement.lacks_memory:
+                self._metrics.count("placement.memory")
             self._metrics.count("placement.hopeless")
             return placement
         if placement.delay_ms:
@@ -190,6 +192,7 @@
             await asyncio.sleep(PROGRESS_PERIOD_S)
             leader = view.leader
             parts, limits, leaving = PartReport(), {}, []
+            loads = view.endpoints.notices.loads.take_report(self._clock.now_ms())
             usage: dict[str, float] = {}
             withdrawn: list[str] = []
             if leader:
@@ -215,6 +218,7 @@
                 [],
                 usage,
                 withdrawn,
+                loads,
             )
             if progress == EMPTY_PROGRESS:
                 continue
