Admit by ranks and fair shares while engines cannot serve all prompts

Under two to three times the capacity, prompts with long time limits filled the queues, and urgent ones were refused for a queue that they would have passed: the wait for a slot counted waiting prompts of every urgency, and a late prompt of rank 0 was queued with those of rank 2. Every refused caller was told 2 s.

- The wait for a slot leaves out waiting prompts of lower urgency.
- The leader notices contention of a service with the first prompt that it must refuse, and forgets it when none was refused for the longest time limit.
Meanwhile, late prompts stay within their rank; a prompt is refused if it would wait longer than the objective of a more urgent rank that has been served worse, or if it would be late and its account (or its shared prefix within the account) has got more than its max-min share.
- Retry-After of these refusals is the caller's turn behind all callers of its rank and more urgent ones that were refused before, at most a third of its time; without jitter, which would change the order.
Routers that decide without the leader give turns in their part of the capacity.

--- a/mustardtrack/admission/retryafter.py
+++ b/mustardtrack/admission/retryafter.py
@@ -25,6 +25,8 @@
     # Other routers can take the request at once.
     "stopping": 0.1,
 }
+# Refusal reasons whose times are turns of a schedule; jitter would change their order.
+SCHEDULED_REASONS = frozenset({"hopeless"})
 # Relative jitter that keeps callers refused together from retrying together.
 RETRY_AFTER_JITTER = 0.3
 # Longest time by which callers return later than the end of a pause.
@@ -38,7 +40,8 @@
 
     Args:
         reason: Refusal reason.
-        pause_ms: Time until an endpoint can be used again, None if it is not known.
+        pause_ms: Time until an endpoint can be used again or the turn of the caller
+            comes, None if it is not known.
         rng: Source of the jitter.
 
     Examples:
@@ -47,6 +50,8 @@
     """
     if pause_ms is not None:
         pause_s = pause_ms / 1000
+        if reason in SCHEDULED_REASONS:
+            return pause_s
         return pause_s + rng.uniform(0, min(MAX_PAUSE_JITTER_S, pause_s))
     after_s = RETRY_AFTER_S.get(reason, DEFAULT_RETRY_AFTER_S)
     return after_s * (1 + rng.uniform(-RETRY_AFTER_JITTER, RETRY_AFTER_JITTER))
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -7,6 +7,7 @@
 from mustardtrack.admission.connections import connections_per_router
 from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.admission.retryafter import ENDPOINTS_PAUSED
+from mustardtrack.admission.returns import ReturnSchedule
 from mustardtrack.configuration.routes import Service
 from mustardtrack.ports import Clock
 from mustardtrack.process.attempt_state import AdmittedRequest
@@ -17,7 +18,11 @@
 from mustardtrack.routing.localplacement import choose_engine
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.routing.prefillrates import PRIOR_TOKENS_PER_MS
-from mustardtrack.routing.queuewait import estimate_waits, is_queue_full
+from mustardtrack.routing.queuewait import (
+    QueueWaits,
+    estimate_waits,
+    is_queue_full,
+)
 from mustardtrack.settings import SeededSettings
 
 # Placements of one prompt that the leader is asked for before its router decides.
@@ -42,6 +47,7 @@
         self._clock = clock
         self._placements = placements
         self._rng = rng
+        self._returns: dict[str, ReturnSchedule] = {}
 
     @property
     def _limits(self) -> RateLimits:
@@ -193,10 +199,25 @@
         )
         if waits.in_time or not untried:
             return waits.in_time, None
-        refusal = Placement(
-            expected_ms=round(waits.first_begin_ms), exceeds_caller_timeout=True
+        return (), self._refuse_late(admitted, waits, len(untried), now_ms)
+
+    def _refuse_late(
+        self, admitted: AdmittedRequest, waits: QueueWaits, endpoints: int, now_ms: int
+    ) -> Placement:
+        """Return a refusal with a turn in this router's part of the capacity."""
+        returns = self._returns.setdefault(admitted.service.name, ReturnSchedule())
+        return_ms = returns.next_ms(
+            admitted.rank,
+            waits.room_ms,
+            waits.place_ms * max(1, self._control_sync.view.router_count) / endpoints,
+            admitted.deadline_ms - now_ms,
+            now_ms,
+        )
+        return Placement(
+            expected_ms=round(waits.first_begin_ms),
+            exceeds_caller_timeout=True,
+            return_ms=return_ms,
         )
-        return (), refusal
 
     def _find_usable(
         self, admitted: AdmittedRequest
@@ -243,6 +264,7 @@
             router=self._settings.name,
             account=admitted.account.name if amount and admitted.account else "",
             amount=amount,
+            client=admitted.account.name if admitted.account else "",
         )
 
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -344,7 +344,7 @@
         """Choose the endpoint of the next attempt and take a retry if it is one."""
         endpoint, placement = await self._choose_untried(admitted, progress)
         if placement is not None and placement.exceeds_caller_timeout:
-            return NoAttempt("hopeless", placement.expected_ms)
+            return NoAttempt("hopeless", placement.expected_ms, placement.return_ms)
         over_allotment = await self._allotments.count(admitted, placement)
         if over_allotment is not None:
             return over_allotment
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -90,6 +90,7 @@
     Attributes:
         placed: Placed prompts by request id.
         pending_prefill_tokens: Tokens still to be prefilled, by urgency.
+        not_begun: Placed prompts without a first token, by urgency.
         cache: Parts in memory with their tokens, least recently used first.
         incomplete: Parts whose prefill has not finished.
         pins: Number of running requests that use each part.
@@ -108,6 +109,7 @@
     pending_prefill_tokens: list[int] = field(
         default_factory=lambda: [0] * URGENCY_LEVELS
     )
+    not_begun: list[int] = field(default_factory=lambda: [0] * URGENCY_LEVELS)
     cache: OrderedDict[PartKey, int] = field(default_factory=OrderedDict)
     incomplete: set[PartKey] = field(default_factory=set)
     pins: Counter[PartKey] = field(default_factory=Counter)
@@ -163,11 +165,15 @@
             return 0
         return min(MAX_UNREPORTED_WORK_MS, max(0, silent_ms))
 
-    def slot_wait_ms(self, slots: int) -> float:
-        """Return the estimated wait of a new prompt for a batch slot."""
-        if not slots:
+    def slot_wait_ms(self, slots: int, urgency: int = URGENCY_LEVELS - 1) -> float:
+        """Return the estimated wait of a new prompt for a batch slot.
+
+        It passes the prompts with a lower urgency that have not begun.
+        """
+        if not slots or len(self.placed) < slots:
             return 0.0
-        return max(0, len(self.placed) + 1 - slots) * SLOT_HOLD_MS / slots
+        ahead = len(self.placed) - sum(self.not_begun[urgency + 1 :])
+        return max(0, ahead + 1 - slots) * SLOT_HOLD_MS / slots
 
     def add(
         self,
@@ -181,6 +187,7 @@
         if not any(self.pending_prefill_tokens):
             self.busy_since_ms = prompt.placed_ms
         self.pending_prefill_tokens[prompt.urgency] += prompt.prefill_tokens
+        self.not_begun[prompt.urgency] += 1
         self.output_tokens += prompt.output_tokens
         for key, size in parts:
             self._insert(key, size)
@@ -233,6 +240,7 @@
             self.progress.record_first_token(prompt.urgency, prompt.placed_ms, now_ms)
             prompt.first_token_ms = now_ms
             self.pending_prefill_tokens[prompt.urgency] -= prompt.prefill_tokens
+            self.not_begun[prompt.urgency] -= 1
             self.incomplete.difference_update(prompt.keys)
         return sample
 
@@ -244,6 +252,7 @@
         self.output_tokens -= prompt.output_tokens
         if not prompt.is_prefilled:
             self.pending_prefill_tokens[prompt.urgency] -= prompt.prefill_tokens
+            self.not_begun[prompt.urgency] -= 1
         for key in prompt.keys:
             self.pins[key] -= 1
             if not self.pins[key]:
--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -20,6 +20,7 @@
         router: Router that sends the request.
         account: Client account with an allotment, empty if there is none.
         amount: What the request counts against it, 0 if it was counted before.
+        client: Client account of the request, empty if the routes have none.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     router: str = ""
     account: str = ""
     amount: int = 0
+    client: str = ""
 
 
 class AllotmentRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -62,6 +64,8 @@
         is_authoritative: Whether the sender leads and knows engines of the service.
         allotment_wait_ms: Time after which the caller may return because its account
             has used its allotment, 0 if it has not.
+        return_ms: Time after which the caller of a prompt that is refused because no
+            engine can respond in time may return, None if it is not known.
     """
 
     endpoint: str = ""
@@ -74,3 +78,4 @@
     is_authoritative: bool = False
     delay_ms: int = 0
     allotment_wait_ms: int = 0
+    return_ms: int | None = None
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -22,6 +22,7 @@
 from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.routing.answertimes import AnswerTimes
 from mustardtrack.routing.cachesalts import cache_salt
+from mustardtrack.routing.contention import Contention
 from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.enginestate import (
     URGENCY_LEVELS,
@@ -114,13 +115,6 @@
 DEMOTED_WAIT_FACTOR = 2.0
 # Multiple of the objective beyond which an estimate causes a prompt to be demoted.
 DEMOTION_OBJECTIVE_FACTOR = 1.25
-# Callers abort a stream when its first event takes longer than this many objectives and
-# longer than this minimum.
-CALLER_TIMEOUT_OBJECTIVES = 4
-MIN_CALLER_TIMEOUT_MS = 2000
-# Fraction of the caller's timeout beyond which an estimate leads to a refusal, since
-# estimates are rough and the caller may retry.
-CALLER_TIMEOUT_FRACTION = 0.7
 
 
 def engine_urgency(rank: int, objective_ms: int) -> int:
@@ -147,6 +141,7 @@
         answer_times: Learned times of answers.
         stores: Estimated contents of the KV cache stores.
         weights_limit: Time that is left to begin requests on each weights version.
+        contention: Order of admission while demand exceeds the capacity.
         winding_down: Engines that are about to load weights when their answers end.
 
     Args:
@@ -158,6 +153,7 @@
         self.notices = EndpointNotices()
         self.rates = PrefillRates()
         self.answer_times = AnswerTimes()
+        self.contention = Contention()
         self.winding_down: frozenset[str] = frozenset()
         self._engines: dict[str, EngineState] = {}
         self._placed: dict[str, PlacedPrompt] = {}
@@ -212,27 +208,27 @@
             context.preferred = _find_preferred(request, usable)
         urgency = context.urgency
         estimate = self._find_best(context, usable, urgency)
+        demoted = self._demoted_urgency(request)
         is_late = (
             estimate.first_token_ms > DEMOTION_OBJECTIVE_FACTOR * request.objective_ms
         )
-        if is_late and urgency < DEMOTED_URGENCY:
-            urgency = DEMOTED_URGENCY
+        if is_late and urgency < demoted:
+            urgency = demoted
             estimate = self._find_best(context, usable, urgency)
         if math.isinf(estimate.cost_ms):
             # The prompt would begin on weights whose time limit has expired by then.
             return Placement(is_authoritative=True)
-        caller_timeout_ms = max(
-            MIN_CALLER_TIMEOUT_MS, CALLER_TIMEOUT_OBJECTIVES * request.objective_ms
-        )
-        caller_timeout_ms = min(caller_timeout_ms, request.time_left_ms)
-        if estimate.first_token_ms > CALLER_TIMEOUT_FRACTION * caller_timeout_ms:
-            return Placement(
-                expected_ms=round(estimate.first_token_ms),
-                exceeds_caller_timeout=True,
-                is_authoritative=True,
-            )
+        refusal = self.contention.check(request, estimate.first_token_ms, now_ms)
+        if refusal is not None:
+            return refusal
         return self._commit(context, estimate, urgency)
 
+    def _demoted_urgency(self, request: PlacementRequest) -> int:
+        """Return the urgency of a late prompt, under contention within its rank."""
+        if not self.contention.is_contended(request.service):
+            return DEMOTED_URGENCY
+        return min(DEMOTED_URGENCY, request.rank * URGENCY_STEP + URGENCY_STEP - 1)
+
     def record_prefilled(self, request_ids: Iterable[str], now_ms: int) -> None:
         """Record the end of prefill for prompts whose first token has arrived."""
         for request_id in request_ids:
@@ -648,7 +644,7 @@
     """Return the estimated time until an engine begins to prefill a prompt."""
     wait_ms = engine.prefill_tokens_ahead(urgency) / tokens_per_ms
     wait_ms = max(0.0, wait_ms - engine.unreported_work_ms(context.now_ms))
-    wait_ms += engine.slot_wait_ms(context.slots)
+    wait_ms += engine.slot_wait_ms(context.slots, urgency)
     if urgency > context.urgency:
         wait_ms *= DEMOTED_WAIT_FACTOR
     return wait_ms
--- a/mustardtrack/routing/queuewait.py
+++ b/mustardtrack/routing/queuewait.py
@@ -25,11 +25,13 @@
         in_time: Endpoints with a place in their queue from which the request begins
             early enough to end within its time limit.
         first_begin_ms: Shortest time until an endpoint would begin the request.
+        room_ms: Time until an endpoint could begin another such request in time.
         place_ms: Mean time in which one endpoint serves one request, 0 if not known.
     """
 
     in_time: Sequence[EndpointState]
     first_begin_ms: float = 0.0
+    room_ms: float = 0.0
     place_ms: float = 0.0
 
 
@@ -37,8 +39,13 @@
 class _Wait:
     begin_ms: float
     end_ms: float
+    full_for_ms: float = 0.0
     is_full: bool = False
 
+    def room_ms(self, time_left_ms: float) -> float:
+        """Return the time until the request could be served in time."""
+        return max(0.0, self.end_ms - time_left_ms, self.full_for_ms)
+
 
 def estimate_waits(
     endpoints: Sequence[EndpointState], rank: int, time_left_ms: float, now_ms: int
@@ -61,7 +68,8 @@
         if not wait.is_full and (not wait.begin_ms or wait.end_ms <= time_left_ms)
     ]
     first_begin_ms = min(wait.begin_ms for wait in waits)
-    return QueueWaits(in_time, first_begin_ms, place_ms)
+    room_ms = min(wait.room_ms(time_left_ms) for wait in waits)
+    return QueueWaits(in_time, first_begin_ms, room_ms, place_ms)
 
 
 def is_queue_full(state: EndpointState, rank: int, now_ms: int) -> bool:
@@ -82,8 +90,11 @@
     else:
         queued = state.estimated_queued(now_ms)
     begin_ms = max(0.0, queued * place_ms)
-    is_full = history.places is not None and queued >= history.places
-    return _Wait(begin_ms, begin_ms + state.running * place_ms, is_full)
+    end_ms = begin_ms + state.running * place_ms
+    if history.places is None or queued < history.places:
+        return _Wait(begin_ms, end_ms)
+    full_for_ms = (queued - history.places + 1) * place_ms
+    return _Wait(begin_ms, end_ms, full_for_ms, is_full=True)
 
 
 def _mean_place_ms(endpoints: Sequence[EndpointState], rank: int) -> float:
--- a/mustardtrack/routing/tests/test_placements.py
+++ b/mustardtrack/routing/tests/test_placements.py
@@ -462,3 +462,35 @@
     assert table.remaining_answer_ms("2", 200) > table.remaining_answer_ms("1", 200)
     table.record_end([f"l{n}" for n in range(4)], 300)
     assert table.remaining_answer_ms("2", 300) == 0
+
+
+def overload(table, count, rank, **fields):
+    """Place prompts without a shared prefix until the engines hold so many."""
+    placed = [
+        place(table, prompt(f"{rank}.{n}", f"o{rank}.{n}", 400, rank, **fields))
+        for n in range(count)
+    ]
+    return [placement for placement in placed if placement.endpoint]
+
+
+def test_urgent_prompt_passes_waiting_prompts_of_lower_ranks():
+    """Guards against urgent prompts that are refused for a queue that they pass."""
+    table = make("1")
+    assert len(overload(table, 300, rank=2, objective_ms=1900)) > 150
+    urgent = place(table, prompt("u", "u", 400, rank=0, objective_ms=423))
+    assert urgent.endpoint
+    assert urgent.expected_ms < 1000
+
+
+def test_late_prompt_stays_ahead_of_lower_ranks_under_contention():
+    """Guards against late urgent prompts that are queued with those of rank 2."""
+    table = make("1")
+    placed = overload(table, 1200, rank=0, objective_ms=423)
+    assert table.contention.is_contended("s")
+    table.record_end([f"0.{n}" for n in range(900, 1200)])
+    late = place(table, prompt("late", "l", 400, rank=0, objective_ms=423))
+    assert len(placed) < 1200
+    assert not late.endpoint or late.urgency < 2
+    refused = place(table, prompt("r", "r", 400, rank=2, objective_ms=1900))
+    assert refused.exceeds_caller_timeout
+    assert refused.return_ms
