--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -94,6 +94,7 @@
     Attributes:
         placed: Placed prompts by request id.
         pending_prefill_tokens: Tokens still to be prefilled, by urgency.
+        not_begun: Placed prompts without a first token, by urgency.
         cache: Parts in memory with their tokens, least recently used first.
         incomplete: Parts whose prefill has not finished.
         pins: Number of running requests that use each part.
@@ -115,6 +116,7 @@
     pending_prefill_tokens: list[int] = field(
         default_factory=lambda: [0] * URGENCY_LEVELS
     )
+    not_begun: list[int] = field(default_factory=lambda: [0] * URGENCY_LEVELS)
     cache: OrderedDict[PartKey, int] = field(default_factory=OrderedDict)
     incomplete: set[PartKey] = field(default_factory=set)
     pins: Counter[PartKey] = field(default_factory=Counter)
@@ -200,9 +202,18 @@
         mean = self.unevictable_tokens / len(self.placed)
         return mean * self._unknown_requests(now_ms)
 
-    def excess_requests(self, slots: int, now_ms: int) -> float:
-        """Return the requests, with a further one, for which there is no slot."""
-        return max(0.0, self.outstanding(now_ms) + 1 - slots) if slots else 0.0
+    def excess_requests(
+        self, slots: int, now_ms: int, urgency: int = URGENCY_LEVELS - 1
+    ) -> float:
+        """Return the requests, with a further one, for which there is no slot.
+
+        A prompt passes those with a lower urgency that have not begun.
+        """
+        outstanding = self.outstanding(now_ms)
+        if not slots or outstanding < slots:
+            return 0.0
+        passed = sum(self.not_begun[urgency + 1 :])
+        return max(0.0, outstanding - passed + 1 - slots)
 
     def mean_output_tokens(self) -> float:
         """Return the mean output limit of the placed prompts."""
@@ -226,6 +237,7 @@
             self.busy_since_ms = prompt.placed_ms
             prompt.found_idle = True
         self.pending_prefill_tokens[prompt.urgency] += prompt.prefill_tokens
+        self.not_begun[prompt.urgency] += 1
         self.output_tokens += prompt.output_tokens
         for key, size in parts:
             self._insert(key, size)
@@ -278,6 +290,7 @@
             self.progress.record_first_token(prompt.urgency, prompt.placed_ms, now_ms)
             prompt.first_token_ms = now_ms
             self.pending_prefill_tokens[prompt.urgency] -= prompt.prefill_tokens
+            self.not_begun[prompt.urgency] -= 1
             self.incomplete.difference_update(prompt.keys)
         return sample
 
@@ -289,6 +302,7 @@
         self.output_tokens -= prompt.output_tokens
         if not prompt.is_prefilled:
             self.pending_prefill_tokens[prompt.urgency] -= prompt.prefill_tokens
+            self.not_begun[prompt.urgency] -= 1
         for key in prompt.keys:
             self.pins[key] -= 1
             if not self.pins[key]:
--- a/mustardtrack/routing/firsttoken.py
+++ b/mustardtrack/routing/firsttoken.py
@@ -57,29 +57,25 @@
     """Return the estimated time until an engine begins to prefill a prompt."""
     wait_ms = engine.prefill_tokens_ahead(plan.urgency) / plan.tokens_per_ms
     wait_ms = max(0.0, wait_ms - engine.unreported_work_ms(now_ms))
-    wait_ms += slot_wait_ms(engine, speeds, plan.slots, plan.tokens_per_ms, now_ms)
+    wait_ms += slot_wait_ms(engine, speeds, plan, now_ms)
     return wait_ms * DEMOTED_WAIT_FACTOR if plan.is_demoted else wait_ms
 
 
 def slot_wait_ms(
-    engine: EngineState,
-    speeds: EngineSpeeds,
-    slots: int,
-    tokens_per_ms: float,
-    now_ms: int,
+    engine: EngineState, speeds: EngineSpeeds, plan: PrefillPlan, now_ms: int
 ) -> float:
     """Return the estimated wait of a new prompt for a batch slot."""
-    excess = engine.excess_requests(slots, now_ms)
+    excess = engine.excess_requests(plan.slots, now_ms, plan.urgency)
     if not excess:
         return 0.0
     hold_ms = speeds.slot_hold_ms(
         engine.listed.service,
         engine.listed.id,
         engine.mean_output_tokens(),
-        engine.mean_prefill_tokens() / tokens_per_ms,
+        engine.mean_prefill_tokens() / plan.tokens_per_ms,
         now_ms,
     )
-    return excess * hold_ms / slots
+    return excess * hold_ms / plan.slots
 
 
 def batch_penalty_ms(engine: EngineState, slots: int, now_ms: int) -> float:
--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -21,6 +21,7 @@
         account: Client account with an allotment, empty if there is none.
         amount: What the request counts against it, 0 if it was counted before.
         count_id: Id under which it is counted once, empty if it is not counted.
+        client: Client account of the request, empty if the routes have none.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     account: str = ""
     amount: int = 0
     count_id: str = ""
+    client: str = ""
 
 
 class AllotmentRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -66,6 +68,8 @@
         allotment_wait_ms: Time after which the caller may return because its account
             has used its allotment, 0 if it has not.
         lacks_memory: Whether no engine has the memory for the prompt now.
+        return_ms: Time after which the caller of a prompt that is refused because no
+            engine can respond in time may return, None if it is not known.
     """
 
     endpoint: str = ""
@@ -79,3 +83,4 @@
     delay_ms: int = 0
     allotment_wait_ms: int = 0
     lacks_memory: bool = False
+    return_ms: int | None = None
