Round the delay of a refused caller up

The delay is now rounded up to hundredths of a second. 2 of the 3 new cases failed before the change and pass with it.

--- a/mustardtrack/platform/headers.py
+++ b/mustardtrack/platform/headers.py
@@ -1,5 +1,6 @@
 """Encoding and decoding of the platform's HTTP request and response headers."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -234,8 +235,11 @@
 
 
 def retry_after_header(seconds: float) -> tuple[bytes, bytes]:
-    """Return the header with the retry delay; fractions of a second are allowed."""
-    return _RETRY_AFTER, b"%.2f" % seconds
+    """Return the header with the retry delay, rounded up to hundredths of a second.
+
+    A delay that is rounded to 0 lets the caller return before there is room.
+    """
+    return _RETRY_AFTER, b"%.2f" % (math.ceil(seconds * 100) / 100)
 
 
 def _first_values(headers: Headers) -> dict[bytes, bytes]:
--- a/mustardtrack/platform/tests/test_headers.py
+++ b/mustardtrack/platform/tests/test_headers.py
@@ -11,6 +11,7 @@
     encode_instructions,
     filter_request_headers,
     filter_response_headers,
+    retry_after_header,
 )
 from mustardtrack.platform.values import MAX_HEADER_INTEGER
 
@@ -161,3 +162,11 @@
 def test_only_the_stated_value_announces_a_leave(value, expected):
     response = decode_response_headers([(b"server-leaving", value)])
     assert response.is_leaving is expected
+
+
+@pytest.mark.parametrize(
+    ("seconds", "text"), [(0.001, b"0.01"), (0.8, b"0.80"), (1.234, b"1.24")]
+)
+def test_refused_caller_is_not_told_to_return_too_early(seconds, text):
+    """Guards against short delays that are rounded to none."""
+    assert retry_after_header(seconds)[1] == text
