Limit what an account pays for to one window

Usage reports in the unit of an earlier configuration, or from before a limit was lowered, could leave a bucket so far below zero that the account was refused for hours. Usage before the last window does not count for the bound, so that the level is now at least the rate times the window below zero.

--- a/mustardtrack/admission/allotments.py
+++ b/mustardtrack/admission/allotments.py
@@ -391,8 +391,10 @@
         return used + amount - rate_per_s * self._terms.window_s - capacity
 
     def _fill(self, bucket: _Bucket, now_ms: int) -> None:
-        bucket.fill(self._known_part, now_ms)
         most = bucket.allotment.rate_per_s * self._terms.window_s
+        # Usage before the window does not count; the unit may have changed, too.
+        bucket.level = max(bucket.level, -most)
+        bucket.fill(self._known_part, now_ms)
         bucket.withheld = min(most, bucket.withheld)
 
     def _rate_per_ms(self, bucket: _Bucket) -> float:
--- a/mustardtrack/admission/tests/test_allotments.py
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -365,3 +365,15 @@
     allotments.update({"hotel": Allotment(2.5, 0.0)}, 0)
     for now_ms in range(500, 20_000, 500):
         assert allotments.take("hotel", 1, now_ms) == 0
+
+
+@pytest.mark.parametrize("used", [10**4, 10**6])
+def test_usage_is_paid_for_within_a_window(used):
+    """Guards against a debt in tokens that a limit in requests has to pay for."""
+    allotments = Allotments(TERMS)
+    allotments.update({"hotel": Allotment(10**6, 10**6, True)}, 0)
+    allotments.record_usage("hotel", used, 1000)
+    allotments.update({"hotel": HOTEL}, 1000)
+    allotments.record_usage("hotel", used, 1000)
+    assert allotments.take("hotel", 1, 8000) > 0
+    assert allotments.take("hotel", 1, 9100) == 0
