--- a/mustardtrack/admission/tests/test_allotments.py
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -377,3 +377,19 @@
     allotments.record_usage("hotel", used, 1000)
     assert allotments.take("hotel", 1, 8000) > 0
     assert allotments.take("hotel", 1, 9100) == 0
+
+
+def test_clock_that_jumps_gives_no_more_than_a_bucket():
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"hotel": HOTEL}, 0)
+    admitted = 0
+    for now_ms in (10**12, 0, 10**12 - 5000, 10**12):
+        admitted += sum(not allotments.take("hotel", 1, now_ms) for _ in range(300))
+    assert admitted == HOTEL.burst
+
+
+@pytest.mark.parametrize("routers", [0, 1])
+def test_share_of_a_single_router_is_the_rate(routers):
+    share = AllotmentShare(AllotmentTerms(slack=1000.0))
+    taken = [share.take("hotel", HOTEL, 1, routers, 0, 2000) for _ in range(201)]
+    assert taken.count(0) == 200
