--- a/mustardtrack/admission/tests/test_allotments.py
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -249,6 +249,18 @@
     assert len(deployment.used) - before >= 0.9 * HOTEL.rate_per_s * 10
 
 
+def test_usage_of_missing_routers_is_not_counted_twice():
+    """Guards against a rate that is kept back and paid for again with the report."""
+    deployment, rng = Deployment(), random.Random(5)
+    deployment.run(3000, 300, rng)
+    for router in deployment.members[4:]:
+        router.cut_until_ms = deployment.now_ms + 4000
+    deployment.run(4000, 800, rng)
+    before = len(deployment.used)
+    deployment.run(4000, 300, rng)
+    assert len(deployment.used) - before >= 0.9 * HOTEL.rate_per_s * 4
+
+
 def test_lower_limit_binds_and_a_removed_one_ends():
     allotments = Allotments(TERMS)
     allotments.update({"hotel": Allotment(100.0, 1000.0)}, 0)
@@ -353,3 +365,31 @@
     allotments.update({"hotel": Allotment(2.5, 0.0)}, 0)
     for now_ms in range(500, 20_000, 500):
         assert allotments.take("hotel", 1, now_ms) == 0
+
+
+@pytest.mark.parametrize("used", [10**4, 10**6])
+def test_usage_is_paid_for_within_a_window(used):
+    """Guards against a debt in tokens that a limit in requests has to pay for."""
+    allotments = Allotments(TERMS)
+    allotments.update({"hotel": Allotment(10**6, 10**6, True)}, 0)
+    allotments.record_usage("hotel", used, 1000)
+    allotments.update({"hotel": HOTEL}, 1000)
+    allotments.record_usage("hotel", used, 1000)
+    assert allotments.take("hotel", 1, 8000) > 0
+    assert allotments.take("hotel", 1, 9100) == 0
+
+
+def test_clock_that_jumps_gives_no_more_than_a_bucket():
+    allotments = Allotments(AllotmentTerms())
+    allotments.update({"hotel": HOTEL}, 0)
+    admitted = 0
+    for now_ms in (10**12, 0, 10**12 - 5000, 10**12):
+        admitted += sum(not allotments.take("hotel", 1, now_ms) for _ in range(300))
+    assert admitted == HOTEL.burst
+
+
+@pytest.mark.parametrize("routers", [0, 1])
+def test_share_of_a_single_router_is_the_rate(routers):
+    share = AllotmentShare(AllotmentTerms(slack=1000.0))
+    taken = [share.take("hotel", HOTEL, 1, routers, 0, 2000) for _ in range(201)]
+    assert taken.count(0) == 200
