Find the pace of endpoints that joined, were silent or failed

Cause: such an endpoint looks idle, so that each router sends a first burst, and fixed backoffs keep it idle after it has recovered. Change: with bounds.adaptive_start, the leader holds one window for each of them, which grows with answers in the expected time and shrinks with late answers, refusals and failures. Routers use shares of it. Without the setting, the fixed backoffs stay.

--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -10,6 +10,7 @@
 from mustardtrack.membership.endpoint_list_changes import EndpointListChange
 from mustardtrack.membership.routershares import UNKNOWN_CAPACITY, RouterCapacity
 from mustardtrack.routing.endpointnotices import Incarnation
+from mustardtrack.routing.pacemessages import PaceReport, PaceShare
 from mustardtrack.routing.weightsversions import VersionAges
 
 # Staleness reported by a replica without a valid leader lease.
@@ -62,6 +63,7 @@
     number of routers that work on requests, and ``recent_router_count`` that of the
     routers that may have used the retry budget in its window, 0 if it is not known.
     The details, which rarely change, are there if ``has_details`` is set.
+    ``pace_shares`` are the router's shares of the endpoints that are being paced.
     """
 
     stale_ms: int
@@ -83,6 +85,7 @@
     recent_router_count: int = 0
     details_digest: int = 0
     has_details: bool = False
+    pace_shares: dict[str, PaceShare] = {}
 
     @property
     def is_confirmed(self) -> bool:
@@ -152,6 +155,7 @@
     ``lost_requests`` are those whose endpoint closed the connection while it ran them.
     ``allotment_usage`` is what the router counted itself against the allotment of each
     account, negative for requests that did not run.
+    ``paces`` is what the router saw of endpoints that are being paced or that failed.
     """
 
     prefilled: list[str]
@@ -164,3 +168,4 @@
     leaving: list[Incarnation] = []
     lost_requests: list[LostRequest] = []
     allotment_usage: dict[str, float] = {}
+    paces: dict[str, PaceReport] = {}
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -167,7 +167,11 @@
             self._admitted.connection = None
             self._record_prefill_end()
             endpoint.record_end()
-        outcome.silent_ms = self._clock.now_ms() - self._last_byte_ms
+        now_ms = self._clock.now_ms()
+        outcome.silent_ms = now_ms - self._last_byte_ms
+        is_silent = outcome.end is AttemptFailure.TIMED_OUT and not self._is_withdrawn
+        if is_silent and outcome.replacement is None:
+            self._forwarder.pace.record_unserved(endpoint.listed, now_ms)
         return outcome
 
     def _is_past_weights_limit(self) -> bool:
@@ -298,15 +302,36 @@
         response = decode_response_headers(event.headers)
         self._record_head(connection, event, response)
         if response.did_not_run:
+            self._forwarder.pace.record_unserved(
+                self._endpoint.listed, self._clock.now_ms()
+            )
             return await self._finish_not_run(connection, event)
         if response.has_content_encoding or not response.is_signed:
             return self._fail_broken(connection, "response is encoded or unsigned")
         is_failure = event.status >= MIN_FAILURE_STATUS
         self._endpoint.record_response(is_failure)
+        self._record_pace(is_failure)
         if self._admitted.route.is_stream and event.status < 300:
             return await self._relay_stream(connection, event)
         return await self._relay_buffered(connection, event, is_failure)
 
+    def _record_pace(self, is_failure: bool) -> None:
+        """Record how the endpoint answered, for the work that it gets next."""
+        pace, listed = self._forwarder.pace, self._endpoint.listed
+        now_ms = self._clock.now_ms()
+        if is_failure:
+            pace.record_failed(listed, now_ms)
+            return
+        placement = self._progress.placement
+        pace.record_answer(
+            listed,
+            now_ms - self._sent_ms,
+            placement.expected_ms if placement is not None else None,
+            self._admitted.route.objective_ms,
+            now_ms,
+            is_paced=placement is not None and placement.is_paced,
+        )
+
     def _record_head(
         self,
         connection: UpstreamConnection,
@@ -612,6 +637,7 @@
             lost = LostConnection(self._sent_ms, has_output)
         connection.abort()
         self._endpoint.record_response(is_failure=True)
+        self._record_pace(is_failure=True)
         return Outcome(AttemptFailure.CONNECTION_LOST, note=note, lost=lost)
 
     def _first_event_timeout_ms(self) -> float:
--- a/mustardtrack/process/attempt_state.py
+++ b/mustardtrack/process/attempt_state.py
@@ -29,6 +29,7 @@
 from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import Prompt
+from mustardtrack.routing.paceshares import PaceShares
 from mustardtrack.routing.placementmessages import Placement
 from mustardtrack.routing.weightslimit import WeightsLimit
 
@@ -181,6 +182,7 @@
     limits: RateLimits
     notices: EndpointNotices
     weights_limit: WeightsLimit
+    pace: PaceShares
     lag: SchedulingLag
     cache_of: Callable[[RouteAccount | None], str]
 
--- a/mustardtrack/process/control_sync.py
+++ b/mustardtrack/process/control_sync.py
@@ -20,6 +20,7 @@
 from mustardtrack.ports.sync_messages import SyncReply, SyncRequest
 from mustardtrack.ports.syncdetails import KnownDetails
 from mustardtrack.routing.endpointstate import EndpointState, EndpointTable
+from mustardtrack.routing.paceshares import PaceShares
 from mustardtrack.routing.weightslimit import WeightsLimit
 from mustardtrack.settings import SeededSettings
 
@@ -69,6 +70,7 @@
         prefill_rates: Learned prefill rate of the engines of each service, in tokens
             per ms.
         weights_limit: Time that is left to begin requests on superseded weights.
+        pace: Shares of endpoints that have yet to show their health.
     """
 
     table: RouteTable | None = None
@@ -85,6 +87,7 @@
     limits: RateLimits = field(default_factory=lambda: RateLimits(""))
     prefill_rates: dict[str, float] = field(default_factory=dict)
     weights_limit: WeightsLimit = field(default_factory=lambda: WeightsLimit(0))
+    pace: PaceShares = field(default_factory=lambda: PaceShares(False))
 
     def cache_of(self, account: RouteAccount | None) -> str:
         """Return the cache that requests of an account use under the current table."""
@@ -129,6 +132,7 @@
         self.view = ControlView(
             limits=RateLimits(settings.name),
             weights_limit=WeightsLimit(settings.bounds.weights_ms),
+            pace=PaceShares(settings.bounds.adaptive_start),
         )
         self._router_counts = RouterCounts(
             clock.now_ms(),
@@ -269,6 +273,7 @@
             if reply.is_confirmed:
                 view.leader_heard_ms = max(view.leader_heard_ms, sent_ms)
                 self._adopt_refused(name, reply)
+                view.pace.adopt(reply.pace_shares, self._clock.now_ms())
             if reply.crash_evidence is not None:
                 view.parts.receive(reply.crash_evidence, self._clock.now_ms())
             view.limits.merge(reply.limits, self._clock.now_ms())
@@ -316,6 +321,7 @@
             listed = apply_list_change(table.listed, reply.change)
         if listed is None or listed.list_version <= table.list_version:
             return
+        self.view.pace.record_list(listed.endpoints, self._clock.now_ms())
         for state in table.update(listed):
             self._on_endpoint_removed(state)
         log_event(
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -109,15 +109,17 @@
         The leader chooses the engine of a prompt if it answers in time.
         """
         endpoints, excluded = self._find_usable(admitted)
+        # A retry of a failed probe would use up the retry budget.
+        may_probe = admitted.route.may_retry and not tried
         tried = [*tried, *excluded]
         zone = self._settings.zone
         if admitted.prompt is None:
             usable = self._endpoints_with_token(endpoints)
-            chosen = choose_endpoint(usable, tried, zone, now_ms, self._rng)
+            chosen = self._choose_unplaced(usable, tried, may_probe, now_ms)
             self._take_token(chosen)
             return chosen, None
         placement = await self._placements.request_placement(
-            self._placement_request(admitted, tried)
+            self._placement_request(admitted, tried, may_probe)
         )
         if placement is not None:
             if not placement.endpoint:
@@ -127,8 +129,11 @@
             for state in endpoints:
                 if state.id == placement.endpoint:
                     return state, placement
+        usable = self._endpoints_with_token(
+            self._within_weights_limit(admitted, endpoints)
+        )
         chosen = choose_engine(
-            self._endpoints_with_token(self._within_weights_limit(admitted, endpoints)),
+            self._within_pace(usable, tried, may_probe, now_ms),
             admitted.prompt,
             admitted.weights_version,
             tried,
@@ -142,6 +147,31 @@
         self._take_token(chosen)
         return chosen, None
 
+    def _choose_unplaced(
+        self,
+        endpoints: list[EndpointState],
+        tried: list[str],
+        may_probe: bool,
+        now_ms: int,
+    ) -> EndpointState | None:
+        """Choose the endpoint of a request that the leader does not place."""
+        probe = self._control_sync.view.pace.find_probe(endpoints, may_probe, now_ms)
+        usable = self._within_pace(endpoints, tried, may_probe, now_ms)
+        zone = self._settings.zone
+        return probe or choose_endpoint(usable, tried, zone, now_ms, self._rng)
+
+    def _within_pace(
+        self,
+        endpoints: list[EndpointState],
+        tried: list[str],
+        may_probe: bool,
+        now_ms: int,
+    ) -> list[EndpointState]:
+        """Return the untried endpoints that their pace allows."""
+        untried = [state for state in endpoints if state.id not in tried]
+        pace = self._control_sync.view.pace
+        return pace.open_endpoints(untried, may_probe, now_ms)
+
     def _find_usable(
         self, admitted: AdmittedRequest
     ) -> tuple[list[EndpointState], list[str]]:
@@ -167,7 +197,7 @@
         ]
 
     def _placement_request(
-        self, admitted: AdmittedRequest, tried: list[str]
+        self, admitted: AdmittedRequest, tried: list[str], may_probe: bool
     ) -> PlacementRequest:
         metadata = admitted.metadata
         amount = 0 if admitted.is_counted else admitted.allotment_amount
@@ -187,6 +217,7 @@
             router=self._settings.name,
             account=admitted.account.name if amount and admitted.account else "",
             amount=amount,
+            may_probe=may_probe,
         )
 
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/process/forwarder.py
+++ b/mustardtrack/process/forwarder.py
@@ -78,7 +78,6 @@
 REFUSAL_STARTED = define_event(
     8954, "INFO", "stopping router refuses requests that cannot end in time"
 )
-
 ATTEMPT_WITHDRAWN = define_event(
     8956, "INFO", "attempt withdrawn: the parts of its prompt crash engines"
 )
@@ -117,6 +116,7 @@
         self.limits = control_sync.view.limits
         self.notices = control_sync.view.endpoints.notices
         self.weights_limit = control_sync.view.weights_limit
+        self.pace = control_sync.view.pace
         self.cache_of = control_sync.view.cache_of
         self._rng = rng or random.Random()
         self.lag = SchedulingLag()
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -16,6 +16,7 @@
 from mustardtrack.ports import Clock
 from mustardtrack.ports.sync_messages import PromptProgress
 from mustardtrack.process.control_sync import ControlSync
+from mustardtrack.routing.pacemessages import PaceReport
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 
 PLACEMENT_TIMED_OUT = define_event(
@@ -93,6 +94,8 @@
             self._metrics.count("placement.none")
             return placement if placement.is_authoritative else None
         self._metrics.count("placement.leader")
+        if placement.is_paced:
+            self._metrics.count("placement.paced")
         self._placed.add(request.request_id)
         return placement
 
@@ -186,6 +189,7 @@
             leader = view.leader
             parts, limits, leaving, lost = PartReport(), {}, [], []
             usage: dict[str, float] = {}
+            paces: dict[str, PaceReport] = {}
             if leader:
                 usage = self.take_allotment_usage()
                 lost = self._lost_requests.take_report(leader, self._clock.now_ms())
@@ -193,10 +197,12 @@
                 if leader != told_leader:
                     view.limits.report_again()
                     notices.report_again()
+                    view.pace.report_again()
                     told_leader = leader
                 parts = view.parts.take_report(leader, self._clock.now_ms())
                 limits = view.limits.take_report(self._clock.now_ms())
                 leaving = notices.take_leaving_report()
+                paces = view.pace.take_report()
             progress = PromptProgress(
                 self._first_tokens,
                 self._ended,
@@ -208,6 +214,7 @@
                 leaving,
                 lost,
                 usage,
+                paces,
             )
             if progress == EMPTY_PROGRESS:
                 continue
--- a/mustardtrack/process/placement_service.py
+++ b/mustardtrack/process/placement_service.py
@@ -7,6 +7,7 @@
 from mustardtrack.admission.allotments import Allotments, AllotmentTerms
 from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.ports.sync_messages import PromptProgress
+from mustardtrack.routing.pacemessages import PaceShare
 from mustardtrack.routing.placementmessages import (
     AllotmentRequest,
     Placement,
@@ -96,9 +97,20 @@
         placements.record_refusal(progress.refused, now_ms)
         placements.limits.merge(progress.limits, now_ms)
         placements.notices.merge_leaving(progress.leaving, now_ms)
+        if self._control.is_leader():
+            placements.pace.begin_term(self._control.term(), now_ms)
+        placements.pace.record_reports(progress.paces, now_ms)
         for account, amount in progress.allotment_usage.items():
             self.allotments.record_usage(account, amount, now_ms)
 
+    def pace_shares(self, router: str) -> dict[str, PaceShare]:
+        """Return a router's shares of the endpoints that are being paced."""
+        if not self._control.is_leader():
+            return {}
+        pace, now_ms = self._control.placements.pace, self._control.now_ms()
+        pace.begin_term(self._control.term(), now_ms)
+        return pace.shares(router, now_ms)
+
     def _take(self, table: RouteTable, account: str, amount: int, now_ms: int) -> int:
         if not account or not table.allotments:
             return 0
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -66,6 +66,7 @@
 from mustardtrack.process.replica_task import ReplicaTask
 from mustardtrack.process.router_directory import create_directory
 from mustardtrack.process.settings_watch import SettingsWatch
+from mustardtrack.routing.pace import create_pace
 from mustardtrack.routing.placements import PlacementTable
 from mustardtrack.settings import SeededSettings, split_address
 
@@ -77,7 +78,6 @@
 COMMAND_UNCONFIRMED = define_event(
     8914, "WARNING", "configuration command was not confirmed in time"
 )
-
 PART_RELEASED = define_event(
     8915, "INFO", "an operator has released a refused prompt part"
 )
@@ -107,7 +107,8 @@
         self.metrics = InMemoryMetrics()
         count_events(self.metrics)
         self._bus = Bus(self._name, self._name)
-        self.placements = PlacementTable(settings.bounds.weights_ms)
+        pace = create_pace(settings.bounds.adaptive_start)
+        self.placements = PlacementTable(settings.bounds.weights_ms, pace)
         self._placement_service = PlacementService(self, settings.bounds)
         self._lost_requests = LostRequestRecorder(self)
         self.part_crashes = PartCrashes(f"{self._name}/{random.getrandbits(32):08x}")
@@ -282,7 +283,7 @@
         if endpoints.list_version > self._endpoints.list_version:
             self._endpoints = endpoints
             self._list_history.add(endpoints)
-            self.placements.update(endpoints.endpoints)
+            self.placements.update(endpoints.endpoints, self.now_ms())
             self._notify_waiters()
 
     def _notify_waiters(self) -> None:
@@ -374,7 +375,8 @@
         change = self._list_history.change_since(known_order) if is_newer_list else None
         status = self._replica_task.status()
         leader = status.leader
-        stale_ms = status.stale_ms if self.is_leader() else UNCONFIRMED_STALE_MS
+        is_leader, placements, now_ms = self.is_leader(), self.placements, self.now_ms()
+        stale_ms = status.stale_ms if is_leader else UNCONFIRMED_STALE_MS
         routers = self.directory.count(self.now_ms())
         return SyncReply(
             stale_ms=stale_ms,
@@ -393,15 +395,12 @@
             crash_evidence=self.part_crashes.evidence(self.now_ms())
             if self._has_crash_evidence_for(request)
             else None,
-            limits=self.placements.limits.due_observations(self.now_ms())
-            if self.is_leader()
-            else {},
-            prefill_rates=self.placements.rates.service_rates()
-            if self.is_leader()
-            else {},
-            weights_ages=self.placements.weights_limit.ages(self.now_ms()),
+            limits=placements.limits.due_observations(now_ms) if is_leader else {},
+            prefill_rates=placements.rates.service_rates() if is_leader else {},
+            weights_ages=placements.weights_limit.ages(now_ms),
             cache_generation=store.cache_sharing.generation,
             recent_router_count=routers.recent,
+            pace_shares=self._placement_service.pace_shares(request.name),
         )
 
     # Prompt placement
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -96,7 +96,6 @@
         resident_tokens: Tokens of all parts in memory.
         pinned_tokens: Tokens of the parts that running requests use.
         output_tokens: Tokens that running requests may generate.
-        backoff_until_ms: Time before which nothing is placed on the engine.
         refusals: Decayed number of refused requests at ``refused_ms``.
         sampler: Measures its prefill rate.
         busy_since_ms: Time of the last first token or, if later, of the placement that
@@ -114,7 +113,6 @@
     resident_tokens: int = 0
     pinned_tokens: int = 0
     output_tokens: int = 0
-    backoff_until_ms: int = 0
     refusals: float = 0.0
     refused_ms: int = 0
     link: TransferLink = field(default_factory=TransferLink)
--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -20,6 +20,7 @@
         router: Router that sends the request.
         account: Client account with an allotment, empty if there is none.
         amount: What the request counts against it, 0 if it was counted before.
+        may_probe: Whether this is a first attempt of a request that may be repeated.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     router: str = ""
     account: str = ""
     amount: int = 0
+    may_probe: bool = False
 
 
 class AllotmentRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -62,6 +64,7 @@
         is_authoritative: Whether the sender leads and knows engines of the service.
         allotment_wait_ms: Time after which the caller may return because its account
             has used its allotment, 0 if it has not.
+        is_paced: Whether the router is to report how the engine answers.
     """
 
     endpoint: str = ""
@@ -74,3 +77,4 @@
     is_authoritative: bool = False
     delay_ms: int = 0
     allotment_wait_ms: int = 0
+    is_paced: bool = False
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -30,6 +30,7 @@
     PlacedPrompt,
 )
 from mustardtrack.routing.kvstores import MIN_STORE_TOKENS, KvStores
+from mustardtrack.routing.pace import FixedBackoff, PlacementPace
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.routing.prefillrates import PrefillRates
 from mustardtrack.routing.rendezvous import rank_endpoints
@@ -80,8 +81,6 @@
 NEW_CONNECTION_PENALTY_MS = 40.0
 # Delay charged for traffic between availability zones, which is billed.
 ZONE_PENALTY_MS = 8.0
-# Time for which nothing is placed on an engine that a router could not reach.
-UNREACHABLE_BACKOFF_MS = 1500
 # Delay charged for each recent refusal of an engine. An engine that sheds load looks
 # idle and would attract requests that it refuses again.
 REFUSAL_PENALTY_MS = 120.0
@@ -151,9 +150,13 @@
 
     Args:
         weights_limit_ms: Time limit to begin requests on superseded weights.
+        pace: Decides which engines may get another prompt.
     """
 
-    def __init__(self, weights_limit_ms: int) -> None:
+    def __init__(
+        self, weights_limit_ms: int, pace: PlacementPace | None = None
+    ) -> None:
+        self.pace = FixedBackoff() if pace is None else pace
         self.limits = RateLimits("")
         self.notices = EndpointNotices()
         self.rates = PrefillRates()
@@ -165,8 +168,9 @@
         self.weights_limit = WeightsLimit(weights_limit_ms)
         self._next_expiry_ms = 0
 
-    def update(self, endpoints: Iterable[ListedEndpoint]) -> None:
+    def update(self, endpoints: Sequence[ListedEndpoint], now_ms: int = 0) -> None:
         """Adopt the endpoint list."""
+        self.pace.update(endpoints, now_ms)
         engines: dict[str, EngineState] = {}
         for listed in endpoints:
             if not listed.weights:
@@ -274,11 +278,8 @@
         self.answer_times.record(service, prompt.output_tokens, duration_ms)
 
     def record_unreachable(self, endpoint_ids: Iterable[str], now_ms: int) -> None:
-        """Start a backoff for engines that a router could not reach."""
-        for endpoint_id in endpoint_ids:
-            engine = self._engines.get(endpoint_id)
-            if engine is not None:
-                engine.backoff_until_ms = now_ms + UNREACHABLE_BACKOFF_MS
+        """Record endpoints that a router could not reach."""
+        self.pace.record_unreachable(endpoint_ids, now_ms)
 
     def record_refusal(self, endpoint_ids: Iterable[str], now_ms: int) -> None:
         """Count refused requests, one for each occurrence of an engine."""
@@ -358,10 +359,7 @@
             and engine.listed.id not in request.tried
             and not self._is_past_weights_limit(engine, context)
         ]
-        responsive = [
-            engine for engine in candidates if engine.backoff_until_ms <= context.now_ms
-        ]
-        return responsive or candidates
+        return self.pace.select(candidates, request.may_probe, context.now_ms)
 
     def _has_engines(self, service: str) -> bool:
         engines = self._engines.values()
@@ -561,6 +559,7 @@
             urgency=urgency,
             is_authoritative=True,
             delay_ms=math.ceil(estimate.delay_ms),
+            is_paced=self.pace.is_paced(engine.listed.id),
         )
 
     def _remove(self, request_id: str) -> None:
--- a/mustardtrack/settings/seeded.py
+++ b/mustardtrack/settings/seeded.py
@@ -71,6 +71,8 @@
         allotment_overshoot: Fraction by which an allotment may be exceeded.
         allotment_slack: Amount by which an allotment may be exceeded in addition, in
             the unit of the allotments.
+        adaptive_start: Whether endpoints that joined, were silent or failed get as
+            much work as their answers allow, in place of fixed backoffs.
     """
 
     grace_s: Seconds = 8.0
@@ -82,6 +84,7 @@
     allotment_window_s: Seconds | None = None
     allotment_overshoot: Annotated[float, msgspec.Meta(ge=0)] | None = None
     allotment_slack: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    adaptive_start: bool = False
 
 
 class HostLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
