--- a/mustardtrack/process/tests/test_control_sync.py
+++ b/mustardtrack/process/tests/test_control_sync.py
@@ -28,7 +28,7 @@
     settings = SimpleNamespace(
         name="r",
         zone="a",
-        bounds=SimpleNamespace(revoke_ms=5000, weights_ms=15_000),
+        bounds=SimpleNamespace(revoke_ms=5000, weights_ms=15_000, adaptive_start=False),
         bootstrap=False,
         retries=SimpleNamespace(window_s=10.0),
         listen=SimpleNamespace(callers="10.0.0.1:1"),
--- a/mustardtrack/process/tests/test_forwarder.py
+++ b/mustardtrack/process/tests/test_forwarder.py
@@ -29,6 +29,8 @@
 from mustardtrack.process.forwarder import Forwarder
 from mustardtrack.routing.cachesalts import cache_salt, shared_cache
 from mustardtrack.routing.endpointstate import EndpointTable
+from mustardtrack.routing.pacemessages import PaceShare
+from mustardtrack.routing.paceshares import PaceShares
 from mustardtrack.routing.placementmessages import Placement
 from mustardtrack.routing.weightslimit import WeightsLimit
 from mustardtrack.settings.seeded import Bounds
@@ -294,6 +296,7 @@
         self.parts = PartWatch()
         self.limits = RateLimits("r1")
         self.weights_limit = WeightsLimit(WEIGHTS_LIMIT_MS)
+        self.pace = PaceShares(True)
         self.monkeypatch = monkeypatch
         self.newest_weights = {"m": 1}
         self._listed_weights = {}
@@ -394,6 +397,7 @@
             limits=self.limits,
             weights=self.newest_weights,
             weights_limit=self.weights_limit,
+            pace=self.pace,
             prefill_rates={},
             router_count=1,
             retry_sharers=1,
@@ -1020,6 +1024,38 @@
         assert scenario.lines(8951)[0]["reason"] == "rate_limited"
 
 
+@pytest.mark.parametrize(
+    ("kind", "used"),
+    [(RetrySafety.IDEMPOTENT, "e1"), (RetrySafety.AT_MOST_ONCE, "e2")],
+)
+def test_only_requests_that_may_be_repeated_probe_an_endpoint(monkeypatch, kind, used):
+    """Guards against a call that runs at most once at a broken endpoint."""
+    answer = [(10, HEAD + END)]
+    scenario = Scenario(
+        {"e1": answer, "e2": answer}, kind=kind, monkeypatch=monkeypatch
+    )
+    scenario.pace.adopt({"e1": PaceShare(0, 1.0, 1)}, 0)
+    scenario.play()
+    assert [run.endpoint for run in scenario.pool.runs] == [used]
+    seen = scenario.pace.take_report()
+    assert list(seen) == (["e1"] if used == "e1" else [])
+    if seen:
+        assert len(seen["e1"].ratios) == 1
+
+
+def test_failed_probe_is_reported_and_repeated_elsewhere(monkeypatch):
+    """Guards against an endpoint that fails all and keeps what it gets."""
+    scenario = Scenario(
+        {"e1": [(10, CLOSE)], "e2": [(10, HEAD + END)]},
+        kind=RetrySafety.IDEMPOTENT,
+        monkeypatch=monkeypatch,
+    )
+    scenario.pace.adopt({"e1": PaceShare(0, 1.0, 1)}, 0)
+    scenario.play()
+    assert [run.endpoint for run in scenario.pool.runs] == ["e1", "e2"]
+    assert scenario.pace.take_report()["e1"].failed == 1
+
+
 def test_waiting_prompt_is_withdrawn_at_the_time_limit_of_its_weights(monkeypatch):
     """Guards against a prompt that begins long after newer weights were named."""
     scenario = Scenario(
--- a/mustardtrack/process/tests/test_interrupted_requests.py
+++ b/mustardtrack/process/tests/test_interrupted_requests.py
@@ -21,8 +21,9 @@
 from mustardtrack.requests.shutdown_window import ShutdownWindow
 from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.endpointstate import EndpointState
+from mustardtrack.routing.paceshares import PaceShares
 from mustardtrack.routing.weightslimit import WeightsLimit
-from mustardtrack.settings.seeded import RetryBudgetSettings
+from mustardtrack.settings.seeded import Bounds, RetryBudgetSettings
 
 ENDPOINT = ListedEndpoint("i-1", 0, "s1", "10.0.0.1:80", "a", 4, False, False, {"m": 1})
 WINDOW = ShutdownWindow(began_ms=0, withdrawal_ms=2000, limit_ms=7000)
@@ -146,10 +147,13 @@
         retry_sharers=1,
         weights={},
         weights_limit=WeightsLimit(15_000),
+        pace=PaceShares(False),
         prefill_rates={},
         confirmation_age_ms=lambda now_ms: 0,
     )
-    settings = SimpleNamespace(name="n", zone="a", retries=RetryBudgetSettings())
+    settings = SimpleNamespace(
+        name="n", zone="a", retries=RetryBudgetSettings(), bounds=Bounds()
+    )
     pool = FakePool(blocked == "connection")
     forwarder = Forwarder(
         settings,
--- a/mustardtrack/routing/pace.py
+++ b/mustardtrack/routing/pace.py
@@ -73,6 +73,7 @@
         self.since_ms = now_ms
         self.closings = closings
         self._own_ratio = 1.0
+        self._resumed_window = PROBE_WINDOW
         self._failures = 0
         self._closed_until_ms = now_ms
         self._settled_ms = now_ms
@@ -93,12 +94,14 @@
             ratio: Answer time divided by the expected one.
             now_ms: Monotonic time.
         """
+        is_alone = self.window <= PROBE_WINDOW
         self._failures = 0
+        if not self.is_proven:
+            self.window = max(self.window, self._resumed_window)
         self.is_proven = True
         self._closed_until_ms = now_ms
         # At a window of one, an answer shows the endpoint's own speed. Otherwise one
         # that is slow but sound would never get more.
-        is_alone = self.window <= PROBE_WINDOW
         own = ratio if is_alone else min(self._own_ratio, ratio)
         self._own_ratio = max(1.0, own)
         if ratio <= LATE_FACTOR * self._own_ratio:
@@ -122,9 +125,15 @@
             self._reduce("failed", now_ms)
 
     def close(self, cause: str, now_ms: int) -> None:
-        """Send nothing for a while, then one request that may be repeated."""
+        """Send nothing for a while, then one request that may be repeated.
+
+        If one router reports silence and the first probe is answered, the fault may
+        have been on the way of that router, so that half of the window comes back.
+        """
         if self.is_closed(now_ms):
             return
+        is_first = cause == "silent" and not self.closings
+        self._resumed_window = self.window * REDUCTION_FACTOR if is_first else 0.0
         closed_ms = min(LONGEST_CLOSED_MS, FIRST_CLOSED_MS << min(self.closings, 8))
         self.closings += 1
         self.window = PROBE_WINDOW
@@ -299,7 +308,7 @@
     def record_unreachable(self, endpoint_ids: Iterable[str], now_ms: int) -> None:
         """Record endpoints that a router could not reach or that stayed silent."""
         for endpoint_id in endpoint_ids:
-            pace = self._start(endpoint_id, PROBE_WINDOW, "silent", now_ms)
+            pace = self._start(endpoint_id, None, "silent", now_ms)
             if pace is not None:
                 pace.close("silent", now_ms)
 
@@ -344,9 +353,16 @@
             self._end(pace, now_ms)
 
     def _start(
-        self, endpoint_id: str, window: float, cause: str, now_ms: int
+        self, endpoint_id: str, window: float | None, cause: str, now_ms: int
     ) -> EndpointPace | None:
-        """Return the pace of a listed endpoint, and begin it if there is none."""
+        """Return the pace of a listed endpoint, and begin it if there is none.
+
+        Args:
+            endpoint_id: Endpoint.
+            window: Requests at once to begin with, None for as many as it has slots.
+            cause: Why it begins, for the log.
+            now_ms: Monotonic time.
+        """
         listed = self._listed.get(endpoint_id)
         pace = self._paces.get(endpoint_id)
         if listed is None or pace is not None:
@@ -354,6 +370,7 @@
         closings, ended_ms = self._ended.pop(endpoint_id, (0, now_ms))
         if now_ms - ended_ms > FLAP_MEMORY_MS:
             closings = 0
+        window = listed.slots if window is None else window
         pace = self._pace_type(listed, window, now_ms, closings)
         # It has answered until now, unless it is silent or new.
         pace.is_proven = cause == "failed"
@@ -363,7 +380,8 @@
 
     def _end(self, pace: EndpointPace, now_ms: int) -> None:
         del self._paces[pace.listed.id]
-        self._ended[pace.listed.id] = pace.closings, now_ms
+        # One report of silence is forgotten, those of an endpoint that flaps are not.
+        self._ended[pace.listed.id] = pace.closings // 2, now_ms
         log_event(
             PACE_ENDED, endpoint=pace.listed.id, duration_ms=now_ms - pace.since_ms
         )
--- a/mustardtrack/routing/paceshares.py
+++ b/mustardtrack/routing/paceshares.py
@@ -114,13 +114,17 @@
         """Return an endpoint to send a request to so that its health shows.
 
         Its past failures make it look expensive, so that it would stay idle. Requests
-        that may not be repeated are never used for it.
+        that may not be repeated are never used for it. A router that failed to reach
+        an endpoint leaves probes to others while its own backoff lasts: the fault may
+        be on its way there.
         """
         if not self._held or not may_probe:
             return None
         for state in endpoints:
             held = self._find(state.listed)
-            if held is not None and not state.in_flight and self._room(held, now_ms):
+            if held is None or state.in_flight or state.is_backing_off(now_ms):
+                continue
+            if self._room(held, now_ms):
                 return state
         return None
 
--- a/mustardtrack/routing/tests/test_pace.py
+++ b/mustardtrack/routing/tests/test_pace.py
@@ -85,6 +85,30 @@
     assert counts.failed < counts.sent
 
 
+def test_one_router_that_cannot_reach_an_endpoint_hardly_limits_it():
+    """Guards against a healthy endpoint that stays limited by a fault on one way."""
+    leader = AdaptivePace()
+    leader.update([make_endpoint()], 0)
+    for start_ms in range(0, 40_000, 4000):
+        leader.record_unreachable(["x"], start_ms)
+        assert leader.window("x", start_ms + 200) == 1
+        leader.record_reports({"x": PaceReport(1, [1.0])}, start_ms + 300)
+        assert leader.window("x", start_ms + 300) >= 6
+        leader.record_reports({"x": PaceReport(1, [1.0] * 6)}, start_ms + 400)
+        assert not leader.is_paced("x")
+
+
+def test_a_router_that_cannot_reach_an_endpoint_leaves_probes_to_others():
+    """Guards against one cut link that takes an endpoint from all routers."""
+    simulation = simulate(routers=1)
+    shares, state = simulation.shares[0], simulation.states[0]
+    shares.adopt(simulation.leader.shares("r0", 0), 0)
+    assert shares.find_probe([state], True, 0) is state
+    assert shares.find_probe([state], False, 0) is None
+    state.record_unreachable(0)
+    assert shares.find_probe([state], True, 1) is None
+
+
 def engine(name, started_ms=1):
     return ListedEndpoint(
         name, started_ms, "s", f"{name}:1", "a", 12, False, False, {"m": 1}
--- a/mustardtrack/testing/pacesimulation.py
+++ b/mustardtrack/testing/pacesimulation.py
@@ -99,6 +99,7 @@
         repeatable: Fraction of the requests that may be repeated.
         expected_ms: Expected time of an answer.
         objective_ms: Objective of the requests.
+        adapts: Whether routers have adaptive slow start.
     """
 
     def __init__(
@@ -110,10 +111,11 @@
         repeatable: float = 0.4,
         expected_ms: float = 80.0,
         objective_ms: int = 350,
+        adapts: bool = True,
     ) -> None:
         self.endpoint = endpoint
         self.leader = leader
-        self.shares = [PaceShares(True) for _ in range(routers)]
+        self.shares = [PaceShares(adapts) for _ in range(routers)]
         self.states = [EndpointState(endpoint.listed) for _ in range(routers)]
         self.cut_off: set[int] = set()
         self.counts = Counts()
