Test that only the leader shares out the window of a paced endpoint

Cause: shares of a former leader, or reports that do not reach the window, would lift the limits of a broken endpoint or keep those of a healthy one.

--- a/mustardtrack/process/tests/test_control_sync.py
+++ b/mustardtrack/process/tests/test_control_sync.py
@@ -4,10 +4,13 @@
 from types import SimpleNamespace
 
 import pytest
+from msgspec.structs import replace
 
+from mustardtrack.membership.endpoint_list import ListedEndpoint
 from mustardtrack.ports.sync_messages import UNCONFIRMED_STALE_MS, SyncReply
 from mustardtrack.process import control_sync
 from mustardtrack.process.control_sync import ControlSync
+from mustardtrack.routing.pacemessages import PaceShare
 
 
 class StandInBus:
@@ -76,3 +79,20 @@
         assert sync.view.refused == set()
 
     asyncio.run(run())
+
+
+def test_shares_of_paced_endpoints_come_from_a_confirmed_leader_only(sync):
+    """Guards against a former leader that lifts the limits of a broken endpoint."""
+    endpoint = ListedEndpoint("e", 1, "s", "e:1", "a", 6, False, False, {})
+    share = {"e": PaceShare(1, 2.0, 1)}
+
+    async def run():
+        sync._sync_tasks["c1"] = asyncio.ensure_future(asyncio.sleep(0))
+        for shares, stale_ms in ((share, 0), ({}, UNCONFIRMED_STALE_MS)):
+            reply = replace(make_reply([], stale_ms), pace_shares=shares)
+            sync._apply_reply("c1", reply, 1)
+        assert sync.view.pace.is_paced(endpoint)
+        sync._apply_reply("c1", make_reply([], 0), 2)
+        assert not sync.view.pace.is_paced(endpoint)
+
+    asyncio.run(run())
