--- a/mustardtrack/ports/sync_messages.py
+++ b/mustardtrack/ports/sync_messages.py
@@ -11,6 +11,7 @@
 from mustardtrack.membership.routershares import UNKNOWN_CAPACITY, RouterCapacity
 from mustardtrack.routing.endpointnotices import Incarnation
 from mustardtrack.routing.enginespeeds import LoadReport
+from mustardtrack.routing.pacemessages import PaceReport, PaceShare
 from mustardtrack.routing.weightsversions import VersionAges
 
 # Staleness reported by a replica without a valid leader lease.
@@ -63,6 +64,7 @@
     number of routers that work on requests, and ``recent_router_count`` that of the
     routers that may have used the retry budget in its window, 0 if it is not known.
     The details, which rarely change, are there if ``has_details`` is set.
+    ``pace_shares`` are the router's shares of the endpoints that are being paced.
     """
 
     stale_ms: int
@@ -84,6 +86,7 @@
     recent_router_count: int = 0
     details_digest: int = 0
     has_details: bool = False
+    pace_shares: dict[str, PaceShare] = {}
 
     @property
     def is_confirmed(self) -> bool:
@@ -156,6 +159,7 @@
     ``withdrawn_counts`` are the ids of requests that the leader may have counted,
     although its answer did not arrive.
     ``loads`` are the newest loads of the engines that report how long work takes.
+    ``paces`` is what the router saw of endpoints that are being paced or that failed.
     """
 
     prefilled: list[str]
@@ -170,3 +174,4 @@
     allotment_usage: dict[str, float] = {}
     withdrawn_counts: list[str] = []
     loads: dict[str, LoadReport] = {}
+    paces: dict[str, PaceReport] = {}
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -120,25 +120,29 @@
         The leader chooses the engine of a prompt if it answers in time.
         """
         endpoints, excluded = self._find_usable(admitted)
+        # A retry of a failed probe would use up the retry budget.
+        may_probe = admitted.route.may_retry and not tried
         tried = [*tried, *excluded]
         zone = self._settings.zone
         if admitted.prompt is None:
             usable = self._endpoints_with_token(endpoints)
-            in_time, refusal = self._find_in_time(admitted, usable, tried)
-            if refusal is not None:
+            probe = self._control_sync.view.pace.find_probe(usable, may_probe, now_ms)
+            paced = self._within_pace(usable, tried, may_probe, now_ms)
+            in_time, refusal = self._find_in_time(admitted, paced, tried)
+            if probe is None and refusal is not None:
                 return None, refusal
-            chosen = choose_endpoint(in_time, tried, zone, now_ms, self._rng)
+            chosen = probe or choose_endpoint(in_time, tried, zone, now_ms, self._rng)
             self._take_token(chosen)
             return chosen, None
-        placed, placement = await self._ask_leader(admitted, tried)
+        placed, placement = await self._ask_leader(admitted, tried, may_probe)
         if placement is not None:
             return placed, placement
         endpoints, _ = self._find_usable(admitted)
-        in_time, refusal = self._find_in_time(
-            admitted,
-            self._endpoints_with_token(self._within_weights_limit(admitted, endpoints)),
-            tried,
+        usable = self._endpoints_with_token(
+            self._within_weights_limit(admitted, endpoints)
         )
+        paced = self._within_pace(usable, tried, may_probe, now_ms)
+        in_time, refusal = self._find_in_time(admitted, paced, tried)
         if refusal is not None:
             return None, refusal
         chosen = choose_engine(
@@ -157,7 +161,7 @@
         return chosen, None
 
     async def _ask_leader(
-        self, admitted: AdmittedRequest, tried: list[str]
+        self, admitted: AdmittedRequest, tried: list[str], may_probe: bool
     ) -> tuple[EndpointState | None, Placement | None]:
         """Return the engine of the leader's placement, and the placement.
 
@@ -169,7 +173,7 @@
         """
         for _ in range(MAX_PLACEMENTS):
             placement = await self._placements.request_placement(
-                self._placement_request(admitted, tried)
+                self._placement_request(admitted, tried, may_probe)
             )
             if placement is None or not placement.endpoint:
                 return None, placement
@@ -219,6 +223,18 @@
             return_ms=return_ms,
         )
 
+    def _within_pace(
+        self,
+        endpoints: list[EndpointState],
+        tried: list[str],
+        may_probe: bool,
+        now_ms: int,
+    ) -> list[EndpointState]:
+        """Return the untried endpoints that their pace allows."""
+        untried = [state for state in endpoints if state.id not in tried]
+        pace = self._control_sync.view.pace
+        return pace.open_endpoints(untried, may_probe, now_ms)
+
     def _find_usable(
         self, admitted: AdmittedRequest
     ) -> tuple[list[EndpointState], list[str]]:
@@ -244,7 +260,7 @@
         ]
 
     def _placement_request(
-        self, admitted: AdmittedRequest, tried: list[str]
+        self, admitted: AdmittedRequest, tried: list[str], may_probe: bool
     ) -> PlacementRequest:
         metadata = admitted.metadata
         amount = 0 if admitted.is_counted else admitted.allotment_amount
@@ -266,6 +282,7 @@
             amount=amount,
             count_id=admitted.begin_count() if amount else "",
             client=admitted.account.name if admitted.account else "",
+            may_probe=may_probe,
         )
 
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/process/placement_client.py
+++ b/mustardtrack/process/placement_client.py
@@ -14,6 +14,7 @@
 from mustardtrack.ports.sync_messages import PromptProgress
 from mustardtrack.process.control_sync import ControlSync
 from mustardtrack.process.loss_reporter import LossReporter
+from mustardtrack.routing.pacemessages import PaceReport
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 
 PLACEMENT_TIMED_OUT = define_event(
@@ -101,6 +102,8 @@
             self._metrics.count("placement.none")
             return placement if placement.is_authoritative else None
         self._metrics.count("placement.leader")
+        if placement.is_paced:
+            self._metrics.count("placement.paced")
         self._placed.add(request.request_id)
         return placement
 
@@ -195,6 +198,7 @@
             loads = view.endpoints.notices.loads.take_report(self._clock.now_ms())
             usage: dict[str, float] = {}
             withdrawn: list[str] = []
+            paces: dict[str, PaceReport] = {}
             if leader:
                 usage = self.take_allotment_usage()
                 withdrawn = self.take_withdrawn_counts()
@@ -202,10 +206,12 @@
                 if leader != told_leader:
                     view.limits.report_again()
                     notices.report_again()
+                    view.pace.report_again()
                     told_leader = leader
                 parts = view.parts.take_report(leader, self._clock.now_ms())
                 limits = view.limits.take_report(self._clock.now_ms())
                 leaving = notices.take_leaving_report()
+                paces = view.pace.take_report()
             progress = PromptProgress(
                 self._first_tokens,
                 self._ended,
@@ -219,6 +225,7 @@
                 usage,
                 withdrawn,
                 loads,
+                paces,
             )
             if progress == EMPTY_PROGRESS:
                 continue
--- a/mustardtrack/process/placement_service.py
+++ b/mustardtrack/process/placement_service.py
@@ -13,6 +13,7 @@
 )
 from mustardtrack.configuration.routes import RouteTable
 from mustardtrack.ports.sync_messages import PromptProgress
+from mustardtrack.routing.pacemessages import PaceShare
 from mustardtrack.routing.placementmessages import (
     AllotmentRequest,
     Placement,
@@ -108,11 +109,22 @@
         placements.record_loads(progress.loads, now_ms)
         placements.limits.merge(progress.limits, now_ms)
         placements.notices.merge_leaving(progress.leaving, now_ms)
+        if self._control.is_leader():
+            placements.pace.begin_term(self._control.term(), now_ms)
+        placements.pace.record_reports(progress.paces, now_ms)
         for account, amount in progress.allotment_usage.items():
             self.allotments.record_usage(account, amount, now_ms)
         for count_id in progress.withdrawn_counts:
             self._give_back(self._counted.withdraw(count_id, now_ms), now_ms)
 
+    def pace_shares(self, router: str) -> dict[str, PaceShare]:
+        """Return a router's shares of the endpoints that are being paced."""
+        if not self._control.is_leader():
+            return {}
+        pace, now_ms = self._control.placements.pace, self._control.now_ms()
+        pace.begin_term(self._control.term(), now_ms)
+        return pace.shares(router, now_ms)
+
     def _give_back(self, counted: tuple[str, float] | None, now_ms: int) -> None:
         if counted is not None:
             account, amount = counted
--- a/mustardtrack/process/tests/test_interrupted_requests.py
+++ b/mustardtrack/process/tests/test_interrupted_requests.py
@@ -21,6 +21,7 @@
 from mustardtrack.requests.shutdown_window import ShutdownWindow
 from mustardtrack.routing.endpointnotices import EndpointNotices
 from mustardtrack.routing.endpointstate import EndpointState
+from mustardtrack.routing.paceshares import PaceShares
 from mustardtrack.routing.weightslimit import WeightsLimit
 from mustardtrack.settings.seeded import Bounds, RetryBudgetSettings
 
@@ -146,6 +147,7 @@
         retry_sharers=1,
         weights={},
         weights_limit=WeightsLimit(15_000),
+        pace=PaceShares(False),
         prefill_rates={},
         confirmation_age_ms=lambda now_ms: 0,
     )
--- a/mustardtrack/process/tests/test_placement_service.py
+++ b/mustardtrack/process/tests/test_placement_service.py
@@ -24,7 +24,7 @@
     """Fake placements of a leader with one engine, or with none."""
 
     def __init__(self):
-        self.limits = self.notices = self
+        self.limits = self.notices = self.pace = self
         self.endpoint = "e"
 
     def place(self, *arguments):
@@ -35,7 +35,8 @@
         """Accept what routers report."""
 
     record_prefilled = record_end = record_unreachable = record_refusal = record
-    merge = merge_leaving = record
+    merge = merge_leaving = record_loads = record
+    begin_term = record_reports = record
 
 
 @pytest.fixture
--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -22,6 +22,7 @@
         amount: What the request counts against it, 0 if it was counted before.
         count_id: Id under which it is counted once, empty if it is not counted.
         client: Client account of the request, empty if the routes have none.
+        may_probe: Whether this is a first attempt of a request that may be repeated.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     amount: int = 0
     count_id: str = ""
     client: str = ""
+    may_probe: bool = False
 
 
 class AllotmentRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +72,7 @@
         lacks_memory: Whether no engine has the memory for the prompt now.
         return_ms: Time after which the caller of a prompt that is refused because no
             engine can respond in time may return, None if it is not known.
+        is_paced: Whether the router is to report how the engine answers.
     """
 
     endpoint: str = ""
@@ -84,3 +87,4 @@
     allotment_wait_ms: int = 0
     lacks_memory: bool = False
     return_ms: int | None = None
+    is_paced: bool = False
