--- a/mustardtrack/routing/enginespeeds.py
+++ b/mustardtrack/routing/enginespeeds.py
@@ -14,8 +14,13 @@
 
 import msgspec
 
+from mustardtrack.logs import define_event, log_event
 from mustardtrack.routing.answertimes import AnswerTimes
 
+SPEEDS_DIFFER = define_event(
+    8833, "INFO", "engines of a service report their speed, or differ"
+)
+
 # Time to first token at an idle engine, without prefill, until it is learned.
 BASE_FIRST_TOKEN_MS = 40.0
 MIN_BASE_MS, MAX_BASE_MS = 1.0, 400.0
@@ -169,6 +174,8 @@
         slowdown = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, report.slowdown))
         outstanding = max(0, report.running) + max(0, report.waiting)
         load = self._loads[engine] = KnownLoad(outstanding, slowdown, observed_ms)
+        if self._of(service).reported_ms is None:
+            log_event(SPEEDS_DIFFER, service=service, engine=engine, is_reported=True)
         self._of(service).reported_ms = now_ms
         return load
 
@@ -200,7 +207,9 @@
         steps.count += 1
         steps.updated_ms = now_ms
         if known.answers % COMPARISON_ANSWERS == 0:
-            known.differ = _differ(known.engines)
+            differed, known.differ = known.differ, _differ(known.engines)
+            if known.differ and not differed:
+                log_event(SPEEDS_DIFFER, service=service, is_reported=False)
 
     def record_first_token(
         self, service: str, engine: str, prefill_ms: float, elapsed_ms: int, now_ms: int
--- a/mustardtrack/routing/tests/test_enginespeeds.py
+++ b/mustardtrack/routing/tests/test_enginespeeds.py
@@ -11,14 +11,19 @@
 
 from mustardtrack.configuration.routes import EngineLimits, Service
 from mustardtrack.membership.endpoint_list import ListedEndpoint
+from mustardtrack.ports.sync_messages import PromptProgress
 from mustardtrack.routing.answertimes import AnswerTimes
+from mustardtrack.routing.balancing import choose_endpoint
 from mustardtrack.routing.cachesalts import shared_cache
+from mustardtrack.routing.endpointnotices import EndpointNotices
+from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.enginespeeds import (
     BASE_FIRST_TOKEN_MS,
     SLOT_HOLD_MS,
     EngineSpeeds,
     LoadReport,
 )
+from mustardtrack.routing.localplacement import Prompt, choose_engine
 from mustardtrack.routing.placementmessages import PlacementRequest
 from mustardtrack.routing.placements import PlacementTable
 
@@ -199,3 +204,57 @@
     # With no engine left, a prompt is served by one that winds down.
     table.winding_down = frozenset({"e0", "e1", "e2"})
     assert place(table, service, prompt("x"), 1000).endpoint in {"e0", "e1"}
+
+
+def test_router_uses_the_speed_for_its_own_choices_while_it_is_known():
+    """Guards against calls and prompts at slow endpoints while others are idle."""
+    slow, other = (EndpointState(listed(name)) for name in ("e0", "e1"))
+    for state in (slow, other):
+        state.record_load(4, 0, 0)
+    request = Prompt("m", "", 0, 3000)
+
+    def choices(now_ms):
+        args = [slow, other], [], "a", now_ms
+        calls = {choose_endpoint(*args, random.Random(n)).id for n in range(20)}
+        prompts = {
+            choose_engine(args[0], request, 1, [], "a", now_ms, random.Random(n)).id
+            for n in range(20)
+        }
+        return calls, prompts
+
+    both = {"e0", "e1"}
+    assert choices(100) == (both, both)
+    slow.record_load(4, 0, 0, 2.5)
+    other.record_load(4, 0, 0, 1.0)
+    assert choices(100) == ({"e1"}, {"e1"})
+    assert choices(501) == (both, both)
+
+
+def test_loads_reach_the_leader_with_their_age():
+    """Guards against old reports that replace newer ones of other routers."""
+    notices = EndpointNotices()
+    notices.loads.record("e0", 30, 9, 2.5, 1000)
+    notices.loads.record("e1", 3, 0, None, 1000)
+    sent = PromptProgress([], [], [], loads=notices.loads.take_report(1030))
+    received = msgspec.msgpack.decode(msgspec.msgpack.encode(sent), type=PromptProgress)
+    assert received.loads == {"e0": LoadReport(30, 9, 2.5, 30)}
+    assert PromptProgress([], [], [], loads=notices.loads.take_report(1060)) == (
+        PromptProgress([], [], [])
+    )
+    table, _ = deployment(2)
+    table.record_loads({"e0": LoadReport(30, 9, 1.0, 5)}, 5010)
+    table.record_loads(received.loads, 5010)
+    assert table.speeds.slowdown_delay_ms("e0", 100, 5010) == 0.0
+    table.record_loads({"gone": LoadReport(1, 1, 9.0)}, 5010)
+
+
+def test_new_leader_and_lost_reports_leave_the_priors():
+    """Guards against figures of an engine that nobody has reported for some time."""
+    table, service = deployment(2)
+    report(table, {"e0": 2.5, "e1": 1.0}, 0, {"e0": 60, "e1": 0})
+    later_ms = 61_000
+    assert not table.speeds.is_uneven("s", later_ms)
+    other, _ = deployment(2)
+    kept = [place(table, service, prompt(f"r{n}"), later_ms) for n in range(8)]
+    fresh = [place(other, service, prompt(f"r{n}"), later_ms) for n in range(8)]
+    assert kept == fresh
