--- a/mustardtrack/admission/__init__.py
+++ b/mustardtrack/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission: fair queueing, limits, retry budgets and quarantine."""
 
+from mustardtrack.admission.allotments import AccountLimits, Limit
 from mustardtrack.admission.fairness import (
     Capacity,
     ClassShare,
@@ -7,7 +8,6 @@
     FairQueue,
     QueueItem,
 )
-from mustardtrack.admission.limits import AccountLimits, Limit
 from mustardtrack.admission.outcomes import ADMITTED, Admitted, Refused
 from mustardtrack.admission.quarantine import Suspects, fingerprint
 from mustardtrack.admission.retries import RetryBudget
--- a/mustardtrack/admission/allotments.py
+++ b/mustardtrack/admission/allotments.py
@@ -11,14 +11,20 @@
 in any window is therefore at most the rate times the window, the burst, and the margin
 by which the deployment lets an allotment be exceeded.
 
+``AccountLimits`` serves the product's own caller interface, whose routers have no
+leader to ask: they divide the limits of an account by what each of them used lately.
+Both faces count with the same ``Bucket``.
+
 Times are monotonic milliseconds of the process that calls.
 """
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from mustardtrack.admission.outcomes import ADMITTED, Admitted, Refused
 from mustardtrack.logs import define_event, log_event
+from mustardtrack.ports.metrics import Metrics
 
 ALLOTMENT_CHANGED = define_event(
     8823, "INFO", "allotment of a client account has changed"
@@ -52,6 +58,10 @@
 COUNT_LIFETIME_MS = 2000
 # Bounds the memory for counts; older ones can't be withdrawn any more.
 MAX_COUNTS = 20_000
+EXCHANGE_INTERVAL_MS = 1000
+PEER_LEASE_MS = 3000
+BURST_MS = 2000
+EVEN_FRACTION = 0.25
 
 
 @dataclass(frozen=True)
@@ -174,6 +184,33 @@
             del self._seen[0]
 
 
+@dataclass(slots=True)
+class Bucket:
+    """Token bucket, which takes up what a rate gives.
+
+    Attributes:
+        level: What may be used now, below 0 after it was overdrawn.
+        filled_ms: Time up to which the rate has been taken up.
+
+    Examples:
+        >>> bucket = Bucket(level=0.0, filled_ms=1000)
+        >>> bucket.fill(rate_per_s=10.0, capacity=50.0, now_ms=3000), bucket.level
+        (2000, 20.0)
+        >>> bucket.fill(rate_per_s=10.0, capacity=50.0, now_ms=0), bucket.level
+        (0, 20.0)
+    """
+
+    level: float
+    filled_ms: int
+
+    def fill(self, rate_per_s: float, capacity: float, now_ms: int) -> int:
+        """Take up the rate until now and return the time since the last call in ms."""
+        elapsed_ms = max(0, now_ms - self.filled_ms)
+        self.filled_ms += elapsed_ms
+        self.level = min(capacity, self.level + rate_per_s * elapsed_ms / 1000)
+        return elapsed_ms
+
+
 class _WindowUsage:
     """Usage in the last window, counted in slots and at most one slot too much."""
 
@@ -200,13 +237,12 @@
 
 
 @dataclass
-class _Bucket:
+class _AccountBucket(Bucket):
     """Bucket of one account.
 
     Attributes:
         usage: What was used in the last window.
         known_from_ms: Time from which all usage is known.
-        level: What may be used now; below 0 after a request larger than the bucket.
         promised: What refused callers were told to return for.
         withheld: What was kept back for missing routers and is not reported as used.
         withheld_ms: Time at which routers were missing last.
@@ -214,8 +250,6 @@
 
     allotment: Allotment
     capacity: float
-    level: float
-    filled_ms: int
     usage: _WindowUsage
     known_from_ms: int
     promised: float = 0.0
@@ -223,17 +257,16 @@
     withheld: float = 0.0
     withheld_ms: int = 0
 
-    def fill(self, known_part: float, now_ms: int) -> None:
-        elapsed_ms = max(0, now_ms - self.filled_ms)
-        self.filled_ms += elapsed_ms
-        given = self.allotment.rate_per_s / 1000 * elapsed_ms
+    def fill_part(self, known_part: float, now_ms: int) -> None:
+        rate_per_s = self.allotment.rate_per_s
+        elapsed_ms = self.fill(known_part * rate_per_s, self.capacity, now_ms)
+        given = rate_per_s * elapsed_ms / 1000
         added = known_part * given
         if known_part < 1:
             self.withheld += given - added
             self.withheld_ms = self.filled_ms
         elif self.filled_ms - self.withheld_ms > PRESENT_MS:
             self.withheld = 0.0
-        self.level = min(self.capacity, self.level + added)
         self.promised = max(0.0, self.promised - added)
 
 
@@ -254,7 +287,7 @@
     def __init__(self, terms: AllotmentTerms) -> None:
         self._terms = terms
         self._window_ms = terms.window_s * 1000
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, _AccountBucket] = {}
         self._has_adopted = False
         self._known_part = 1.0
 
@@ -278,7 +311,9 @@
                 level = capacity if self._has_adopted else NEW_LEADER_PART * margin
                 usage = _WindowUsage(self._window_ms)
                 level = min(capacity, level)
-                bucket = _Bucket(allotment, capacity, level, now_ms, usage, now_ms)
+                bucket = _AccountBucket(
+                    level, now_ms, allotment, capacity, usage, now_ms
+                )
                 self._buckets[account] = bucket
             else:
                 self._fill(bucket, now_ms)
@@ -376,7 +411,7 @@
             # What is given back may have been used before the window.
             bucket.usage.add(max(0.0, amount), now_ms)
 
-    def _excess(self, bucket: _Bucket, amount: float, now_ms: int) -> float:
+    def _excess(self, bucket: _AccountBucket, amount: float, now_ms: int) -> float:
         """Return by how much a request larger than the bucket exceeds its window.
 
         Others may have used the rate and a bucket before all usage was known.
@@ -390,14 +425,14 @@
             used += capacity + rate_per_s * unknown_ms / 1000
         return used + amount - rate_per_s * self._terms.window_s - capacity
 
-    def _fill(self, bucket: _Bucket, now_ms: int) -> None:
+    def _fill(self, bucket: _AccountBucket, now_ms: int) -> None:
         most = bucket.allotment.rate_per_s * self._terms.window_s
         # Usage before the window does not count; the unit may have changed, too.
         bucket.level = max(bucket.level, -most)
-        bucket.fill(self._known_part, now_ms)
+        bucket.fill_part(self._known_part, now_ms)
         bucket.withheld = min(most, bucket.withheld)
 
-    def _rate_per_ms(self, bucket: _Bucket) -> float:
+    def _rate_per_ms(self, bucket: _AccountBucket) -> float:
         return self._known_part * bucket.allotment.rate_per_s / 1000
 
 
@@ -544,3 +579,192 @@
         """Return the usage since the last report."""
         report, self._unreported = self._unreported, {}
         return report
+
+
+# Admitted requests and tokens, by account.
+Usage = Mapping[str, tuple[int, int]]
+
+
+@dataclass(frozen=True)
+class Limit:
+    """Limits of one account; 0 means unlimited."""
+
+    requests_per_second: float = 0.0
+    tokens_per_second: float = 0.0
+    max_concurrent: int = 0
+
+
+@dataclass
+class _AccountState:
+    requests: Bucket
+    tokens: Bucket
+    concurrent: int = 0
+    unannounced: tuple[int, int] = (0, 0)
+    announced_usage: float = 0.0
+    effective_usage: float = 0.0
+    share: float = 0.0
+
+
+@dataclass
+class _Peer:
+    last_heard_ms: int
+    usage: dict[str, float] = field(default_factory=dict)
+
+
+class AccountLimits:
+    """This router's share of the limits of each account.
+
+    Of ``routers`` configured routers, those heard from within ``PEER_LEASE_MS``
+    and this one form a group of ``k``. The group uses ``k / routers`` of each
+    limit; within it a quarter is divided evenly and the rest by recent usage. The
+    shares of groups separated by a partition therefore add up to at most one limit.
+
+    Error bound: a change of demand is visible to peers one exchange later, so the
+    shares add up to one only when all routers use the same announcements. This
+    router applies its own announcement one exchange late, when its peers have
+    received it too. While announcements are lost or delayed by more than
+    ``EXCHANGE_INTERVAL_MS``, the sum of the shares is below two when demand moves
+    between routers, and each router can spend ``BURST_MS`` of its share at once.
+    The concurrency share is rounded up, so the sum can exceed the limit by one
+    request per router.
+
+    Examples:
+        >>> limits = AccountLimits(routers=1)
+        >>> limits.set_limit("hotel", Limit(requests_per_second=1.0), now_ms=0)
+        >>> [limits.admit("hotel", 10, now_ms=0) for _ in range(3)][-1].reason
+        'request_rate'
+    """
+
+    def __init__(self, routers: int, metrics: Metrics | None = None):
+        self._routers = routers
+        self._metrics = metrics
+        self._limits: dict[str, Limit] = {}
+        self._accounts: dict[str, _AccountState] = {}
+        self._peers: dict[str, _Peer] = {}
+
+    def set_limit(self, account: str, limit: Limit, now_ms: int) -> None:
+        """Set or change the limits of an account."""
+        is_known = account in self._limits
+        self._limits[account] = limit
+        if not is_known:
+            router_burst_s = BURST_MS / 1000 / self._routers
+            self._accounts[account] = _AccountState(
+                requests=Bucket(
+                    max(1.0, limit.requests_per_second * router_burst_s), now_ms
+                ),
+                tokens=Bucket(limit.tokens_per_second * router_burst_s, now_ms),
+                share=1.0 / self._routers,
+            )
+
+    def remove_limit(self, account: str) -> None:
+        """Remove the limits of an account."""
+        self._limits.pop(account, None)
+        self._accounts.pop(account, None)
+
+    def admit(self, account: str, tokens: int, now_ms: int) -> Admitted | Refused:
+        """Admit one request of ``tokens`` and charge it, or refuse it.
+
+        A request is admitted while the token balance is positive and may overdraw
+        it; otherwise a request larger than the burst would always be refused.
+        """
+        limit = self._limits.get(account)
+        if limit is None:
+            return ADMITTED
+        state = self._accounts[account]
+        self._refill(state, limit, now_ms)
+        refused = self._find_exceeded_limit(state, limit)
+        if refused is not None:
+            return refused
+        state.requests.level -= 1.0
+        state.tokens.level -= tokens
+        state.concurrent += 1
+        state.unannounced = (state.unannounced[0] + 1, state.unannounced[1] + tokens)
+        return ADMITTED
+
+    def release(self, account: str) -> None:
+        """Record the end of an admitted request."""
+        state = self._accounts.get(account)
+        if state is not None and state.concurrent > 0:
+            state.concurrent -= 1
+
+    def announce(self, now_ms: int) -> dict[str, tuple[int, int]]:
+        """Return requests and tokens admitted per account since the last call.
+
+        Must be called once per exchange, with the result sent to all peers.
+        """
+        result = {}
+        for account, state in self._accounts.items():
+            if state.unannounced != (0, 0):
+                result[account] = state.unannounced
+            # The previous announcement takes effect now; see the error bound above.
+            state.effective_usage = state.announced_usage
+            state.announced_usage = _smooth(state.announced_usage, state.unannounced)
+            state.unannounced = (0, 0)
+            state.share = self._share(account, state, now_ms)
+        return result
+
+    def record_peer_usage(self, peer: str, usage: Usage, now_ms: int) -> None:
+        """Record the announcement of a peer; an empty one renews its lease."""
+        peer_state = self._peers.setdefault(peer, _Peer(now_ms))
+        peer_state.last_heard_ms = now_ms
+        for account in peer_state.usage.keys() | usage.keys():
+            peer_state.usage[account] = _smooth(
+                peer_state.usage.get(account, 0.0), usage.get(account, (0, 0))
+            )
+
+    def share(self, account: str) -> float:
+        """Return the fraction of the account's limits that this router may use."""
+        state = self._accounts.get(account)
+        return state.share if state is not None else 1.0
+
+    def _share(self, account: str, state: _AccountState, now_ms: int) -> float:
+        heard = [
+            peer
+            for peer in self._peers.values()
+            if now_ms - peer.last_heard_ms <= PEER_LEASE_MS
+        ]
+        group_size = min(self._routers, 1 + len(heard))
+        total = state.effective_usage + sum(
+            peer.usage.get(account, 0.0) for peer in heard
+        )
+        by_usage = state.effective_usage / total if total > 1e-3 else 1.0 / group_size
+        share_in_group = EVEN_FRACTION / group_size + (1 - EVEN_FRACTION) * by_usage
+        return group_size / self._routers * share_in_group
+
+    def _refill(self, state: _AccountState, limit: Limit, now_ms: int) -> None:
+        rates = (limit.requests_per_second, limit.tokens_per_second)
+        request_rate, token_rate = (rate * state.share for rate in rates)
+        burst_s = BURST_MS / 1000
+        state.requests.fill(request_rate, max(1.0, request_rate * burst_s), now_ms)
+        state.tokens.fill(token_rate, token_rate * burst_s, now_ms)
+
+    def _find_exceeded_limit(
+        self, state: _AccountState, limit: Limit
+    ) -> Refused | None:
+        concurrent = -(-limit.max_concurrent * state.share // 1)
+        if limit.max_concurrent and state.concurrent >= max(1, concurrent):
+            return self._refuse("concurrency", EXCHANGE_INTERVAL_MS)
+        if limit.requests_per_second and state.requests.level < 1.0:
+            rate = limit.requests_per_second * state.share
+            return self._refuse(
+                "request_rate", _wait_ms(1.0 - state.requests.level, rate)
+            )
+        if limit.tokens_per_second and state.tokens.level <= 0.0:
+            rate = limit.tokens_per_second * state.share
+            return self._refuse("token_rate", _wait_ms(1.0 - state.tokens.level, rate))
+        return None
+
+    def _refuse(self, reason: str, retry_after_ms: int) -> Refused:
+        if self._metrics is not None:
+            self._metrics.count(f"refusal.{reason}")
+        return Refused(reason, retry_after_ms)
+
+
+def _smooth(before: float, admitted: tuple[int, int]) -> float:
+    # A request counts as 100 tokens, so that limits on requests alone are also
+    # divided by usage.
+    return 0.5 * before + 0.5 * (admitted[1] + 100 * admitted[0])
+
+
+def _wait_ms(amount: float, per_second: float) -> int:
+    return min(MAX_WAIT_MS, int(1000 * amount / max(per_second, 1e-6)) + 1)
