--- a/mustardtrack/testing/seeded_hosts.py
+++ b/mustardtrack/testing/seeded_hosts.py
@@ -40,6 +40,7 @@
         bounds: Settings under ``bounds`` that differ from their defaults.
         retries: Settings under ``retries`` that differ from their defaults.
         daemon_module: Module that runs the daemon.
+        limits: Settings under ``limits``, the same for every host.
     """
 
     folder: Path
@@ -51,6 +52,7 @@
     bounds: dict[str, int] = field(default_factory=dict)
     retries: dict[str, float] = field(default_factory=dict)
     daemon_module: str = "mustardtrack.process.daemon"
+    limits: dict[str, float] = field(default_factory=dict)
 
     def data_folder(self, host: str) -> Path:
         """Return the data folder of a control host."""
@@ -93,6 +95,7 @@
             "listen": {"operators": f"{host}:{OPERATOR_PORT}"},
             "bounds": self.bounds,
             "retries": self.retries,
+            "limits": self.limits,
         }
         if host in self.routers:
             settings["listen"] = {
