Bound what a seeded process holds for its callers and endpoints

Cause: the limits of one request do not bound what many callers send ahead, leave half sent or do not read, and nothing bounded the connections of callers.

Change: one account (admission/memoryaccount.py) of bytes ahead, heads, bodies, requests at endpoints, answers that are not read, and connections, bounded by `limits` of the settings. Bodies are joined in one buffer instead of a list of parts. A request sent ahead begins only once the answers before it are read. Events 8905 to 8907, counter refusal.memory, gauge router.held_bytes. Without `limits` in the settings, the bounds are today's; among unread answers, the largest goes first instead of the oldest.

--- a/mustardtrack/adapters/h11_server.py
+++ b/mustardtrack/adapters/h11_server.py
@@ -5,15 +5,26 @@
 """
 
 import asyncio
+import random
 import socket
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import h11
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from mustardtrack.admission.memoryaccount import (
+    CONNECTION_BYTES,
+    MEMORY,
+    Caller,
+    MemoryAccount,
+    header_cost,
+)
+from mustardtrack.admission.retryafter import choose_retry_after_s
 from mustardtrack.configuration.routes import CallerLimits
 from mustardtrack.logs import define_event, log_event
 
@@ -26,16 +37,24 @@
 REQUEST_TOO_SLOW = define_event(
     8904, "INFO", "caller's request rejected: it did not arrive in time"
 )
+NO_MEMORY_FOR_REQUEST = define_event(
+    8905, "WARNING", "caller's request refused: no memory for the rest of it"
+)
+HELD_TOO_MUCH = define_event(
+    8907, "WARNING", "caller's connection reset: the process holds too much"
+)
+TOO_MANY_CALLERS = define_event(
+    8906, "WARNING", "caller's connection closed: too many open connections"
+)
 HANDLER_FAILED = define_event(8902, "ERROR", "request handler failed")
 
 # A caller that leaves data unacknowledged for this long counts as disconnected.
 CALLER_TCP_USER_TIMEOUT_MS = 10_000
-# Bytes of all responses that callers do not read; a router may use 150 MB.
-MAX_UNSENT_BYTES = 25_165_824
 # Multiple of the idle timeout within which a request must arrive as a whole, however
 # steadily its parts come.
 MAX_BODY_IDLE_TIMES = 4
 REQUEST_TIMEOUT_STATUS = 408
+NO_MEMORY_STATUS = 503
 # Reading from a caller pauses while it has sent more than this ahead of a response.
 MAX_BYTES_AHEAD = 65_536
 LISTEN_BACKLOG = 512
@@ -77,6 +96,16 @@
         """Query of the request target, empty if there is none."""
         return self.target.decode("latin-1").partition("?")[2]
 
+    @property
+    def holder(self) -> Caller:
+        """Connection for which the account of the process holds the request."""
+        return self._connection
+
+    @property
+    def peer(self) -> str:
+        """Address of the caller."""
+        return self._connection.peer
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; ``name`` is in lower case."""
         for key, value in self.headers:
@@ -131,9 +160,11 @@
 
 
 @implementer(IPushProducer)
-class ServerConnection(Protocol):
+class ServerConnection(Protocol, Caller):
     """Connection of a caller; its requests are handled one after another.
 
+    A request that was sent ahead begins only while the answers before it are read.
+
     Attributes:
         writable: Set unless more is written than the transport buffers.
     """
@@ -146,14 +177,18 @@
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes * 2
         )
         self._request: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer: a list of parts would take 48 bytes for each part of one byte.
+        self._body = bytearray()
         self._timer: Any = None
         self._is_closed = False
         self._is_head_begun = False
         self._body_ends_s = 0.0
         self._unsent_bytes = 0
         self._is_reading_paused = False
+        self._is_held_back = False
+        self._is_lost = False
+        self._bytes_ahead = 0
+        self._exchange_bytes = 0
         self._is_reading_events = False
         self.writable = asyncio.Event()
         self.writable.set()
@@ -169,6 +204,7 @@
         )
         self.transport.registerProducer(self, True)
         self._server.connections.add(self)
+        self._record()
         self._restart_timer(
             self._server.limits.idle_timeout_ms, self._close_idle_connection
         )
@@ -182,11 +218,14 @@
             self._reject_malformed(error)
         self._limit_bytes_ahead()
         self._limit_request_time()
+        self._record()
 
     def _limit_request_time(self) -> None:
         """Bound the time for the rest of a request that was received in part."""
         if self.exchange is not None or self._is_closed or self._server.is_closing:
             return
+        if not self.writable.is_set():
+            return  # It begins once the answers before it are read.
         limits = self._server.limits
         if self._request is not None:
             left_s = self._body_ends_s - asyncio.get_running_loop().time()
@@ -202,22 +241,89 @@
         The request in progress is answered; a disconnect is noticed when its response
         is written.
         """
-        is_ahead = (
-            self.exchange is not None
-            and len(self._http.trailing_data[0]) > MAX_BYTES_AHEAD
-        )
-        if is_ahead == self._is_reading_paused:
-            return
+        self._bytes_ahead = len(self._http.trailing_data[0])
+        is_waiting = self.exchange is not None or not self.writable.is_set()
+        self._pause_reading(is_waiting and self._bytes_ahead > MAX_BYTES_AHEAD)
+
+    def _pause_reading(self, is_ahead: bool) -> None:
+        was_paused = self._is_reading_paused or self._is_held_back
         self._is_reading_paused = is_ahead
-        if is_ahead:
+        self._change_reading(was_paused)
+
+    def _change_reading(self, was_paused: bool) -> None:
+        is_paused = self._is_reading_paused or self._is_held_back
+        if is_paused == was_paused or self._is_lost:
+            return
+        if is_paused:
             self.transport.pauseProducing()
         else:
             self.transport.resumeProducing()
 
+    def hold_back(self, is_held_back: bool) -> None:
+        """Pause or resume reading for the memory account."""
+        was_paused = self._is_reading_paused or self._is_held_back
+        self._is_held_back = is_held_back
+        self._change_reading(was_paused)
+
+    def discard(self) -> None:
+        """Reset the connection because the process holds too much."""
+        is_read = self.writable.is_set()
+        log_event(
+            HELD_TOO_MUCH if is_read else UNSENT_RESPONSES_TOO_LARGE,
+            peer=self.peer,
+            unsent_bytes=0 if is_read else self._unsent_bytes,
+            **self._describe_memory(),
+        )
+        self._is_lost = True
+        self.transport.abortConnection()
+
+    def refuse_partial(self) -> None:
+        """Refuse a request that was received in part for lack of memory."""
+        log_event(NO_MEMORY_FOR_REQUEST, peer=self.peer, **self._describe_memory())
+        after_s = choose_retry_after_s(MEMORY, None, self._server.rng)
+        self._reject(NO_MEMORY_STATUS, [(b"retry-after", b"%.2f" % after_s)])
+
+    def close_now(self) -> None:
+        """Close the connection at once to make room for another caller."""
+        log_event(TOO_MANY_CALLERS, peer=self.peer, **self._describe_memory())
+        # A close through the reactor would free the descriptor only after further
+        # connections were accepted.
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def _describe_memory(self) -> dict[str, int | None]:
+        account = self._server.account
+        return {
+            "total_bytes": account.total_bytes,
+            "limit_bytes": account.limit_bytes,
+        }
+
+    @property
+    def peer(self) -> str:
+        """Address of the caller."""
+        peer = self.transport.getPeer()
+        return f"{peer.host}:{peer.port}"
+
+    def _record(self) -> None:
+        """Record what is held for this connection in the account of the process."""
+        if self._is_lost:
+            return
+        unread = 0 if self.writable.is_set() else self._unsent_bytes
+        held = CONNECTION_BYTES + self._bytes_ahead + len(self._body)
+        is_waiting = self.exchange is None and not unread and not self._is_closed
+        has_part = self._request is not None or self._bytes_ahead > 0
+        self._server.account.record_caller(
+            self,
+            held + self._exchange_bytes + unread,
+            unread=unread,
+            is_partial=is_waiting and has_part,
+            is_idle=is_waiting and not has_part,
+        )
+
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
         """Notify the handler of the request in progress."""
         self._server.connections.discard(self)
-        self._server.unsent.record(self, 0)
+        self._is_lost = True
+        self._server.account.remove(self)
         self._stop_timer()
         self.writable.set()
         exchange, self.exchange = self.exchange, None
@@ -233,9 +339,11 @@
         self.writable.clear()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Note that the transport has sent everything."""
+        """Note that the transport has sent everything, and go on with requests."""
         self.writable.set()
-        self._server.unsent.record(self, 0)
+        if self.exchange is None and not self._is_closed:
+            self._go_on()
+        self._record()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Note that the connection is lost."""
@@ -277,7 +385,7 @@
             self._is_reading_events = False
 
     def _read_requests(self) -> None:
-        while self.exchange is None:
+        while self.exchange is None and self.writable.is_set():
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 if self._http.they_are_waiting_for_100_continue:
@@ -291,7 +399,7 @@
             if isinstance(event, h11.Request):
                 self._begin_request(event)
             elif isinstance(event, h11.Data):
-                self._add_body(bytes(event.data))
+                self._add_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._complete_request()
             elif isinstance(event, h11.ConnectionClosed):
@@ -300,25 +408,25 @@
 
     def _begin_request(self, request: h11.Request) -> None:
         self._request = request
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._exchange_bytes = header_cost(request.headers)
         self._is_head_begun = False
         limit_s = MAX_BODY_IDLE_TIMES * self._server.limits.idle_timeout_ms / 1000
         self._body_ends_s = asyncio.get_running_loop().time() + limit_s
 
     def _add_body(self, data: bytes) -> None:
-        self._body_bytes += len(data)
-        if self._body_bytes > self._server.limits.body_bytes:
+        if len(self._body) + len(data) > self._server.limits.body_bytes:
             raise h11.RemoteProtocolError("body too large", error_status_hint=413)
-        self._body.append(data)
+        self._body += data
 
     def _complete_request(self) -> None:
         assert self._request is not None
         self._stop_timer()
-        exchange = Exchange(self, self._request, b"".join(self._body))
+        exchange = Exchange(self, self._request, bytes(self._body))
         self.exchange = self.last_exchange = exchange
         self._request = None
-        self._body = []
+        self._exchange_bytes += len(self._body)
+        self._body = bytearray()
         try:
             result = self._server.handler(exchange)
         except Exception as error:
@@ -351,14 +459,15 @@
     def _reject_slow_request(self) -> None:
         self._timer = None
         part = "header" if self._request is None else "body"
-        log_event(REQUEST_TOO_SLOW, part=part, body_bytes=self._body_bytes)
+        log_event(REQUEST_TOO_SLOW, part=part, body_bytes=len(self._body))
         self._reject(REQUEST_TIMEOUT_STATUS)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, headers: Headers = ()) -> None:
         """Answer a request that was not received, and close the connection."""
         self._stop_timer()
+        self._body = bytearray()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            head = [(b"content-length", b"0"), (b"connection", b"close")]
+            head = [*headers, (b"content-length", b"0"), (b"connection", b"close")]
             self.send_event(h11.Response(status_code=status, headers=head))
             self.send_event(h11.EndOfMessage())
         self.close()
@@ -379,7 +488,7 @@
             self._unsent_bytes += len(data)
             self.transport.write(data)
             if not self.writable.is_set():
-                self._server.unsent.record(self, self._unsent_bytes)
+                self._record()
 
     def end_response(self) -> None:
         """End the response, then read the next request or close the connection."""
@@ -388,6 +497,7 @@
             # ``last_exchange`` outlives the request; its body may be large.
             self.exchange.body = b""
             self.exchange = None
+            self._exchange_bytes = 0
         is_reusable = (
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
@@ -398,15 +508,20 @@
             self._restart_timer(
                 self._server.limits.idle_timeout_ms, self._close_idle_connection
             )
-            try:
-                self._read_events()
-            except h11.RemoteProtocolError as error:
-                self._reject_malformed(error)
-            self._limit_bytes_ahead()
-            self._limit_request_time()
+            self._go_on()
+            self._record()
         else:
             self.close()
 
+    def _go_on(self) -> None:
+        """Read the requests that were sent ahead."""
+        try:
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._reject_malformed(error)
+        self._limit_bytes_ahead()
+        self._limit_request_time()
+
     def abort_connection(self) -> None:
         """Reset the connection."""
         self.exchange = None
@@ -427,56 +542,36 @@
         self.close()
 
 
-class UnsentResponses:
-    """Sizes of the responses that callers do not read.
-
-    Attributes:
-        total_bytes: Sum over the connections.
-    """
-
-    def __init__(self) -> None:
-        self.total_bytes = 0
-        # In the order in which their callers began not to read.
-        self._sizes: dict[ServerConnection, int] = {}
-
-    def record(self, connection: ServerConnection, size: int) -> None:
-        """Record the unsent bytes of a connection, 0 for none.
-
-        Above the limit, the connections whose callers have not read for longest are
-        reset.
-        """
-        self.total_bytes += size - self._sizes.get(connection, 0)
-        if size:
-            self._sizes[connection] = size
-        else:
-            self._sizes.pop(connection, None)
-        while self.total_bytes > MAX_UNSENT_BYTES:
-            oldest = next(iter(self._sizes))
-            log_event(UNSENT_RESPONSES_TOO_LARGE, unsent_bytes=self._sizes[oldest])
-            self.total_bytes -= self._sizes.pop(oldest)
-            oldest.transport.abortConnection()
-
-
 class HttpServer(Factory):
     """Listens on one address and passes each request to a handler.
 
     Args:
         handler: Called with each complete request; may be a coroutine function.
         limits: Size limits and idle timeout of caller connections.
+        account: Account of the process, shared by its listeners.
     """
 
-    def __init__(self, handler: Handler, limits: CallerLimits | None = None):
+    def __init__(
+        self,
+        handler: Handler,
+        limits: CallerLimits | None = None,
+        account: MemoryAccount | None = None,
+    ):
         self.handler = handler
         self.limits = limits or CallerLimits()
         self.connections: set[ServerConnection] = set()
-        self.unsent = UnsentResponses()
+        self.account = account or MemoryAccount()
+        self.rng = random.Random()
         self.is_stopping = False
         self.is_closing = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._port: Any = None
 
-    def buildProtocol(self, address: Any) -> ServerConnection:  # noqa: N802
-        """Return the protocol of a new connection."""
+    def buildProtocol(self, address: Any) -> ServerConnection | None:  # noqa: N802
+        """Return the protocol of a new connection, None to close it at once."""
+        if not self.account.has_room_for_caller():
+            log_event(TOO_MANY_CALLERS, peer=f"{address.host}:{address.port}")
+            return None
         return ServerConnection(self)
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
--- a/mustardtrack/adapters/unfinished.py
+++ b/mustardtrack/adapters/unfinished.py
@@ -24,11 +24,15 @@
 class UnfinishedResponses(Generic[ReceiverT]):
     """Bytes that the unfinished responses of a client keep.
 
+    Args:
+        max_bytes: Bound on the sum.
+
     Attributes:
         total_bytes: Sum over the responses.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_UNFINISHED_BYTES) -> None:
+        self.max_bytes = max_bytes
         self.total_bytes = 0
         self._sizes: dict[ReceiverT, int] = {}
 
--- a/mustardtrack/adapters/upstream.py
+++ b/mustardtrack/adapters/upstream.py
@@ -22,6 +22,7 @@
     MAX_UNFINISHED_BYTES,
     UnfinishedResponses,
 )
+from mustardtrack.admission.memoryaccount import Holder, MemoryAccount, header_cost
 from mustardtrack.logs import Event, define_event, log_event
 from mustardtrack.requests.event_stream import MAX_SPLIT_END_BYTES, find_last_event_end
 
@@ -141,7 +142,7 @@
 ResponseEvent = ResponseHead | ResponseData | ResponseEnd | ResponseInterrupted
 
 
-class UpstreamConnection(Protocol):
+class UpstreamConnection(Protocol, Holder):
     """One connection to an endpoint; carries one request at a time.
 
     Attributes:
@@ -153,6 +154,7 @@
         idle_before_request_s: Idle time of the connection before the current request.
         address: Address of the endpoint.
         unfinished: Shared with the other connections of a pool.
+        account: Account of the process, shared with the connections of callers.
         is_relayed: Whether data of the response is passed on and not kept when read.
     """
 
@@ -161,6 +163,7 @@
     def __init__(self, address: str = "") -> None:
         self.address = address
         self.unfinished = UnfinishedResponses[UpstreamConnection]()
+        self.account = MemoryAccount()
         self.is_relayed = False
         self._http = self._new_http()
         self._events: deque[ResponseEvent] = deque()
@@ -171,6 +174,8 @@
         self._is_discarding = False
         self._is_event_stream = False
         self._is_paused = False
+        self._is_held_back = False
+        self._request_bytes = 0
         self._unread_bytes = 0
         self._max_body_bytes = MAX_RESPONSE_BODY_BYTES
         self._reset_sizes()
@@ -243,11 +248,18 @@
         self.requests_sent += 1
         self.is_reusable = False
         self._request = h11.Request(method=method, target=target, headers=list(headers))
-        data = self._http.send(self._request) or b""
+        # Not joined here, as that would copy the body.
+        self._write(self._request)
         if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        self.transport.write(data)
+            self._write(h11.Data(data=body))
+        self._write(h11.EndOfMessage())
+        self._request_bytes = len(body) + header_cost(headers)
+        self._record_held(self._request_bytes)
+
+    def _write(self, event: Any) -> None:
+        data = self._http.send(event)
+        if data:
+            self.transport.write(data)
 
     async def next_event(self, timeout_s: float) -> ResponseEvent | None:
         """Return the next event of the response, or None after the timeout."""
@@ -274,8 +286,27 @@
             self._record_unfinished()
         if self._is_paused and self._unread_bytes <= MAX_UNREAD_BYTES // 2:
             self._is_paused = False
+            if not self._is_held_back:
+                self.transport.resumeProducing()
+
+    def hold_back(self, is_held_back: bool) -> None:
+        """Pause or resume reading for the memory account."""
+        self._is_held_back = is_held_back
+        if self.is_lost or self.is_aborted or self._is_paused:
+            return
+        if is_held_back:
+            self.transport.pauseProducing()
+        else:
             self.transport.resumeProducing()
 
+    def discard(self) -> None:
+        """Abort the response because the process holds too much."""
+        self._abort_largest()
+
+    def _record_held(self, size: int) -> None:
+        if not self.is_lost and not self.is_aborted:
+            self.account.record_endpoint(self, size)
+
     def wake(self) -> None:
         """Make a waiting ``next_event`` return immediately."""
         _resolve(self._waiter)
@@ -301,7 +332,7 @@
         if self._received_bytes - body_bytes > MAX_FRAMING_BYTES + body_bytes:
             self._abort_response(TOO_MUCH_FRAMING)
         self._record_unfinished()
-        while self.unfinished.total_bytes > MAX_UNFINISHED_BYTES:
+        while self.unfinished.total_bytes > self.unfinished.max_bytes:
             self.unfinished.find_largest()._abort_largest()
 
     def _count_head_lines(self, data: bytes) -> bool:
@@ -322,7 +353,9 @@
         kept = self._body_bytes
         if self.is_relayed:
             kept = self._unread_bytes + self._event_bytes
-        self.unfinished.record(self, self._head_bytes + unparsed + kept)
+        size = self._head_bytes + unparsed + kept
+        self.unfinished.record(self, size)
+        self._record_held(self._request_bytes + size)
 
     def _abort_largest(self) -> None:
         self._abort_response(TOO_MANY_UNFINISHED_BYTES)
@@ -410,6 +443,7 @@
 
     def _release_unfinished(self) -> None:
         self.unfinished.record(self, 0)
+        self.account.remove(self)
 
     def _is_chunk_rate_exceeded(self) -> bool:
         elapsed_s = asyncio.get_running_loop().time() - self._sent_s
@@ -423,7 +457,8 @@
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_UNREAD_BYTES and not self._is_paused:
             self._is_paused = True
-            self.transport.pauseProducing()
+            if not self._is_held_back:
+                self.transport.pauseProducing()
         self._queue_event(ResponseData(data))
         if self._is_event_stream or self.is_relayed:
             self._measure_event(data)
@@ -584,13 +619,22 @@
 
 
 class ConnectionPool:
-    """Connection pool of one process, by endpoint."""
+    """Connection pool of one process, by endpoint.
+
+    Args:
+        reactor: Reactor of the process.
+        account: Account of the process, shared with its listeners.
+    """
 
-    def __init__(self, reactor: Any):
+    def __init__(self, reactor: Any, account: MemoryAccount | None = None):
         self._reactor = reactor
+        self._account = account or MemoryAccount()
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self._open: Counter[str] = Counter()
-        self._unfinished = UnfinishedResponses[UpstreamConnection]()
+        # Where the memory of the host is known, the account bounds all answers.
+        self._unfinished = UnfinishedResponses[UpstreamConnection](
+            self._account.limit_bytes or MAX_UNFINISHED_BYTES
+        )
 
     def take(self, key: str, max_idle_s: float = math.inf) -> UpstreamConnection | None:
         """Return the most recently used idle connection of an endpoint.
@@ -631,6 +675,12 @@
             if not connection.is_lost:
                 connection.transport.loseConnection()
 
+    def _close_longest_idle_of_all(self) -> None:
+        keys = [key for key, idle in self._idle.items() if idle]
+        if keys:
+            key = min(keys, key=lambda key: self._idle[key][0].idle_since_s)
+            self.close_longest_idle(key)
+
     async def open(self, address: str, timeout_s: float) -> UpstreamConnection:
         """Open a new connection.
 
@@ -641,6 +691,9 @@
         host, _, port = address.rpartition(":")
         if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
             raise ConnectError(f"malformed address {address!r}")
+        most = self._account.max_endpoints
+        if most is not None and self._open.total() >= most:
+            self._close_longest_idle_of_all()
         # Counted before it is open, so that concurrent requests respect the limit.
         self._open[address] += 1
         try:
@@ -655,6 +708,7 @@
             raise ConnectError("closed before the request")
         connection.on_lost = lambda: self._decrement_open_count(address)
         connection.unfinished = self._unfinished
+        connection.account = self._account
         if connection.is_aborted:
             log_event(BYTES_BEFORE_REQUEST, address=address)
             raise ConnectError("bytes before the request")
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -379,7 +379,10 @@
             for header in filter_response_headers(head.headers)
             if header[0] != b"content-length"
         ]
-        self._exchange.respond(head.status, headers, b"".join(parts))
+        body = b"".join(parts)
+        # The parts would be kept beside the body while it is sent.
+        parts.clear()
+        self._exchange.respond(head.status, headers, body)
         self._progress.record_relayed(head.status, self._elapsed_ms())
         return Outcome(status=head.status)
 
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -11,7 +11,6 @@
 from mustardtrack.adapters.clock import SystemClock
 from mustardtrack.adapters.disk import DiskStorage
 from mustardtrack.adapters.exposition import serve_metrics
-from mustardtrack.adapters.h11_server import HttpServer
 from mustardtrack.adapters.metrics import InMemoryMetrics
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
 from mustardtrack.admission.partcrashes import (
@@ -59,6 +58,7 @@
 from mustardtrack.process.control_api import ControlApi
 from mustardtrack.process.endpoint_watch import EndpointWatch
 from mustardtrack.process.formation import form_group, handle_form_request
+from mustardtrack.process.host_resources import open_listeners
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.lost_requests import LostRequestRecorder
 from mustardtrack.process.metrics import count_events
@@ -67,7 +67,7 @@
 from mustardtrack.process.router_directory import create_directory
 from mustardtrack.process.settings_watch import SettingsWatch
 from mustardtrack.routing.placements import PlacementTable
-from mustardtrack.settings import SeededSettings, split_address
+from mustardtrack.settings import SeededSettings
 
 TASK_FAILED = define_event(
     8911, "ERROR", "task of the control process failed, shutting down"
@@ -169,13 +169,8 @@
         from twisted.internet import reactor
 
         listen = self._settings.listen
-        servers = {}
-        for address in (listen.operators, listen.directory):
-            if address is not None and address not in servers:
-                host, port = split_address(address)
-                servers[address] = HttpServer(api.handle)
-                servers[address].listen(reactor, host, port)
-        self._servers = list(servers.values())
+        addresses, limits = (listen.operators, listen.directory), self._settings.limits
+        self._servers = open_listeners(reactor, addresses, api.handle, limits)
         metrics_port = self._settings.metrics_port
         if metrics_port is not None:
             serve_metrics(reactor, self._settings.host, metrics_port, self.metrics)
--- a/mustardtrack/process/seeded_router.py
+++ b/mustardtrack/process/seeded_router.py
@@ -17,6 +17,7 @@
 from mustardtrack.process.control_api import MAX_DIRECTORY_TTL_S
 from mustardtrack.process.control_sync import ControlSync
 from mustardtrack.process.forwarder import Forwarder
+from mustardtrack.process.host_resources import MemoryCheck, open_account
 from mustardtrack.process.lag_monitor import monitor_lag
 from mustardtrack.process.lifecycle import DaemonProcess
 from mustardtrack.process.metrics import count_events
@@ -63,7 +64,8 @@
         settings = self._settings
         # A router only opens connections, so its bus has no port.
         self._bus = Bus(settings.name, settings.bus_address)
-        self._pool = ConnectionPool(reactor)
+        self._account = open_account(settings.limits)
+        self._pool = ConnectionPool(reactor, self._account)
         self._control_sync = ControlSync(
             settings,
             self._bus,
@@ -84,8 +86,10 @@
             self._placements,
         )
         self._control_sync.capacity = self._measure_capacity
-        self._caller_server = HttpServer(self._forwarder.handle)
-        self._readiness_server = HttpServer(self._handle_readiness)
+        account = self._account
+        self._forwarder.admission.checks.append(MemoryCheck(account))
+        self._caller_server = HttpServer(self._forwarder.handle, account=account)
+        self._readiness_server = HttpServer(self._handle_readiness, account=account)
         assert settings.listen.callers is not None
         self._caller_server.listen(reactor, *split_address(settings.listen.callers))
         if settings.listen.readiness is not None:
@@ -104,6 +108,7 @@
         limits, lag = self._settings.limits, self._forwarder.lag
         capacity = measure_capacity(limits, lag, now_ms)
         self.metrics.gauge("router.pressure_percent", capacity.pressure_percent)
+        self.metrics.gauge("router.held_bytes", self._account.total_bytes)
         return capacity
 
     def _is_ready(self) -> bool:
