Share queues fairly among accounts where a router decides alone

A router that chooses an endpoint without the leader (plain services, prompts without an answer of the leader) refused whoever came last when queues were long, so that the burst of one account kept the others out. It now applies the same order of ranks and max-min shares as the leader, to the requests that it sees, while its endpoints report queues that it cannot use in time.

A request that was sent before is not refused for the sake of others, by the leader neither: work on it would be lost, and one that may have run would fail.

--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -7,22 +7,18 @@
 from mustardtrack.admission.connections import connections_per_router
 from mustardtrack.admission.ratelimits import RateLimits
 from mustardtrack.admission.retryafter import ENDPOINTS_PAUSED
-from mustardtrack.admission.returns import ReturnSchedule
 from mustardtrack.configuration.routes import Service
 from mustardtrack.ports import Clock
 from mustardtrack.process.attempt_state import AdmittedRequest
 from mustardtrack.process.control_sync import ControlSync
 from mustardtrack.process.placement_client import PlacementClient
 from mustardtrack.routing.balancing import choose_endpoint
+from mustardtrack.routing.contention import Contention
 from mustardtrack.routing.endpointstate import EndpointState
 from mustardtrack.routing.localplacement import choose_engine
 from mustardtrack.routing.placementmessages import Placement, PlacementRequest
 from mustardtrack.routing.prefillrates import PRIOR_TOKENS_PER_MS
-from mustardtrack.routing.queuewait import (
-    QueueWaits,
-    estimate_waits,
-    is_queue_full,
-)
+from mustardtrack.routing.queuewait import estimate_waits, is_queue_full
 from mustardtrack.settings import SeededSettings
 
 # Placements of one prompt that the leader is asked for before its router decides.
@@ -47,7 +43,7 @@
         self._clock = clock
         self._placements = placements
         self._rng = rng
-        self._returns: dict[str, ReturnSchedule] = {}
+        self._contention = Contention()
 
     @property
     def _limits(self) -> RateLimits:
@@ -192,32 +188,23 @@
         tried: Collection[str],
     ) -> tuple[Sequence[EndpointState], Placement | None]:
         """Return the endpoints that begin a request in time, or a refusal."""
-        now_ms = self._clock.now_ms()
+        service, now_ms = admitted.service.name, self._clock.now_ms()
         untried = [state for state in endpoints if state.id not in tried]
         waits = estimate_waits(
             untried, admitted.rank, admitted.deadline_ms - now_ms, now_ms
         )
-        if waits.in_time or not untried:
+        is_idle = waits.in_time is untried
+        if not untried or (is_idle and not self._contention.is_contended(service)):
             return waits.in_time, None
-        return (), self._refuse_late(admitted, waits, len(untried), now_ms)
-
-    def _refuse_late(
-        self, admitted: AdmittedRequest, waits: QueueWaits, endpoints: int, now_ms: int
-    ) -> Placement:
-        """Return a refusal with a turn in this router's part of the capacity."""
-        returns = self._returns.setdefault(admitted.service.name, ReturnSchedule())
-        return_ms = returns.next_ms(
-            admitted.rank,
-            waits.room_ms,
-            waits.place_ms * max(1, self._control_sync.view.router_count) / endpoints,
-            admitted.deadline_ms - now_ms,
+        routers = max(1, self._control_sync.view.router_count)
+        refusal = self._contention.check(
+            self._placement_request(admitted, []),
+            waits.first_begin_ms,
             now_ms,
+            longest_ms=waits.first_begin_ms - waits.room_ms,
+            interval_ms=waits.place_ms * routers / len(untried),
         )
-        return Placement(
-            expected_ms=round(waits.first_begin_ms),
-            exceeds_caller_timeout=True,
-            return_ms=return_ms,
-        )
+        return (() if refusal else waits.in_time), refusal
 
     def _find_usable(
         self, admitted: AdmittedRequest
@@ -265,6 +252,7 @@
             account=admitted.account.name if amount and admitted.account else "",
             amount=amount,
             client=admitted.account.name if admitted.account else "",
+            is_retry=admitted.progress.sends > 0,
         )
 
     def connection_limit(self, service: Service) -> int:
--- a/mustardtrack/routing/contention.py
+++ b/mustardtrack/routing/contention.py
@@ -60,10 +60,29 @@
     accounts: FairShares = field(default_factory=FairShares)
     prefixes: dict[str, FairShares] = field(default_factory=dict)
 
-    def prefixes_of(self, account: str) -> FairShares:
+    def ask(self, request: PlacementRequest) -> None:
+        """Count a request before it is decided."""
+        amount = _amount(request)
+        self.accounts.ask(request.client, amount)
+        self._prefixes_of(request.client).ask(_prefix(request), amount)
+
+    def serve(self, request: PlacementRequest) -> None:
+        """Count a request that is admitted."""
+        amount = _amount(request)
+        self.accounts.serve(request.client, amount)
+        self._prefixes_of(request.client).serve(_prefix(request), amount)
+
+    def is_over_share(self, request: PlacementRequest) -> bool:
+        """Return whether the account or shared prefix got more than its share."""
+        if self.accounts.is_over(request.client):
+            return True
+        return self._prefixes_of(request.client).is_over(_prefix(request))
+
+    def _prefixes_of(self, account: str) -> FairShares:
         return self.prefixes.setdefault(account, FairShares())
 
     def decay(self, factor: float) -> None:
+        """Give less weight to what was counted so far."""
         self.accounts.decay(factor)
         for shares in self.prefixes.values():
             shares.decay(factor)
@@ -89,42 +108,50 @@
     def _decay_period_ms(self) -> float:
         return max(1.0, self.window_ms / 2)
 
-    def ask(self, request: PlacementRequest, now_ms: int) -> None:
-        """Count a prompt before it is decided."""
+    def admit(
+        self,
+        request: PlacementRequest,
+        first_token_ms: float,
+        is_hopeless: bool,
+        now_ms: int,
+    ) -> bool:
+        """Count a request and return whether it is admitted."""
         self.window_ms = max(self.window_ms, request.time_left_ms)
-        if now_ms - self._decayed_ms >= self._decay_period_ms:
-            self._decayed_ms = now_ms
-            self._served *= DECAY_FACTOR
-            for other in self._ranks.values():
-                other.decay(DECAY_FACTOR)
+        self._decay(now_ms)
         demand = self._ranks.setdefault(request.rank, _RankDemand(request.objective_ms))
         demand.objective_ms = min(demand.objective_ms, request.objective_ms)
-        amount = _amount(request)
-        demand.accounts.ask(request.client, amount)
-        demand.prefixes_of(request.client).ask(_prefix(request), amount)
-
-    def serve(self, request: PlacementRequest) -> None:
-        """Count a prompt that is admitted."""
-        self._served += 1
-        demand, amount = self._ranks[request.rank], _amount(request)
-        demand.accounts.serve(request.client, amount)
-        demand.prefixes_of(request.client).serve(_prefix(request), amount)
+        is_admitted = not is_hopeless
+        if not request.is_retry:
+            demand.ask(request)
+            yields = self._yields_to_others(request, first_token_ms, now_ms)
+            is_admitted = is_admitted and not yields
+        if is_admitted and not request.is_retry:
+            self._served += 1
+            demand.serve(request)
+        if not is_admitted:
+            # Callers wait as told and return once.
+            returns_ms = now_ms + MAX_WAIT_PART * request.time_left_ms
+            demand.awaited_until_ms = max(demand.awaited_until_ms, returns_ms)
+            self.refused_ms = now_ms
+        return is_admitted
+
+    def _decay(self, now_ms: int) -> None:
+        if now_ms - self._decayed_ms < self._decay_period_ms:
+            return
+        self._decayed_ms = now_ms
+        self._served *= DECAY_FACTOR
+        for demand in self._ranks.values():
+            demand.decay(DECAY_FACTOR)
 
-    def yields_to_others(
+    def _yields_to_others(
         self, request: PlacementRequest, first_token_ms: float, now_ms: int
     ) -> bool:
         """Return whether a prompt that would wait leaves its place to others."""
         return self._is_outranked(request, first_token_ms, now_ms) or (
-            first_token_ms > request.objective_ms and self._is_over_share(request)
+            first_token_ms > request.objective_ms
+            and self._ranks[request.rank].is_over_share(request)
         )
 
-    def refuse(self, request: PlacementRequest, now_ms: int) -> None:
-        """Count a prompt that is refused, whose caller may return."""
-        self.refused_ms = now_ms
-        demand = self._ranks[request.rank]
-        returns_ms = now_ms + MAX_WAIT_PART * request.time_left_ms
-        demand.awaited_until_ms = max(demand.awaited_until_ms, returns_ms)
-
     def _is_outranked(
         self, request: PlacementRequest, first_token_ms: float, now_ms: int
     ) -> bool:
@@ -138,12 +165,6 @@
             if rank < request.rank
         )
 
-    def _is_over_share(self, request: PlacementRequest) -> bool:
-        demand = self._ranks[request.rank]
-        if demand.accounts.is_over(request.client):
-            return True
-        return demand.prefixes_of(request.client).is_over(_prefix(request))
-
     def interval_ms(self, now_ms: int) -> float:
         """Return the mean time between two admitted prompts."""
         counted_ms = self._decay_period_ms + now_ms - self._decayed_ms
@@ -151,10 +172,15 @@
 
 
 class Contention:
-    """Decides for the leader which prompts are admitted under contention.
+    """Decides which requests are admitted under contention.
 
-    A new leader begins without contention; it learns of it with the first prompt that
-    cannot be answered in time.
+    The leader decides for the prompts that it places, each router for the requests
+    whose endpoint it chooses without the leader, among the accounts that it sees. A new
+    leader begins without contention; it learns of it with the first prompt that cannot
+    be answered in time.
+
+    A request that was sent before is not refused for the sake of others, since work on
+    it would be lost.
     """
 
     def __init__(self) -> None:
@@ -165,32 +191,37 @@
         return service in self._services
 
     def check(
-        self, request: PlacementRequest, first_token_ms: float, now_ms: int
+        self,
+        request: PlacementRequest,
+        first_token_ms: float,
+        now_ms: int,
+        longest_ms: float | None = None,
+        interval_ms: float | None = None,
     ) -> Placement | None:
-        """Return the refusal of a prompt, None if it is admitted.
+        """Return the refusal of a request, None if it is admitted.
 
         Args:
-            request: Prompt to place.
-            first_token_ms: Estimated time to its first token.
+            request: Request to place.
+            first_token_ms: Estimated time to its first token, or until it begins.
             now_ms: Monotonic time.
+            longest_ms: Longest such time with which it can be served, None if it
+                follows from its objective and time limit.
+            interval_ms: Time in which one more request can be served, None if it
+                follows from those that were admitted.
         """
-        longest_ms = longest_wait_ms(request)
+        if longest_ms is None:
+            longest_ms = longest_wait_ms(request)
         is_hopeless = first_token_ms > longest_ms
         service = self._find(request.service, is_hopeless, now_ms)
         if service is None:
             return None
-        service.ask(request, now_ms)
-        if not is_hopeless and not service.yields_to_others(
-            request, first_token_ms, now_ms
-        ):
-            service.serve(request)
+        if service.admit(request, first_token_ms, is_hopeless, now_ms):
             return None
-        service.refuse(request, now_ms)
         awaited_ms = longest_ms if is_hopeless else request.objective_ms
         return_ms = service.returns.next_ms(
             request.rank,
             max(0.0, first_token_ms - awaited_ms),
-            service.interval_ms(now_ms),
+            interval_ms or service.interval_ms(now_ms),
             request.time_left_ms,
             now_ms,
         )
--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -21,6 +21,7 @@
         account: Client account with an allotment, empty if there is none.
         amount: What the request counts against it, 0 if it was counted before.
         client: Client account of the request, empty if the routes have none.
+        is_retry: Whether the request was sent to an engine before.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     account: str = ""
     amount: int = 0
     client: str = ""
+    is_retry: bool = False
 
 
 class AllotmentRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardtrack/routing/queuewait.py
+++ b/mustardtrack/routing/queuewait.py
@@ -25,7 +25,7 @@
         in_time: Endpoints with a place in their queue from which the request begins
             early enough to end within its time limit.
         first_begin_ms: Shortest time until an endpoint would begin the request.
-        room_ms: Time until an endpoint could begin another such request in time.
+        room_ms: Time until an endpoint could serve it in time, 0 if one can.
         place_ms: Mean time in which one endpoint serves one request, 0 if not known.
     """
 
@@ -43,8 +43,10 @@
     is_full: bool = False
 
     def room_ms(self, time_left_ms: float) -> float:
-        """Return the time until the request could be served in time."""
-        return max(0.0, self.end_ms - time_left_ms, self.full_for_ms)
+        """Return the time until the request could be served in time, 0 if it can."""
+        if self.is_full:
+            return max(1.0, self.end_ms - time_left_ms, self.full_for_ms)
+        return max(0.0, self.end_ms - time_left_ms) if self.begin_ms else 0.0
 
 
 def estimate_waits(
@@ -65,7 +67,7 @@
     in_time = [
         state
         for state, wait in zip(endpoints, waits, strict=True)
-        if not wait.is_full and (not wait.begin_ms or wait.end_ms <= time_left_ms)
+        if not wait.room_ms(time_left_ms)
     ]
     first_begin_ms = min(wait.begin_ms for wait in waits)
     room_ms = min(wait.room_ms(time_left_ms) for wait in waits)
