--- a/mustardtrack/routing/tests/test_contention.py
+++ b/mustardtrack/routing/tests/test_contention.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -147,3 +148,15 @@
     level = fair_level(demands, capacity)
     used = sum(min(demand, level) for demand in demands)
     assert abs(used - min(capacity, sum(demands))) <= 1e-6 * capacity
+
+
+def test_request_that_was_sent_before_is_not_refused_for_others():
+    """Guards against retries and resumed streams that lose the work done on them."""
+    queue = Queue(100)
+    queue.run([(prompt("large"), 225), (prompt("small"), 10)])
+    late_ms = 1 + LIMITS[0][0]
+    assert queue.contention.check(prompt("large"), late_ms, 20_000) is not None
+    retried = msgspec.structs.replace(prompt("large"), is_retry=True)
+    assert queue.contention.check(retried, late_ms, 20_000) is None
+    hopeless_ms = 1 + longest_wait_ms(retried)
+    assert queue.contention.check(retried, hopeless_ms, 20_000) is not None
