--- a/mustardtrack/routing/placementmessages.py
+++ b/mustardtrack/routing/placementmessages.py
@@ -23,6 +23,7 @@
         count_id: Id under which it is counted once, empty if it is not counted.
         client: Client account of the request, empty if the routes have none.
         may_probe: Whether this is a first attempt of a request that may be repeated.
+        is_retry: Whether the request was sent to an engine before.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     count_id: str = ""
     client: str = ""
     may_probe: bool = False
+    is_retry: bool = False
 
 
 class AllotmentRequest(msgspec.Struct, frozen=True, array_like=True):
