--- a/mustardtrack/routing/enginespeeds.py
+++ b/mustardtrack/routing/enginespeeds.py
@@ -250,10 +250,14 @@
 
     def step_factor(self, service: str, engine: str, now_ms: int) -> float:
         """Return the lasting time of a step, as a multiple of that of the service."""
+        return math.exp(self.step_deviation(service, engine, now_ms))
+
+    def step_deviation(self, service: str, engine: str, now_ms: int) -> float:
+        """Return the logarithm of the lasting time of a step as such a multiple."""
         if not self.is_uneven(service, now_ms):
-            return 1.0
+            return 0.0
         steps = self._services[service].engines.get(engine)
-        return math.exp(steps.value(now_ms)) if steps is not None else 1.0
+        return steps.value(now_ms) if steps is not None else 0.0
 
     def token_ms(self, service: str, engine: str, now_ms: int) -> float:
         """Return the expected time of an output token at an engine."""
@@ -291,7 +295,7 @@
         longer continues at the usual speed. Negative if the engine is faster.
         """
         load = self._loads.get(engine)
-        if load is None:
+        if load is None or load.slowdown == 1.0:
             return 0.0
         return delay_by_slowdown_ms(load.slowdown, now_ms - load.observed_ms, work_ms)
 
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -187,10 +187,15 @@
         if not self.unknown_requests:
             return 0.0
         age = (now_ms - self.reported_ms) / QUEUE_LIFETIME_MS
-        return self.unknown_requests * min(1.0, max(0.0, 1.0 - age))
+        if age >= 1.0:
+            self.unknown_requests = 0
+            return 0.0
+        return self.unknown_requests * (1.0 - max(0.0, age))
 
     def outstanding(self, now_ms: int) -> float:
         """Return the estimated number of requests on the engine."""
+        if not self.unknown_requests:
+            return len(self.placed)
         return max(0.0, len(self.placed) + self._unknown_requests(now_ms))
 
     def unknown_tokens(self, now_ms: int) -> float:
--- a/mustardtrack/routing/firsttoken.py
+++ b/mustardtrack/routing/firsttoken.py
@@ -17,7 +17,7 @@
 DEMOTED_WAIT_FACTOR = 2.0
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class PrefillPlan:
     """What an engine would have to do for a prompt.
 
@@ -28,6 +28,8 @@
         urgency: Urgency that is sent to the engine.
         is_demoted: Whether that urgency is lower than the one of its class.
         slots: Batch slots of the engine, 0 if not known.
+        outstanding: Estimated requests on the engine.
+        base_ms: Time to first token at an idle engine, without prefill.
     """
 
     uncached_tokens: int
@@ -36,18 +38,18 @@
     urgency: int
     is_demoted: bool
     slots: int
+    outstanding: float
+    base_ms: float
 
 
 def estimate_first_token_ms(
     engine: EngineState, speeds: EngineSpeeds, plan: PrefillPlan, now_ms: int
 ) -> float:
     """Return the expected time from the placement of a prompt to its first token."""
-    service, name = engine.listed.service, engine.listed.id
-    expected_ms = speeds.base_ms(service, now_ms)
-    expected_ms += plan.uncached_tokens / plan.tokens_per_ms
+    expected_ms = plan.base_ms + plan.uncached_tokens / plan.tokens_per_ms
     expected_ms += _wait_ms(engine, speeds, plan, now_ms)
-    outstanding = engine.outstanding(now_ms)
-    expected_ms += plan.transfer_ms + RUNNING_REQUEST_MS * outstanding
+    expected_ms += plan.transfer_ms + RUNNING_REQUEST_MS * plan.outstanding
+    name = engine.listed.id
     return expected_ms + speeds.slowdown_delay_ms(name, expected_ms, now_ms)
 
 
@@ -57,7 +59,8 @@
     """Return the estimated time until an engine begins to prefill a prompt."""
     wait_ms = engine.prefill_tokens_ahead(plan.urgency) / plan.tokens_per_ms
     wait_ms = max(0.0, wait_ms - engine.unreported_work_ms(now_ms))
-    wait_ms += slot_wait_ms(engine, speeds, plan.slots, plan.tokens_per_ms, now_ms)
+    if plan.outstanding + 1 > plan.slots:
+        wait_ms += slot_wait_ms(engine, speeds, plan.slots, plan.tokens_per_ms, now_ms)
     return wait_ms * DEMOTED_WAIT_FACTOR if plan.is_demoted else wait_ms
 
 
@@ -82,11 +85,11 @@
     return excess * hold_ms / slots
 
 
-def batch_penalty_ms(engine: EngineState, slots: int, now_ms: int) -> float:
+def batch_penalty_ms(outstanding: float, slots: int) -> float:
     """Return the delay charged for the occupied slots of a batch."""
     if not slots:
         return 0.0
-    return FULL_BATCH_PENALTY_MS * (engine.outstanding(now_ms) / slots) ** 2
+    return FULL_BATCH_PENALTY_MS * (outstanding / slots) ** 2
 
 
 def wind_down_cost_ms(
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -199,6 +199,7 @@
         usable = self._find_usable(context)
         if not usable:
             return Placement(is_authoritative=self._has_engines(request.service))
+        context.base_ms = self.speeds.base_ms(request.service, now_ms)
         context.is_uneven = self.speeds.is_uneven(request.service, now_ms)
         if context.is_uneven:
             context.avoids_winding_down = any(
@@ -358,9 +359,8 @@
     def _tokens_per_ms(self, engine: EngineState, now_ms: int) -> float:
         """Return the prefill rate with which an engine is planned."""
         listed = engine.listed
-        factor = self.speeds.step_factor(listed.service, listed.id, now_ms)
-        rates = self.rates
-        learned = rates.tokens_per_ms(listed.service, listed.id, now_ms, 1 / factor)
+        lasting = -self.speeds.step_deviation(listed.service, listed.id, now_ms)
+        learned = self.rates.tokens_per_ms(listed.service, listed.id, now_ms, lasting)
         return PLANNED_RATE_FRACTION * learned
 
     def _find_usable(self, context: "_PlacementContext") -> list[EngineState]:
@@ -434,6 +434,8 @@
             urgency,
             urgency > context.urgency,
             context.slots,
+            engine.outstanding(context.now_ms),
+            context.base_ms,
         )
         first_token_ms = estimate_first_token_ms(
             engine, self.speeds, plan, context.now_ms
@@ -467,7 +469,7 @@
             cost_ms += AFFINITY_PENALTY_MS
         if context.preferred and engine.listed.id not in context.preferred:
             cost_ms += NEW_CONNECTION_PENALTY_MS
-        cost_ms += batch_penalty_ms(engine, context.slots, context.now_ms)
+        cost_ms += batch_penalty_ms(plan.outstanding, context.slots)
         memory_ms = memory_cost_ms(
             engine,
             context.service.engine,
@@ -666,6 +668,7 @@
         self.urgency = engine_urgency(request.rank, request.objective_ms)
         is_relaxed = _is_relaxed(request.objective_ms)
         self.wait_weight = RELAXED_WAIT_WEIGHT if is_relaxed else 1.0
+        self.base_ms = 0.0
         self.is_uneven = False
         self.lacks_memory = False
         self.avoids_winding_down = False
--- a/mustardtrack/routing/prefillrates.py
+++ b/mustardtrack/routing/prefillrates.py
@@ -106,7 +106,7 @@
         self._services: dict[str, _ServiceRate] = {}
 
     def tokens_per_ms(
-        self, service: str, engine: str, now_ms: int, lasting_speed: float = 1.0
+        self, service: str, engine: str, now_ms: int, lasting: float = 0.0
     ) -> float:
         """Return the expected prefill rate of an engine beside its other work.
 
@@ -114,13 +114,12 @@
             service: Service of the engine.
             engine: Name of the engine.
             now_ms: Monotonic time.
-            lasting_speed: Speed of the engine as a multiple of that of its service,
-                which counts in place of samples as they age.
+            lasting: Lasting speed of the engine as a multiple of that of its service,
+                as a logarithm. It counts in place of samples as they age.
         """
-        lasting = math.log(lasting_speed)
         known = self._services.get(service)
         if known is None:
-            return PRIOR_TOKENS_PER_MS * lasting_speed
+            return PRIOR_TOKENS_PER_MS * math.exp(lasting)
         deviation = known.engines.get(engine)
         log_factor = lasting
         if deviation is not None:
