Let contention and engine speeds take effect only where they are asked for

Change: ranks and fair shares, and admission by reported queues on routers, apply where accounts have allotments (queues also where endpoints report how long work takes). Speeds of engines count only where engines report the figure; the comparison of learned steps is gone.

--- a/mustardtrack/configuration/routes.py
+++ b/mustardtrack/configuration/routes.py
@@ -164,6 +164,11 @@
     cache_generation: int = 0
     allotments: Mapping[str, Allotment] = field(default_factory=dict)
 
+    @property
+    def shares_capacity(self) -> bool:
+        """Whether accounts share the endpoints fairly, as they have allotments."""
+        return bool(self.allotments)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix.
 
--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -176,8 +176,9 @@
             # Endpoints may have announced that they leave while the leader answered.
             usable, _ = self._find_usable(admitted)
             for state in usable:
-                if state.id == placement.endpoint and not is_queue_full(
-                    state, admitted.rank, self._clock.now_ms()
+                if state.id == placement.endpoint and not (
+                    self._uses_queues(admitted, [state])
+                    and is_queue_full(state, admitted.rank, self._clock.now_ms())
                 ):
                     return state, placement
             if all(state.id != placement.endpoint for state in usable):
@@ -194,6 +195,9 @@
         """Return the endpoints that begin a request in time, or a refusal."""
         service, now_ms = admitted.service.name, self._clock.now_ms()
         untried = [state for state in endpoints if state.id not in tried]
+        if not self._uses_queues(admitted, untried):
+            return endpoints, None
+        self._contention.enable(admitted.table.shares_capacity)
         waits = estimate_waits(
             untried, admitted.rank, admitted.deadline_ms - now_ms, now_ms
         )
@@ -210,6 +214,17 @@
         )
         return (() if refusal else waits.in_time), refusal
 
+    def _uses_queues(
+        self, admitted: AdmittedRequest, endpoints: Sequence[EndpointState]
+    ) -> bool:
+        """Return whether reported queues decide on the admission of a request.
+
+        They do where accounts share the capacity, or endpoints report how long work
+        takes.
+        """
+        has_speeds = any(state.slowdown is not None for state in endpoints)
+        return admitted.table.shares_capacity or has_speeds
+
     def _within_pace(
         self,
         endpoints: list[EndpointState],
--- a/mustardtrack/routing/contention.py
+++ b/mustardtrack/routing/contention.py
@@ -181,11 +181,22 @@
 
     A request that was sent before is not refused for the sake of others, since work on
     it would be lost.
+
+    Attributes:
+        is_enabled: Whether ranks and shares apply. Otherwise only what cannot be served
+            in time is refused.
     """
 
     def __init__(self) -> None:
+        self.is_enabled = True
         self._services: dict[str, _ContendedService] = {}
 
+    def enable(self, is_enabled: bool) -> None:
+        """Turn ranks and shares on, or off with all that was counted."""
+        if not is_enabled:
+            self._services.clear()
+        self.is_enabled = is_enabled
+
     def is_contended(self, service: str) -> bool:
         """Return whether the engines of a service cannot serve all prompts."""
         return service in self._services
@@ -212,6 +223,8 @@
         if longest_ms is None:
             longest_ms = longest_wait_ms(request)
         is_hopeless = first_token_ms > longest_ms
+        if not self.is_enabled:
+            return _refuse(first_token_ms, None) if is_hopeless else None
         service = self._find(request.service, is_hopeless, now_ms)
         if service is None:
             return None
@@ -225,12 +238,7 @@
             request.time_left_ms,
             now_ms,
         )
-        return Placement(
-            expected_ms=round(first_token_ms),
-            exceeds_caller_timeout=True,
-            is_authoritative=True,
-            return_ms=return_ms,
-        )
+        return _refuse(first_token_ms, return_ms)
 
     def _find(
         self, name: str, is_hopeless: bool, now_ms: int
@@ -247,6 +255,15 @@
         return service
 
 
+def _refuse(first_token_ms: float, return_ms: int | None) -> Placement:
+    return Placement(
+        expected_ms=round(first_token_ms),
+        exceeds_caller_timeout=True,
+        is_authoritative=True,
+        return_ms=return_ms,
+    )
+
+
 def _amount(request: PlacementRequest) -> int:
     return max(1, request.tokens + request.output_tokens)
 
--- a/mustardtrack/routing/enginespeeds.py
+++ b/mustardtrack/routing/enginespeeds.py
@@ -4,8 +4,8 @@
 each is several times slower for about half a second at times. With one speed for all,
 slow engines get queues that make prompts late while fast ones are idle.
 
-The estimates take effect for services whose engines report how long work takes, or
-whose engines differ. For all others the stated priors hold.
+The estimates take effect for services whose engines report how long work takes. For all
+others the stated priors hold: steps of equal engines differ by chance, too.
 """
 
 import math
@@ -17,9 +17,7 @@
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.routing.answertimes import AnswerTimes
 
-SPEEDS_DIFFER = define_event(
-    8833, "INFO", "engines of a service report their speed, or differ"
-)
+SPEED_REPORTED = define_event(8833, "INFO", "engines of a service report their speed")
 
 # Time to first token at an idle engine, without prefill, until it is learned.
 BASE_FIRST_TOKEN_MS = 40.0
@@ -44,15 +42,6 @@
 # Half-life of the deviation of an engine that gives no answers. The speed of an engine
 # is a property of its hardware and outlasts pauses of some seconds.
 DEVIATION_HALF_LIFE_MS = 60_000.0
-# Answers after which the deviation of an engine counts for the question whether the
-# engines of a service differ, and the ratio from which they do.
-MIN_ANSWERS = 100
-UNEVEN_RATIO = 1.5
-# Answers of a service between two comparisons, which sort its engines.
-COMPARISON_ANSWERS = 64
-# Engines at either end that are left out of that comparison, since one engine that is
-# slow because of a fault does not make a service uneven.
-OUTLIERS = 1
 # Time within which a momentary speed changes. A report has no weight after it.
 SLOWDOWN_LIFETIME_MS = 500
 # Time since the last report for which a service counts as one that reports its speed.
@@ -104,7 +93,6 @@
     engines: dict[str, _EngineSteps] = field(default_factory=dict)
     base_ms: float = BASE_FIRST_TOKEN_MS
     answers: int = 0
-    differ: bool = False
     reported_ms: int | None = None
 
 
@@ -175,7 +163,7 @@
         outstanding = max(0, report.running) + max(0, report.waiting)
         load = self._loads[engine] = KnownLoad(outstanding, slowdown, observed_ms)
         if self._of(service).reported_ms is None:
-            log_event(SPEEDS_DIFFER, service=service, engine=engine, is_reported=True)
+            log_event(SPEED_REPORTED, service=service, engine=engine)
         self._of(service).reported_ms = now_ms
         return load
 
@@ -206,10 +194,6 @@
         steps.log_factor = min(MAX_DEVIATION, max(-MAX_DEVIATION, log_factor))
         steps.count += 1
         steps.updated_ms = now_ms
-        if known.answers % COMPARISON_ANSWERS == 0:
-            differed, known.differ = known.differ, _differ(known.engines)
-            if known.differ and not differed:
-                log_event(SPEEDS_DIFFER, service=service, is_reported=False)
 
     def record_first_token(
         self, service: str, engine: str, prefill_ms: float, elapsed_ms: int, now_ms: int
@@ -232,15 +216,16 @@
         known.base_ms = min(MAX_BASE_MS, max(MIN_BASE_MS, base_ms))
 
     def is_uneven(self, service: str, now_ms: int) -> bool:
-        """Return whether engines of a service report their speed, or differ."""
+        """Return whether engines of a service report their speed.
+
+        Steps of equal engines differ by chance as well, so that what was learned alone
+        does not change the choices of a deployment that reports no speeds.
+        """
         known = self._services.get(service)
         if known is None:
             return False
         reported_ms = known.reported_ms
-        is_reporting = (
-            reported_ms is not None and now_ms - reported_ms < REPORTING_LIFETIME_MS
-        )
-        return is_reporting or known.differ
+        return reported_ms is not None and now_ms - reported_ms < REPORTING_LIFETIME_MS
 
     def base_ms(self, service: str, now_ms: int) -> float:
         """Return the time to first token at an idle engine, without prefill."""
@@ -250,10 +235,14 @@
 
     def step_factor(self, service: str, engine: str, now_ms: int) -> float:
         """Return the lasting time of a step, as a multiple of that of the service."""
+        return math.exp(self.step_deviation(service, engine, now_ms))
+
+    def step_deviation(self, service: str, engine: str, now_ms: int) -> float:
+        """Return the logarithm of the lasting time of a step as such a multiple."""
         if not self.is_uneven(service, now_ms):
-            return 1.0
+            return 0.0
         steps = self._services[service].engines.get(engine)
-        return math.exp(steps.value(now_ms)) if steps is not None else 1.0
+        return steps.value(now_ms) if steps is not None else 0.0
 
     def token_ms(self, service: str, engine: str, now_ms: int) -> float:
         """Return the expected time of an output token at an engine."""
@@ -291,7 +280,7 @@
         longer continues at the usual speed. Negative if the engine is faster.
         """
         load = self._loads.get(engine)
-        if load is None:
+        if load is None or load.slowdown == 1.0:
             return 0.0
         return delay_by_slowdown_ms(load.slowdown, now_ms - load.observed_ms, work_ms)
 
@@ -351,11 +340,3 @@
     left_ms = max(0, SLOWDOWN_LIFETIME_MS - max(0, age_ms))
     done_ms = min(work_ms, left_ms / slowdown)
     return (slowdown - 1) * done_ms
-
-
-def _differ(engines: Mapping[str, _EngineSteps]) -> bool:
-    factors = sorted(
-        steps.log_factor for steps in engines.values() if steps.count >= MIN_ANSWERS
-    )
-    compared = factors[OUTLIERS : len(factors) - OUTLIERS]
-    return len(compared) > 1 and compared[-1] - compared[0] >= math.log(UNEVEN_RATIO)
--- a/mustardtrack/routing/enginestate.py
+++ b/mustardtrack/routing/enginestate.py
@@ -191,7 +191,10 @@
         if not self.unknown_requests:
             return 0.0
         age = (now_ms - self.reported_ms) / QUEUE_LIFETIME_MS
-        return self.unknown_requests * min(1.0, max(0.0, 1.0 - age))
+        if age >= 1.0:
+            self.unknown_requests = 0
+            return 0.0
+        return self.unknown_requests * (1.0 - max(0.0, age))
 
     def outstanding(self, now_ms: int) -> float:
         """Return the estimated number of requests on the engine."""
--- a/mustardtrack/routing/placements.py
+++ b/mustardtrack/routing/placements.py
@@ -201,6 +201,7 @@
         usable = self._find_usable(context)
         if not usable:
             return Placement(is_authoritative=self._has_engines(request.service))
+        context.base_ms = self.speeds.base_ms(request.service, now_ms)
         context.is_uneven = self.speeds.is_uneven(request.service, now_ms)
         if context.is_uneven:
             context.avoids_winding_down = any(
@@ -363,9 +364,8 @@
         if now_ms < engine.planned_rate_until_ms:
             return engine.planned_rate
         listed = engine.listed
-        factor = self.speeds.step_factor(listed.service, listed.id, now_ms)
-        rates = self.rates
-        learned = rates.tokens_per_ms(listed.service, listed.id, now_ms, 1 / factor)
+        lasting = -self.speeds.step_deviation(listed.service, listed.id, now_ms)
+        learned = self.rates.tokens_per_ms(listed.service, listed.id, now_ms, lasting)
         engine.planned_rate = PLANNED_RATE_FRACTION * learned
         engine.planned_rate_until_ms = now_ms + PLANNED_RATE_LIFETIME_MS
         return engine.planned_rate
@@ -438,6 +438,9 @@
             urgency,
             urgency > context.urgency,
             context.slots,
+            engine.outstanding(context.now_ms),
+            context.base_ms,
+            self.contention.is_enabled,
         )
         first_token_ms = estimate_first_token_ms(
             engine, self.speeds, plan, context.now_ms
@@ -471,7 +474,7 @@
             cost_ms += AFFINITY_PENALTY_MS
         if context.preferred and engine.listed.id not in context.preferred:
             cost_ms += NEW_CONNECTION_PENALTY_MS
-        cost_ms += batch_penalty_ms(engine, context.slots, context.now_ms)
+        cost_ms += batch_penalty_ms(plan.outstanding, context.slots)
         memory_ms = memory_cost_ms(
             engine,
             context.service.engine,
@@ -671,6 +674,7 @@
         self.urgency = engine_urgency(request.rank, request.objective_ms)
         is_relaxed = _is_relaxed(request.objective_ms)
         self.wait_weight = RELAXED_WAIT_WEIGHT if is_relaxed else 1.0
+        self.base_ms = 0.0
         self.is_uneven = False
         self.lacks_memory = False
         self.avoids_winding_down = False
