--- a/mustardtrack/routing/versionpace.py
+++ b/mustardtrack/routing/versionpace.py
@@ -1,4 +1,4 @@
-"""Decision whether the load of a weights version is still worth its time.
+"""Decision whether an engine loads a weights version or waits for the next one.
 
 Load pattern: a new version is named every few seconds, and a load takes more than half
 of that time. An engine that begins to load late in the life of a version is out of
