Leave ranks and fair shares off unless the settings ask for them

Cause, as far as seen: prompts above the share of their account are refused as soon as their estimate is late, also where the engines would have served them.

Change: bounds.fair_admission, off by default, turns them on. Admission by reported queues stays where accounts have allotments or endpoints report speeds. 731 tests of endpoint choice, forwarder, placements, settings, routing and documents pass.

--- a/mustardtrack/process/endpoint_choice.py
+++ b/mustardtrack/process/endpoint_choice.py
@@ -197,7 +197,7 @@
         untried = [state for state in endpoints if state.id not in tried]
         if not self._uses_queues(admitted, untried):
             return endpoints, None
-        self._contention.enable(admitted.table.shares_capacity)
+        self._contention.enable(self._settings.bounds.fair_admission)
         waits = estimate_waits(
             untried, admitted.rank, admitted.deadline_ms - now_ms, now_ms
         )
--- a/mustardtrack/process/placement_service.py
+++ b/mustardtrack/process/placement_service.py
@@ -66,7 +66,7 @@
         if wait_ms:
             refusal = Placement(is_authoritative=True, allotment_wait_ms=wait_ms)
             return msgspec.msgpack.encode(refusal)
-        control.placements.contention.enable(table.shares_capacity)
+        control.placements.contention.enable(self._bounds.fair_admission)
         placement = control.placements.place(
             request,
             service,
--- a/mustardtrack/process/tests/test_endpoint_choice.py
+++ b/mustardtrack/process/tests/test_endpoint_choice.py
@@ -17,6 +17,7 @@
 from mustardtrack.process.endpoint_choice import EndpointChooser
 from mustardtrack.routing.endpointstate import EndpointTable
 from mustardtrack.routing.paceshares import PaceShares
+from mustardtrack.settings.seeded import Bounds
 
 SLOTS = 6
 WORK_MS = 60
@@ -46,7 +47,7 @@
             pace=PaceShares(False),
         )
         self.chooser = EndpointChooser(
-            SimpleNamespace(zone="a", name="r"),
+            SimpleNamespace(zone="a", name="r", bounds=Bounds(fair_admission=True)),
             SimpleNamespace(view=view),
             SimpleNamespace(open_count=lambda address: 0, has_idle=lambda name: True),
             SimpleNamespace(now_ms=lambda: self.now_ms),
--- a/mustardtrack/settings/seeded.py
+++ b/mustardtrack/settings/seeded.py
@@ -73,6 +73,8 @@
             the unit of the allotments.
         adaptive_start: Whether endpoints that joined, were silent or failed get as
             much work as their answers allow, in place of fixed backoffs.
+        fair_admission: Whether ranks and fair shares of accounts decide who is admitted
+            while demand exceeds the capacity.
     """
 
     grace_s: Seconds = 8.0
@@ -85,6 +87,7 @@
     allotment_overshoot: Annotated[float, msgspec.Meta(ge=0)] | None = None
     allotment_slack: Annotated[float, msgspec.Meta(ge=0)] | None = None
     adaptive_start: bool = False
+    fair_admission: bool = False
 
 
 class HostLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
