Admit large requests of an account at its limit like small ones

Cause: a request was admitted when the level of its account was at least its size. Short prompts of an account at its limit keep the level below what a long one needs, so that hardly any long one was admitted.

Change: with allotments in tokens, the level that is needed is a quarter of the margin for all requests up to that size. The bound stays: the same part of the margin made the bucket larger than the burst.

Test: test_large_requests_are_served_like_small_ones_at_the_limit; before, .275 of the large and all of the small requests were served. 45 tests of allotments pass.

--- a/mustardtrack/admission/allotments.py
+++ b/mustardtrack/admission/allotments.py
@@ -374,7 +374,8 @@
             return 0
         self._fill(bucket, now_ms)
         excess = self._excess(bucket, amount, now_ms)
-        if excess <= 0 and bucket.level >= min(amount, bucket.capacity):
+        needed = self._needed_level(bucket, amount)
+        if excess <= 0 and bucket.level >= needed:
             bucket.level -= amount
             bucket.usage.add(amount, now_ms)
             return 0
@@ -386,10 +387,22 @@
         rate_per_ms = max(1e-9, self._rate_per_ms(bucket))
         if excess > 0:
             return max(1, round(min(MAX_WAIT_MS, excess / rate_per_ms)))
-        missing = min(amount, bucket.capacity) - bucket.level + bucket.promised
+        missing = needed - bucket.level + bucket.promised
         bucket.promised = min(bucket.promised + amount, rate_per_ms * MAX_WAIT_MS)
         return max(1, min(MAX_WAIT_MS, round(missing / rate_per_ms)))
 
+    def _needed_level(self, bucket: _AccountBucket, amount: float) -> float:
+        """Return the level from which a request is admitted.
+
+        It is the same for small and large requests up to the lenient part of the
+        margin. Otherwise small requests would keep the level of an account at its
+        limit below what a large one needs, so that no large one would be served.
+        """
+        reserve = 0.0
+        if bucket.allotment.counts_tokens:
+            reserve = LENIENCY * self._terms.margin(bucket.allotment)
+        return min(max(amount, reserve), bucket.capacity)
+
     def record_usage(self, account: str, amount: float, now_ms: int) -> None:
         """Count what a router admitted on its own, or give back what did not run.
 
--- a/mustardtrack/admission/tests/test_allotments.py
+++ b/mustardtrack/admission/tests/test_allotments.py
@@ -470,3 +470,29 @@
                 admitted += TOKENS * (second >= 20)
         exchange(routers, [0] * ROUTERS, second * 1000 + 990)
     assert admitted >= 0.7 * LIMIT.tokens_per_second * 20
+
+
+def test_large_requests_are_served_like_small_ones_at_the_limit():
+    """Guards against long prompts that starve beside many short ones.
+
+    An account sends twice its rate, a twentieth of its requests with 40 times the
+    tokens of the others.
+    """
+    terms = AllotmentTerms(window_s=8.0, overshoot=0.1, slack=190_000.0)
+    allotments, rng = Allotments(terms), random.Random(1)
+    allotment = Allotment(500_000.0, 500_000.0, True, 200)
+    allotments.update({"hotel": allotment}, 0)
+    served, asked, per_ms = {400: 0, 17_000: 0}, {400: 0, 17_000: 0}, 0.82
+    used = []
+    for number in range(int(20_000 * per_ms)):
+        now_ms = round(number / per_ms)
+        amount = 17_000 if rng.random() < 0.05 else 400
+        asked[amount] += 1
+        if not allotments.take("hotel", amount, now_ms):
+            served[amount] += 1
+            used.append((now_ms, amount))
+    parts = {amount: served[amount] / asked[amount] for amount in asked}
+    assert parts[17_000] > 0.8 * parts[400]
+    in_window = sum(amount for now_ms, amount in used if 10_000 <= now_ms < 18_000)
+    margin = terms.margin(allotment)
+    assert 0.9 * 4_000_000 <= in_window <= 4_500_000 + margin
