Replace the votes of ended processes at once, and let the newest hosts vote

Cause: the three old hosts kept all votes while they replied (event 1012 is absent between the start of the successor and the end), and a host that went without notice was noticed after the election timeout of 0.6 s only. After both losses one voter of three was left (event 1014: granted one, missing two, quorum 2), beside a successor that held everything and had no vote. Ruled out: a successor that has not caught up (it reports the leader from its first second on) and refused votes (1014 names only the two lost disks as missing).

Change: - The newest hosts vote. Disk identities are UUIDs of version 7, which state when a disk was formatted; identities of earlier releases count as oldest. A learner that is newer than a voter is added, and the oldest voter beside the leader goes on as a learner. The number of voters stays odd, so that an entry needs as many replies as before. - A control host whose connection to another one is lost probes its port. Only a refused connection counts as the end of the process (event 1015): the process listens from its start to its end. The leader then replaces the vote, and followers of an ended leader grant votes at once and start their elections 50 ms apart, since the lease ended with the process. A report that began before the last contact is ignored. - Learners ask for admission every heartbeat while no leader is known, and a new leader admits those that asked before its election. - A learner gets a vote only after it has replied to a message sent since it was chosen. A learner that is lost together with the voter that it would replace had become a voter otherwise, and left two of four.

--- a/mustardtrack/adapters/disk.py
+++ b/mustardtrack/adapters/disk.py
@@ -8,7 +8,8 @@
 
 import fcntl
 import os
-import uuid
+import random
+import time
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -23,6 +24,7 @@
     Snapshot,
     StoredState,
 )
+from mustardtrack.agreement.diskidentity import create_disk_identity
 from mustardtrack.agreement.entries import entries_after
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.ports import ReplicaStorage, StorageDamagedError
@@ -207,8 +209,9 @@
         if not set(existing) <= partial_format_files or self._log_size() > 0:
             raise self._damage_error("identity", "is missing, but the folder has data")
         self._write_file("log", b"")
-        identity = uuid.uuid4().hex.encode()
-        self._write_file("identity", encode_frame(0, identity))
+        wall_ms = time.time_ns() // 1_000_000
+        identity = create_disk_identity(wall_ms, random.SystemRandom())
+        self._write_file("identity", encode_frame(0, identity.encode()))
 
     def _log_size(self) -> int:
         path = self._path("log")
--- a/mustardtrack/adapters/zeromq.py
+++ b/mustardtrack/adapters/zeromq.py
@@ -12,6 +12,7 @@
 import msgspec
 import zmq
 import zmq.asyncio
+from zmq.utils.monitor import recv_monitor_message
 
 from mustardtrack.logs import define_event, log_event
 from mustardtrack.ports import Envelope
@@ -62,6 +63,7 @@
         self._peers: dict[str, _Peer] = {}
         self._request_ids = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._on_lost_connection: Callable[[str], None] | None = None
         self._decoder = msgspec.msgpack.Decoder(Envelope)
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -73,6 +75,13 @@
         """
         self._handlers[topic] = handler
 
+    def report_lost_connections(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener(address)`` whenever a connection to a peer is lost.
+
+        Call this before the first connection is opened.
+        """
+        self._on_lost_connection = listener
+
     def start(self) -> None:
         """Bind the listening socket and start receiving.
 
@@ -147,6 +156,8 @@
             peer = _Peer(self._context, address)
             self._peers[address] = peer
             self._spawn(self._receive_replies(peer))
+            if self._on_lost_connection is not None:
+                self._spawn(peer.watch_connection(self._on_lost_connection))
         return peer
 
     def _reset_connection(self, address: str, peer: "_Peer") -> None:
@@ -213,6 +224,8 @@
     """Connection to one peer and its pending requests."""
 
     def __init__(self, context: zmq.asyncio.Context, address: str):
+        self._address = address
+        self._monitor: zmq.asyncio.Socket | None = None
         self._socket = context.socket(zmq.DEALER)
         _set_socket_options(self._socket)
         # Without IMMEDIATE, messages to an absent peer are queued and arrive stale.
@@ -247,6 +260,17 @@
         except (zmq.ZMQError, asyncio.CancelledError):
             return None
 
+    async def watch_connection(self, on_lost: Callable[[str], None]) -> None:
+        """Call ``on_lost(address)`` whenever the connection is lost, until closed."""
+        self._monitor = self._socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        while not self.closed:
+            try:
+                await recv_monitor_message(self._monitor)
+            except (zmq.ZMQError, asyncio.CancelledError):
+                return
+            if not self.closed:
+                on_lost(self._address)
+
     def complete_request(self, request_id: int, body: bytes) -> None:
         self._last_reply_s = asyncio.get_running_loop().time()
         future = self._pending_replies.get(request_id)
@@ -259,6 +283,9 @@
 
     def close(self) -> None:
         self.closed = True
+        if self._monitor is not None:
+            self._socket.disable_monitor()
+            self._monitor.close(linger=0)
         self._socket.close(linger=0)
 
 
--- a/mustardtrack/agreement/core.py
+++ b/mustardtrack/agreement/core.py
@@ -101,6 +101,8 @@
         # relies on this.
         self.leader_contact_ms = now_ms
         self.election_at_ms = 0
+        # Replicas whose process has ended and that have not sent a message since.
+        self.ended: set[ReplicaId] = set()
         self.effects = Effects()
         self.restart_election_timer(now_ms)
 
@@ -137,6 +139,22 @@
         spread_ms = self.rng.randrange(max(1, timeout_ms // 2))
         self.election_at_ms = now_ms + timeout_ms + spread_ms
 
+    def lose_leader(self, now_ms: int) -> None:
+        """End the contact with a leader whose process has ended.
+
+        Its lease ended with the process, so that votes may be granted at once. The
+        voters start their elections one after another in an order that all of them
+        know, because elections at the same time split the votes.
+        """
+        leader = self.leader
+        self.set_role(FOLLOWER, None)
+        expired_ms = now_ms - self.timing.election_timeout_ms
+        self.leader_contact_ms = min(self.leader_contact_ms, expired_ms)
+        candidates = sorted(voter for voter in self.log.voters if voter != leader)
+        if self.own_id in candidates:
+            position = candidates.index(self.own_id)
+            self.election_at_ms = now_ms + position * self.timing.heartbeat_ms // 2
+
     def take_effects(self) -> Effects:
         """Return the pending effects and clear them."""
         effects, self.effects = self.effects, Effects()
--- a/mustardtrack/agreement/events.py
+++ b/mustardtrack/agreement/events.py
@@ -38,6 +38,7 @@
 JOIN_REFUSED = define_event(
     1013, "DEBUG", "ignored a join request; no voter has the name of its sender"
 )
+PROCESS_ENDED = define_event(1015, "INFO", "the process of another replica has ended")
 ELECTION_WITHOUT_MAJORITY = define_event(
     1014, "WARNING", "an election timed out without a majority of the voters"
 )
--- a/mustardtrack/agreement/leader.py
+++ b/mustardtrack/agreement/leader.py
@@ -128,7 +128,7 @@
             self._heartbeat_at_ms = now_ms + core.timing.heartbeat_ms
             core.restart_election_timer(now_ms)
             for replica in list(self.peers):
-                self._send_heartbeat(replica, now_ms)
+                self.send_heartbeat(replica, now_ms)
         return True
 
     def _paused_ms(self, since_ms: int, now_ms: int) -> int:
@@ -246,7 +246,8 @@
         if index > core.commit_index and core.log.term_at(index) == core.term:
             core.commit_to(index)
 
-    def _send_heartbeat(self, replica: ReplicaId, now_ms: int) -> None:
+    def send_heartbeat(self, replica: ReplicaId, now_ms: int) -> None:
+        """Send a message to a replica that it replies to."""
         progress = self.peers[replica]
         progress.probe_sent = False
         if progress.rolled_back or progress.transfer is not None:
--- a/mustardtrack/agreement/membership.py
+++ b/mustardtrack/agreement/membership.py
@@ -6,6 +6,7 @@
 """
 
 from mustardtrack.agreement.core import FOLLOWER, ReplicaCore
+from mustardtrack.agreement.diskidentity import read_creation_ms
 from mustardtrack.agreement.entries import ReplicaId
 from mustardtrack.agreement.events import (
     JOIN_REFUSED,
@@ -29,6 +30,7 @@
         self._core = core
         self._leader_role = leader_role
         self._leave_requests: dict[ReplicaId, int] = {}
+        self._candidate: tuple[ReplicaId, int] | None = None
 
     def on_join_request(
         self, sender: ReplicaId, message: JoinRequest, now_ms: int
@@ -83,14 +85,31 @@
             return
         self._forget_silent_learners(now_ms)
         change = choose_voter_change(self._view(now_ms))
+        if change is None or not change.is_added:
+            self._candidate = None
         if change is None:
             return
         if change.is_added:
+            if not self._has_confirmed(change.replica, now_ms):
+                return
             voters = (*core.log.voters, change.replica)
         else:
             voters = tuple(one for one in core.log.voters if one != change.replica)
         self._propose_voters(voters, now_ms)
 
+    def _has_confirmed(self, learner: ReplicaId, now_ms: int) -> bool:
+        """Return whether a learner replied since it was chosen; ask it if it is new.
+
+        A learner may be lost together with the voter that it replaces. If it became a
+        voter then, the group would lack a majority.
+        """
+        if self._candidate is None or self._candidate[0] != learner:
+            self._candidate = (learner, now_ms)
+            self._leader_role.send_heartbeat(learner, now_ms)
+            return False
+        acked_ms = self._leader_role.peers[learner].last_acked_send_ms
+        return acked_ms is not None and acked_ms >= self._candidate[1]
+
     def _view(self, now_ms: int) -> VoterView:
         voters = self._core.log.voters
         learners = self._leader_role.learners()
@@ -107,6 +126,7 @@
             is_leaving=self._is_leaving(replica, now_ms),
             is_ready=is_learner and self._is_ready(replica, now_ms),
             is_leader=replica == self._core.own_id,
+            created_ms=read_creation_ms(replica.disk),
         )
 
     def _is_ready(self, learner: ReplicaId, now_ms: int) -> bool:
@@ -135,9 +155,11 @@
         return now_ms - asked_ms < self._core.timing.election_timeout_ms
 
     def _is_reachable(self, replica: ReplicaId, now_ms: int) -> bool:
-        """Return whether a replica replied within the election timeout."""
+        """Return whether a replica runs and replied within the election timeout."""
         if replica == self._core.own_id:
             return True
+        if replica in self._core.ended:
+            return False
         progress = self._leader_role.peers[replica]
         return now_ms - progress.last_reply_ms < self._core.timing.election_timeout_ms
 
--- a/mustardtrack/agreement/replica.py
+++ b/mustardtrack/agreement/replica.py
@@ -1,5 +1,6 @@
 """Consensus protocol of one replica."""
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -15,7 +16,7 @@
     StoredState,
     encode_voters,
 )
-from mustardtrack.agreement.events import OWN_DISK_REFUSED
+from mustardtrack.agreement.events import OWN_DISK_REFUSED, PROCESS_ENDED
 from mustardtrack.agreement.follower import FollowerRole
 from mustardtrack.agreement.formation import FormationRefusedError
 from mustardtrack.agreement.leader import LeaderRole
@@ -42,6 +43,15 @@
 FIRST_TERM = 1
 
 
+@dataclass(frozen=True)
+class _ReceivedJoin:
+    """Join request that arrived while this replica was not the leader."""
+
+    sender: ReplicaId
+    message: JoinRequest
+    received_ms: int
+
+
 @dataclass(frozen=True)
 class ReplicaStatus:
     """State of a replica as known to itself.
@@ -114,6 +124,7 @@
         self._join_targets: tuple[str, ...] = ()
         self._hinted_voters: frozenset[str] = frozenset()
         self._join_at_ms = now_ms
+        self._recent_joins: dict[str, _ReceivedJoin] = {}
         self._refused = False
         self._departure = Departure()
         self._handlers: dict[type, Callable[[ReplicaId, Any, int], None]] = {
@@ -149,9 +160,35 @@
     def receive(self, sender: ReplicaId, message: Message, now_ms: int) -> Effects:
         """Handle a message from another replica."""
         if not self._refused:
+            self._core.ended.discard(sender)
             self._handlers[type(message)](sender, message, now_ms)
         return self._collect_effects()
 
+    def record_end(self, name: str, probed_ms: int, now_ms: int) -> Effects:
+        """Record that the process of another replica has ended.
+
+        A leader replaces its vote, and a follower of it takes part in an election,
+        without waiting for the election timeout.
+
+        Args:
+            name: Name of the replica.
+            probed_ms: Time at which the process was known to have ended. A replica that
+                was in contact at that time or later has been started again.
+            now_ms: Monotonic time.
+        """
+        core = self._core
+        if self._refused or name == core.own_id.name:
+            return self._collect_effects()
+        replicas = {*core.log.voters}
+        if core.leader is not None:
+            replicas.add(core.leader)
+        if self._leader_role:
+            replicas |= self._leader_role.peers.keys()
+        for replica in sorted(replicas - core.ended):
+            if replica.name == name and self._contact_ms(replica) < probed_ms:
+                self._on_end(replica, now_ms)
+        return self._collect_effects()
+
     def propose(
         self, payload: bytes, now_ms: int
     ) -> tuple[Proposed | NotLeader, Effects]:
@@ -267,6 +304,30 @@
             self._core.leader_contact_ms if contact_ms is None else contact_ms
         )
 
+    def _contact_ms(self, replica: ReplicaId) -> float:
+        """Return the time of the last contact with a replica, as far as it is known."""
+        if self._leader_role and replica in self._leader_role.peers:
+            return self._leader_role.peers[replica].last_reply_ms
+        if replica == self._core.leader:
+            return self._core.leader_contact_ms
+        return -math.inf
+
+    def _on_end(self, replica: ReplicaId, now_ms: int) -> None:
+        core = self._core
+        is_leader = replica == core.leader
+        log_event(
+            PROCESS_ENDED,
+            replica=core.own_id.name,
+            ended=replica.name,
+            was_leader=is_leader,
+        )
+        core.ended.add(replica)
+        if is_leader:
+            core.lose_leader(now_ms)
+            self._join_at_ms = now_ms
+        elif self._membership:
+            self._membership.advance(now_ms)
+
     def _tick_leader(self, now_ms: int) -> None:
         if self._leader_role and self._leader_role.tick(now_ms) and self._membership:
             self._membership.advance(now_ms)
@@ -274,6 +335,11 @@
     def _become_leader(self, now_ms: int) -> None:
         self._leader_role = LeaderRole(self._core, now_ms)
         self._membership = MembershipManager(self._core, self._leader_role)
+        recent_ms = now_ms - self._core.timing.election_timeout_ms
+        for join in self._recent_joins.values():
+            if join.received_ms >= recent_ms:
+                self._membership.on_join_request(join.sender, join.message, now_ms)
+        self._recent_joins.clear()
 
     def _collect_effects(self) -> Effects:
         if self._core.role != LEADER:
@@ -318,7 +384,7 @@
             return
         if now_ms < self._join_at_ms:
             return
-        self._join_at_ms = now_ms + core.timing.election_timeout_ms
+        self._join_at_ms = now_ms + core.timing.heartbeat_ms
         names = {*self._join_targets, *self._hinted_voters, *self._voter_names()}
         for name in sorted(names - {core.own_id.name}):
             core.send(ReplicaId(name, ""), JoinRequest(core.log.last_index))
@@ -364,7 +430,9 @@
     ) -> None:
         if self._membership:
             self._membership.on_join_request(sender, message, now_ms)
-        elif not self._core.is_empty:
+            return
+        self._recent_joins[sender.name] = _ReceivedJoin(sender, message, now_ms)
+        if not self._core.is_empty:
             self._core.send(sender, JoinHint(self._voter_names()))
 
     def _on_join_hint(self, sender: ReplicaId, message: JoinHint, now_ms: int) -> None:
--- a/mustardtrack/agreement/tests/test_voterchange.py
+++ b/mustardtrack/agreement/tests/test_voterchange.py
@@ -1,5 +1,7 @@
 """Tests the choice of voter changes from what the leader knows, without a group."""
 
+from dataclasses import replace
+
 import pytest
 
 from mustardtrack.agreement.entries import ReplicaId
@@ -86,3 +88,54 @@
     voters = [Member(ReplicaId("a", "a.1"), is_leader=True), Member(old), Member(new)]
     change = choose_voter_change(VoterView(voters, make_members("d* e*"), 3))
     assert change == VoterChange(old, is_added=False)
+
+
+@pytest.mark.parametrize(
+    ("created_ms", "learners", "expected"),
+    [
+        # A newer learner votes, then the oldest voter beside the leader goes.
+        ({"d": 9}, "d*", "+d"),
+        ({"a": 1, "b": 2, "c": 3, "d": 4}, "d*", "+d"),
+        # Nobody votes in place of a newer voter, nor of the leader.
+        ({"a": 1, "b": 3, "c": 3, "d": 2}, "d*", ""),
+        ({"a": 3, "b": 3, "c": 3, "d": 3}, "d*", ""),
+        # It has not caught up.
+        ({"d": 9}, "d", ""),
+        # The newest of several.
+        ({"d": 8, "e": 9}, "d* e*", "+e"),
+    ],
+)
+def test_newest_hosts_vote(created_ms, learners, expected):
+    """Guards against a successor that has no vote when its predecessor goes."""
+
+    def with_times(text):
+        return [
+            replace(member, created_ms=created_ms.get(member.replica.name, 0))
+            for member in make_members(text)
+        ]
+
+    view = VoterView(with_times("a+ b c"), with_times(learners), 3)
+    change = choose_voter_change(view)
+    assert ("" if change is None else f"+{change.replica.name}") == expected
+
+
+@pytest.mark.parametrize(
+    ("created_ms", "removed"),
+    [
+        ({"a": 1, "b": 2, "c": 3, "d": 4}, "b"),
+        ({"a": 9, "b": 5, "c": 3, "d": 7}, "c"),
+    ],
+)
+def test_oldest_voter_beside_the_leader_gives_up_its_vote(created_ms, removed):
+    """Guards against a vote that moves back to the host that is replaced."""
+    voters = [
+        replace(member, created_ms=created_ms[member.replica.name])
+        for member in make_members("a+ b c d")
+    ]
+    change = choose_voter_change(VoterView(voters, [], 3))
+    assert change == VoterChange(ReplicaId(removed, f"{removed}.1"), is_added=False)
+
+
+def test_single_leader_keeps_its_vote():
+    """Guards against a group of one that has no follower to replace."""
+    assert choose("a+", "b*", target=1) == ""
--- a/mustardtrack/agreement/voterchange.py
+++ b/mustardtrack/agreement/voterchange.py
@@ -4,6 +4,10 @@
 ``target_voters``: a host that is replaced, with or without notice, and a lost one can
 then be gone at the same time. Its size stays odd, because an even set tolerates no
 more losses than a set with one voter less and needs one more reply for each entry.
+
+The newest hosts vote: a host that is replaced is older than its successor, and the page
+of the deployment counts it no longer once the successor has caught up. Hosts that have
+no vote are therefore the oldest ones.
 """
 
 from collections.abc import Callable, Sequence
@@ -22,6 +26,7 @@
         is_ready: Whether it is a learner that holds every committed entry and may
             vote; False for voters.
         is_leader: Whether it is the leader itself.
+        created_ms: Time of day at which its disk was formatted, 0 if unknown.
     """
 
     replica: ReplicaId
@@ -29,6 +34,7 @@
     is_leaving: bool = False
     is_ready: bool = False
     is_leader: bool = False
+    created_ms: int = 0
 
     @property
     def is_staying(self) -> bool:
@@ -138,11 +144,21 @@
     return _add_first(view, lambda learner: True) if ready >= missing else None
 
 
+def _add_newer(view: VoterView) -> VoterChange | None:
+    """Add a learner that is newer than a voter, which gives up its vote next."""
+    size = len(view.voters)
+    if not 0 < view.target <= size or size % 2 == 0:
+        return None
+    if size == 1 or not all(voter.is_staying for voter in view.voters):
+        return None
+    oldest_ms = _oldest_follower(view).created_ms
+    return _add_first(view, lambda learner: learner.created_ms > oldest_ms)
+
+
 def _shrink(view: VoterView) -> VoterChange | None:
     """Remove a voter from a set of even size that no learner can complete.
 
-    The oldest one is removed: hosts that are replaced are usually old ones. It goes on
-    as a learner.
+    The oldest one but the leader is removed. It goes on as a learner.
     """
     size = len(view.voters)
     if not 0 < view.target < size or size % 2 == 1:
@@ -150,7 +166,7 @@
     can_grow = size < view.most_voters
     if can_grow and any(learner.is_staying for learner in view.learners):
         return None
-    oldest = next(voter for voter in view.voters if not voter.is_leader)
+    oldest = _oldest_follower(view)
     remaining = [voter for voter in view.voters if voter is not oldest]
     if not _has_reachable_majority(remaining):
         return None
@@ -163,15 +179,26 @@
     _remove_surplus,
     _replace_voter,
     _grow,
+    _add_newer,
     _shrink,
 )
 
 
+def _oldest_follower(view: VoterView) -> Member:
+    """Return the voter beside the leader whose disk was formatted first.
+
+    Among voters of the same or unknown age it is the one that was added first.
+    """
+    followers = [voter for voter in view.voters if not voter.is_leader]
+    return min(followers, key=lambda voter: voter.created_ms)
+
+
 def _add_first(
     view: VoterView, is_wanted: Callable[[Member], bool]
 ) -> VoterChange | None:
-    """Add the first wanted learner that the voters can take."""
-    for learner in view.learners:
+    """Add the newest wanted learner that the voters can take."""
+    newest_first = sorted(view.learners, key=lambda one: one.created_ms, reverse=True)
+    for learner in newest_first:
         if not learner.is_ready or not is_wanted(learner):
             continue
         name = learner.replica.name
--- a/mustardtrack/process/control.py
+++ b/mustardtrack/process/control.py
@@ -9,6 +9,7 @@
 from mustardtrack.adapters.clock import SystemClock
 from mustardtrack.adapters.disk import DiskStorage
 from mustardtrack.adapters.endpoint_client import HttpEndpointClient
+from mustardtrack.adapters.processwatch import ProcessWatch
 from mustardtrack.adapters.zeromq import Bus
 from mustardtrack.agreement import Replica, ReplicaId, Timing
 from mustardtrack.configuration import (
@@ -49,6 +50,9 @@
         self._metrics = create_metrics(settings)
         self._addresses = {peer.name: peer.bus for peer in settings.control}
         self._bus = Bus(settings.name, self._own_peer.bus)
+        self._names = {peer.bus: peer.name for peer in settings.control}
+        self._process_watch = ProcessWatch(self._clock, self._record_end)
+        self._bus.report_lost_connections(self._process_watch.record_lost_connection)
         self._router_heartbeats: dict[str, tuple[RouterHeartbeat, int]] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
@@ -129,6 +133,10 @@
     async def _receive_agreement(self, sender: str, body: bytes) -> None:
         self._replica_task.receive_message(body)
 
+    def _record_end(self, address: str, probed_ms: int) -> None:
+        if address in self._names:
+            self._replica_task.record_end(self._names[address], probed_ms)
+
     async def _receive_command(self, sender: str, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=CommandRequest)
         if self._stopping:
@@ -216,6 +224,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._storage.close()
+        self._process_watch.stop()
         await self._http.close()
         await self._bus.stop()
         return []
--- a/mustardtrack/process/replica_task.py
+++ b/mustardtrack/process/replica_task.py
@@ -68,6 +68,15 @@
     reply: "asyncio.Future[None]"
 
 
+@dataclass
+class _ProcessEnd:
+    name: str
+    probed_ms: int
+
+
+_Input = _Proposal | _IncomingMessage | _Formation | _ProcessEnd
+
+
 class ReplicaTask(Generic[StateT]):
     """Runs one replica.
 
@@ -109,9 +118,7 @@
         self._metrics = metrics
         self._tick_ms = tick_ms
         self._restore_state_machine = restore
-        self._queue: asyncio.Queue[_Proposal | _IncomingMessage | _Formation] = (
-            asyncio.Queue()
-        )
+        self._queue: asyncio.Queue[_Input] = asyncio.Queue()
         self._pending_replies: dict[int, tuple[int, asyncio.Future[CommandReply]]] = {}
         self._changed = asyncio.Event()
 
@@ -140,6 +147,15 @@
         """Queue an encoded agreement message."""
         self._queue.put_nowait(_IncomingMessage(data))
 
+    def record_end(self, name: str, probed_ms: int) -> None:
+        """Queue the notice that the process of another replica has ended.
+
+        Args:
+            name: Name of the replica.
+            probed_ms: Time at which its process was known to have ended.
+        """
+        self._queue.put_nowait(_ProcessEnd(name, probed_ms))
+
     async def submit(self, command: Command) -> CommandReply:
         """Commit one command and return its outcome."""
         reply: asyncio.Future[CommandReply] = asyncio.get_running_loop().create_future()
@@ -188,9 +204,7 @@
             await self._execute_effects(merge_effects(effects))
             self._compact_if_due()
 
-    async def _next_batch(
-        self, next_tick: int
-    ) -> list[_Proposal | _IncomingMessage | _Formation]:
+    async def _next_batch(self, next_tick: int) -> list[_Input]:
         wait_ms = max(0, next_tick - self._clock.now_ms())
         batch = []
         try:
@@ -202,14 +216,14 @@
             batch.append(self._queue.get_nowait())
         return batch
 
-    def _handle_input(
-        self, item: _Proposal | _IncomingMessage | _Formation
-    ) -> list[Effects]:
+    def _handle_input(self, item: _Input) -> list[Effects]:
         now_ms = self._clock.now_ms()
         if isinstance(item, _IncomingMessage):
             return self._handle_message(item.data, now_ms)
         if isinstance(item, _Formation):
             return self._handle_formation(item, now_ms)
+        if isinstance(item, _ProcessEnd):
+            return [self._replica.record_end(item.name, item.probed_ms, now_ms)]
         payload = encode_proposal(Proposal(self._clock.wall_ms(), item.command))
         result, effects = self._replica.propose(payload, now_ms)
         if isinstance(result, NotLeader):
--- a/mustardtrack/process/seeded_control.py
+++ b/mustardtrack/process/seeded_control.py
@@ -13,6 +13,7 @@
 from mustardtrack.adapters.disk import DiskStorage
 from mustardtrack.adapters.exposition import serve_metrics
 from mustardtrack.adapters.metrics import InMemoryMetrics
+from mustardtrack.adapters.processwatch import ProcessWatch
 from mustardtrack.adapters.zeromq import Bus, BusTimeoutError
 from mustardtrack.admission.partcrashes import (
     SEARCH_PERIOD_MS,
@@ -109,6 +110,8 @@
         self.metrics = InMemoryMetrics()
         count_events(self.metrics)
         self._bus = Bus(self._name, self._name)
+        self._process_watch = ProcessWatch(self._clock, self._record_end)
+        self._bus.report_lost_connections(self._process_watch.record_lost_connection)
         pace = create_pace(settings.bounds.adaptive_start)
         self.placements = PlacementTable(settings.bounds.weights_ms, pace)
         self._placement_service = PlacementService(self, settings.bounds)
@@ -321,6 +324,9 @@
     async def _receive_agreement(self, sender: str, body: bytes) -> None:
         self._replica_task.receive_message(body)
 
+    def _record_end(self, name: str, probed_ms: int) -> None:
+        self._replica_task.record_end(name, probed_ms)
+
     async def _receive_hosts(self, sender: str, body: bytes) -> None:
         hosts = msgspec.msgpack.decode(body, type=ControlHosts)
         self.placements.weights_limit.adopt(hosts.weights_ages, self.now_ms())
@@ -577,6 +583,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._storage.close()
+        self._process_watch.stop()
         await self._bus.stop()
         return unanswered
 
--- a/mustardtrack/process/tests/test_replaced_control_hosts.py
+++ b/mustardtrack/process/tests/test_replaced_control_hosts.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import shutil
 import signal
 import time
 
@@ -29,6 +30,8 @@
 # The group is stable contact-ms after the last stop, and acknowledges orders within
 # ack-timeout-ms of that.
 ACKNOWLEDGED_WITHIN_S = 3.0 + 4.0
+# Time from the removal of one host to the loss of another one's disk.
+REMOVAL_TO_LOSS_S = 0.3
 EXPECTED = (OSError, http.client.HTTPException)
 
 
@@ -70,7 +73,27 @@
         if host != CONTROLS[kept]:
             hosts.stop(host, signal_number)
             time.sleep(PAUSE_S)
-    remaining = (CONTROLS[kept], *SUCCESSORS)
+    assert_documents_are_kept((CONTROLS[kept], *SUCCESSORS))
+
+
+@pytest.mark.parametrize("removed", range(len(CONTROLS)))
+def test_host_is_removed_and_another_loses_its_disk(hosts, removed):
+    """Guards against a group without a leader though two hosts hold everything."""
+    hosts.start(SUCCESSORS[0], bootstrap=False)
+    assert holds_within(lambda: hosts.has_started(SUCCESSORS[0]), START_LIMIT_S)
+    time.sleep(CATCH_UP_S)
+    wiped, kept = (host for host in CONTROLS if host != CONTROLS[removed])
+    hosts.stop(CONTROLS[removed], signal.SIGKILL)
+    time.sleep(REMOVAL_TO_LOSS_S)
+    hosts.stop(wiped, signal.SIGKILL)
+    shutil.rmtree(hosts.data_folder(wiped))
+    time.sleep(PAUSE_S)
+    hosts.start(wiped, bootstrap=False)
+    assert_documents_are_kept((kept, SUCCESSORS[0], wiped))
+
+
+def assert_documents_are_kept(remaining):
+    """Check that hosts give back document 7 in time, and that document 8 is taken."""
     stopped_s = time.monotonic()
     for host in remaining:
         left_s = ACKNOWLEDGED_WITHIN_S - (time.monotonic() - stopped_s)
@@ -83,7 +106,7 @@
         assert holds_within(is_read, left_s, EXPECTED)
         assert content[0]["version"] == 7
     assert holds_within(
-        lambda: put_document(CONTROLS[kept], document(8)) == 200,
+        lambda: put_document(remaining[0], document(8)) == 200,
         ACKNOWLEDGED_WITHIN_S - (time.monotonic() - stopped_s),
         EXPECTED,
     )
--- a/mustardtrack/testing/disks.py
+++ b/mustardtrack/testing/disks.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from mustardtrack.agreement import PersistOp, StoredState
+from mustardtrack.agreement.diskidentity import create_disk_identity
 from mustardtrack.ports import ReplicaStorage
 
 
@@ -19,6 +20,8 @@
     Args:
         disk: Prefix of the disk identities; a number that increases with each
             replacement of the disk follows it.
+        created_ms: Time of day at which the disk was formatted; the identity states it
+            if it is not 0.
 
     Attributes:
         tear_next_write: Whether the process crashes in the middle of the next write.
@@ -33,8 +36,9 @@
         0
     """
 
-    def __init__(self, disk: str):
+    def __init__(self, disk: str, created_ms: int = 0):
         self._name = disk
+        self._created_ms = created_ms
         self._generation = 1
         self._synced: list[PersistOp] = []
         self._unsynced: list[PersistOp] = []
@@ -44,7 +48,10 @@
     @property
     def identity(self) -> str:
         """Identity of the current disk."""
-        return f"{self._name}.{self._generation}"
+        identity = f"{self._name}.{self._generation}"
+        if not self._created_ms:
+            return identity
+        return create_disk_identity(self._created_ms, random.Random(identity))
 
     @property
     def synced_operations(self) -> int:
--- a/mustardtrack/testing/replicas.py
+++ b/mustardtrack/testing/replicas.py
@@ -31,6 +31,9 @@
 from mustardtrack.testing.disks import DiskCrashError, MemoryDisk
 
 STEP_MS = 10
+# An end is reported more than once, because messages that the process sent before may
+# arrive after the first report.
+REPORT_DELAYS_MS = (0, 20, 80, 200)
 FAST_TIMING = Timing(
     heartbeat_ms=50,
     election_timeout_ms=300,
@@ -104,6 +107,7 @@
         timing: Periods and sizes of the replicas.
         compact_after: Number of applied entries after which a snapshot is taken.
         seeds: Names that a started replica asks to admit it; all by default.
+        reports_ends: Whether the others are told when a process has ended.
 
     Attributes:
         values: Committed entries by index.
@@ -125,6 +129,7 @@
         timing: Timing = FAST_TIMING,
         compact_after: int = 12,
         seeds: Sequence[str] | None = None,
+        reports_ends: bool = False,
     ):
         self.rng = random.Random(seed)
         self.timing = timing
@@ -136,6 +141,8 @@
         self.sent: list[tuple[str, str, Message]] = []
         self._compact_after = compact_after
         self._seeds = seeds
+        self._reports_ends = reports_ends
+        self._ends_to_report: list[tuple[int, str, str]] = []
         self._in_flight: list[tuple[int, int, str, bytes]] = []
         self._message_number = 0
         names = [chr(ord("a") + number) for number in range(size)]
@@ -176,9 +183,21 @@
         if stored.snapshot:
             self._restore(node, stored.snapshot)
 
-    def crash(self, name: str) -> None:
-        """Kill a process; a random prefix of its unsynced writes is kept."""
+    def crash(self, name: str, is_dark: bool = False) -> None:
+        """Kill a process; a random prefix of its unsynced writes is kept.
+
+        Args:
+            name: Name of the node.
+            is_dark: Whether its host is gone too, so that nobody can tell that the
+                process has ended.
+        """
         node = self.nodes[name]
+        if node.replica is not None and self._reports_ends and not is_dark:
+            for observer in sorted(self.nodes.keys() - {name}):
+                due_ms = self.now_ms + self.rng.randint(1, self.network.max_delay_ms)
+                self._ends_to_report += [
+                    (due_ms + delay_ms, observer, name) for delay_ms in REPORT_DELAYS_MS
+                ]
         node.replica = None
         node.disk.crash(self.rng)
 
@@ -199,9 +218,9 @@
             self._step()
         self.remove(name)
 
-    def remove(self, name: str) -> None:
-        """Kill a process and take its host away for good."""
-        self.crash(name)
+    def remove(self, name: str, is_dark: bool = False) -> None:
+        """Kill a process and take its host away for good; see :meth:`crash`."""
+        self.crash(name, is_dark)
         del self.nodes[name]
 
     def lose_disk(self, name: str) -> None:
@@ -305,6 +324,7 @@
     def _step(self) -> None:
         self.now_ms += STEP_MS
         self._deliver()
+        self._report_ends()
         for node in self.running_nodes():
             if not node.paused:
                 self._process(node)
@@ -321,6 +341,20 @@
             if received:
                 node.inbox.append(received)
 
+    def _report_ends(self) -> None:
+        """Report ended processes to nodes that run and can reach their host."""
+        remaining = []
+        for due_ms, observer, name in self._ends_to_report:
+            node, ended = self.nodes.get(observer), self.nodes.get(name)
+            if node is None or node.replica is None or (ended and ended.replica):
+                continue
+            if due_ms > self.now_ms or node.paused:
+                remaining.append((due_ms, observer, name))
+            elif not self.network.blocked & {(observer, name), (name, observer)}:
+                now_ms = self.clock_ms(node)
+                self._execute(node, node.replica.record_end(name, now_ms, now_ms))
+        self._ends_to_report = remaining
+
     def _process(self, node: Node) -> None:
         assert node.replica
         now_ms = self.clock_ms(node)
