Let the kind of a route decide whether its requests may run again

Cause: Route.may_retry was true for each route with the flag, which has a meaning for streams only. Five places ask it, and so did the check of event 7102 that must stop a second run. Ruled out: a client that repeats (8951 counts two sends), and a connection that was closed while idle (8952: broken 29 ms after the send, next is retry).

Change: Route.may_resume is true for streams only, and may_retry rests on it. The check reads the kind itself and also stops a second send while the first has no outcome. Manifests with the flag on other kinds stay valid, and stored ones load.

Tests: nine failed before (five without a network, four of four with real processes); the table of kinds and flags could not run before, as may_resume did not exist.

--- a/mustardtrack/configuration/routes.py
+++ b/mustardtrack/configuration/routes.py
@@ -39,7 +39,8 @@
         shares: Services of the route with their weights in the traffic split.
         max_attempts: Maximum number of endpoints that a request may run on.
         is_public: Whether requests need no key.
-        is_resumable: Whether an interrupted stream may resume at another endpoint.
+        is_resumable: Whether an interrupted stream may resume at another endpoint. It
+            has no meaning for other requests; see :attr:`may_resume`.
         has_prefix: Whether requests identify the parts of their prompt.
     """
 
@@ -60,7 +61,12 @@
     @property
     def may_retry(self) -> bool:
         """Whether a request that may have run can be retried."""
-        return self.retry_safety is RetrySafety.IDEMPOTENT or self.is_resumable
+        return self.retry_safety is RetrySafety.IDEMPOTENT or self.may_resume
+
+    @property
+    def may_resume(self) -> bool:
+        """Whether another endpoint may continue an interrupted answer."""
+        return self.is_stream and self.is_resumable
 
     @property
     def is_stream(self) -> bool:
--- a/mustardtrack/platform/tests/test_manifests.py
+++ b/mustardtrack/platform/tests/test_manifests.py
@@ -70,6 +70,32 @@
     return json.dumps({**copy.deepcopy(MANIFEST), **changes}).encode()
 
 
+FLAGS = {"resumable": True, "sticky": True, "target-gap-ms": 400, "max-attempts": 3}
+
+
+@pytest.mark.parametrize(
+    ("kind", "flags", "may_retry", "may_resume"),
+    [
+        ("non_idempotent", FLAGS, False, False),
+        ("non_idempotent", {"resumable": False}, False, False),
+        ("idempotent", FLAGS, True, False),
+        ("idempotent", {"resumable": False}, True, False),
+        ("streaming", FLAGS, True, True),
+        ("streaming", {"resumable": False}, False, False),
+    ],
+)
+def test_flags_of_streams_leave_other_kinds_as_they_are(
+    kind, flags, may_retry, may_resume
+):
+    """Guards against bookings that may be repeated because of a flag of streams.
+
+    Manifests with such routes were acknowledged and stored, so that they must load.
+    """
+    table = decode_manifest(encode_manifest_with_route(kind=kind, **flags))
+    route = next(one for one in table.routes["a.example"] if one.name == "r-1")
+    assert (route.may_retry, route.may_resume) == (may_retry, may_resume)
+
+
 def encode_manifest_with_route(**changes):
     manifest = copy.deepcopy(MANIFEST)
     manifest["routes"][0].update(changes)
--- a/mustardtrack/process/attempt.py
+++ b/mustardtrack/process/attempt.py
@@ -495,7 +495,7 @@
             outcome = self._fail_broken(connection, "stream truncated")
         if outcome.is_final or not self._exchange.is_started:
             return outcome
-        if self._admitted.route.is_resumable and self._time_left_ms() > 0:
+        if self._admitted.route.may_resume and self._time_left_ms() > 0:
             return outcome
         self._exchange.abort()
         return replace(
--- a/mustardtrack/process/tests/test_faulty_answers.py
+++ b/mustardtrack/process/tests/test_faulty_answers.py
@@ -244,7 +244,13 @@
 
 
 def document():
-    kinds = {"stream": True, "call": False, "safe": False, "resumable": True}
+    kinds = {
+        "stream": True,
+        "call": False,
+        "safe": False,
+        "resumable": True,
+        "marked-call": False,
+    }
     routes = [
         {
             "name": kind,
@@ -259,7 +265,7 @@
             "target-latency-ms": 1000,
             "service": "s1",
             "max-attempts": 2,
-            "resumable": kind == "resumable",
+            "resumable": kind in ("resumable", "marked-call"),
         }
         for kind, is_stream in kinds.items()
     ]
@@ -378,6 +384,15 @@
     assert send("stream", script)[1] in (None, 502)
 
 
+@pytest.mark.parametrize(
+    "script", ["reset-call", "half-head", "half-length", "head-without-end"]
+)
+def test_call_on_a_resumable_route_runs_once(engines, script):
+    """Guards against bookings that run again because of a flag of streams."""
+    request_id, status, _ = send("marked-call", script)
+    assert (status, engines.runs[request_id]) == (502, 1)
+
+
 @pytest.mark.parametrize("case", ["id", "no-id"])
 def test_refusal_that_is_sent_again_refuses_no_other_request(engines, case):
     """Guards against 'not run' for a request that an engine runs, and a second run."""
--- a/mustardtrack/requests/forwarding.py
+++ b/mustardtrack/requests/forwarding.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from mustardtrack.configuration.routes import Route
+from mustardtrack.configuration.routes import RetrySafety, Route
 from mustardtrack.logs import define_event, require_invariant
 from mustardtrack.routing.placementmessages import Placement
 
@@ -145,11 +145,19 @@
         """Count a send.
 
         Raises:
-            InvariantViolationError: If the request may have run and must not be
-                repeated.
+            InvariantViolationError: If the request may have run, or may still be
+                running, and must not be repeated.
         """
+        # Without ``Route.may_retry``, on which the decision to retry rests: an error
+        # in it would otherwise pass this check too.
+        is_repeatable = {
+            RetrySafety.IDEMPOTENT: True,
+            RetrySafety.AT_MOST_ONCE: False,
+            RetrySafety.STREAM: self.route.is_resumable,
+        }
+        is_second_run = self.may_have_run or self.is_outcome_open
         require_invariant(
-            not self.may_have_run or self.route.may_retry,
+            not is_second_run or is_repeatable[self.route.retry_safety],
             UNSAFE_RETRY,
             route=self.route.name,
             sends=self.sends,
--- a/mustardtrack/requests/tests/test_forwarding.py
+++ b/mustardtrack/requests/tests/test_forwarding.py
@@ -43,6 +43,35 @@
         progress.require_not_run()
 
 
+@pytest.mark.parametrize("is_outcome_open", [False, True])
+def test_call_on_a_route_with_flags_of_streams_runs_once(is_outcome_open):
+    """Guards against bookings that run again because their route is resumable."""
+    progress = ForwardedRequest(route(RetrySafety.AT_MOST_ONCE, resumable=True))
+    progress.record_send()
+    assert not progress.may_abandon_attempt()
+    if not is_outcome_open:
+        step = progress.step_after(AttemptFailure.CONNECTION_LOST)
+        assert step is NextStep.FAIL
+    with pytest.raises(InvariantViolationError):
+        progress.record_send()
+
+
+@pytest.mark.parametrize(
+    "kind, resumable",
+    [(RetrySafety.AT_MOST_ONCE, True), (RetrySafety.STREAM, False)],
+)
+def test_second_run_is_stopped_even_if_the_route_says_that_it_may_be_retried(
+    kind, resumable, monkeypatch
+):
+    """Guards against a check that shares a wrong answer with the decision."""
+    monkeypatch.setattr(Route, "may_retry", True)
+    progress = ForwardedRequest(route(kind, resumable=resumable))
+    progress.record_send()
+    assert progress.step_after(AttemptFailure.CONNECTION_LOST) is NextStep.RETRY
+    with pytest.raises(InvariantViolationError):
+        progress.record_send()
+
+
 def test_request_that_did_not_run_is_retried_and_then_refused():
     progress = ForwardedRequest(route(RetrySafety.AT_MOST_ONCE, attempts=1))
     progress.record_send()
@@ -80,6 +109,10 @@
         if step is not NextStep.RETRY:
             break
     assert ran <= attempts
+    if kind is RetrySafety.AT_MOST_ONCE or (
+        kind is RetrySafety.STREAM and not resumable
+    ):
+        assert ran <= 1
 
 
 # A line is empty if it ends right after the end of another line.
