Test the loss of one of two successors, and end the watch of a closed connection

A connection that is closed before its watch has started has no monitor: the watch would have failed with an error of the closed socket. Found by reading, not seen in a run.

--- a/mustardtrack/adapters/zeromq.py
+++ b/mustardtrack/adapters/zeromq.py
@@ -262,6 +262,8 @@
 
     async def watch_connection(self, on_lost: Callable[[str], None]) -> None:
         """Call ``on_lost(address)`` whenever the connection is lost, until closed."""
+        if self.closed:
+            return
         self._monitor = self._socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
         while not self.closed:
             try:
--- a/mustardtrack/agreement/tests/test_ended_processes.py
+++ b/mustardtrack/agreement/tests/test_ended_processes.py
@@ -36,6 +36,21 @@
     return follower
 
 
+def elect_leader(now_ms):
+    """Return replica B, elected after the end of A, and the effects of its election.
+
+    D has asked it for admission just before.
+    """
+    replica = make_follower()
+    replica.receive(D, JoinRequest(1), now_ms - 1)
+    replica.record_end("a", now_ms, now_ms)
+    replica.tick(now_ms)
+    replica.receive(C, PreVoteReply(TERM + 1, True), now_ms)
+    effects = replica.receive(C, VoteReply(TERM + 1, True), now_ms)
+    assert replica.status(now_ms).role == "leader"
+    return replica, effects
+
+
 def grants_vote(replica, now_ms):
     """Return whether the replica grants C a pre-vote and its vote."""
     request = PreVoteRequest(TERM + 1, 9, TERM)
@@ -91,26 +106,14 @@
 
 def test_new_leader_sends_to_learners_that_asked_its_group_before_the_election():
     """Guards against a learner that has to ask again before it may replace a voter."""
-    leader = make_follower()
-    leader.receive(D, JoinRequest(1), CONTACT_MS + 4)
-    now_ms = CONTACT_MS + 5
-    leader.record_end("a", now_ms, now_ms)
-    leader.tick(now_ms)
-    leader.receive(C, PreVoteReply(TERM + 1, True), now_ms)
-    effects = leader.receive(C, VoteReply(TERM + 1, True), now_ms)
-    assert leader.status(now_ms).role == "leader"
+    leader, effects = elect_leader(CONTACT_MS + 5)
     assert D in {receiver for receiver, _ in effects.send}
 
 
 def test_learner_becomes_a_voter_only_after_it_replied_again():
     """Guards against a vote for a learner that is lost together with the voter."""
-    leader = make_follower()
-    leader.receive(D, JoinRequest(1), CONTACT_MS + 4)
     now_ms = CONTACT_MS + 5
-    leader.record_end("a", now_ms, now_ms)
-    leader.tick(now_ms)
-    leader.receive(C, PreVoteReply(TERM + 1, True), now_ms)
-    leader.receive(C, VoteReply(TERM + 1, True), now_ms)
+    leader, _ = elect_leader(now_ms)
     acknowledge(leader, C, now_ms + 1)
     acknowledge(leader, D, now_ms + 1)
     assert D not in leader.status(now_ms + 1).voters
--- a/mustardtrack/agreement/tests/test_removals_beside_losses.py
+++ b/mustardtrack/agreement/tests/test_removals_beside_losses.py
@@ -222,3 +222,18 @@
         group.run(pause_ms)
         frozen.paused = False
         assert_changes_are_acknowledged(group)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("lost", ["d", "e", "kept"])
+@pytest.mark.parametrize("kept", ["leader", "other"])
+def test_disk_is_lost_after_two_hosts_with_successors_were_removed(kept, lost, seed):
+    """Guards against one of two successors that is lost while votes still move."""
+    group = start_group(seed, "de")
+    leader = group.run_until_leader().name
+    kept_host = leader if kept == "leader" else min(set(OLD) - {leader})
+    for name in sorted(set(OLD) - {kept_host}):
+        group.remove(name)
+    group.run(KILLED_GAP_MS)
+    lose_and_restart(group, kept_host if lost == "kept" else lost)
+    assert_changes_are_acknowledged(group)
