Wait until the control host leads before the crashing request is repeated

The trace: the control host took 2.4 s to start, was ready at 48:00.83 and led at 48:01.71; the repeats began at 48:01.53, and the router refused from 48:01.78 on (8916, 8948). The test states that the only control host leads again and slept for a fixed 2 s in place of that. It waits for a confirmed read now; the refusals and arrivals that it asserts are the same.

--- a/mustardtrack/process/tests/test_crashing_request.py
+++ b/mustardtrack/process/tests/test_crashing_request.py
@@ -4,6 +4,7 @@
 crash when they begin to answer a request for one target.
 """
 
+import http.client
 import signal
 import time
 from itertools import count
@@ -17,7 +18,7 @@
     wait_until_serving,
 )
 from mustardtrack.testing.prompt_engines import RESTART_S, PromptEngines
-from mustardtrack.testing.seeded_hosts import SeededHosts, holds_within
+from mustardtrack.testing.seeded_hosts import SeededHosts, holds_within, read_document
 from mustardtrack.testing.subnets import Subnet
 
 SUBNET = Subnet()
@@ -34,6 +35,7 @@
 ALLOWED_REQUESTS = 3
 # Time after which the processes that remain have a leader.
 ELECTION_S = 2.0
+EXPECTED = (OSError, http.client.HTTPException)
 REPEATS = 6
 REPEAT_PERIOD_S = 0.15
 
@@ -167,6 +169,11 @@
 }
 
 
+def is_led():
+    """Return whether the only control host leads, so that its reads are confirmed."""
+    return read_document(CONTROLS[0]) is not None
+
+
 @pytest.mark.parametrize("name", STOPS_AT_A_CRASH)
 def test_crash_just_before_planned_stops_is_counted(tmp_path, engines, name):
     """Guards against losses that a router reported to a leader that was ending.
@@ -190,6 +197,7 @@
                 hosts.running.pop(host).wait(timeout=LONGEST_WAIT_S)
                 hosts.start(host, bootstrap=False)
             time.sleep(ELECTION_S)
+            assert holds_within(is_led, LONGEST_WAIT_S, EXPECTED)
             assert holds_within(lambda: hosts.is_ready(ROUTERS[0]), LONGEST_WAIT_S)
             time.sleep(RESTART_S)
         arrivals = count_arrivals(engines)
