Test every combination of route kind and flags

It has a row now for each kind with each value of resumable, sticky, public, target-gap-ms and max-attempts (96 rows); what is asserted of the former rows is the same.

--- a/mustardtrack/platform/tests/test_manifests.py
+++ b/mustardtrack/platform/tests/test_manifests.py
@@ -70,30 +70,40 @@
     return json.dumps({**copy.deepcopy(MANIFEST), **changes}).encode()
 
 
-FLAGS = {"resumable": True, "sticky": True, "target-gap-ms": 400, "max-attempts": 3}
+# Kind and ``resumable`` of a route: whether its requests may run again, and whether
+# their answers may be resumed.
+REPETITION = {
+    ("non_idempotent", False): (False, False),
+    ("non_idempotent", True): (False, False),
+    ("idempotent", False): (True, False),
+    ("idempotent", True): (True, False),
+    ("streaming", False): (False, False),
+    ("streaming", True): (True, True),
+}
 
 
-@pytest.mark.parametrize(
-    ("kind", "flags", "may_retry", "may_resume"),
-    [
-        ("non_idempotent", FLAGS, False, False),
-        ("non_idempotent", {"resumable": False}, False, False),
-        ("idempotent", FLAGS, True, False),
-        ("idempotent", {"resumable": False}, True, False),
-        ("streaming", FLAGS, True, True),
-        ("streaming", {"resumable": False}, False, False),
-    ],
-)
+@pytest.mark.parametrize("attempts", [1, 3])
+@pytest.mark.parametrize("gap_ms", [0, 400])
+@pytest.mark.parametrize("is_public", [False, True])
+@pytest.mark.parametrize("is_sticky", [False, True])
+@pytest.mark.parametrize(("kind", "is_resumable"), REPETITION)
 def test_flags_of_streams_leave_other_kinds_as_they_are(
-    kind, flags, may_retry, may_resume
+    kind, is_resumable, is_sticky, is_public, gap_ms, attempts
 ):
     """Guards against bookings that may be repeated because of a flag of streams.
 
     Manifests with such routes were acknowledged and stored, so that they must load.
     """
+    flags = {
+        "resumable": is_resumable,
+        "sticky": is_sticky,
+        "public": is_public,
+        "target-gap-ms": gap_ms,
+        "max-attempts": attempts,
+    }
     table = decode_manifest(encode_manifest_with_route(kind=kind, **flags))
     route = next(one for one in table.routes["a.example"] if one.name == "r-1")
-    assert (route.may_retry, route.may_resume) == (may_retry, may_resume)
+    assert (route.may_retry, route.may_resume) == REPETITION[kind, is_resumable]
 
 
 def encode_manifest_with_route(**changes):
