--- a/mustardtrack/agreement/membership.py
+++ b/mustardtrack/agreement/membership.py
@@ -30,6 +30,7 @@
         self._core = core
         self._leader_role = leader_role
         self._leave_requests: dict[ReplicaId, int] = {}
+        # Learner that is to become a voter, and the time at which it was chosen.
         self._candidate: tuple[ReplicaId, int] | None = None
 
     def on_join_request(
